--- a/examples/in_process.rs
+++ b/examples/in_process.rs
@@ -1,8 +1,8 @@
 //! One dispatcher and two workers in one process: a request is taken, sent, started and answered, then a
 //! second one meets an error and is tried again elsewhere. Run with `cargo run --example in_process`.
 
-use stairpitch::api::*;
-use stairpitch::choice::Dispatcher;
+use indigofold::api::*;
+use indigofold::choice::Dispatcher;
 
 /// A site with one safe class, a pushed worker list and workers that tell when a job starts.
 fn settings() -> Settings {
--- a/src/bin/stairpitch-adapter.rs
+++ b/src/bin/indigofold-drill.rs
@@ -4,18 +4,18 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    std::panic::set_hook(Box::new(|info| eprintln!("stairpitch-adapter: {info}")));
+    std::panic::set_hook(Box::new(|info| eprintln!("indigofold-drill: {info}")));
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("stairpitch-adapter: {error}");
+            eprintln!("indigofold-drill: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
-    let mut session = stairpitch::wire::Session::new();
+    let mut session = indigofold::wire::Session::new();
     let mut input = std::io::BufReader::with_capacity(1 << 16, std::io::stdin().lock());
     let mut output = std::io::stdout().lock();
     let mut line = String::new();
@@ -26,7 +26,7 @@
         }
         let reply = session.line(line.trim_end_matches('\n'));
         for note in session.take_notes() {
-            eprintln!("stairpitch-adapter: {note}");
+            eprintln!("indigofold-drill: {note}");
         }
         if let Some(reply) = reply? {
             output.write_all(reply.as_bytes())?;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Settings and a small stage for module tests: no simulation, only the bookkeeping of what was said.
 #![allow(dead_code)]
 
-use stairpitch::api::*;
-use stairpitch::choice::Dispatcher;
+use indigofold::api::*;
+use indigofold::choice::Dispatcher;
 
 pub const MS: Time = 1_000;
 pub const SEC: Time = 1_000_000;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use stairpitch::api::*;
-use stairpitch::choice::solve;
+use indigofold::api::*;
+use indigofold::choice::solve;
 
 // ---- Problem (1) ----------------------------------------------------------------------------------------
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use proptest::prelude::*;
-use stairpitch::api::*;
+use indigofold::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The text protocol: round trips, bad input, and the built adapter as a process.
 
 use proptest::prelude::*;
-use stairpitch::wire::Session;
+use indigofold::wire::Session;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -142,7 +142,7 @@
 }
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_stairpitch-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_indigofold-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
