--- a/src/choice.rs
+++ b/src/choice.rs
@@ -420,7 +420,7 @@
         let queue = self.may_wait(true);
         let free = |w: &Worker| !self.crowded(now, w) || (queue && w.unstarted.is_empty());
         let takes = |i: &usize| now >= self.workers[*i].aside_until && free(&self.workers[*i]);
-        let near = |n: usize| n / self.kinds.len() % 2 == 0;
+        let near = |n: usize| (n / self.kinds.len()).is_multiple_of(2);
         self.groups.iter().enumerate().any(|(n, list)| (queue || near(n)) && list.iter().any(takes))
     }
 
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,429 @@
+//! Environment, configuration and lists, decoded by simd-json, once, into the values that are used.
+
+use crate::api::*;
+use serde::Deserialize;
+use simd_json::OwnedValue;
+use simd_json::prelude::*;
+
+/// What was expected and not found.
+pub type Parse<T> = Result<T, String>;
+
+/// Names in order of their ids; unknown names get new ids.
+#[derive(Clone, Debug, Default)]
+pub struct Names(Vec<String>);
+
+impl Names {
+    /// The id of a name, a new one if need be.
+    pub fn id(&mut self, name: &str) -> u32 {
+        if let Some(i) = self.find(name) {
+            return i;
+        }
+        self.0.push(name.to_string());
+        (self.0.len() - 1) as u32
+    }
+
+    /// The id of a name that is known.
+    pub fn find(&self, name: &str) -> Option<u32> {
+        self.0.iter().position(|n| n == name).map(|i| i as u32)
+    }
+}
+
+/// What the two site-defined report values hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ReportField {
+    FreeSlots,
+    FreeMemory,
+    Other,
+}
+
+/// A site's settings and the names that go with the numbers in them.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Settings of the decision module.
+    pub settings: Settings,
+    /// Zones.
+    pub zones: Names,
+    /// Kinds of machines.
+    pub kinds: Names,
+    /// Classes, as in [`Settings::classes`].
+    pub classes: Names,
+    /// Tenants, as in [`Settings::tenants`].
+    pub tenants: Names,
+    /// An idle connection to a machine is closed by it after this long.
+    pub conn_idle: Time,
+    fields: [ReportField; 2],
+}
+
+/// A value in a JSON document that may not be there.
+#[derive(Clone, Copy)]
+struct Json<'a>(Option<&'a OwnedValue>);
+
+impl<'a> Json<'a> {
+    fn at(self, key: &str) -> Json<'a> {
+        Json(self.0.and_then(|v| v.get(key)))
+    }
+
+    fn item(self, n: usize) -> Json<'a> {
+        Json(self.0.and_then(|v| v.get_idx(n)))
+    }
+
+    fn list(self) -> impl Iterator<Item = Json<'a>> {
+        self.0.and_then(|v| v.as_array()).into_iter().flatten().map(|v| Json(Some(v)))
+    }
+
+    fn text(self) -> Option<&'a str> {
+        self.0.and_then(|v| v.as_str())
+    }
+
+    fn number(self) -> Option<f64> {
+        self.0.and_then(|v| v.cast_f64()).filter(|v| v.is_finite())
+    }
+
+    fn flag(self) -> bool {
+        self.0.and_then(|v| v.as_bool()).unwrap_or(self.number() == Some(1.0))
+    }
+
+    fn need(self, key: &str) -> Parse<f64> {
+        self.at(key).number().ok_or_else(|| format!("settings lack a number '{key}'"))
+    }
+
+    fn time(self, key: &str) -> Parse<Time> {
+        self.need(key).map(|v| v.max(0.0) as Time)
+    }
+
+    fn number_or(self, key: &str, or: f64) -> f64 {
+        self.at(key).number().unwrap_or(or)
+    }
+
+    /// A number of the rules that may be absent; present, it must be a number that is not negative.
+    fn optional(self, key: &str) -> Parse<Option<f64>> {
+        let Some(value) = self.at(key).0 else { return Ok(None) };
+        let number = Json(Some(value)).number().filter(|v| *v >= 0.0);
+        let shown: String = value.encode().chars().take(40).collect();
+        let bad = || format!("setting 'rules.{key}' must be a number from 0 up, got '{shown}'");
+        number.map(Some).ok_or_else(bad)
+    }
+}
+
+impl Site {
+    /// Reads the settings object from JSON text, which is used up.
+    pub fn read(mut text: Vec<u8>) -> Parse<Self> {
+        let value = simd_json::to_owned_value(&mut text)
+            .map_err(|e| format!("the settings must be a JSON object: {e}"))?;
+        Site::from_value(&value)
+    }
+
+    /// Reads the settings object.
+    pub fn from_value(value: &OwnedValue) -> Parse<Self> {
+        let env = Json(Some(value));
+        let names = |key: &str, inner: Option<&str>| -> Names {
+            let name = |v: Json<'_>| inner.map_or(v, |i| v.at(i)).text().unwrap_or("").to_string();
+            Names(env.at(key).list().map(name).collect())
+        };
+        let mut zones = names("zones", None);
+        let zone = zones.id(env.at("myZone").text().unwrap_or(""));
+        let field = |key: &str| match env.at("domain").at(key).text() {
+            Some(t) if t.contains("slot") => ReportField::FreeSlots,
+            Some(t) if t.contains("memory") => ReportField::FreeMemory,
+            _ => ReportField::Other,
+        };
+        Ok(Site {
+            settings: settings(env, zone)?,
+            zones,
+            kinds: names("kinds", None),
+            classes: names("profiles", Some("name")),
+            tenants: names("customers", Some("name")),
+            conn_idle: env.at("policyLimits").number_or("connIdle", 5e6).max(0.0) as Time,
+            fields: [field("reportX0"), field("reportX1")],
+        })
+    }
+
+    /// Takes one named figure of a load report; an unknown one is skipped.
+    pub fn report(&self, load: &mut Load, name: &str, value: f64) {
+        let slot = match name {
+            "busy_reqs" | "inflight" => &mut load.inflight,
+            "pending" | "queue" => &mut load.queue,
+            "cpu_share" | "util" => &mut load.busy,
+            "served_ps" | "qps" => &mut load.served,
+            "failed_ps" | "eps" => &mut load.failed,
+            "x0" | "x1" => match self.fields[usize::from(name == "x1")] {
+                ReportField::FreeSlots => &mut load.free_slots,
+                ReportField::FreeMemory => &mut load.free_memory,
+                ReportField::Other => return,
+            },
+            _ => return,
+        };
+        *slot = Some(value);
+    }
+}
+
+/// Reads the settings object; what a rule or a limit rests on must be there, the rest has defaults.
+fn settings(env: Json<'_>, zone: ZoneId) -> Parse<Settings> {
+    let (rules, limits, prices, domain) =
+        (env.at("rules"), env.at("policyLimits"), env.at("charges"), env.at("domain"));
+    let mut classes = Vec::new();
+    for (i, c) in env.at("profiles").list().enumerate() {
+        let effect = match c.at("effect").text() {
+            Some("safe") => Effect::Safe,
+            Some("keyed") => {
+                let group = match c.at("group").text() {
+                    Some("all") => Group::All,
+                    Some("zone") => Group::Zone,
+                    _ => Group::Cell,
+                };
+                Effect::Keyed { group, ttl: c.time("keyTtl")? }
+            }
+            _ => Effect::Unsafe,
+        };
+        let stretch = domain.at("classStretch").item(i).number().or(c.at("aimStretch").number());
+        let kind = domain.at("classKind").item(i).number();
+        classes.push(Class {
+            kind: kind.filter(|k| *k >= 0.0).map(|k| k as KindId),
+            aim: c.time("aim")?,
+            stretch: stretch.unwrap_or(0.0),
+            deadline: c.time("deadline")?,
+            effect,
+            worth: c.number_or("worth", 1.0),
+            late_worth: c.number_or("lateWorth", 0.0),
+            priority: domain.at("classPriority").item(i).number().unwrap_or(0.0) as i32,
+        });
+    }
+    let tenants = env.at("customers").list().map(|t| Tenant {
+        quota_per_s: t.number_or("quotaPerS", 0.0),
+        fraction: t.number_or("fraction", 0.0),
+    });
+    Ok(Settings {
+        dispatchers: env.need("balancers")?.max(1.0) as u32,
+        me: env.need("me")?.max(0.0) as u32,
+        zone,
+        granularity: env.number_or("granularity", 1000.0).max(1.0) as Time,
+        classes,
+        tenants: tenants.collect(),
+        list_pushed: env.at("discovery").text() == Some("pushed"),
+        tells_start: domain.at("tellsStart").flag(),
+        progress: domain.number_or("progress", 0.0).max(0.0) as Time,
+        reports: match env.at("telemetry").at("source").text() {
+            Some("inline") => Reports::WithOutcomes,
+            Some("on_probe") => Reports::OnProbe,
+            _ => Reports::Off,
+        },
+        worth_by_work: env.at("worthBy").text() == Some("work"),
+        over_share_worth: env.number_or("overShareWorth", 1.0),
+        limits: Limits {
+            attempts: limits.need("attemptsCap")?.max(0.0) as u32,
+            cancel: limits.at("cancel").flag(),
+            duplicates: limits.at("mayDuplicate").flag(),
+            probes: limits.at("probes").flag(),
+            peers: limits.at("peers").flag(),
+            retry_after: limits.at("retryAfter").flag(),
+            max_retry_after: limits.number_or("maxRetryAfter", 0.0).max(0.0) as Time,
+            dial_timeout: limits.number_or("dialTimeout", 0.0).max(0.0) as Time,
+        },
+        charges: Charges {
+            cross_zone: prices.number_or("crossZone", 0.0),
+            waste: prices.number_or("waste", 0.0),
+            probe: prices.number_or("probe", 0.0),
+            peer: prices.number_or("peer", 0.0),
+            late_fail: prices.number_or("lateFail", 0.0),
+            discovery: prices.number_or("discovery", 0.0),
+        },
+        rules: Rules {
+            answer_slack: rules.time("answerSlack")?,
+            ask_within: rules.time("askWithin")?,
+            cold_from: rules.need("coldFrom")?,
+            warm_after: rules.time("warmAfter")?,
+            drain_grace: rules.time("drainGrace")?,
+            tip_multiple: rules.need("tipMultiple")?,
+            tip_window: rules.time("overloadFor")?,
+            resends: resend_budget(rules)?,
+            let_go_in: rules.optional("letGoIn")?.map(|v| v as Time),
+            full_may_have_run: match rules.at("fullMayHaveRun").0 {
+                None => false,
+                Some(v) => v.as_bool().ok_or("setting 'rules.fullMayHaveRun' must be true or false")?,
+            },
+        },
+    })
+}
+
+/// The budget of attempts. What is missing of one that is stated in part is read the strict way.
+fn resend_budget(rules: Json<'_>) -> Parse<Option<ResendBudget>> {
+    let (free, ratio) = (rules.optional("freeResends")?, rules.optional("resendRatio")?);
+    let window = rules.optional("countedOver")?.map(|v| v as Time);
+    let stated = free.is_some() || ratio.is_some() || window.is_some();
+    let budget = ResendBudget { free: free.unwrap_or(0.0), ratio: ratio.unwrap_or(0.0), window };
+    Ok(stated.then_some(budget))
+}
+
+/// The machine list as discovery writes it.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct MachineList {
+    /// Its version.
+    #[serde(default)]
+    pub seq: u64,
+    /// All machines, not only what changed.
+    #[serde(default)]
+    pub whole: bool,
+    /// The machines.
+    #[serde(default)]
+    pub hosts: Vec<Machine>,
+}
+
+/// One line of the machine list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Machine {
+    /// Its name, the same for every scheduler.
+    pub host: String,
+    /// Where this scheduler reaches it.
+    #[serde(default)]
+    pub dial: String,
+    /// Its zone.
+    #[serde(default)]
+    pub site: String,
+    /// Its kind.
+    #[serde(default)]
+    pub class: String,
+    /// Its cell.
+    #[serde(default)]
+    pub block: u32,
+    /// `Ready`, `Terminating` or `Gone`.
+    pub health: String,
+    /// Its size.
+    #[serde(default = "one")]
+    pub share: f64,
+    /// Its last start in Unix time, milliseconds; 0: long ago.
+    #[serde(default)]
+    pub born_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl MachineList {
+    /// Reads a list from JSON text, which is used up.
+    pub fn read(text: &mut [u8]) -> Parse<Self> {
+        simd_json::serde::from_slice(text).map_err(|e| format!("no machine list: {e}"))
+    }
+}
+
+/// News of a job, as job workers tell it.
+#[derive(Debug, Deserialize)]
+pub struct News {
+    /// The job's id, as its submitter named it.
+    pub id: String,
+    /// The machine.
+    #[serde(default)]
+    pub from: String,
+    /// What has become of it.
+    pub state: String,
+    /// With `running`: the share done.
+    #[serde(default)]
+    pub share: f64,
+    /// With `done`: what was made.
+    #[serde(default)]
+    pub result: Option<OwnedValue>,
+    /// A load report.
+    #[serde(default)]
+    pub load: Option<OwnedValue>,
+}
+
+impl News {
+    /// Reads one piece of news from JSON text, which is used up.
+    pub fn read(text: &mut [u8]) -> Parse<Self> {
+        simd_json::serde::from_slice(text).map_err(|e| format!("no news: {e}"))
+    }
+}
+
+impl Site {
+    /// A load report in JSON, or in text of the form `TEXT name=value, name=value`.
+    pub fn load(&self, text: &[u8]) -> Option<Load> {
+        let text = std::str::from_utf8(text).ok()?.trim();
+        let mut load = Load::default();
+        if let Some(text) = text.strip_prefix("TEXT") {
+            for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+                if let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite()) {
+                    self.report(&mut load, name.trim(), value);
+                }
+            }
+            return Some(load);
+        }
+        let value = simd_json::to_owned_value(&mut text.as_bytes().to_vec()).ok()?;
+        Some(self.load_value(value.get("load").unwrap_or(&value)))
+    }
+
+    /// A load report as a JSON object.
+    pub fn load_value(&self, value: &OwnedValue) -> Load {
+        let mut load = Load::default();
+        for (name, value) in value.as_object().into_iter().flatten() {
+            if let Some(value) = Json(Some(value)).number() {
+                self.report(&mut load, name, value);
+            }
+        }
+        load
+    }
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    listen: String,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    seed: OwnedValue,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    known: MachineList,
+    settings: OwnedValue,
+}
+
+#[derive(Default, Deserialize)]
+struct RawLimits {
+    sockets: Option<usize>,
+}
+
+/// What a scheduler on the platform is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Its name.
+    pub name: String,
+    /// Where to listen.
+    pub listen: String,
+    /// Where discovery answers.
+    pub discovery: String,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The machine list as last held, perhaps old.
+    pub known: MachineList,
+    /// The settings.
+    pub site: Site,
+}
+
+impl Platform {
+    /// Reads the configuration from JSON text; what the environment says goes before it.
+    pub fn read(mut text: Vec<u8>, env: impl Fn(&str) -> Option<String>) -> Parse<Self> {
+        let raw: Raw =
+            simd_json::serde::from_slice(&mut text).map_err(|e| format!("no configuration: {e}"))?;
+        let or = |name: &str, value: String| env(name).filter(|v| !v.is_empty()).unwrap_or(value);
+        let seed = raw.seed.as_str().map(|s| u64::from_str_radix(s, 16).unwrap_or_else(|_| hash(s)));
+        Ok(Platform {
+            name: or("GW_NAME", raw.name),
+            listen: or("GW_LISTEN", raw.listen),
+            discovery: or("GW_DISCOVERY", raw.discovery),
+            seed: seed.or(raw.seed.as_u64()).unwrap_or(1),
+            sockets: raw.limits.sockets.unwrap_or(1024),
+            known: raw.known,
+            site: Site::from_value(&raw.settings)?,
+        })
+    }
+}
+
+/// A number for a name that is the same in every scheduler (FNV-1a).
+pub fn hash(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
--- /dev/null
+++ b/src/core/book.rs
@@ -0,0 +1,212 @@
+//! The book of jobs and claims. Whatever the module or a front does, a job gets one answer, in time.
+
+use super::{Answer, Ask, Claim, ClaimId, Floor, JobId, Told};
+use crate::api::{Action, Event, Scope, Status, Time, WorkerId};
+use async_channel::Sender;
+use std::collections::{BTreeSet, HashMap};
+
+/// After a job's last moment the module has this long to answer before the book does.
+const GRACE: Time = 10_000;
+
+struct Held {
+    machine: WorkerId,
+    out: bool,
+}
+
+struct Job {
+    answer: Option<Sender<Answer>>, // until it is answered
+    until: Time,
+    claims: Vec<Held>,
+}
+
+/// All jobs that are open or have claims out.
+#[derive(Default)]
+pub struct Book {
+    jobs: HashMap<JobId, Job>,
+    due: BTreeSet<(Time, JobId)>,
+    events: Vec<Event>,
+    early: Time,
+    /// Answers by kind since they were last read: served, requeue notices, failed, gone.
+    pub counts: [u64; 4],
+}
+
+impl Book {
+    /// An empty book; jobs are answered this long before the submitter's time is up.
+    pub fn new(early: Time) -> Self {
+        Book { early, ..Book::default() }
+    }
+
+    /// Events for the module, in the order in which they happened.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Are there events for the module?
+    pub fn has_events(&self) -> bool {
+        !self.events.is_empty()
+    }
+
+    /// Jobs in the book.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// When the book must next be looked at.
+    pub fn next_due(&self) -> Option<Time> {
+        self.due.first().map(|d| d.0)
+    }
+
+    /// Takes what a front tells.
+    pub fn told(&mut self, now: Time, told: Told, floor: &dyn Floor) {
+        match told {
+            Told::Job(mut request, answer) => {
+                // Answered a little early: the answer has its way to go, and the submitter counts from when
+                // it began to send.
+                request.left = request.left.saturating_sub(self.early);
+                let until = now + request.left;
+                self.due.insert((until, request.id));
+                self.jobs.insert(request.id, Job { answer: Some(answer), until, claims: Vec::new() });
+                self.events.push(Event::Request(request));
+            }
+            Told::Gone(job) => {
+                let Some(open) = self.jobs.get_mut(&job) else { return };
+                if open.answer.take().is_some() {
+                    self.counts[3] += 1;
+                    self.events.push(Event::Gone(job));
+                }
+                self.settle(job, floor);
+            }
+            Told::Started(id) if self.is_out(id) => {
+                self.events.push(Event::Started { request: id.job, attempt: id.attempt });
+            }
+            Told::Progress(id, done) if self.is_out(id) => {
+                self.events.push(Event::Progress { request: id.job, attempt: id.attempt, done });
+            }
+            Told::Started(_) | Told::Progress(..) => {}
+            Told::Ended(id, status, load) => {
+                let Some(job) = self.jobs.get_mut(&id.job) else { return };
+                let Some(held) = job.claims.get_mut(id.attempt as usize) else { return };
+                let (was_out, done) = (std::mem::replace(&mut held.out, false), status == Status::Ok);
+                let answered = if done { job.answer.take() } else { None };
+                let closed = answered.is_some();
+                if let Some(answer) = answered {
+                    self.counts[0] += 1;
+                    let _ = answer.try_send(Answer::Served);
+                }
+                let (request, attempt) = (id.job, id.attempt);
+                if was_out {
+                    // The job may have been answered before: then its end is told with this outcome as well.
+                    let closed = self.jobs.get(&request).is_some_and(|j| j.answer.is_none());
+                    self.events.push(Event::Outcome { request, attempt, status, closed, load });
+                } else if closed {
+                    // Given up or taken for lost, yet done: the answer is good, and the job needs no more.
+                    self.events.push(Event::Gone(request));
+                }
+                self.settle(request, floor);
+            }
+            Told::List(scope, entries) => self.events.push(Event::List { scope, entries }),
+            Told::Probed(worker, status, load) => self.events.push(Event::Probed { worker, status, load }),
+        }
+    }
+
+    /// Ends what is out at its last moment. What is still unanswered a little later fails, whatever the
+    /// module thinks of it.
+    pub fn expire(&mut self, now: Time, floor: &dyn Floor) {
+        while let Some(&(at, id)) = self.due.first().filter(|d| d.0 <= now) {
+            self.due.remove(&(at, id));
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if at == job.until {
+                let closed = job.answer.is_none();
+                for (n, held) in job.claims.iter_mut().enumerate().filter(|(_, h)| h.out) {
+                    held.out = false;
+                    let claim = ClaimId { job: id, attempt: n as u32 };
+                    floor.give_up(claim, held.machine);
+                    let status = Status::Timeout;
+                    let (request, attempt) = (id, claim.attempt);
+                    self.events.push(Event::Outcome { request, attempt, status, closed, load: None });
+                }
+                self.due.insert((at + GRACE, id));
+            } else if let Some(answer) = job.answer.take() {
+                floor.note("a job was left unanswered at its last moment and has failed");
+                self.counts[2] += 1;
+                let _ = answer.try_send(Answer::Failed);
+                self.events.push(Event::Gone(id));
+            }
+            self.settle(id, floor);
+        }
+    }
+
+    /// Carries out what the module asks for. Timers are the caller's.
+    pub fn act(&mut self, action: Action, floor: &dyn Floor) {
+        match action {
+            Action::Send { request, worker, .. } => {
+                let Some(job) = self.jobs.get_mut(&request) else { return };
+                let id = ClaimId { job: request, attempt: job.claims.len() as u32 };
+                let open = job.answer.is_some();
+                let out = open && floor.claim(Claim { id, machine: worker, until: job.until });
+                job.claims.push(Held { machine: worker, out });
+                if !out {
+                    let status = if open { Status::ConnectFailed } else { Status::Moot };
+                    let (attempt, closed) = (id.attempt, !open);
+                    self.events.push(Event::Outcome { request, attempt, status, closed, load: None });
+                }
+            }
+            Action::Cancel { request, attempt } => {
+                let Some(job) = self.jobs.get_mut(&request) else { return };
+                let closed = job.answer.is_none();
+                let Some(held) = job.claims.get_mut(attempt as usize).filter(|h| h.out) else { return };
+                held.out = false;
+                floor.give_up(ClaimId { job: request, attempt }, held.machine);
+                let status = Status::Cancelled;
+                self.events.push(Event::Outcome { request, attempt, status, closed, load: None });
+                self.settle(request, floor);
+            }
+            Action::Refuse { request, retry_after } => {
+                self.answer(request, Answer::Requeue(retry_after), floor)
+            }
+            Action::Fail { request } => self.answer(request, Answer::Failed, floor),
+            Action::Probe { worker } => {
+                if !floor.probe(worker) {
+                    let status = Status::ConnectFailed;
+                    self.events.push(Event::Probed { worker, status, load: None });
+                }
+            }
+            Action::Disconnect { worker } => floor.hang_up(worker),
+            Action::Watch(on) => {
+                if !floor.ask(Ask::Watch(on)) {
+                    self.events.push(Event::List { scope: Scope::Failed, entries: Vec::new() });
+                }
+            }
+            Action::Fetch => {
+                if !floor.ask(Ask::Whole) {
+                    self.events.push(Event::List { scope: Scope::Failed, entries: Vec::new() });
+                }
+            }
+            Action::Log(text) => floor.note(&text),
+            Action::Timer { .. } | Action::Tell { .. } => {}
+        }
+    }
+
+    fn is_out(&self, id: ClaimId) -> bool {
+        self.jobs.get(&id.job).and_then(|j| j.claims.get(id.attempt as usize)).is_some_and(|h| h.out)
+    }
+
+    fn answer(&mut self, id: JobId, answer: Answer, floor: &dyn Floor) {
+        let Some(to) = self.jobs.get_mut(&id).and_then(|job| job.answer.take()) else { return };
+        self.counts[if answer == Answer::Failed { 2 } else { 1 }] += 1;
+        let _ = to.try_send(answer);
+        self.settle(id, floor);
+    }
+
+    /// Forgets a job that is answered and has no claim out.
+    fn settle(&mut self, id: JobId, floor: &dyn Floor) {
+        let over = |job: &Job| job.answer.is_none() && job.claims.iter().all(|h| !h.out);
+        if self.jobs.get(&id).is_some_and(over)
+            && let Some(job) = self.jobs.remove(&id)
+        {
+            self.due.remove(&(job.until, id));
+            self.due.remove(&(job.until + GRACE, id));
+            floor.forget(id);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,102 @@
+//! The core: jobs, claims and the one answer that each job gets. It knows no wire: no bytes, no sockets, no
+//! JSON. A front tells it what happened ([`Told`]) and carries out what it asks for ([`Floor`]).
+
+pub mod book;
+pub mod clock;
+pub mod desk;
+
+use crate::api::{Entry, Load, Request, RequestId, Scope, Status, Time, WorkerId};
+use async_channel::Sender;
+
+/// A job's number, unique over the program's life.
+pub type JobId = RequestId;
+
+/// One claim: an attempt to have a job done by a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ClaimId {
+    /// The job.
+    pub job: JobId,
+    /// 0, 1, 2 ... in the order of the claims of this job.
+    pub attempt: u32,
+}
+
+/// A claim to be carried to a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The claim.
+    pub id: ClaimId,
+    /// The machine.
+    pub machine: WorkerId,
+    /// When the scheduler stops waiting for it.
+    pub until: Time,
+}
+
+/// The one final answer to a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Done; the front has what the job worker made.
+    Served,
+    /// A requeue notice: trying again is harmless, best after this long (0: no advice).
+    Requeue(Time),
+    /// Failed; nothing is promised of its effect.
+    Failed,
+}
+
+/// What a front tells the core.
+#[derive(Debug)]
+pub enum Told {
+    /// A job was taken; its answer goes to the sender.
+    Job(Request, Sender<Answer>),
+    /// The submitter is gone; no answer is owed any more.
+    Gone(JobId),
+    /// A claim's job has begun.
+    Started(ClaimId),
+    /// A claim's job has come so far, 0 to 1.
+    Progress(ClaimId, f64),
+    /// How a claim ended. Told again, or after it was given up, it changes nothing but this: a job that is
+    /// still open is served by any claim that was done.
+    Ended(ClaimId, Status, Option<Load>),
+    /// News of the machine list.
+    List(Scope, Vec<Entry>),
+    /// What a probe brought.
+    Probed(WorkerId, Status, Option<Load>),
+}
+
+/// What the core asks of the machine list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// To be told of changes from now on, or no longer.
+    Watch(bool),
+    /// The whole list, once.
+    Whole,
+}
+
+/// What a front does for the core. None of it may wait; each call that is not carried out is answered `false`
+/// and counts as one that failed before anything went out.
+pub trait Floor {
+    /// Carries a claim to its machine. [`Told::Ended`] follows, once.
+    fn claim(&self, claim: Claim) -> bool;
+    /// Stops waiting for a claim; nothing more need be told of it.
+    fn give_up(&self, claim: ClaimId, machine: WorkerId);
+    /// Asks a machine for its load. [`Told::Probed`] follows.
+    fn probe(&self, machine: WorkerId) -> bool;
+    /// Closes the idle connections to a machine.
+    fn hang_up(&self, machine: WorkerId);
+    /// Asks for the machine list. [`Told::List`] follows.
+    fn ask(&self, what: Ask) -> bool;
+    /// The job will not be named again.
+    fn forget(&self, job: JobId);
+    /// A line for the operators.
+    fn note(&self, text: &str);
+}
+
+/// Settings of the core, as plain values.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Those of the decision module.
+    pub module: crate::api::Settings,
+    /// Random numbers start here.
+    pub seed: u64,
+    /// How long before the submitter's time is up a job is answered at the latest.
+    pub early: Time,
+}
--- /dev/null
+++ b/src/front/platform/mod.rs
@@ -0,0 +1,242 @@
+//! The platform's protocol: HTTP/1.1 with submitters, job workers and discovery.
+
+pub mod machines;
+pub mod submitters;
+pub mod workers;
+
+use crate::api::{Entry, Status, Time, WorkerId, WorkerState};
+use crate::config::{self, MachineList, News, Site};
+use crate::core::clock::Clock;
+use crate::core::desk::{Mailbox, View};
+use crate::core::{Ask, Claim, ClaimId, Floor, JobId, Told};
+use crate::net::buffer::Buffer;
+use crate::net::{Net, log};
+use async_channel::{Sender, bounded};
+use simd_json::prelude::{ValueAsScalar, Writable};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use workers::{Order, Peer};
+
+/// Orders that may wait for a machine; more are turned down unsent.
+const MAILBOX: usize = 512;
+
+/// A job's message as it is passed on, and what came back.
+pub struct Parcel {
+    /// The submitter's id for it.
+    pub trace: String,
+    /// Request line and headers but for the time left, ready to be sent.
+    pub head: Buffer,
+    /// The body.
+    pub body: Buffer,
+    /// What a job worker made for it.
+    pub result: RefCell<Option<Vec<u8>>>,
+    /// Its claims: where they went.
+    claims: RefCell<Vec<WorkerId>>,
+}
+
+/// All that the parts of this front share.
+pub struct Platform {
+    /// The network.
+    pub net: Net,
+    /// The clock.
+    pub clock: Clock,
+    /// The site and its names.
+    pub site: RefCell<Site>,
+    /// The way to the core.
+    pub core: Mailbox,
+    /// What can be seen of the core.
+    pub view: View,
+    /// Machines can be sent to: the list is usable.
+    pub ready: Cell<bool>,
+    /// The program is to stop.
+    pub stopping: Cell<bool>,
+    /// When something last came from a submitter.
+    pub last_heard: Cell<Time>,
+    parcels: RefCell<HashMap<JobId, Rc<Parcel>>>,
+    traces: RefCell<HashMap<String, JobId>>,
+    next_job: Cell<JobId>,
+    machines: RefCell<HashMap<WorkerId, Sender<Order>>>,
+    names: RefCell<HashMap<String, WorkerId>>,
+    list: Sender<Ask>,
+}
+
+impl Platform {
+    /// The front; the machine list's actor reads what is asked of it from the channel's other end.
+    pub fn new(net: Net, clock: Clock, site: Site, core: Mailbox, view: View, list: Sender<Ask>) -> Rc<Self> {
+        Rc::new(Platform {
+            net,
+            clock,
+            site: RefCell::new(site),
+            core,
+            view,
+            ready: Cell::new(false),
+            stopping: Cell::new(false),
+            last_heard: Cell::new(0),
+            parcels: RefCell::default(),
+            traces: RefCell::default(),
+            next_job: Cell::new(1),
+            machines: RefCell::default(),
+            names: RefCell::default(),
+            list,
+        })
+    }
+
+    /// Takes in a job's parcel. `None` while a job of that id is open.
+    fn take_in(&self, trace: &str, head: Buffer, body: Buffer) -> Option<(JobId, Rc<Parcel>)> {
+        if self.traces.borrow().contains_key(trace) {
+            return None;
+        }
+        let id = self.next_job.get();
+        self.next_job.set(id + 1);
+        let parcel = Parcel {
+            trace: trace.to_string(),
+            head,
+            body,
+            result: RefCell::default(),
+            claims: RefCell::default(),
+        };
+        let parcel = Rc::new(parcel);
+        self.traces.borrow_mut().insert(trace.to_string(), id);
+        self.parcels.borrow_mut().insert(id, parcel.clone());
+        Some((id, parcel))
+    }
+
+    /// Jobs whose answer is owed or on its way.
+    pub fn open_jobs(&self) -> usize {
+        self.parcels.borrow().len()
+    }
+
+    fn knows_machines(&self) -> bool {
+        !self.machines.borrow().is_empty()
+    }
+
+    fn parcel(&self, job: JobId) -> Option<Rc<Parcel>> {
+        self.parcels.borrow().get(&job).cloned()
+    }
+
+    /// The number of a machine, by its name: the same in every scheduler, so that all agree on who of them
+    /// sends to a cold one first.
+    fn number(&self, host: &str) -> WorkerId {
+        if let Some(id) = self.names.borrow().get(host) {
+            return *id;
+        }
+        let hex = host.rsplit('-').next().filter(|h| h.len() == 8);
+        let mut id = hex.and_then(|h| u32::from_str_radix(h, 16).ok()).unwrap_or_else(|| {
+            let h = config::hash(host);
+            (h ^ (h >> 32)) as u32
+        });
+        while self.names.borrow().values().any(|other| *other == id) {
+            id = id.wrapping_add(1);
+        }
+        self.names.borrow_mut().insert(host.to_string(), id);
+        id
+    }
+
+    /// Takes a list from discovery: tells the machines' actors, and returns what the core is to be told.
+    pub fn learn(self: &Rc<Self>, list: MachineList) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for m in list.hosts {
+            let worker = self.number(&m.host);
+            let state = match m.health.as_str() {
+                "Ready" => WorkerState::Active,
+                "Gone" => WorkerState::Left,
+                _ => WorkerState::Leaving,
+            };
+            if let Ok(dial) = m.dial.parse() {
+                let known = self.machines.borrow().get(&worker).cloned();
+                let peer = known.unwrap_or_else(|| {
+                    let (orders, inbox) = bounded(MAILBOX);
+                    self.machines.borrow_mut().insert(worker, orders.clone());
+                    self.net.start(Peer::new(self.clone(), worker, m.host.clone()).run(inbox));
+                    orders
+                });
+                if peer.try_send(Order::Address(dial)).is_err() {
+                    log(format_args!("machine={} is too busy to be told its address", m.host));
+                }
+            } else if state == WorkerState::Active {
+                log(format_args!("machine={} has no address that can be dialled: {:?}", m.host, m.dial));
+            }
+            let mut site = self.site.borrow_mut();
+            entries.push(Entry {
+                worker,
+                zone: site.zones.id(&m.site),
+                kind: site.kinds.id(&m.class),
+                cell: m.block,
+                state,
+                power: m.share,
+                ready_at: m.born_ms * 1000,
+            });
+        }
+        entries
+    }
+
+    /// Takes a piece of news. What concerns no open claim (a job answered long ago, a claim of this
+    /// scheduler's former life) has no effect.
+    fn hear(&self, news: News) -> Option<Told> {
+        let job = *self.traces.borrow().get(&news.id)?;
+        let machine = *self.names.borrow().get(&news.from)?;
+        let parcel = self.parcel(job)?;
+        let attempt = parcel.claims.borrow().iter().rposition(|m| *m == machine)? as u32;
+        let claim = ClaimId { job, attempt };
+        let load = || news.load.as_ref().map(|l| self.site.borrow().load_value(l));
+        Some(match news.state.as_str() {
+            "started" => Told::Started(claim),
+            "running" => Told::Progress(claim, news.share),
+            "done" => {
+                let result = match &news.result {
+                    Some(value) => value.as_str().map_or_else(|| value.encode(), str::to_string),
+                    None => String::new(),
+                };
+                // The first result stays: the answer may be on its way.
+                parcel.result.borrow_mut().get_or_insert(result.into_bytes());
+                Told::Ended(claim, Status::Ok, load())
+            }
+            "failed" => Told::Ended(claim, Status::Error, load()),
+            "returned" => Told::Ended(claim, Status::Full, load()),
+            "lost" => Told::Ended(claim, Status::Reset, load()),
+            _ => return None,
+        })
+    }
+
+    fn order(&self, machine: WorkerId, order: Order) -> bool {
+        self.machines.borrow().get(&machine).is_some_and(|m| m.try_send(order).is_ok())
+    }
+}
+
+impl Floor for Platform {
+    fn claim(&self, claim: Claim) -> bool {
+        let Some(parcel) = self.parcel(claim.id.job) else { return false };
+        parcel.claims.borrow_mut().push(claim.machine);
+        self.order(claim.machine, Order::Claim(claim, parcel))
+    }
+
+    fn give_up(&self, claim: ClaimId, machine: WorkerId) {
+        self.order(machine, Order::GiveUp(claim));
+    }
+
+    fn probe(&self, machine: WorkerId) -> bool {
+        self.order(machine, Order::Probe)
+    }
+
+    fn hang_up(&self, machine: WorkerId) {
+        self.order(machine, Order::HangUp);
+    }
+
+    fn ask(&self, what: Ask) -> bool {
+        self.list.try_send(what).is_ok()
+    }
+
+    fn forget(&self, job: JobId) {
+        if let Some(parcel) = self.parcels.borrow_mut().remove(&job) {
+            self.traces.borrow_mut().remove(&parcel.trace);
+            for (n, machine) in parcel.claims.borrow().iter().enumerate() {
+                self.order(*machine, Order::Forget(ClaimId { job, attempt: n as u32 }));
+            }
+        }
+    }
+
+    fn note(&self, text: &str) {
+        log(format_args!("desk {text}"));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,16 @@
-//! Decisions of a dispatcher that pushes jobs to workers: hybrid SQ(d) over worker kinds.
+//! A scheduler that pushes jobs to job workers: hybrid SQ(d) over worker kinds.
 //!
 //! [`choice::Dispatcher`] is the whole decision module. It is fed [`api::Event`]s and answers with
-//! [`api::Action`]s; it does no I/O and reads no clock. [`wire`] translates a text protocol for the adapter.
+//! [`api::Action`]s; it does no I/O and reads no clock. [`wire`] translates a text protocol for the drill.
+//! Round the module stand [`core`], which knows no wire, [`net`] and the fronts in [`front`].
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod api;
 pub mod choice;
+pub mod config;
+pub mod core;
+pub mod front;
+pub mod net;
 pub mod wire;
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,256 @@
+//! HTTP/1.1 framing on httparse: where a message ends, and what its head says. No meaning.
+
+use super::buffer::{BODY, Buffer, HEAD};
+use httparse::{EMPTY_HEADER, Header, Status};
+use std::ops::Range;
+
+/// Headers that a message may have.
+const HEADERS: usize = 64;
+
+/// Why a message cannot be taken, by the status that says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// The head or the framing is malformed.
+    Malformed,
+    /// The body is larger than a body may be.
+    BodyTooLarge,
+    /// The head is larger than a head may be.
+    HeadTooLarge,
+    /// A transfer coding that is not known.
+    Coding,
+}
+
+impl Bad {
+    /// The status to answer with.
+    pub fn status(self) -> u16 {
+        match self {
+            Bad::Malformed => 400,
+            Bad::BodyTooLarge => 413,
+            Bad::HeadTooLarge => 431,
+            Bad::Coding => 501,
+        }
+    }
+}
+
+/// A whole message at the front of a buffer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    head: usize,
+    body: Range<usize>,
+    /// Bytes to drop from the buffer once the message is dealt with.
+    pub total: usize,
+    /// The sender keeps the connection open.
+    pub keep: bool,
+}
+
+/// How far a message has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// More bytes are needed; `true`: the sender waits to be told to go on.
+    Part(bool),
+    /// It is all there.
+    Whole(Frame),
+}
+
+/// The head of a message.
+pub struct Head<'a> {
+    /// The method; empty in an answer.
+    pub method: &'a str,
+    /// The request's target; empty in an answer.
+    pub target: &'a str,
+    /// An answer's status; 0 in a request.
+    pub status: u16,
+    headers: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Head<'a> {
+    /// The value of a header, by its name in any case.
+    pub fn header(&self, name: &str) -> Option<&'a str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| *v)
+    }
+}
+
+/// What is to be read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A request.
+    Request,
+    /// An answer.
+    Answer,
+}
+
+/// What the head says of the framing.
+#[derive(Default)]
+struct Framing {
+    length: Option<usize>,
+    chunked: bool,
+    close: bool,
+    waits: bool,
+}
+
+/// Looks whether a whole message stands at the front of the buffer. A chunked body is joined in place.
+pub fn look(buffer: &mut Buffer, kind: Kind) -> Result<Progress, Bad> {
+    let mut slots = [EMPTY_HEADER; HEADERS];
+    let bytes = buffer.filled();
+    let (head, old, bodiless, framing) = match kind {
+        Kind::Request => {
+            let mut request = httparse::Request::new(&mut slots);
+            match request.parse(bytes).map_err(too_many)? {
+                Status::Partial => return partial(bytes),
+                Status::Complete(n) => (n, request.version == Some(0), false, framing(request.headers)?),
+            }
+        }
+        Kind::Answer => {
+            let mut answer = httparse::Response::new(&mut slots);
+            match answer.parse(bytes).map_err(too_many)? {
+                Status::Partial => return partial(bytes),
+                Status::Complete(n) => {
+                    let bodiless = matches!(answer.code, Some(100..=199 | 204 | 304));
+                    (n, answer.version == Some(0), bodiless, framing(answer.headers)?)
+                }
+            }
+        }
+    };
+    if head > HEAD {
+        return Err(Bad::HeadTooLarge);
+    }
+    let keep = !framing.close && !old;
+    let whole = |body: Range<usize>, total| Ok(Progress::Whole(Frame { head, body, total, keep }));
+    if framing.chunked && !bodiless {
+        return match chunks(&bytes[head..])? {
+            None => Ok(Progress::Part(framing.waits)),
+            Some((pieces, total)) => {
+                let mut end = head;
+                for piece in pieces {
+                    let (from, to) = (head + piece.start, head + piece.end);
+                    buffer.filled_mut().copy_within(from..to, end);
+                    end += to - from;
+                }
+                whole(head..end, head + total)
+            }
+        };
+    }
+    let length = if bodiless { 0 } else { framing.length.unwrap_or(0) };
+    if length > BODY {
+        return Err(Bad::BodyTooLarge);
+    }
+    if bytes.len() < head + length {
+        return Ok(Progress::Part(framing.waits));
+    }
+    whole(head..head + length, head + length)
+}
+
+fn too_many(error: httparse::Error) -> Bad {
+    if error == httparse::Error::TooManyHeaders { Bad::HeadTooLarge } else { Bad::Malformed }
+}
+
+fn partial(bytes: &[u8]) -> Result<Progress, Bad> {
+    if bytes.len() > HEAD { Err(Bad::HeadTooLarge) } else { Ok(Progress::Part(false)) }
+}
+
+fn framing(headers: &[Header<'_>]) -> Result<Framing, Bad> {
+    let mut found = Framing::default();
+    for header in headers {
+        let value = std::str::from_utf8(header.value).map_err(|_| Bad::Malformed)?.trim();
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            let length =
+                digits.then(|| value.parse::<usize>().unwrap_or(usize::MAX)).ok_or(Bad::Malformed)?;
+            // Two lengths that differ could make two readers see two messages.
+            if found.length.is_some_and(|l| l != length) {
+                return Err(Bad::Malformed);
+            }
+            found.length = Some(length);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(Bad::Coding);
+            }
+            found.chunked = true;
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            found.close |= value.split(',').any(|v| v.trim().eq_ignore_ascii_case("close"));
+        } else if header.name.eq_ignore_ascii_case("expect") {
+            found.waits |= value.eq_ignore_ascii_case("100-continue");
+        }
+    }
+    if found.chunked && found.length.is_some() { Err(Bad::Malformed) } else { Ok(found) }
+}
+
+/// The pieces of a chunked body and its length on the wire; `None` while some of it is missing.
+#[allow(clippy::type_complexity)]
+fn chunks(bytes: &[u8]) -> Result<Option<(Vec<Range<usize>>, usize)>, Bad> {
+    let (mut at, mut sum, mut pieces) = (0, 0, Vec::new());
+    loop {
+        let (line, size) = match httparse::parse_chunk_size(&bytes[at..]).map_err(|_| Bad::Malformed)? {
+            Status::Partial => return Ok(None),
+            Status::Complete(found) => found,
+        };
+        let size = usize::try_from(size).unwrap_or(usize::MAX);
+        if size > BODY - sum {
+            return Err(Bad::BodyTooLarge);
+        }
+        at += line;
+        if size == 0 {
+            break;
+        }
+        if bytes.len() < at + size + 2 {
+            return Ok(None);
+        }
+        if &bytes[at + size..at + size + 2] != b"\r\n" {
+            return Err(Bad::Malformed);
+        }
+        pieces.push(at..at + size);
+        (at, sum) = (at + size + 2, sum + size);
+    }
+    // Trailers are read over.
+    loop {
+        let Some(end) = bytes[at..].windows(2).position(|w| w == b"\r\n") else { return Ok(None) };
+        at += end + 2;
+        if end == 0 {
+            return Ok(Some((pieces, at)));
+        }
+    }
+}
+
+impl Frame {
+    /// The head and the body of the message. `None` where a header is no text.
+    pub fn read<'a>(&self, buffer: &'a Buffer, kind: Kind) -> Option<(Head<'a>, &'a [u8])> {
+        let mut slots = [EMPTY_HEADER; HEADERS];
+        let bytes = &buffer.filled()[..self.head];
+        let (method, target, status, found): (&str, &str, u16, &[Header<'a>]) = match kind {
+            Kind::Request => {
+                let mut request = httparse::Request::new(&mut slots);
+                request.parse(bytes).ok()?;
+                (request.method?, request.path?, 0, request.headers)
+            }
+            Kind::Answer => {
+                let mut answer = httparse::Response::new(&mut slots);
+                answer.parse(bytes).ok()?;
+                ("", "", answer.code?, answer.headers)
+            }
+        };
+        let text = |h: &Header<'a>| Some((h.name, std::str::from_utf8(h.value).ok()?.trim()));
+        let headers = found.iter().map(text).collect::<Option<Vec<_>>>()?;
+        Some((Head { method, target, status, headers }, &buffer.filled()[self.body.clone()]))
+    }
+}
+
+/// The words that go with a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,197 @@
+//! What every front needs of the network: buffers, the set of connections, framing, the line that each
+//! connection leaves when it ends.
+
+pub mod buffer;
+pub mod http;
+pub mod set;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use buffer::{Buffer, Pool};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use set::{Seat, Set, Way};
+use std::fmt::Display;
+use std::io::{self, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Tasks, buffers and connections of the one thread.
+#[derive(Clone)]
+pub struct Net {
+    tasks: Rc<LocalExecutor<'static>>,
+    /// Where buffers come from.
+    pub pool: Rc<Pool>,
+    /// All connections.
+    pub set: Rc<Set>,
+}
+
+impl Net {
+    /// For a process that may hold so many descriptors.
+    pub fn new(tasks: Rc<LocalExecutor<'static>>, descriptors: usize) -> Self {
+        Net { tasks, pool: Pool::new(), set: Set::new(descriptors) }
+    }
+
+    /// Starts a task that runs until it ends by itself.
+    pub fn start(&self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.spawn(task).detach();
+    }
+
+    /// Starts a task that ends when its handle is dropped.
+    pub fn held(&self, task: impl Future<Output = ()> + 'static) -> async_executor::Task<()> {
+        self.tasks.spawn(task)
+    }
+
+    /// Dials; no longer than the limit.
+    pub async fn dial(&self, to: SocketAddr, limit: Duration) -> Result<Link, Reason> {
+        // Idle submitters make room; the set asks one of them to go each time there is none.
+        let Some(seat) = self.set.seat(Way::Out) else { return Err(Reason::NoRoom) };
+        let dial = async { Async::<TcpStream>::connect(to).await.map_err(|_| Reason::Refused) };
+        let stream = dial.or(async { after(limit, Reason::DialTimeout).await }).await?;
+        Ok(Link::new(stream, seat))
+    }
+}
+
+async fn after<T>(limit: Duration, reason: Reason) -> Result<T, Reason> {
+    Timer::after(limit).await;
+    Err(reason)
+}
+
+/// Runs something for no longer than the limit.
+pub async fn within<T>(
+    limit: Duration, reason: Reason, work: impl Future<Output = Result<T, Reason>>,
+) -> Result<T, Reason> {
+    work.or(after(limit, reason)).await
+}
+
+/// Why a connection ended; the codes are explained in `docs/on-call.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The other side closed it between messages.
+    PeerClosed,
+    /// The other side closed it within a message or while an answer was due.
+    PeerLeft,
+    /// It broke.
+    Broke,
+    /// This side closed it after a message, as one side had announced.
+    Done,
+    /// What came could not be understood.
+    Malformed,
+    /// A message came too slowly.
+    Slow,
+    /// The other side took no bytes.
+    Stalled,
+    /// It stood idle for too long.
+    Idle,
+    /// It was closed to make room.
+    Shed,
+    /// It was closed as the program stops.
+    Stopping,
+    /// The attempt on it was given up.
+    GivenUp,
+    /// No answer in time.
+    Unanswered,
+    /// It was refused.
+    Refused,
+    /// It did not come up in time.
+    DialTimeout,
+    /// There was no descriptor for it.
+    NoRoom,
+    /// The password or the first message was wrong.
+    Rejected,
+}
+
+impl Reason {
+    /// The code in the log.
+    pub fn code(self) -> &'static str {
+        match self {
+            Reason::PeerClosed => "peer-closed",
+            Reason::PeerLeft => "peer-left",
+            Reason::Broke => "broke",
+            Reason::Done => "done",
+            Reason::Malformed => "malformed",
+            Reason::Slow => "slow",
+            Reason::Stalled => "stalled",
+            Reason::Idle => "idle",
+            Reason::Shed => "shed",
+            Reason::Stopping => "stopping",
+            Reason::GivenUp => "given-up",
+            Reason::Unanswered => "unanswered",
+            Reason::Refused => "refused",
+            Reason::DialTimeout => "dial-timeout",
+            Reason::NoRoom => "no-room",
+            Reason::Rejected => "rejected",
+        }
+    }
+}
+
+/// A connection and its place in the set.
+pub struct Link {
+    stream: Async<TcpStream>,
+    _seat: Seat,
+}
+
+impl Link {
+    /// Takes over a stream.
+    pub fn new(stream: Async<TcpStream>, seat: Seat) -> Self {
+        let _ = stream.get_ref().set_nodelay(true);
+        Link { stream, _seat: seat }
+    }
+
+    /// The other side's address.
+    pub fn peer(&self) -> String {
+        self.stream.get_ref().peer_addr().map_or_else(|_| "-".into(), |a| a.to_string())
+    }
+
+    /// Reads what has come into the buffer's room. 0: the other side has closed, or the buffer is full.
+    pub async fn read(&self, buffer: &mut Buffer) -> io::Result<usize> {
+        let count = (&self.stream).read(buffer.room()).await?;
+        buffer.grow(count);
+        Ok(count)
+    }
+
+    /// Returns once there is something to read, the end included.
+    pub async fn readable(&self) -> io::Result<()> {
+        self.stream.readable().await
+    }
+
+    /// Has the other side closed an idle connection, or sent what it should not?
+    pub fn stale(&self) -> bool {
+        let mut byte = [0];
+        let mut stream: &TcpStream = self.stream.get_ref();
+        !matches!(io::Read::read(&mut stream, &mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Writes all of it and counts what went out, also when it breaks off.
+    pub async fn write(&self, bytes: &[u8], gone_out: &mut usize) -> io::Result<()> {
+        while *gone_out < bytes.len() {
+            match (&self.stream).write(&bytes[*gone_out..]).await? {
+                0 => return Err(ErrorKind::WriteZero.into()),
+                count => *gone_out += count,
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes all of it within a time.
+    pub async fn send(&self, bytes: &[u8], limit: Duration) -> Result<(), Reason> {
+        let mut gone_out = 0;
+        let write = async { self.write(bytes, &mut gone_out).await.map_err(|_| Reason::Broke) };
+        within(limit, Reason::Stalled, write).await
+    }
+
+    /// Says that no more will be written.
+    pub fn shut(&self) {
+        let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
+    }
+
+    /// Leaves the line of a connection that has ended.
+    pub fn end(self, side: &str, reason: Reason, about: impl Display) {
+        log(format_args!("conn side={side} peer={} reason={} {about}", self.peer(), reason.code()));
+    }
+}
+
+/// One line to the log. A log that cannot be written to is no reason to stop.
+pub fn log(line: impl Display) {
+    let _ = writeln!(io::stderr(), "{line}");
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,10 +6,10 @@
 
 use crate::api::*;
 use crate::choice::Dispatcher;
+use crate::config::Site;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use rustc_hash::FxHashMap;
-use serde_json::Value;
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
@@ -32,20 +32,6 @@
 
 impl std::error::Error for WireError {}
 
-/// Names in order of their ids; unknown names get new ids.
-#[derive(Default)]
-struct Names(Vec<String>);
-
-impl Names {
-    fn id(&mut self, name: &str) -> u32 {
-        if let Some(i) = self.0.iter().position(|n| n == name) {
-            return i as u32;
-        }
-        self.0.push(name.to_string());
-        (self.0.len() - 1) as u32
-    }
-}
-
 struct KnownRequest {
     word: String,
     attempts_out: u32,
@@ -54,24 +40,12 @@
 
 struct Instance {
     dispatcher: Dispatcher,
-    zones: Names,
-    kinds: Names,
-    classes: Names,
-    tenants: Names,
-    fields: [ReportField; 2],
+    site: Site,
     next_request: RequestId,
     ids: FxHashMap<String, RequestId>,
     requests: FxHashMap<RequestId, KnownRequest>,
 }
 
-/// What the two site-defined report values hold.
-#[derive(Clone, Copy, PartialEq)]
-enum ReportField {
-    FreeSlots,
-    FreeMemory,
-    Other,
-}
-
 struct PendingList {
     scope: Scope,
     left: u64,
@@ -297,9 +271,9 @@
                 let seed = seed.parse::<i128>().map_err(|_| {
                     format!("BOOT: field 'randomSeed' must be an integer, got '{}'", head(seed))
                 })? as u64;
-                let env: Value = serde_json::from_str(fields.need("env")?)
-                    .map_err(|e| format!("BOOT: field 'env' must be a JSON object: {e}"))?;
-                let instance = Instance::new(&env, seed, self.now)?;
+                let env = fields.need("env")?.as_bytes().to_vec();
+                let site = Site::read(env).map_err(|e| format!("BOOT: {e}"))?;
+                let instance = Instance::new(site, seed, self.now);
                 self.instances.insert(who, instance);
                 return Ok(None);
             }
@@ -363,38 +337,21 @@
 }
 
 impl Instance {
-    fn new(env: &Value, seed: u64, now: Time) -> Parse<Self> {
-        let names = |key: &str, inner: Option<&str>| -> Names {
-            let items = env[key].as_array().map(Vec::as_slice).unwrap_or(&[]);
-            let name = |v: &Value| inner.map_or(v, |i| &v[i]).as_str().unwrap_or("").to_string();
-            Names(items.iter().map(name).collect())
-        };
-        let mut zones = names("zones", None);
-        let zone = zones.id(env["myZone"].as_str().unwrap_or(""));
-        let settings = settings(env, zone)?;
-        let field = |key: &str| match env["domain"][key].as_str() {
-            Some(t) if t.contains("slot") => ReportField::FreeSlots,
-            Some(t) if t.contains("memory") => ReportField::FreeMemory,
-            _ => ReportField::Other,
-        };
-        Ok(Instance {
-            dispatcher: Dispatcher::new(settings, seed, now),
-            zones,
-            kinds: names("kinds", None),
-            classes: names("profiles", Some("name")),
-            tenants: names("customers", Some("name")),
-            fields: [field("reportX0"), field("reportX1")],
+    fn new(site: Site, seed: u64, now: Time) -> Self {
+        Instance {
+            dispatcher: Dispatcher::new(site.settings.clone(), seed, now),
+            site,
             next_request: 0,
             ids: FxHashMap::default(),
             requests: FxHashMap::default(),
-        })
+        }
     }
 
     fn entry(&mut self, f: &Fields) -> Parse<Entry> {
         Ok(Entry {
             worker: f.small("worker")?,
-            zone: self.zones.id(f.text("dc").unwrap_or("")),
-            kind: self.kinds.id(f.text("machine").unwrap_or("")),
+            zone: self.site.zones.id(f.text("dc").unwrap_or("")),
+            kind: self.site.kinds.id(f.text("machine").unwrap_or("")),
             cell: f.time("stripe")? as u32,
             state: match f.need("stageState")? {
                 "active" => WorkerState::Active,
@@ -418,21 +375,8 @@
         for pair in text.split(',').filter(|p| !p.is_empty() && *p != "-") {
             let bad = || format!("{}: feedback must be name:value pairs, got '{}'", f.message, head(pair));
             let (name, value) = pair.split_once(':').ok_or_else(bad)?;
-            let value = Some(value.parse::<f64>().ok().filter(|v| v.is_finite()).ok_or_else(bad)?);
-            let slot = match name {
-                "busy_reqs" => &mut load.inflight,
-                "pending" => &mut load.queue,
-                "cpu_share" => &mut load.busy,
-                "served_ps" => &mut load.served,
-                "failed_ps" => &mut load.failed,
-                "x0" | "x1" => match self.fields[usize::from(name == "x1")] {
-                    ReportField::FreeSlots => &mut load.free_slots,
-                    ReportField::FreeMemory => &mut load.free_memory,
-                    ReportField::Other => continue,
-                },
-                _ => continue,
-            };
-            *slot = value;
+            let value = value.parse::<f64>().ok().filter(|v| v.is_finite()).ok_or_else(bad)?;
+            self.site.report(&mut load, name, value);
         }
         Ok(Some(load))
     }
@@ -447,9 +391,9 @@
                 let word = f.need("requestId")?;
                 let request = Request {
                     id: self.next_request,
-                    class: self.classes.id(f.need("type")?),
+                    class: self.site.classes.id(f.need("type")?),
                     tenant: match f.text("realm") {
-                        Some(name) => self.tenants.id(name),
+                        Some(name) => self.site.tenants.id(name),
                         None => u32::MAX,
                     },
                     left: f.need_integer("left")?.max(0) as Time,
@@ -589,117 +533,6 @@
     })
 }
 
-/// Reads the settings object; what a rule or a limit rests on must be there, the rest has defaults.
-fn settings(env: &Value, zone: ZoneId) -> Parse<Settings> {
-    let missing = |key: &str| format!("BOOT: settings lack a number '{key}'");
-    let need = |group: &Value, key: &str| group[key].as_f64().ok_or_else(|| missing(key));
-    let time = |group: &Value, key: &str| need(group, key).map(|v| v.max(0.0) as Time);
-    let number = |group: &Value, key: &str, or: f64| group[key].as_f64().unwrap_or(or);
-    let flag = |group: &Value, key: &str| group[key].as_bool().unwrap_or(group[key].as_f64() == Some(1.0));
-    let list = |key: &str| env[key].as_array().map(Vec::as_slice).unwrap_or(&[]);
-    let (rules, limits, prices, domain) =
-        (&env["rules"], &env["policyLimits"], &env["charges"], &env["domain"]);
-    let mut classes = Vec::new();
-    for (i, c) in list("profiles").iter().enumerate() {
-        let effect = match c["effect"].as_str() {
-            Some("safe") => Effect::Safe,
-            Some("keyed") => {
-                let group = match c["group"].as_str() {
-                    Some("all") => Group::All,
-                    Some("zone") => Group::Zone,
-                    _ => Group::Cell,
-                };
-                Effect::Keyed { group, ttl: time(c, "keyTtl")? }
-            }
-            _ => Effect::Unsafe,
-        };
-        let stretch = domain["classStretch"][i].as_f64().or(c["aimStretch"].as_f64()).unwrap_or(0.0);
-        classes.push(Class {
-            kind: domain["classKind"][i].as_f64().filter(|k| *k >= 0.0).map(|k| k as KindId),
-            aim: time(c, "aim")?,
-            stretch,
-            deadline: time(c, "deadline")?,
-            effect,
-            worth: number(c, "worth", 1.0),
-            late_worth: number(c, "lateWorth", 0.0),
-            priority: domain["classPriority"][i].as_f64().unwrap_or(0.0) as i32,
-        });
-    }
-    let tenants = list("customers")
-        .iter()
-        .map(|t| Tenant { quota_per_s: number(t, "quotaPerS", 0.0), fraction: number(t, "fraction", 0.0) });
-    Ok(Settings {
-        dispatchers: need(env, "balancers")?.max(1.0) as u32,
-        me: need(env, "me")?.max(0.0) as u32,
-        zone,
-        granularity: number(env, "granularity", 1000.0).max(1.0) as Time,
-        classes,
-        tenants: tenants.collect(),
-        list_pushed: env["discovery"].as_str() == Some("pushed"),
-        tells_start: flag(domain, "tellsStart"),
-        progress: number(domain, "progress", 0.0).max(0.0) as Time,
-        reports: match env["telemetry"]["source"].as_str() {
-            Some("inline") => Reports::WithOutcomes,
-            Some("on_probe") => Reports::OnProbe,
-            _ => Reports::Off,
-        },
-        worth_by_work: env["worthBy"].as_str() == Some("work"),
-        over_share_worth: number(env, "overShareWorth", 1.0),
-        limits: Limits {
-            attempts: need(limits, "attemptsCap")?.max(0.0) as u32,
-            cancel: flag(limits, "cancel"),
-            duplicates: flag(limits, "mayDuplicate"),
-            probes: flag(limits, "probes"),
-            peers: flag(limits, "peers"),
-            retry_after: flag(limits, "retryAfter"),
-            max_retry_after: number(limits, "maxRetryAfter", 0.0).max(0.0) as Time,
-            dial_timeout: number(limits, "dialTimeout", 0.0).max(0.0) as Time,
-        },
-        charges: Charges {
-            cross_zone: number(prices, "crossZone", 0.0),
-            waste: number(prices, "waste", 0.0),
-            probe: number(prices, "probe", 0.0),
-            peer: number(prices, "peer", 0.0),
-            late_fail: number(prices, "lateFail", 0.0),
-            discovery: number(prices, "discovery", 0.0),
-        },
-        rules: Rules {
-            answer_slack: time(rules, "answerSlack")?,
-            ask_within: time(rules, "askWithin")?,
-            cold_from: need(rules, "coldFrom")?,
-            warm_after: time(rules, "warmAfter")?,
-            drain_grace: time(rules, "drainGrace")?,
-            tip_multiple: need(rules, "tipMultiple")?,
-            tip_window: time(rules, "overloadFor")?,
-            resends: resend_budget(rules)?,
-            let_go_in: optional(rules, "letGoIn")?.map(|v| v as Time),
-            full_may_have_run: match rules.get("fullMayHaveRun") {
-                None => false,
-                Some(v) => v.as_bool().ok_or("BOOT: setting 'rules.fullMayHaveRun' must be true or false")?,
-            },
-        },
-    })
-}
-
-/// A number of the rules that may be absent; present, it must be a number that is not negative.
-fn optional(rules: &Value, key: &str) -> Parse<Option<f64>> {
-    let Some(value) = rules.get(key) else { return Ok(None) };
-    let number = value.as_f64().filter(|v| *v >= 0.0);
-    let bad = || {
-        format!("BOOT: setting 'rules.{key}' must be a number from 0 up, got '{}'", head(&value.to_string()))
-    };
-    number.map(Some).ok_or_else(bad)
-}
-
-/// The budget of attempts. What is missing of one that is stated in part is read the strict way.
-fn resend_budget(rules: &Value) -> Parse<Option<ResendBudget>> {
-    let (free, ratio) = (optional(rules, "freeResends")?, optional(rules, "resendRatio")?);
-    let window = optional(rules, "countedOver")?.map(|v| v as Time);
-    let stated = free.is_some() || ratio.is_some() || window.is_some();
-    let budget = ResendBudget { free: free.unwrap_or(0.0), ratio: ratio.unwrap_or(0.0), window };
-    Ok(stated.then_some(budget))
-}
-
 /// Runs a decision; a panic in it becomes one line of text.
 fn caught(decide: impl FnOnce()) -> Result<(), String> {
     catch_unwind(AssertUnwindSafe(decide)).map_err(|panic| {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use proptest::prelude::*;
 use indigofold::api::*;
+use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The text protocol: round trips, bad input, and the built adapter as a process.
 
-use proptest::prelude::*;
 use indigofold::wire::Session;
+use proptest::prelude::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
