--- a/src/choice.rs
+++ b/src/choice.rs
@@ -216,7 +216,7 @@
             Event::Timer(name) if name.wrapping_add(1) == self.timer => {
                 self.ask_list(now, out);
                 self.tell(out);
-                if self.timer % SOLVE_TICKS == 0 {
+                if self.timer.is_multiple_of(SOLVE_TICKS) {
                     self.solve_draw(now);
                     self.idle_most *= IDLE.1;
                 }
