--- a/src/choice.rs
+++ b/src/choice.rs
@@ -216,7 +216,7 @@
             Event::Timer(name) if name.wrapping_add(1) == self.timer => {
                 self.ask_list(now, out);
                 self.tell(out);
-                if self.timer.is_multiple_of(SOLVE_TICKS) {
+                if self.timer % SOLVE_TICKS == 0 {
                     self.solve_draw(now);
                     self.idle_most *= IDLE.1;
                 }
@@ -420,7 +420,7 @@
         let queue = self.may_wait(true);
         let free = |w: &Worker| !self.crowded(now, w) || (queue && w.unstarted.is_empty());
         let takes = |i: &usize| now >= self.workers[*i].aside_until && free(&self.workers[*i]);
-        let near = |n: usize| (n / self.kinds.len()).is_multiple_of(2);
+        let near = |n: usize| n / self.kinds.len() % 2 == 0;
         self.groups.iter().enumerate().any(|(n, list)| (queue || near(n)) && list.iter().any(takes))
     }
 
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -201,9 +201,10 @@
     /// Forgets a job that is answered and has no claim out.
     fn settle(&mut self, id: JobId, floor: &dyn Floor) {
         let over = |job: &Job| job.answer.is_none() && job.claims.iter().all(|h| !h.out);
-        if self.jobs.get(&id).is_some_and(over)
-            && let Some(job) = self.jobs.remove(&id)
-        {
+        if !self.jobs.get(&id).is_some_and(over) {
+            return;
+        }
+        if let Some(job) = self.jobs.remove(&id) {
             self.due.remove(&(job.until, id));
             self.due.remove(&(job.until + GRACE, id));
             floor.forget(id);
