Add the Faktory front and recorded byte exchanges for both fronts

Built: codec, machines (one actor each) and connections of the Faktory work protocol on the same core; a job's deadline, a vanished submitter, a second fetch after a reconnect, a new start and a drain end as the core's outcome table has it. Off unless INDIGOFOLD_FAKTORY names an operator's file. Seen while recording: after SIGTERM a second job was not sent although a machine stood there. Checked: the log shows the program waiting as it should; the module holds a job while a claim at the only machine has not told its start. Ruled out: the connection and the stop itself. The recording lacked the start notice, not the program.

--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -8,7 +8,6 @@
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
@@ -23,15 +22,9 @@
 /// Where fronts tell the core what happened.
 pub type Mailbox = Sender<Told>;
 
-/// What can be seen of the desk from outside.
-#[derive(Clone, Default)]
-pub struct View(Rc<Cell<usize>>);
-
-impl View {
-    /// Jobs that are open or have claims out.
-    pub fn jobs(&self) -> usize {
-        self.0.get()
-    }
+/// A mailbox of the right size.
+pub fn mailbox() -> (Mailbox, Receiver<Told>) {
+    bounded(MAILBOX)
 }
 
 /// The module and the book.
@@ -43,21 +36,15 @@
     inbox: Receiver<Told>,
     gap: Time,
     timers: BTreeSet<(Time, u64)>,
-    view: View,
 }
 
 impl<F: Floor> Desk<F> {
     /// A desk with an empty book, and the mailbox to it.
-    pub fn new(settings: Settings, floor: Rc<F>, clock: Clock, inbox: Receiver<Told>, view: View) -> Self {
+    pub fn new(settings: Settings, floor: Rc<F>, clock: Clock, inbox: Receiver<Told>) -> Self {
         let gap = settings.module.granularity;
         let dispatcher = Dispatcher::new(settings.module, settings.seed, clock.now());
         let book = Book::new(settings.early);
-        Desk { dispatcher, book, floor, clock, inbox, gap, timers: BTreeSet::new(), view }
-    }
-
-    /// A mailbox of the right size.
-    pub fn mailbox() -> (Mailbox, Receiver<Told>) {
-        bounded(MAILBOX)
+        Desk { dispatcher, book, floor, clock, inbox, gap, timers: BTreeSet::new() }
     }
 
     /// Runs until all fronts have dropped the mailbox.
@@ -101,7 +88,6 @@
             if now >= gate && self.batch(now) {
                 gate = now + self.gap;
             }
-            self.view.0.set(self.book.jobs());
             if now >= say {
                 self.say(late);
                 (say, late) = (now + SAY_EVERY, (0, 0, 0));
--- /dev/null
+++ b/src/front/faktory/mod.rs
@@ -0,0 +1,274 @@
+//! The Faktory work protocol: submitters push jobs, job workers fetch what the module claimed for their
+//! machine. Off unless an operator's file sets it up.
+
+pub mod codec;
+pub mod machines;
+pub mod serve;
+
+use super::Life;
+use crate::api::{Entry, Request, Scope, Status, Time, WorkerId, WorkerState};
+use crate::config::{self, Faktory as File};
+use crate::core::clock::Clock;
+use crate::core::desk::Mailbox;
+use crate::core::{Answer, Ask, Claim, ClaimId, Floor, JobId, Told};
+use crate::net::buffer::Buffer;
+use crate::net::{Net, log};
+use async_channel::{Sender, bounded};
+use async_io::Timer;
+use machines::{Machine, Order};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Orders that may wait for a machine; claims beyond that are turned down unsent.
+const MAILBOX: usize = 512;
+
+/// A job as it is passed on.
+pub struct Parcel {
+    /// Its id.
+    pub jid: String,
+    /// Its queue.
+    pub queue: String,
+    /// The job as it was pushed.
+    pub text: Buffer,
+    /// Job workers that have it in hand.
+    pub in_hand: Cell<usize>,
+    /// Claims that were given up: marked at once, as word of it may be behind a fetch in a machine's mailbox.
+    pub off: RefCell<Vec<ClaimId>>,
+}
+
+/// What is known of a job id.
+enum Known {
+    /// Its job is open, and these wait for its answer.
+    Open(JobId, Vec<(u64, Sender<Answer>)>),
+    /// All submitters had left when job workers had it in hand; whoever asks again waits for them.
+    Orphan(Rc<Parcel>, Vec<(u64, Sender<Answer>)>),
+    /// It has its answer.
+    Answered(Answer),
+}
+
+/// All that the parts of this front share.
+pub struct Faktory {
+    /// The network.
+    pub net: Net,
+    /// The clock.
+    pub clock: Clock,
+    /// The program's life.
+    pub life: Rc<Life>,
+    /// The operator's file.
+    pub file: File,
+    /// The way to the core.
+    pub core: Mailbox,
+    /// When the front was set up.
+    pub since: Time,
+    /// Commands taken, jobs served, jobs failed.
+    pub counts: [Cell<u64>; 3],
+    parcels: RefCell<HashMap<JobId, Rc<Parcel>>>,
+    known: RefCell<HashMap<String, Known>>,
+    answered: RefCell<VecDeque<String>>, // job ids with an answer, the oldest first
+    next: Cell<u64>,
+    machines: RefCell<HashMap<WorkerId, Sender<Order>>>,
+    wids: RefCell<HashMap<String, Sender<Order>>>,
+}
+
+impl Faktory {
+    /// The front, with an actor for each machine of the operator's file.
+    pub fn new(net: Net, clock: Clock, life: Rc<Life>, file: File, core: Mailbox) -> Rc<Self> {
+        let front = Rc::new(Faktory {
+            net,
+            clock,
+            life,
+            file,
+            core,
+            since: clock.now(),
+            counts: Default::default(),
+            parcels: RefCell::default(),
+            known: RefCell::default(),
+            answered: RefCell::default(),
+            next: Cell::new(1),
+            machines: RefCell::default(),
+            wids: RefCell::default(),
+        });
+        for entry in front.entries() {
+            let (orders, inbox) = bounded(MAILBOX);
+            let (id, n) = (entry.worker, front.machines.borrow().len());
+            front.machines.borrow_mut().insert(id, orders.clone());
+            for wid in &front.file.machines[n].wids {
+                front.wids.borrow_mut().insert(wid.clone(), orders.clone());
+            }
+            front.net.start(Machine::new(front.clone(), entry).run(inbox));
+        }
+        front
+    }
+
+    /// Tells the core the machine list as the operator's file has it: nobody is there yet.
+    pub async fn open(&self) {
+        let _ = self.core.send(Told::List(Scope::Full, self.entries())).await;
+    }
+
+    /// The machine list of the operator's file, in its order.
+    fn entries(&self) -> Vec<Entry> {
+        let (mut site, mut entries) = (self.file.site.clone(), Vec::<Entry>::new());
+        for m in &self.file.machines {
+            let hash = config::hash(&m.machine);
+            let mut worker = (hash ^ (hash >> 32)) as WorkerId;
+            while entries.iter().any(|e| e.worker == worker) {
+                worker = worker.wrapping_add(1);
+            }
+            let (zone, kind) = (site.zones.id(&m.zone), site.kinds.id(&m.kind));
+            let state = WorkerState::Left;
+            entries.push(Entry { worker, zone, kind, cell: m.cell, state, power: m.share, ready_at: 0 });
+        }
+        entries
+    }
+
+    /// Jobs whose answer is owed, or that a job worker has in hand.
+    pub fn open_jobs(&self) -> usize {
+        self.known.borrow().values().filter(|k| !matches!(k, Known::Answered(_))).count()
+    }
+
+    fn number(&self) -> u64 {
+        self.next.replace(self.next.get() + 1)
+    }
+
+    fn machine_of(&self, wid: &str) -> Option<Sender<Order>> {
+        self.wids.borrow().get(wid).cloned()
+    }
+
+    /// Takes a pushed job. Its answer, or that of the job that has this id already, goes to the sender; the
+    /// number returned stands for this submitter.
+    async fn push(self: &Rc<Self>, mut request: Request, parcel: Parcel, to: Sender<Answer>) -> u64 {
+        let number = self.number();
+        let jid = parcel.jid.clone();
+        if let Some(known) = self.known.borrow_mut().get_mut(&jid) {
+            match known {
+                Known::Answered(answer) => _ = to.try_send(*answer),
+                Known::Open(_, waiting) | Known::Orphan(_, waiting) => waiting.push((number, to)),
+            }
+            return number;
+        }
+        let job = self.number();
+        request.id = job;
+        let until = self.clock.now() + request.left;
+        self.known.borrow_mut().insert(jid.clone(), Known::Open(job, vec![(number, to)]));
+        self.parcels.borrow_mut().insert(job, Rc::new(parcel));
+        let (answer, answered) = bounded(1);
+        let _ = self.core.send(Told::Job(request, answer)).await;
+        let front = self.clone();
+        self.net.start(async move {
+            if let Ok(answer) = answered.recv().await {
+                return front.finish(&jid, answer);
+            }
+            // The core was told that the submitters are gone. A job worker that has the job in hand may yet
+            // tell how it went, for as long as the job had.
+            Timer::at(front.clock.instant(until)).await;
+            if matches!(front.known.borrow().get(&jid), Some(Known::Orphan(..))) {
+                front.finish(&jid, Answer::Failed);
+            }
+        });
+        number
+    }
+
+    /// Gives everybody who waits for a job its answer, and remembers it.
+    fn finish(&self, jid: &str, answer: Answer) {
+        let known = self.known.borrow_mut().remove(jid);
+        let Some(Known::Open(_, waiting) | Known::Orphan(_, waiting)) = known else { return };
+        for (_, to) in waiting {
+            let _ = to.try_send(answer);
+        }
+        let count = |n: usize| self.counts[n].set(self.counts[n].get() + 1);
+        match answer {
+            // What was refused may come again and is then a new try.
+            Answer::Requeue(_) => return,
+            Answer::Served => count(1),
+            Answer::Failed => count(2),
+        }
+        let (mut known, mut answered) = (self.known.borrow_mut(), self.answered.borrow_mut());
+        known.insert(jid.to_string(), Known::Answered(answer));
+        answered.push_back(jid.to_string());
+        while answered.len() > self.file.remember {
+            if let Some(oldest) = answered.pop_front() {
+                known.remove(&oldest);
+            }
+        }
+    }
+
+    /// A submitter has left. With the last one goes the job; but where a job worker has it in hand its id
+    /// stays known, so that a submitter who comes back does not cause a second run.
+    async fn leave(&self, jid: &str, number: u64) {
+        let gone = {
+            let mut known = self.known.borrow_mut();
+            let Some(Known::Open(job, waiting)) = known.get_mut(jid) else { return };
+            waiting.retain(|(n, _)| *n != number);
+            if !waiting.is_empty() {
+                return;
+            }
+            let job = *job;
+            let parcel = self.parcels.borrow().get(&job).filter(|p| p.in_hand.get() > 0).cloned();
+            match parcel {
+                Some(parcel) => known.insert(jid.to_string(), Known::Orphan(parcel, Vec::new())),
+                None => known.remove(jid),
+            };
+            job
+        };
+        let _ = self.core.send(Told::Gone(gone)).await;
+    }
+}
+
+impl Faktory {
+    /// May this claim still be handed to a job worker?
+    fn wanted(&self, claim: &Claim, parcel: &Parcel) -> bool {
+        let open = |k: &Known| matches!(k, Known::Open(job, _) if *job == claim.id.job);
+        !parcel.off.borrow().contains(&claim.id) && self.known.borrow().get(&parcel.jid).is_some_and(open)
+    }
+
+    /// A job worker no longer has a job in hand that its submitters have left.
+    fn orphan_ended(&self, parcel: &Rc<Parcel>, status: Status) {
+        let of = |k: &Known| matches!(k, Known::Orphan(p, _) if Rc::ptr_eq(p, parcel));
+        if !self.known.borrow().get(&parcel.jid).is_some_and(of) {
+            return;
+        }
+        match status {
+            Status::Ok => self.finish(&parcel.jid, Answer::Served),
+            _ if parcel.in_hand.get() > 0 => {}
+            Status::Moot | Status::ConnectFailed => self.finish(&parcel.jid, Answer::Requeue(0)),
+            _ => self.finish(&parcel.jid, Answer::Failed),
+        }
+    }
+
+    fn order(&self, machine: WorkerId, order: Order) -> bool {
+        self.machines.borrow().get(&machine).is_some_and(|m| m.try_send(order).is_ok())
+    }
+}
+
+impl Floor for Faktory {
+    fn claim(&self, claim: Claim) -> bool {
+        let Some(parcel) = self.parcels.borrow().get(&claim.id.job).cloned() else { return false };
+        self.order(claim.machine, Order::Claim(claim, parcel))
+    }
+
+    fn give_up(&self, claim: ClaimId, machine: WorkerId) {
+        if let Some(parcel) = self.parcels.borrow().get(&claim.job) {
+            parcel.off.borrow_mut().push(claim);
+        }
+        self.order(machine, Order::Clear);
+    }
+
+    fn probe(&self, _: WorkerId) -> bool {
+        false // the protocol has none, and the settings say so
+    }
+
+    fn hang_up(&self, _: WorkerId) {} // job workers connect; nothing idle is held to them
+
+    fn ask(&self, _: Ask) -> bool {
+        true // the list changes unasked
+    }
+
+    fn forget(&self, job: JobId) {
+        self.parcels.borrow_mut().remove(&job);
+    }
+
+    fn note(&self, text: &str) {
+        log(format_args!("faktory desk {text}"));
+    }
+}
--- /dev/null
+++ b/src/front/faktory/serve.rs
@@ -0,0 +1,342 @@
+//! One actor for each accepted connection of the Faktory front: submitters and job workers.
+
+use super::codec::{self, Command, Job};
+use super::machines::{Handed, Order};
+use super::{Faktory, Parcel};
+use crate::api::{Effect, Request, Status};
+use crate::core::Answer;
+use crate::net::buffer::Buffer;
+use crate::net::set::Way;
+use crate::net::{Link, Reason, log, within};
+use async_channel::{Sender, bounded};
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use std::cell::{Cell, RefCell};
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::io::Write;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A client must have said its HELLO, and a command must be whole, in this time.
+const SLOW: Duration = Duration::from_secs(10);
+/// A reply must be taken within this time.
+const STALLED: Duration = Duration::from_secs(5);
+/// How long a FETCH waits for a job.
+const FETCH: Duration = Duration::from_secs(2);
+/// Between two tries to accept while no descriptor is left.
+const FULL: Duration = Duration::from_millis(10);
+/// The longest time that a submitter can say it waits, in milliseconds.
+const DEADLINE_MOST: u64 = 24 * 3600 * 1000;
+
+/// Accepts connections for as long as the program runs.
+pub async fn listen(front: Rc<Faktory>, listener: Async<TcpListener>) {
+    loop {
+        let Some(seat) = front.net.set.seat(Way::In) else {
+            Timer::after(FULL).await;
+            continue;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let link = Link::new(stream, seat);
+                front.net.start(serve(front.clone(), link));
+            }
+            Err(error) => {
+                drop(seat);
+                log(format_args!("faktory accept failed: {error}"));
+                Timer::after(FULL).await;
+            }
+        }
+    }
+}
+
+/// A job worker's name, and its machine's mailbox.
+struct Worker {
+    wid: String,
+    orders: Sender<Order>,
+}
+
+struct Client {
+    front: Rc<Faktory>,
+    link: Link,
+    number: u64,
+    worker: Option<Worker>,
+}
+
+async fn serve(front: Rc<Faktory>, link: Link) {
+    let number = front.number();
+    let mut client = Client { front, link, number, worker: None };
+    let reason = match client.talk().await {
+        Ok(()) => Reason::Done,
+        Err(reason) => reason,
+    };
+    let side = if client.worker.is_some() { "faktory-worker" } else { "faktory-submitter" };
+    let wid = client.worker.as_ref().map_or("-", |w| &w.wid).to_string();
+    if let Some(worker) = client.worker.take() {
+        let _ = worker.orders.send(Order::Away(worker.wid, number)).await;
+    }
+    client.link.end(side, reason, format_args!("wid={wid:?}"));
+}
+
+impl Client {
+    async fn talk(&mut self) -> Result<(), Reason> {
+        let salt = RandomState::new().build_hasher().finish();
+        let salt = format!("{salt:016x}");
+        let (password, times) = (self.front.file.password.clone(), self.front.file.iterations);
+        let asked = (!password.is_empty()).then_some((salt.as_str(), times));
+        self.reply(&codec::greeting(asked)).await?;
+        let mut buffer = self.front.net.pool.take();
+        let first = within(SLOW, Reason::Slow, line(&self.link, &mut buffer)).await?;
+        let hello = match Command::read(trimmed(&buffer.filled()[..first])) {
+            Ok(Command::Hello(hello)) => hello,
+            Ok(_) => return self.reject("HELLO must come first").await,
+            Err(why) => return self.reject(&why).await,
+        };
+        buffer.consume(first);
+        if hello.v != 2 {
+            return self.reject("only version 2 of the protocol is spoken here").await;
+        }
+        if !password.is_empty() && !codec::same(&codec::hashed(&password, &salt, times), &hello.pwdhash) {
+            return self.reject("invalid password").await;
+        }
+        if !hello.wid.is_empty() {
+            let Some(orders) = self.front.machine_of(&hello.wid) else {
+                return self.reject("this wid is on no machine of the operator's file").await;
+            };
+            let start = format!("{}:{}", hello.hostname, hello.pid);
+            self.worker = Some(Worker { wid: hello.wid.clone(), orders: orders.clone() });
+            let _ = orders.send(Order::Here(hello.wid, start, self.number)).await;
+        }
+        self.reply(codec::OK).await?;
+        let mut kept = Some(buffer).filter(|b| !b.filled().is_empty());
+        loop {
+            let mut buffer = match kept.take() {
+                Some(buffer) => buffer,
+                None => {
+                    self.idle().await?;
+                    self.front.net.pool.take()
+                }
+            };
+            let length = within(SLOW, Reason::Slow, line(&self.link, &mut buffer)).await;
+            let length = match length {
+                Err(Reason::Malformed) => return self.reject("the command is too long").await,
+                other => other?,
+            };
+            let commands = &self.front.counts[0];
+            commands.set(commands.get() + 1);
+            let command = Command::read(trimmed(&buffer.filled()[..length]));
+            let text = match &command {
+                Ok(Command::Push(_)) => {
+                    // The job is passed on as it was pushed.
+                    let mut text = self.front.net.pool.take();
+                    let _ = text.write_all(trimmed(&buffer.filled()[..length]).trim_ascii_start());
+                    text.consume("PUSH ".len());
+                    Some(text)
+                }
+                _ => None,
+            };
+            buffer.consume(length);
+            match command {
+                Ok(Command::End) => {
+                    self.reply(codec::OK).await?;
+                    return Ok(());
+                }
+                Ok(command) => self.obey(command, text, &mut buffer).await?,
+                Err(why) => self.reply(&codec::error(&why)).await?,
+            }
+            kept = Some(buffer).filter(|b| !b.filled().is_empty());
+        }
+    }
+
+    /// Waits for the next command. A submitter without one may be asked to go.
+    async fn idle(&self) -> Result<(), Reason> {
+        let readable = async { self.link.readable().await.map_err(|_| Reason::Broke) };
+        if self.worker.is_some() {
+            return readable.await;
+        }
+        let offer = self.front.net.set.offer();
+        let shed = async {
+            offer.asked().await;
+            Err(if self.front.life.stopping.get() { Reason::Stopping } else { Reason::Shed })
+        };
+        readable.or(shed).await
+    }
+
+    async fn reply(&self, text: &str) -> Result<(), Reason> {
+        self.link.send(text.as_bytes(), STALLED).await
+    }
+
+    async fn reject(&self, why: &str) -> Result<(), Reason> {
+        self.reply(&codec::error(why)).await?;
+        Err(Reason::Rejected)
+    }
+
+    async fn obey(&self, command: Command, text: Option<Buffer>, buffer: &mut Buffer) -> Result<(), Reason> {
+        let ended = match command {
+            Command::Push(job) => match text {
+                Some(text) => return self.push(*job, text, buffer).await,
+                None => return Ok(()),
+            },
+            Command::Info => return self.reply(&codec::bulk(&self.info())).await,
+            Command::Fetch(queues) => return self.fetch(queues, buffer).await,
+            Command::Hello(_) | Command::End => return self.reply(&codec::error("HELLO was said")).await,
+            Command::Beat(wid, quiet) => match &self.worker {
+                Some(worker) if worker.wid == wid => Order::Beat(wid, quiet),
+                _ => return self.reply(&codec::error("BEAT is for the job worker that said HELLO")).await,
+            },
+            Command::Ack(jid) | Command::Fail(jid) if self.worker.is_none() => {
+                let _ = jid;
+                return self.reply(&codec::error("only a job worker can say how a job went")).await;
+            }
+            Command::Ack(jid) => Order::Ended(self.wid(), jid, Status::Ok),
+            Command::Fail(jid) => Order::Ended(self.wid(), jid, Status::Error),
+        };
+        if let Some(worker) = &self.worker {
+            let _ = worker.orders.send(ended).await;
+        }
+        self.reply(codec::OK).await
+    }
+
+    fn wid(&self) -> String {
+        self.worker.as_ref().map_or_else(String::new, |w| w.wid.clone())
+    }
+
+    fn info(&self) -> String {
+        let front = &self.front;
+        let [commands, served, failed] = [0, 1, 2].map(|n| front.counts[n].get());
+        let (open, uptime) = (front.open_jobs(), front.clock.now().saturating_sub(front.since) / 1_000_000);
+        format!(
+            "{{\"faktory\":{{\"total_enqueued\":{open},\"total_processed\":{},\"total_failures\":{failed}}},\
+             \"server\":{{\"description\":\"indigofold\",\"faktory_version\":\"{}\",\"uptime\":{uptime},\
+             \"connections\":{},\"command_count\":{commands}}}}}",
+            served + failed,
+            env!("CARGO_PKG_VERSION"),
+            front.net.set.open(),
+        )
+    }
+
+    /// Hands a job in and answers once its final answer is known.
+    async fn push(&self, job: Job, text: Buffer, buffer: &mut Buffer) -> Result<(), Reason> {
+        let request = match self.request(&job) {
+            Ok(request) => request,
+            Err(why) => return self.reply(&codec::error(&why)).await,
+        };
+        let (to, from) = bounded(1);
+        let jid = job.jid.clone();
+        let (in_hand, off) = (Cell::new(0), RefCell::default());
+        let parcel = Parcel { jid: job.jid, queue: job.queue, text, in_hand, off };
+        self.front.life.last_job.set(self.front.clock.now());
+        let number = self.front.push(request, parcel, to).await;
+        let answered = async { Ok(from.recv().await.unwrap_or(Answer::Failed)) };
+        match answered.or(async { Err(self.link.left(buffer).await) }).await {
+            Ok(Answer::Served) => self.reply(codec::OK).await,
+            Ok(Answer::Requeue(after)) => {
+                let text = format!("refused, come back in {} ms", after.div_ceil(1000));
+                self.reply(&codec::error(&text)).await
+            }
+            Ok(Answer::Failed) => self.reply(&codec::error("failed, it may have run")).await,
+            Err(reason) => {
+                self.front.leave(&jid, number).await;
+                Err(reason)
+            }
+        }
+    }
+
+    fn request(&self, job: &Job) -> Result<Request, String> {
+        let site = &self.front.file.site;
+        let unknown = || "unknown jobtype: it names a class of the settings".to_string();
+        let class = site.classes.find(&job.jobtype).ok_or_else(unknown)?;
+        let settings = &site.settings.classes[class as usize];
+        let custom = job.custom.as_ref();
+        if matches!(settings.effect, Effect::Keyed { .. }) && custom.is_none_or(|c| c.key.is_none()) {
+            return Err("custom.key is missing: jobs of this class carry a key".into());
+        }
+        let tenant = custom.and_then(|c| c.tenant.as_ref()).and_then(|name| site.tenants.find(name));
+        let left = custom.and_then(|c| c.deadline).map(|ms| ms.min(DEADLINE_MOST) * 1000);
+        Ok(Request {
+            id: 0,
+            class,
+            tenant: tenant.unwrap_or(u32::MAX),
+            left: left.unwrap_or(settings.deadline),
+            estimate: None,
+            slots: custom.and_then(|c| c.slots).unwrap_or(1.0),
+            memory: 0.0,
+        })
+    }
+
+    /// Waits for a job that the module has claimed for this job worker's machine, and hands it over.
+    async fn fetch(&self, queues: Vec<String>, buffer: &mut Buffer) -> Result<(), Reason> {
+        let Some(worker) = &self.worker else {
+            return self.reply(&codec::error("only a job worker with a wid can FETCH")).await;
+        };
+        let (to, from) = bounded(1);
+        let _ = worker.orders.send(Order::Fetch(self.number, worker.wid.clone(), queues, to)).await;
+        let handed = async { Ok(from.recv().await.ok()) };
+        let over = async {
+            Timer::after(FETCH).await;
+            Ok(None)
+        };
+        let mut found = handed.or(async { Err(self.link.left(buffer).await) }).or(over).await;
+        // A job that came at the very moment at which the wait ended is not lost.
+        from.close();
+        if let Ok(None) = found {
+            found = Ok(from.try_recv().ok());
+        }
+        match found {
+            Ok(Some(handed)) => self.hand_over(&worker.orders, handed).await,
+            Ok(None) => {
+                let _ = worker.orders.send(Order::NoFetch(self.number)).await;
+                self.reply(codec::NOTHING).await
+            }
+            Err(reason) => {
+                if let Ok(handed) = from.try_recv() {
+                    let _ = worker.orders.send(Order::Written(handed, false)).await;
+                }
+                Err(reason)
+            }
+        }
+    }
+
+    /// Writes a job to a job worker. Whether its last byte went out tells whether it may have run.
+    async fn hand_over(&self, orders: &Sender<Order>, handed: Handed) -> Result<(), Reason> {
+        let mut whole = self.front.net.pool.take();
+        let text = handed.parcel.text.filled();
+        let room = write!(whole, "${}\r\n", text.len())
+            .and_then(|()| whole.write_all(text))
+            .and_then(|()| whole.write_all(b"\r\n"));
+        let mut gone_out = 0;
+        let written = match room {
+            Ok(()) => {
+                let write = self.link.write(whole.filled(), &mut gone_out);
+                within(STALLED, Reason::Stalled, async { write.await.map_err(|_| Reason::Broke) }).await
+            }
+            Err(_) => Err(Reason::Malformed),
+        };
+        let all = gone_out == whole.filled().len();
+        let _ = orders.send(Order::Written(handed, all)).await;
+        written
+    }
+}
+
+/// Reads until a whole line stands at the front of the buffer, and returns its length with the line end.
+async fn line(link: &Link, buffer: &mut Buffer) -> Result<usize, Reason> {
+    loop {
+        if let Some(end) = buffer.filled().iter().position(|b| *b == b'\n') {
+            return Ok(end + 1);
+        }
+        if buffer.room().is_empty() {
+            return Err(Reason::Malformed);
+        }
+        let empty = buffer.filled().is_empty();
+        match link.read(buffer).await {
+            Ok(0) if empty => return Err(Reason::PeerClosed),
+            Ok(0) => return Err(Reason::PeerLeft),
+            Ok(_) => {}
+            Err(_) => return Err(Reason::Broke),
+        }
+    }
+}
+
+fn trimmed(line: &[u8]) -> &[u8] {
+    line.trim_ascii_end()
+}
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -4,10 +4,11 @@
 pub mod submitters;
 pub mod workers;
 
-use crate::api::{Entry, Status, Time, WorkerId, WorkerState};
+use super::Life;
+use crate::api::{Entry, Status, WorkerId, WorkerState};
 use crate::config::{self, MachineList, News, Site};
 use crate::core::clock::Clock;
-use crate::core::desk::{Mailbox, View};
+use crate::core::desk::Mailbox;
 use crate::core::{Ask, Claim, ClaimId, Floor, JobId, Told};
 use crate::net::buffer::Buffer;
 use crate::net::{Net, log};
@@ -45,14 +46,10 @@
     pub site: RefCell<Site>,
     /// The way to the core.
     pub core: Mailbox,
-    /// What can be seen of the core.
-    pub view: View,
     /// Machines can be sent to: the list is usable.
     pub ready: Cell<bool>,
-    /// The program is to stop.
-    pub stopping: Cell<bool>,
-    /// When something last came from a submitter.
-    pub last_heard: Cell<Time>,
+    /// The program's life.
+    pub life: Rc<Life>,
     parcels: RefCell<HashMap<JobId, Rc<Parcel>>>,
     traces: RefCell<HashMap<String, JobId>>,
     next_job: Cell<JobId>,
@@ -63,16 +60,16 @@
 
 impl Platform {
     /// The front; the machine list's actor reads what is asked of it from the channel's other end.
-    pub fn new(net: Net, clock: Clock, site: Site, core: Mailbox, view: View, list: Sender<Ask>) -> Rc<Self> {
+    pub fn new(
+        net: Net, clock: Clock, life: Rc<Life>, site: Site, core: Mailbox, list: Sender<Ask>,
+    ) -> Rc<Self> {
         Rc::new(Platform {
             net,
             clock,
             site: RefCell::new(site),
             core,
-            view,
             ready: Cell::new(false),
-            stopping: Cell::new(false),
-            last_heard: Cell::new(0),
+            life,
             parcels: RefCell::default(),
             traces: RefCell::default(),
             next_job: Cell::new(1),
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -78,7 +78,7 @@
                 let readable = async { link.readable().await.map_err(|_| Reason::Broke) };
                 let shed = async {
                     offer.asked().await;
-                    Err(if front.stopping.get() { Reason::Stopping } else { Reason::Shed })
+                    Err(if front.life.stopping.get() { Reason::Stopping } else { Reason::Shed })
                 };
                 if let Err(reason) = readable.or(shed).await {
                     return reason;
@@ -114,14 +114,14 @@
             }
             Wish::Bad(status, why) => answer(front, link, status, "", why.as_bytes(), frame.keep).await,
             Wish::Job { request, trace, head, body } => {
-                front.last_heard.set(front.clock.now());
+                front.life.last_job.set(front.clock.now());
                 job(front, link, &mut buffer, request, (&trace, head, body), frame.keep).await
             }
         };
         if let Err(reason) = done {
             return reason;
         }
-        if !frame.keep || (submitter && front.stopping.get()) {
+        if !frame.keep || (submitter && front.life.stopping.get()) {
             return Reason::Done;
         }
         kept = Some(buffer).filter(|b| !b.filled().is_empty());
@@ -255,18 +255,7 @@
         return answer(front, link, 500, "", b"", false).await;
     }
     let answered = async { Ok(from.recv().await.unwrap_or(Answer::Failed)) };
-    let left = async {
-        // What comes in the meantime is the next message; the end means that the submitter has left.
-        while !buffer.room().is_empty() {
-            match link.read(buffer).await {
-                Ok(0) => return Err(Reason::PeerLeft),
-                Ok(_) => {}
-                Err(_) => return Err(Reason::Broke),
-            }
-        }
-        std::future::pending().await
-    };
-    match answered.or(left).await {
+    match answered.or(async { Err(link.left(buffer).await) }).await {
         Ok(Answer::Served) => {
             let result = parcel.result.borrow_mut().take().unwrap_or_default();
             answer(front, link, 200, "", &result, keep).await
@@ -289,7 +278,7 @@
     front: &Platform, link: &Link, status: u16, more: impl Display, body: &[u8], keep: bool,
 ) -> Result<(), Reason> {
     let mut buffer = front.net.pool.take();
-    let close = if keep && !front.stopping.get() { "" } else { "Connection: close\r\n" };
+    let close = if keep && !front.life.stopping.get() { "" } else { "Connection: close\r\n" };
     let length = if status == 204 { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     let head = write!(buffer, "HTTP/1.1 {status} {}\r\n{more}{length}{close}\r\n", http::reason(status));
     // A result that one buffer does not hold goes out after the head.
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,13 +9,15 @@
 use indigofold::api::Scope;
 use indigofold::config;
 use indigofold::core::clock::Clock;
-use indigofold::core::desk::{Desk, View};
+use indigofold::core::desk::{self, Desk};
 use indigofold::core::{Settings, Told};
+use indigofold::front::Life;
+use indigofold::front::faktory::{Faktory, serve};
 use indigofold::front::platform::machines::Machines;
 use indigofold::front::platform::{Platform, submitters};
 use indigofold::net::{Net, log};
 use std::error::Error;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,41 +45,80 @@
 
 async fn run(tasks: Rc<LocalExecutor<'static>>) -> Result<(), Box<dyn Error>> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG names no configuration")?;
-    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    let config = config::Platform::read(text, |name| std::env::var(name).ok())?;
-    let listener = Async::<TcpListener>::bind(
-        config
-            .listen
-            .parse::<std::net::SocketAddr>()
-            .map_err(|e| format!("listen {:?}: {e}", config.listen))?,
-    )?;
-    let discovery = config.discovery.parse().map_err(|e| format!("discovery {:?}: {e}", config.discovery))?;
-    let (net, clock, view) = (Net::new(tasks, config.sockets), Clock::new(), View::default());
-    let (core, inbox) = Desk::<Platform>::mailbox();
-    let (list, asked) = async_channel::bounded(ASKED);
-    let settings = Settings { module: config.site.settings.clone(), seed: config.seed, early: EARLY };
-    let front = Platform::new(net.clone(), clock, config.site, core.clone(), view.clone(), list);
-    net.start(Desk::new(settings, front.clone(), clock, inbox, view.clone()).run());
-    let seq = config.known.seq;
-    let known = front.learn(config.known);
-    core.send(Told::List(Scope::Cached, known)).await?;
-    net.start(Machines::new(front.clone(), discovery, seq).run(asked));
-    net.start(submitters::listen(front.clone(), listener));
-    log(format_args!("start name={} listen={}", config.name, config.listen));
+    let read = |name: &str| -> Result<Option<Vec<u8>>, Box<dyn Error>> {
+        let Some(path) = std::env::var_os(name) else { return Ok(None) };
+        Ok(Some(std::fs::read(&path).map_err(|e| format!("{name}: {}: {e}", path.to_string_lossy()))?))
+    };
+    let platform = match read("GW_CONFIG")? {
+        Some(text) => Some(config::Platform::read(text, |name| std::env::var(name).ok())?),
+        None => None,
+    };
+    let faktory = read("INDIGOFOLD_FAKTORY")?.map(config::Faktory::read).transpose()?;
+    let sockets = platform.as_ref().map(|p| p.sockets).into_iter().chain(faktory.as_ref().map(|f| f.sockets));
+    let sockets = sockets.min().ok_or("neither GW_CONFIG nor INDIGOFOLD_FAKTORY names a configuration")?;
+    let (net, clock, life) = (Net::new(tasks, sockets), Clock::new(), Rc::new(Life::default()));
+    let mut open: Vec<Box<dyn Fn() -> usize>> = Vec::new();
+    if let Some(config) = platform {
+        open.push(start_platform(&net, clock, &life, config).await?);
+    }
+    if let Some(file) = faktory {
+        open.push(start_faktory(&net, clock, &life, file).await?);
+    }
 
     signals.next().await;
     // What still comes is taken and answered; each answer says that the connection closes after it.
-    front.stopping.set(true);
-    log(format_args!("stop jobs={} connections={}", view.jobs(), net.set.open()));
+    life.stopping.set(true);
+    let jobs = || open.iter().map(|jobs| jobs()).sum::<usize>();
+    log(format_args!("stop jobs={} connections={}", jobs(), net.set.open()));
     Timer::after(STAY).await;
     loop {
         net.set.shed_all(); // between two messages a connection may be closed
-        let quiet = clock.now().saturating_sub(front.last_heard.get()) > QUIET;
-        if quiet && view.jobs() == 0 && front.open_jobs() == 0 {
+        if clock.now().saturating_sub(life.last_job.get()) > QUIET && jobs() == 0 {
             log("stopped: nothing is left to answer");
             return Ok(());
         }
         Timer::after(Duration::from_millis(20)).await;
     }
 }
+
+fn bind(address: &str) -> Result<Async<TcpListener>, Box<dyn Error>> {
+    let parsed: SocketAddr = address.parse().map_err(|e| format!("listen {address:?}: {e}"))?;
+    Ok(Async::<TcpListener>::bind(parsed).map_err(|e| format!("listen {address:?}: {e}"))?)
+}
+
+/// Starts the platform's front; returns how to ask how many jobs are open.
+async fn start_platform(
+    net: &Net, clock: Clock, life: &Rc<Life>, config: config::Platform,
+) -> Result<Box<dyn Fn() -> usize>, Box<dyn Error>> {
+    let listener = bind(&config.listen)?;
+    let discovery = config.discovery.parse().map_err(|e| format!("discovery {:?}: {e}", config.discovery))?;
+    let address = listener.get_ref().local_addr()?;
+    let (core, inbox) = desk::mailbox();
+    let (list, asked) = async_channel::bounded(ASKED);
+    let settings = Settings { module: config.site.settings.clone(), seed: config.seed, early: EARLY };
+    let front = Platform::new(net.clone(), clock, life.clone(), config.site, core.clone(), list);
+    net.start(Desk::new(settings, front.clone(), clock, inbox).run());
+    let seq = config.known.seq;
+    let known = front.learn(config.known);
+    core.send(Told::List(Scope::Cached, known)).await?;
+    net.start(Machines::new(front.clone(), discovery, seq).run(asked));
+    net.start(submitters::listen(front.clone(), listener));
+    log(format_args!("start front=platform name={} listen={address}", config.name));
+    Ok(Box::new(move || front.open_jobs()))
+}
+
+/// Starts the Faktory front; returns how to ask how many jobs are open.
+async fn start_faktory(
+    net: &Net, clock: Clock, life: &Rc<Life>, file: config::Faktory,
+) -> Result<Box<dyn Fn() -> usize>, Box<dyn Error>> {
+    let listener = bind(&file.listen)?;
+    let (core, inbox) = desk::mailbox();
+    let settings = Settings { module: file.site.settings.clone(), seed: clock.now(), early: EARLY };
+    let address = listener.get_ref().local_addr()?;
+    let front = Faktory::new(net.clone(), clock, life.clone(), file, core);
+    net.start(Desk::new(settings, front.clone(), clock, inbox).run());
+    front.open().await;
+    net.start(serve::listen(front.clone(), listener));
+    log(format_args!("start front=faktory listen={address}"));
+    Ok(Box::new(move || front.open_jobs()))
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -150,6 +150,18 @@
         Ok(count)
     }
 
+    /// Returns once the other side has left. What it sends until then is its next messages, and is kept.
+    pub async fn left(&self, buffer: &mut Buffer) -> Reason {
+        while !buffer.room().is_empty() {
+            match self.read(buffer).await {
+                Ok(0) => return Reason::PeerLeft,
+                Ok(_) => {}
+                Err(_) => return Reason::Broke,
+            }
+        }
+        std::future::pending().await
+    }
+
     /// Returns once there is something to read, the end included.
     pub async fn readable(&self) -> io::Result<()> {
         self.stream.readable().await
--- /dev/null
+++ b/tests/exchanges.rs
@@ -0,0 +1,243 @@
+//! Recorded byte exchanges, played against the program. Each file of `tests/exchanges` is one; a line is
+//!
+//!     NAME listen                  a stand-in listens; `$NAME` is its address from then on
+//!     known HOSTS                  the machine list in the configuration (JSON lines of discovery's form)
+//!     start platform|faktory       starts the program on settings.json; `$gw` is its address
+//!     NAME dial                    connects to the program
+//!     NAME accept LISTENER         takes a connection that the program has made
+//!     NAME > BYTES                 sends; `\r` and `\n` are escapes, `$L` is the length of what follows the head
+//!     NAME < PATTERN               waits for bytes that match from the first one on; `*` stands for any
+//!     NAME close / NAME eof        closes / waits for the other side to close
+//!     log TEXT                     waits until the log has a line with the text
+//!     term / exit                  sends SIGTERM / waits for the program to end well
+//!     runs JOB N                   job workers (names that begin with w) were handed the job N times in all
+//!
+//! Everything waits for an event, and nothing for a time; what does not come fails after `LIMIT`.
+
+use rstest::rstest;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(20);
+const SETTINGS: &str = include_str!("exchanges/settings.json");
+
+#[derive(Default)]
+struct Stage {
+    program: Option<(Child, Receiver<String>)>,
+    log: Vec<String>,
+    known: String,
+    listeners: HashMap<String, TcpListener>,
+    links: HashMap<String, (TcpStream, Vec<u8>)>,
+    vars: HashMap<String, String>,
+    seen_by_workers: HashMap<String, Vec<u8>>,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        if let Some((child, log)) = &mut self.program {
+            if std::thread::panicking() {
+                self.log.extend(log.try_iter());
+                eprintln!("log of the program: {:#?}", self.log);
+            }
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Does the text begin with the pattern? How much of it that takes; `None`: not yet; an error: never.
+fn matched(text: &str, pattern: &str) -> Result<Option<usize>, ()> {
+    let mut parts = pattern.split('*');
+    let first = parts.next().unwrap_or("");
+    if !text.starts_with(first) {
+        return if first.starts_with(text) { Ok(None) } else { Err(()) };
+    }
+    let mut at = first.len();
+    for part in parts {
+        match text[at..].find(part) {
+            Some(found) => at += found + part.len(),
+            None => return Ok(None),
+        }
+    }
+    Ok(Some(at))
+}
+
+impl Stage {
+    fn filled(&self, text: &str) -> String {
+        let mut text = text.replace("\\r", "\r").replace("\\n", "\n");
+        for (name, value) in &self.vars {
+            text = text.replace(&format!("${name}"), value);
+        }
+        let body = text.find("\r\n\r\n").map_or(0, |end| text.len() - end - 4);
+        // The line that names the length is shorter by then, but the body stays the same.
+        text.replace("$L", &body.to_string())
+    }
+
+    fn start(&mut self, front: &str) {
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let name = format!("{}-{:?}.json", std::process::id(), std::thread::current().id());
+        let path = dir.join(name.replace(['(', ')'], ""));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_indigofold"));
+        let (settings, known) = (SETTINGS, self.filled(&self.known));
+        let text = if front == "platform" {
+            let discovery = &self.vars["disc"];
+            command.env("GW_CONFIG", &path).env_remove("INDIGOFOLD_FAKTORY");
+            format!(
+                r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5","limits":{{"sockets":256}},
+                "known":{{"seq":1,"whole":true,"hosts":[{known}]}},"settings":{settings}}}"#
+            )
+        } else {
+            command.env("INDIGOFOLD_FAKTORY", &path).env_remove("GW_CONFIG");
+            format!(
+                r#"{{"listen":"127.0.0.1:0","password":"sesame","iterations":3,"settings":{settings},
+                "reconnect_within_ms":100,"machines":[
+                {{"machine":"m1","wids":["w-one"],"zone":"north","kind":"big"}}]}}"#
+            )
+        };
+        std::fs::write(&path, text).expect("a configuration");
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the program");
+        let (lines, log) = channel();
+        let reader = BufReader::new(child.stderr.take().expect("a log"));
+        std::thread::spawn(move || reader.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
+        self.program = Some((child, log));
+        let line = self.log_line("start front=");
+        let address = line.rsplit("listen=").next().expect("an address").to_string();
+        self.vars.insert("gw".into(), address);
+    }
+
+    fn log_line(&mut self, text: &str) -> String {
+        let until = Instant::now() + LIMIT;
+        loop {
+            if let Some(line) = self.log.iter().find(|l| l.contains(text)) {
+                return line.clone();
+            }
+            let (_, log) = self.program.as_ref().expect("started");
+            match log.recv_timeout(until.saturating_duration_since(Instant::now())) {
+                Ok(line) => self.log.push(line),
+                Err(_) => panic!("no log line with {text:?} in {:#?}", self.log),
+            }
+        }
+    }
+
+    fn take(&mut self, name: &str, stream: TcpStream) {
+        stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
+        stream.set_nodelay(true).expect("no delay");
+        self.links.insert(name.into(), (stream, Vec::new()));
+    }
+
+    fn expect(&mut self, name: &str, pattern: &str) {
+        let pattern = self.filled(pattern);
+        let (stream, got) = self.links.get_mut(name).expect("a connection");
+        loop {
+            let text = String::from_utf8_lossy(got).into_owned();
+            match matched(&text, &pattern) {
+                Ok(Some(count)) => {
+                    got.drain(..count);
+                    break;
+                }
+                Ok(None) => {}
+                Err(()) => panic!("{name}: wanted {pattern:?}, got {text:?}"),
+            }
+            let mut bytes = [0; 4096];
+            match stream.read(&mut bytes) {
+                Ok(count @ 1..) => {
+                    got.extend(&bytes[..count]);
+                    if name.starts_with('w') {
+                        self.seen_by_workers.entry(name.into()).or_default().extend(&bytes[..count]);
+                    }
+                }
+                other => panic!("{name}: wanted {pattern:?}, got {text:?}, then {other:?}"),
+            }
+        }
+        if let Some(salt) = pattern.starts_with("+HI").then(|| self.salt(name)).flatten() {
+            let hash = indigofold::front::faktory::codec::hashed("sesame", &salt, 3);
+            self.vars.insert("hash".into(), hash);
+        }
+    }
+
+    /// The salt of a greeting: the pattern `+HI ` leaves it to be read here, up to the end of its line.
+    fn salt(&mut self, name: &str) -> Option<String> {
+        let (_, got) = self.links.get_mut(name)?;
+        let text = String::from_utf8_lossy(got).into_owned();
+        let end = text.find("\r\n")? + 2;
+        got.drain(..end);
+        text.split("\"s\":\"").nth(1)?.split('"').next().map(str::to_string)
+    }
+
+    fn line(&mut self, line: &str) {
+        let (name, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let (verb, more) = rest.split_once(' ').unwrap_or((rest, ""));
+        match (name, verb) {
+            ("known", _) => self.known = rest.into(),
+            ("start", front) => self.start(front),
+            ("log", _) => _ = self.log_line(&self.filled(rest)),
+            ("runs", job) => {
+                let (id, trace) = (format!("\"jid\":\"{job}\""), format!("X-Trace-Id: {job}\r\n"));
+                let text = |bytes: &Vec<u8>| String::from_utf8_lossy(bytes).into_owned();
+                let count = |text: String| text.matches(&id).count() + text.matches(&trace).count();
+                let runs: usize = self.seen_by_workers.values().map(text).map(count).sum();
+                assert_eq!(runs.to_string(), more, "runs of {job}");
+            }
+            ("term", _) => {
+                let id = self.program.as_ref().expect("started").0.id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+            }
+            ("exit", _) => {
+                let status = self.program.as_mut().expect("started").0.wait().expect("an end");
+                assert!(status.success(), "{status}, {:#?}", self.log);
+            }
+            (_, "listen") => {
+                let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+                let address = listener.local_addr().expect("an address").to_string();
+                self.vars.insert(name.into(), address);
+                self.listeners.insert(name.into(), listener);
+            }
+            (_, "deaf") => _ = self.listeners.remove(name),
+            (_, "dial") => {
+                let stream = TcpStream::connect(&self.vars["gw"]).expect("the program listens");
+                self.take(name, stream);
+            }
+            (_, "accept") => {
+                let stream = self.listeners[more].accept().expect("a connection").0;
+                self.take(name, stream);
+            }
+            (_, ">") => {
+                let text = self.filled(more);
+                let (stream, _) = self.links.get_mut(name).expect("a connection");
+                stream.write_all(text.as_bytes()).expect("sent");
+            }
+            (_, "<") => self.expect(name, more),
+            (_, "close") => _ = self.links.remove(name),
+            (_, "eof") => {
+                let (stream, got) = self.links.get_mut(name).expect("a connection");
+                let end = stream.read_to_end(got);
+                let reset = |e: std::io::Error| e.kind() == std::io::ErrorKind::ConnectionReset;
+                assert!(end.is_ok() || end.is_err_and(reset), "{name} was not closed");
+                assert!(got.is_empty(), "{name}: {:?} before the end", String::from_utf8_lossy(got));
+            }
+            _ => panic!("no such line: {line}"),
+        }
+    }
+}
+
+#[rstest]
+fn played(#[files("tests/exchanges/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).expect("an exchange");
+    let mut stage = Stage::default();
+    for line in text.lines().filter(|l| !l.is_empty() && !l.starts_with('#')) {
+        stage.line(line);
+    }
+}
+
+#[test]
+fn patterns_match_from_the_first_byte_on() {
+    assert_eq!(matched("HTTP/1.1 200 OK\r\n\r\nab", "HTTP/1.1 200 *\r\n\r\na"), Ok(Some(20)));
+    assert_eq!(matched("HTTP/1.1 200 OK", "HTTP/1.1 200 *\r\n"), Ok(None));
+    assert_eq!(matched("HT", "HTTP"), Ok(None));
+    assert_eq!(matched("HTTP/1.1 500", "HTTP/1.1 200"), Err(()));
+}
