--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -59,11 +59,10 @@
     /// Takes what a front tells.
     pub fn told(&mut self, now: Time, told: Told, floor: &dyn Floor) {
         match told {
-            Told::Job(mut request, answer) => {
-                // Answered a little early: the answer has its way to go, and the submitter counts from when
-                // it began to send.
-                request.left = request.left.saturating_sub(self.early);
-                let until = now + request.left;
+            Told::Job(mut request, until, answer) => {
+                // Answered a little early: the answer has its way to go, as the request had.
+                let until = until.saturating_sub(self.early).max(now);
+                request.left = until - now;
                 self.due.insert((until, request.id));
                 self.jobs.insert(request.id, Job { answer: Some(answer), until, claims: Vec::new() });
                 self.events.push(Event::Request(request));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -45,8 +45,8 @@
 /// What a front tells the core.
 #[derive(Debug)]
 pub enum Told {
-    /// A job was taken; its answer goes to the sender.
-    Job(Request, Sender<Answer>),
+    /// A job was taken; the submitter waits for it until this time, and its answer goes to the sender.
+    Job(Request, Time, Sender<Answer>),
     /// The submitter is gone; no answer is owed any more.
     Gone(JobId),
     /// A claim's job has begun.
--- a/src/front/faktory/machines.rs
+++ b/src/front/faktory/machines.rs
@@ -50,6 +50,14 @@
     beat_by: Time,
     link_by: Option<Time>, // it has no connection, and is gone unless one comes before this
     quiet: bool,
+    silent: bool, // its heartbeat is overdue: it counts as gone until the next one
+}
+
+impl Process {
+    /// May it be handed something new?
+    fn takes(&self) -> bool {
+        !self.quiet && !self.silent
+    }
 }
 
 struct Fetch {
@@ -85,7 +93,8 @@
     /// Runs for as long as somebody may give orders.
     pub async fn run(mut self, inbox: Receiver<Order>) {
         loop {
-            let due = self.processes.values().flat_map(|p| [Some(p.beat_by), p.link_by]).flatten().min();
+            let beat = |p: &Process| (!p.silent).then_some(p.beat_by);
+            let due = self.processes.values().flat_map(|p| [beat(p), p.link_by]).flatten().min();
             let order: Result<Option<Order>, RecvError> = match due {
                 None => inbox.recv().await.map(Some),
                 Some(at) => {
@@ -124,7 +133,7 @@
             }
             Order::Beat(wid, quiet) => {
                 let Some(p) = self.processes.get_mut(&wid) else { return };
-                (p.beat_by, p.quiet) = (now + self.front.file.beat_within, quiet);
+                (p.beat_by, p.quiet, p.silent) = (now + self.front.file.beat_within, quiet, false);
                 self.list().await;
             }
             Order::Fetch(link, wid, queues, to) => {
@@ -158,12 +167,14 @@
         let beat_by = now + self.front.file.beat_within;
         if let Some(p) = self.processes.get_mut(&wid).filter(|p| p.start == start) {
             p.links.insert(link);
-            (p.beat_by, p.link_by) = (beat_by, None);
+            (p.beat_by, p.link_by, p.silent) = (beat_by, None, false);
             return self.list().await;
         }
+        self.processes.remove(&wid);
         self.lose(&wid).await;
         let links = BTreeSet::from([link]);
-        self.processes.insert(wid, Process { start, links, beat_by, link_by: None, quiet: false });
+        self.processes
+            .insert(wid, Process { start, links, beat_by, link_by: None, quiet: false, silent: false });
         // It is cold, and the module must hear of it even where the machine was there a moment ago.
         self.entry.ready_at = now;
         self.entry.state = WorkerState::Left;
@@ -175,10 +186,13 @@
     /// Job workers whose heartbeat or connection is overdue are gone.
     async fn miss(&mut self) {
         let now = self.front.clock.now();
-        let over = |p: &Process| p.beat_by <= now || p.link_by.is_some_and(|at| at <= now);
+        let cut_off = |p: &Process| p.link_by.is_some_and(|at| at <= now);
+        let over = |p: &Process| (p.beat_by <= now && !p.silent) || cut_off(p);
         let gone: Vec<String> = self.processes.iter().filter(|(_, p)| over(p)).map(|p| p.0.clone()).collect();
         for wid in gone {
             log(format_args!("faktory wid={wid:?} is gone"));
+            self.processes.get_mut(&wid).into_iter().for_each(|p| p.silent = true);
+            self.processes.retain(|_, p| !cut_off(p));
             self.lose(&wid).await;
         }
         self.list().await;
@@ -186,7 +200,6 @@
 
     /// A process is gone: what it had in hand may have run.
     async fn lose(&mut self, wid: &str) {
-        self.processes.remove(wid);
         self.fetches.retain(|f| f.wid != wid);
         let lost: Vec<String> =
             self.in_hand.iter().filter(|(_, h)| h.wid == wid).map(|h| h.0.clone()).collect();
@@ -198,8 +211,8 @@
     /// Works out the machine's state, and tells the core where it has changed.
     async fn list(&mut self) {
         let state = match &self.processes {
-            all if all.values().any(|p| !p.quiet) => WorkerState::Active,
-            all if !all.is_empty() => WorkerState::Leaving,
+            all if all.values().any(Process::takes) => WorkerState::Active,
+            all if all.values().any(|p| !p.silent) => WorkerState::Leaving,
             _ => WorkerState::Left,
         };
         if std::mem::replace(&mut self.entry.state, state) == state {
@@ -224,9 +237,9 @@
         let mut n = 0;
         while n < self.fetches.len() {
             let fetch = &self.fetches[n];
-            let quiet = self.processes.get(&fetch.wid).is_none_or(|p| p.quiet);
+            let takes = self.processes.get(&fetch.wid).is_some_and(Process::takes);
             let of = |queue: &String| self.waiting.iter().position(|(_, parcel)| parcel.queue == *queue);
-            let Some(at) = fetch.queues.iter().filter(|_| !quiet).find_map(of) else {
+            let Some(at) = fetch.queues.iter().filter(|_| takes).find_map(of) else {
                 n += 1;
                 continue;
             };
--- a/src/front/faktory/mod.rs
+++ b/src/front/faktory/mod.rs
@@ -137,7 +137,9 @@
 
     /// Takes a pushed job. Its answer, or that of the job that has this id already, goes to the sender; the
     /// number returned stands for this submitter.
-    async fn push(self: &Rc<Self>, mut request: Request, parcel: Parcel, to: Sender<Answer>) -> u64 {
+    async fn push(
+        self: &Rc<Self>, mut request: Request, until: Time, parcel: Parcel, to: Sender<Answer>,
+    ) -> u64 {
         let number = self.number();
         let jid = parcel.jid.clone();
         if let Some(known) = self.known.borrow_mut().get_mut(&jid) {
@@ -149,11 +151,10 @@
         }
         let job = self.number();
         request.id = job;
-        let until = self.clock.now() + request.left;
         self.known.borrow_mut().insert(jid.clone(), Known::Open(job, vec![(number, to)]));
         self.parcels.borrow_mut().insert(job, Rc::new(parcel));
         let (answer, answered) = bounded(1);
-        let _ = self.core.send(Told::Job(request, answer)).await;
+        let _ = self.core.send(Told::Job(request, until, answer)).await;
         let front = self.clone();
         self.net.start(async move {
             if let Ok(answer) = answered.recv().await {
--- a/src/front/faktory/serve.rs
+++ b/src/front/faktory/serve.rs
@@ -3,7 +3,7 @@
 use super::codec::{self, Command, Job};
 use super::machines::{Handed, Order};
 use super::{Faktory, Parcel};
-use crate::api::{Effect, Request, Status};
+use crate::api::{Effect, Request, Status, Time};
 use crate::core::Answer;
 use crate::net::buffer::Buffer;
 use crate::net::set::Way;
@@ -109,11 +109,13 @@
         }
         self.reply(codec::OK).await?;
         let mut kept = Some(buffer).filter(|b| !b.filled().is_empty());
+        let mut since = self.front.clock.now();
         loop {
             let mut buffer = match kept.take() {
                 Some(buffer) => buffer,
                 None => {
                     self.idle().await?;
+                    since = self.front.clock.now();
                     self.front.net.pool.take()
                 }
             };
@@ -141,10 +143,16 @@
                     self.reply(codec::OK).await?;
                     return Ok(());
                 }
-                Ok(command) => self.obey(command, text, &mut buffer).await?,
-                Err(why) => self.reply(&codec::error(&why)).await?,
+                Ok(command) => {
+                    kept = Some(buffer).filter(|b| !b.filled().is_empty());
+                    self.obey(command, text, since, &mut kept).await?;
+                }
+                Err(why) => {
+                    self.reply(&codec::error(&why)).await?;
+                    kept = Some(buffer).filter(|b| !b.filled().is_empty());
+                }
             }
-            kept = Some(buffer).filter(|b| !b.filled().is_empty());
+            since = self.front.clock.now();
         }
     }
 
@@ -171,14 +179,16 @@
         Err(Reason::Rejected)
     }
 
-    async fn obey(&self, command: Command, text: Option<Buffer>, buffer: &mut Buffer) -> Result<(), Reason> {
+    async fn obey(
+        &self, command: Command, text: Option<Buffer>, since: Time, rest: &mut Option<Buffer>,
+    ) -> Result<(), Reason> {
         let ended = match command {
             Command::Push(job) => match text {
-                Some(text) => return self.push(*job, text, buffer).await,
+                Some(text) => return self.push(*job, text, since, rest).await,
                 None => return Ok(()),
             },
             Command::Info => return self.reply(&codec::bulk(&self.info())).await,
-            Command::Fetch(queues) => return self.fetch(queues, buffer).await,
+            Command::Fetch(queues) => return self.fetch(queues, rest).await,
             Command::Hello(_) | Command::End => return self.reply(&codec::error("HELLO was said")).await,
             Command::Beat(wid, quiet) => match &self.worker {
                 Some(worker) if worker.wid == wid => Order::Beat(wid, quiet),
@@ -216,7 +226,9 @@
     }
 
     /// Hands a job in and answers once its final answer is known.
-    async fn push(&self, job: Job, text: Buffer, buffer: &mut Buffer) -> Result<(), Reason> {
+    async fn push(
+        &self, job: Job, text: Buffer, since: Time, rest: &mut Option<Buffer>,
+    ) -> Result<(), Reason> {
         let request = match self.request(&job) {
             Ok(request) => request,
             Err(why) => return self.reply(&codec::error(&why)).await,
@@ -226,9 +238,11 @@
         let (in_hand, off) = (Cell::new(0), RefCell::default());
         let parcel = Parcel { jid: job.jid, queue: job.queue, text, in_hand, off };
         self.front.life.last_job.set(self.front.clock.now());
-        let number = self.front.push(request, parcel, to).await;
+        // The submitter's time runs from when it began to send.
+        let until = since + request.left;
+        let number = self.front.push(request, until, parcel, to).await;
         let answered = async { Ok(from.recv().await.unwrap_or(Answer::Failed)) };
-        match answered.or(async { Err(self.link.left(buffer).await) }).await {
+        match answered.or(async { Err(self.link.left(rest, &self.front.net.pool).await) }).await {
             Ok(Answer::Served) => self.reply(codec::OK).await,
             Ok(Answer::Requeue(after)) => {
                 let text = format!("refused, come back in {} ms", after.div_ceil(1000));
@@ -265,7 +279,7 @@
     }
 
     /// Waits for a job that the module has claimed for this job worker's machine, and hands it over.
-    async fn fetch(&self, queues: Vec<String>, buffer: &mut Buffer) -> Result<(), Reason> {
+    async fn fetch(&self, queues: Vec<String>, rest: &mut Option<Buffer>) -> Result<(), Reason> {
         let Some(worker) = &self.worker else {
             return self.reply(&codec::error("only a job worker with a wid can FETCH")).await;
         };
@@ -276,7 +290,8 @@
             Timer::after(FETCH).await;
             Ok(None)
         };
-        let mut found = handed.or(async { Err(self.link.left(buffer).await) }).or(over).await;
+        let mut found =
+            handed.or(async { Err(self.link.left(rest, &self.front.net.pool).await) }).or(over).await;
         // A job that came at the very moment at which the wait ended is not lost.
         from.close();
         if let Ok(None) = found {
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -26,10 +26,10 @@
 pub struct Parcel {
     /// The submitter's id for it.
     pub trace: String,
-    /// Request line and headers but for the time left, ready to be sent.
-    pub head: Buffer,
-    /// The body.
-    pub body: Buffer,
+    /// The body, and after it the request line and headers but for the time left: what is sent of it.
+    pub text: Buffer,
+    /// The body's length.
+    pub body: usize,
     /// What a job worker made for it.
     pub result: RefCell<Option<Vec<u8>>>,
     /// Its claims: where they went.
@@ -80,7 +80,7 @@
     }
 
     /// Takes in a job's parcel. `None` while a job of that id is open.
-    fn take_in(&self, trace: &str, head: Buffer, body: Buffer) -> Option<(JobId, Rc<Parcel>)> {
+    fn take_in(&self, trace: &str, text: Buffer, body: usize) -> Option<(JobId, Rc<Parcel>)> {
         if self.traces.borrow().contains_key(trace) {
             return None;
         }
@@ -88,7 +88,7 @@
         self.next_job.set(id + 1);
         let parcel = Parcel {
             trace: trace.to_string(),
-            head,
+            text,
             body,
             result: RefCell::default(),
             claims: RefCell::default(),
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -30,14 +30,16 @@
 /// Accepts connections for as long as the program runs.
 pub async fn listen(front: Rc<Platform>, listener: Async<TcpListener>) {
     loop {
-        let Some(seat) = front.net.set.seat(Way::In) else {
+        // Beyond the room for submitters a few are let in for the sake of news.
+        let seat = front.net.set.seat(Way::In).map(|s| (s, false));
+        let Some((seat, extra)) = seat.or_else(|| front.net.set.seat(Way::Extra).map(|s| (s, true))) else {
             // One idle submitter was asked to go. What waits to be accepted waits a little longer.
             Timer::after(FULL).await;
             continue;
         };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let link = Link::new(stream, seat);
+                let link = Link::new(stream, seat).as_extra(extra);
                 front.net.start(serve(front.clone(), link));
             }
             Err(error) => {
@@ -56,7 +58,7 @@
 enum Wish {
     Ready,
     News(Option<Told>),
-    Job { request: Request, trace: String, head: Buffer, body: Buffer },
+    Job { request: Request, trace: String, text: Buffer, body: usize },
     Bad(u16, &'static str),
 }
 
@@ -68,7 +70,7 @@
 }
 
 async fn talk(front: &Rc<Platform>, link: &Link, served: &mut u64) -> Reason {
-    let mut kept: Option<Buffer> = None;
+    let (mut kept, mut since) = (None::<Buffer>, front.clock.now());
     loop {
         // A buffer is only held while there is something in it.
         let mut buffer = match kept.take() {
@@ -83,6 +85,7 @@
                 if let Err(reason) = readable.or(shed).await {
                     return reason;
                 }
+                since = front.clock.now();
                 front.net.pool.take()
             }
         };
@@ -113,9 +116,20 @@
                 answer(front, link, 204, "", b"", frame.keep).await
             }
             Wish::Bad(status, why) => answer(front, link, status, "", why.as_bytes(), frame.keep).await,
-            Wish::Job { request, trace, head, body } => {
+            Wish::Job { .. } if link.extra() => {
+                // The last descriptors are for news, which ends jobs and so makes room.
+                let (after, why) = ("Retry-After: 0.5\r\n", b"no room for more connections\n");
+                answer(front, link, 503, after, why, false).await.and(Err(Reason::NoRoom))
+            }
+            Wish::Job { request, trace, text, body } => {
                 front.life.last_job.set(front.clock.now());
-                job(front, link, &mut buffer, request, (&trace, head, body), frame.keep).await
+                // The submitter's time runs from when it began to send.
+                let until = since + request.left;
+                kept = Some(buffer).filter(|b| !b.filled().is_empty());
+                let done =
+                    job(front, link, &mut kept, (request, until), (&trace, text, body), frame.keep).await;
+                buffer = kept.take().unwrap_or_else(|| front.net.pool.take());
+                done
             }
         };
         if let Err(reason) = done {
@@ -125,6 +139,7 @@
             return Reason::Done;
         }
         kept = Some(buffer).filter(|b| !b.filled().is_empty());
+        since = front.clock.now();
     }
 }
 
@@ -177,7 +192,7 @@
     };
     let path = head.target.split('?').next().unwrap_or("");
     match (head.method, path) {
-        ("GET" | "HEAD", "/-/ready") => Wish::Ready,
+        ("GET", "/-/ready") => Wish::Ready,
         ("POST", "/_jobs/news") => match News::read(&mut body.to_vec()) {
             Ok(news) => Wish::News(front.hear(news)),
             Err(_) => Wish::Bad(400, "no news\n"),
@@ -224,17 +239,19 @@
         }
     }
     // What passes on unchanged; the time left is added when a claim goes out.
-    let (mut passed, mut kept) = (front.net.pool.take(), front.net.pool.take());
-    let written = write!(passed, "{} {} HTTP/1.1\r\nHost: service.internal\r\n", head.method, head.target)
+    let mut passed = front.net.pool.take();
+    let written = passed
+        .write_all(body)
+        .and_then(|()| write!(passed, "{} {} HTTP/1.1\r\n", head.method, head.target))
+        .and_then(|()| header(&mut passed, "Host", Some("service.internal")))
         .and_then(|()| header(&mut passed, "X-Trace-Id", Some(trace)))
         .and_then(|()| header(&mut passed, "Idempotency-Key", key))
         .and_then(|()| header(&mut passed, "X-Customer", head.header("X-Customer")))
         .and_then(|()| header(&mut passed, "X-Props", head.header("X-Props")))
         .and_then(|()| header(&mut passed, "Content-Type", head.header("Content-Type")))
-        .and_then(|()| write!(passed, "Content-Length: {}\r\n", body.len()))
-        .and_then(|()| kept.write_all(body));
+        .and_then(|()| write!(passed, "Content-Length: {}\r\n", body.len()));
     written.map_err(|_| "the request is too large\n")?;
-    Ok(Wish::Job { request, trace: trace.to_string(), head: passed, body: kept })
+    Ok(Wish::Job { request, trace: trace.to_string(), text: passed, body: body.len() })
 }
 
 fn header(to: &mut Buffer, name: &str, value: Option<&str>) -> std::io::Result<()> {
@@ -243,19 +260,19 @@
 
 /// Hands a job to the core and waits for its answer, or for the submitter to leave.
 async fn job(
-    front: &Rc<Platform>, link: &Link, buffer: &mut Buffer, mut request: Request,
-    (trace, head, body): (&str, Buffer, Buffer), keep: bool,
+    front: &Rc<Platform>, link: &Link, rest: &mut Option<Buffer>, (mut request, until): (Request, Time),
+    (trace, text, body): (&str, Buffer, usize), keep: bool,
 ) -> Result<(), Reason> {
-    let Some((id, parcel)) = front.take_in(trace, head, body) else {
+    let Some((id, parcel)) = front.take_in(trace, text, body) else {
         return answer(front, link, 409, "", b"a job of this id is open\n", keep).await;
     };
     request.id = id;
     let (to, from) = bounded(1);
-    if front.core.send(Told::Job(request, to)).await.is_err() {
+    if front.core.send(Told::Job(request, until, to)).await.is_err() {
         return answer(front, link, 500, "", b"", false).await;
     }
     let answered = async { Ok(from.recv().await.unwrap_or(Answer::Failed)) };
-    match answered.or(async { Err(link.left(buffer).await) }).await {
+    match answered.or(async { Err(link.left(rest, &front.net.pool).await) }).await {
         Ok(Answer::Served) => {
             let result = parcel.result.borrow_mut().take().unwrap_or_default();
             answer(front, link, 200, "", &result, keep).await
--- a/src/front/platform/workers.rs
+++ b/src/front/platform/workers.rs
@@ -181,10 +181,11 @@
     ) -> Option<(Status, Option<Load>)> {
         let mut buffer = self.front.net.pool.take();
         let left = claim.until.saturating_sub(self.front.clock.now()) / 1000;
+        let (body, head) = parcel.text.filled().split_at(parcel.body);
         let whole = buffer
-            .write_all(parcel.head.filled())
+            .write_all(head)
             .and_then(|()| write!(buffer, "X-Expires-In-Ms: {left}\r\n\r\n"))
-            .and_then(|()| buffer.write_all(parcel.body.filled()));
+            .and_then(|()| buffer.write_all(body));
         if whole.is_err() {
             return Some((Status::Moot, None));
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,9 +25,10 @@
 /// A job is answered this long before its submitter's time is up: the answer has its way to go, and the time
 /// runs from when the submitter began to send.
 const EARLY: u64 = 40_000;
-/// After a signal to stop, submitters keep coming for a while: this long the program stays in any case ...
-const STAY: Duration = Duration::from_millis(800);
-/// ... and this long after the last job came.
+/// After a signal to stop, submitters keep coming for a while. Then idle connections are closed: what came on
+/// them later could not all be answered before the program is killed.
+const STAY: Duration = Duration::from_millis(500);
+/// The program stays until no job has come for this long.
 const QUIET: u64 = 400_000;
 /// What may be asked of the machine list's actor at once.
 const ASKED: usize = 16;
@@ -70,6 +71,7 @@
     life.stopping.set(true);
     let jobs = || open.iter().map(|jobs| jobs()).sum::<usize>();
     log(format_args!("stop jobs={} connections={}", jobs(), net.set.open()));
+    life.last_job.set(clock.now());
     Timer::after(STAY).await;
     loop {
         net.set.shed_all(); // between two messages a connection may be closed
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -9,8 +9,9 @@
 pub const HEAD: usize = 8 * 1024;
 /// The one size: a whole message fits, with room for the framing of a chunked body.
 pub const SIZE: usize = BODY + 2 * HEAD;
-/// Buffers kept for use again; those beyond are given back to the system.
-const KEPT: usize = 64;
+/// Buffers kept for use again: as many as there can be connections. One that was given back to the system
+/// would have to be cleared when it is made anew, and all of it would count as memory in use.
+const KEPT: usize = 1024;
 
 /// Where buffers come from and go back to.
 #[derive(Default)]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -128,6 +128,7 @@
 /// A connection and its place in the set.
 pub struct Link {
     stream: Async<TcpStream>,
+    extra: bool,
     _seat: Seat,
 }
 
@@ -135,7 +136,17 @@
     /// Takes over a stream.
     pub fn new(stream: Async<TcpStream>, seat: Seat) -> Self {
         let _ = stream.get_ref().set_nodelay(true);
-        Link { stream, _seat: seat }
+        Link { stream, extra: false, _seat: seat }
+    }
+
+    /// Marks a connection that was let in beyond the room for submitters.
+    pub fn as_extra(self, extra: bool) -> Self {
+        Link { extra, ..self }
+    }
+
+    /// Was it let in beyond the room for submitters?
+    pub fn extra(&self) -> bool {
+        self.extra
     }
 
     /// The other side's address.
@@ -150,8 +161,13 @@
         Ok(count)
     }
 
-    /// Returns once the other side has left. What it sends until then is its next messages, and is kept.
-    pub async fn left(&self, buffer: &mut Buffer) -> Reason {
+    /// Returns once the other side has left. What it sends until then is its next messages, and is kept; a
+    /// buffer is only held once there is something.
+    pub async fn left(&self, rest: &mut Option<Buffer>, pool: &Rc<Pool>) -> Reason {
+        if rest.is_none() && self.readable().await.is_err() {
+            return Reason::Broke;
+        }
+        let buffer = rest.get_or_insert_with(|| pool.take());
         while !buffer.room().is_empty() {
             match self.read(buffer).await {
                 Ok(0) => return Reason::PeerLeft,
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -23,6 +23,8 @@
 pub enum Way {
     /// Accepted.
     In,
+    /// Accepted although there is no room for more submitters: it may bring news that makes room.
+    Extra,
     /// Dialled.
     Out,
 }
@@ -46,7 +48,12 @@
 
     /// Is there room for one more connection of this kind?
     pub fn has_room(&self, way: Way) -> bool {
-        let kept = if way == Way::In { OUTWARD.min(self.limit / 4) } else { 0 };
+        let outward = OUTWARD.min(self.limit / 4);
+        let kept = match way {
+            Way::In => outward,
+            Way::Extra => outward / 2,
+            Way::Out => 0,
+        };
         self.open.get() + kept < self.limit
     }
 
@@ -86,11 +93,6 @@
     pub fn open(&self) -> usize {
         self.open.get()
     }
-
-    /// Connections idle now.
-    pub fn idle(&self) -> usize {
-        self.idle.borrow().len()
-    }
 }
 
 impl Offer {
--- /dev/null
+++ b/tests/faktory.rs
@@ -0,0 +1,326 @@
+//! The Faktory front with stand-ins: submitters, job workers and a plain Faktory server, which shows that the
+//! scenes see what they look for. Runs are counted by the job workers.
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use indigofold::api::{Scope, WorkerState};
+use indigofold::core::{Told, clock::Clock, desk};
+use indigofold::front::{Life, faktory};
+use indigofold::{config, net::Net};
+use rstest::rstest;
+use sha2::{Digest, Sha256};
+use std::collections::{HashMap, VecDeque};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread::spawn;
+use std::time::Duration;
+
+const SETTINGS: &str = include_str!("exchanges/settings.json");
+const PASSWORD: &str = "sesame";
+
+fn file(warm_after: &str) -> String {
+    let settings = SETTINGS.replace("\"warmAfter\": 9000000", &format!("\"warmAfter\": {warm_after}"));
+    format!(
+        r#"{{"listen":"127.0.0.1:0","password":"{PASSWORD}","iterations":5,"reconnect_within_ms":100,"settings":{settings},
+        "machines":[{{"machine":"m1","wids":["w-1","w-2"],"zone":"north","kind":"big"}}]}}"#
+    )
+}
+
+/// The program on the operator's file; killed at the end of its test.
+struct Program(Child, String);
+
+impl Program {
+    fn start(name: &str, warm_after: &str) -> Self {
+        let path = format!("{}/{name}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        std::fs::write(&path, file(warm_after)).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_indigofold"));
+        command.env("INDIGOFOLD_FAKTORY", path).env_remove("GW_CONFIG").stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program");
+        let mut log = BufReader::new(child.stderr.take().expect("a log"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        spawn(move || log.lines().for_each(drop));
+        let address = line.trim().rsplit("listen=").next().expect("an address").to_string();
+        Program(child, address)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A stand-in client: a submitter, or with a `wid` a job worker.
+struct Client(BufReader<TcpStream>);
+
+impl Client {
+    fn connect(address: &str, wid: &str, pid: u32) -> Self {
+        let stream = TcpStream::connect(address).expect("a server");
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+        let mut client = Client(BufReader::new(stream));
+        let hi = client.line();
+        let part =
+            |key: &str| hi.split(key).nth(1).map(|t| t.split([',', '}', '"']).next().expect("a value"));
+        let mut hash = String::new();
+        if let (Some(salt), Some(times)) = (part("\"s\":\""), part("\"i\":")) {
+            let mut bytes = Sha256::digest(format!("{PASSWORD}{salt}"));
+            (1..times.parse().expect("a number")).for_each(|_: u32| bytes = Sha256::digest(bytes));
+            hash = bytes.iter().map(|b| format!("{b:02x}")).collect();
+        }
+        let hello = format!(r#"HELLO {{"v":2,"wid":"{wid}","hostname":"h","pid":{pid},"pwdhash":"{hash}"}}"#);
+        assert_eq!(client.say(&hello), "+OK");
+        client
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).expect("a line");
+        line.trim_end().to_string()
+    }
+
+    fn say(&mut self, command: &str) -> String {
+        self.0.get_mut().write_all(format!("{command}\r\n").as_bytes()).expect("sent");
+        self.line()
+    }
+
+    fn push(&mut self, jid: &str, class: &str, deadline: u32) -> String {
+        let custom = format!(r#"{{"key":"{jid}","deadline":{deadline}}}"#);
+        self.say(&format!(r#"PUSH {{"jid":"{jid}","jobtype":"{class}","args":[],"custom":{custom}}}"#))
+    }
+
+    /// Fetches a job, and counts it as a run.
+    fn fetch(&mut self, runs: &Runs) -> Option<String> {
+        let length: i64 = self.say("FETCH default").strip_prefix('$')?.parse().expect("a length");
+        let mut text = vec![0; usize::try_from(length).ok()? + 2];
+        self.0.read_exact(&mut text).expect("a job");
+        let text = String::from_utf8(text).expect("text");
+        let jid = text.split("\"jid\":\"").nth(1)?.split('"').next()?.to_string();
+        *runs.lock().expect("runs").entry(jid.clone()).or_default() += 1;
+        Some(jid)
+    }
+
+    fn ack(&mut self, jid: &str) -> String {
+        self.say(&format!(r#"ACK {{"jid":"{jid}"}}"#))
+    }
+}
+
+type Runs = Arc<Mutex<HashMap<String, usize>>>;
+
+fn count(runs: &Runs, jid: &str) -> usize {
+    runs.lock().expect("runs").get(jid).copied().unwrap_or(0)
+}
+
+fn count_all(runs: &Runs) -> usize {
+    runs.lock().expect("runs").len()
+}
+
+/// A plain Faktory server, from the protocol's specification: one queue, PUSH is answered when the job is taken
+/// in, and what a lost connection had fetched is given out again.
+fn plain_server() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let queue = Arc::new(Mutex::new(VecDeque::<String>::new()));
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let queue = queue.clone();
+            spawn(move || {
+                let (mut to, from) = (stream.try_clone().expect("a copy"), BufReader::new(stream));
+                let mut reserved: Vec<String> = Vec::new();
+                let _ = to.write_all(b"+HI {\"v\":2}\r\n");
+                for line in from.lines().map_while(Result::ok) {
+                    let (verb, rest) = line.split_once(' ').unwrap_or((&line, ""));
+                    let reply = match verb {
+                        "PUSH" => {
+                            queue.lock().expect("a queue").push_back(rest.to_string());
+                            "+OK\r\n".to_string()
+                        }
+                        "FETCH" => match queue.lock().expect("a queue").pop_front() {
+                            Some(job) => {
+                                reserved.push(job.clone());
+                                format!("${}\r\n{job}\r\n", job.len())
+                            }
+                            None => "$-1\r\n".to_string(),
+                        },
+                        "ACK" | "FAIL" => {
+                            let jid = rest.split('"').nth(3).unwrap_or("").to_string();
+                            reserved.retain(|job| !job.contains(&jid));
+                            "+OK\r\n".to_string()
+                        }
+                        _ => "+OK\r\n".to_string(),
+                    };
+                    if to.write_all(reply.as_bytes()).is_err() {
+                        break;
+                    }
+                }
+                queue.lock().expect("a queue").extend(reserved);
+            });
+        }
+    });
+    address
+}
+
+/// A `reserve` job is fetched, the job worker's connection is lost, and it fetches again until there is nothing.
+fn fetched_again_after_a_reconnect(address: &str) -> usize {
+    let runs = Runs::default();
+    let mut worker = Client::connect(address, "w-1", 7);
+    let to = address.to_string();
+    let submitter = spawn(move || Client::connect(&to, "", 1).push("job-00001", "reserve", 5000));
+    while worker.fetch(&runs).is_none() {}
+    drop(worker);
+    let mut worker = Client::connect(address, "w-1", 7);
+    while count(&runs, "job-00001") < 2 && worker.fetch(&runs).is_some() {}
+    // The plain server gives the job out a moment after the connection is lost; it is asked once more.
+    if count(&runs, "job-00001") < 2 {
+        worker.fetch(&runs);
+    }
+    assert_eq!(worker.ack("job-00001"), "+OK");
+    assert_eq!(submitter.join().expect("a reply"), "+OK");
+    count(&runs, "job-00001")
+}
+
+#[test]
+fn a_reserve_job_fetched_again_after_a_reconnect_runs_once() {
+    // Guards against a second booking of stock; a server that gives lost jobs out again makes two.
+    let program = Program::start("again", "9000000");
+    assert_eq!(fetched_again_after_a_reconnect(&program.1), 1);
+}
+
+#[test]
+fn the_scene_of_the_reconnect_can_see_a_second_run() {
+    let address = plain_server();
+    let twice = (0..50).any(|_| fetched_again_after_a_reconnect(&address) == 2);
+    assert!(twice, "the plain server gave nothing out again");
+}
+
+#[test]
+fn a_submitter_that_vanishes_causes_no_second_run() {
+    let program = Program::start("vanish", "9000000");
+    let (runs, address) = (Runs::default(), &program.1);
+    let mut worker = Client::connect(address, "w-1", 7);
+    let mut submitter = Client::connect(address, "", 1);
+    let push = br#"PUSH {"jid":"job-00001","jobtype":"reserve","args":[]}"#;
+    submitter.0.get_mut().write_all(&[push, &b"\r\n"[..]].concat()).expect("sent");
+    assert_eq!(worker.fetch(&runs).as_deref(), Some("job-00001"));
+    drop(submitter);
+    let to = address.clone();
+    let again = spawn(move || Client::connect(&to, "", 2).push("job-00001", "reserve", 5000));
+    assert_eq!(worker.fetch(&runs), None);
+    assert_eq!(worker.ack("job-00001"), "+OK");
+    assert_eq!(again.join().expect("a reply"), "+OK");
+    assert_eq!(count(&runs, "job-00001"), 1);
+}
+
+/// Jobs of both classes from four submitters over two job workers: all served, each run once.
+#[rstest]
+#[case::program(true)]
+#[case::plain_server(false)]
+fn many_jobs_run_once_each(#[case] program: bool) {
+    let program = program.then(|| Program::start("many", "1"));
+    let address = program.as_ref().map_or_else(plain_server, |p| p.1.clone());
+    let runs = Runs::default();
+    let workers = ["w-1", "w-2"].map(|wid| {
+        let (runs, address) = (runs.clone(), address.clone());
+        spawn(move || {
+            let mut worker = Client::connect(&address, wid, 7);
+            while count_all(&runs) < 40 {
+                if let Some(jid) = worker.fetch(&runs) {
+                    assert_eq!(worker.ack(&jid), "+OK");
+                }
+            }
+        })
+    });
+    let submitters = [0, 1, 2, 3].map(|n| {
+        let address = address.clone();
+        spawn(move || {
+            let mut submitter = Client::connect(&address, "", n);
+            for job in 0..10 {
+                let class = if job % 2 == 0 { "reserve" } else { "book" };
+                assert_eq!(submitter.push(&format!("job-{n}-{job:04}"), class, 20_000), "+OK");
+            }
+        })
+    });
+    submitters.into_iter().chain(workers).for_each(|t| t.join().expect("no failure"));
+    let runs = runs.lock().expect("runs");
+    assert!(runs.len() == 40 && runs.values().all(|n| *n == 1), "{runs:?}");
+}
+
+/// How many of twenty jobs that come at once are handed to a machine that has just started.
+fn handed_at_once(name: &str, warm_after: &str, deadline: u32) -> usize {
+    let program = Program::start(name, warm_after);
+    let runs = Runs::default();
+    let mut worker = Client::connect(&program.1, "w-1", 7);
+    let submitters: Vec<_> = (0..20)
+        .map(|n| {
+            let address = program.1.clone();
+            spawn(move || Client::connect(&address, "", n).push(&format!("job-{n:05}"), "reserve", deadline))
+        })
+        .collect();
+    while submitters.iter().any(|s| !s.is_finished()) && count_all(&runs) < 20 {
+        worker.fetch(&runs);
+    }
+    count_all(&runs)
+}
+
+#[test]
+fn a_cold_machine_is_handed_little_and_a_warm_one_all() {
+    // A cold machine's budget lets two seconds of its present capacity through at most, here five jobs.
+    let cold = handed_at_once("cold", "9000000000", 400);
+    assert!(cold <= 6, "{cold} jobs were handed to a cold machine");
+    assert_eq!(handed_at_once("warm", "1", 15_000), 20);
+}
+
+#[test]
+fn the_core_hears_of_starts_drains_and_losses() {
+    let tasks = Rc::new(LocalExecutor::new());
+    async_io::block_on(tasks.run(async {
+        let file = config::Faktory::read(file("9000000").replace(PASSWORD, "").into_bytes()).expect("a file");
+        let (net, clock, (core, heard)) = (Net::new(tasks.clone(), 64), Clock::new(), desk::mailbox());
+        let front = faktory::Faktory::new(net.clone(), clock, Rc::new(Life::default()), file, core);
+        front.open().await;
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+        let address = listener.get_ref().local_addr().expect("an address");
+        net.start(faktory::serve::listen(front, listener));
+        let next = || async {
+            match heard.recv().await.expect("news") {
+                Told::List(scope, entries) => (scope, entries[0].state, entries[0].ready_at),
+                other => panic!("{other:?}"),
+            }
+        };
+        assert_eq!(next().await, (Scope::Full, WorkerState::Left, 0));
+        let begun = clock.now();
+        let connect = |pid: u32| async move {
+            let mut link = Async::<TcpStream>::connect(address).await.expect("the front");
+            let hello = format!("HELLO {{\"v\":2,\"hostname\":\"h\",\"wid\":\"w-1\",\"pid\":{pid}}}\r\n");
+            link.write_all(hello.as_bytes()).await.expect("sent");
+            let mut got = Vec::new();
+            while !got.ends_with(b"+OK\r\n") {
+                let mut byte = [0];
+                link.read_exact(&mut byte).await.expect("a reply");
+                got.push(byte[0]);
+            }
+            link
+        };
+        // A start: there, and cold from now on.
+        let mut first = connect(7).await;
+        let (scope, state, cold_from) = next().await;
+        assert!(scope == Scope::Delta && state == WorkerState::Active && cold_from >= begun);
+        // A drain, and its end: not cold again.
+        first.write_all(b"BEAT {\"wid\":\"w-1\",\"current_state\":\"quiet\"}\r\n").await.expect("sent");
+        assert_eq!(next().await, (Scope::Delta, WorkerState::Leaving, cold_from));
+        first.write_all(b"BEAT {\"wid\":\"w-1\"}\r\n").await.expect("sent");
+        assert_eq!(next().await, (Scope::Delta, WorkerState::Active, cold_from));
+        // Another process under the name: cold again.
+        let second = connect(8).await;
+        let (_, state, again) = next().await;
+        assert!(state == WorkerState::Active && again > cold_from);
+        // Its connections are gone and none comes: so is the machine.
+        drop((first, second));
+        assert_eq!(next().await, (Scope::Delta, WorkerState::Left, again));
+    }));
+}
