Make room for a connection only when one is there; tests for descriptors, probes, re-dials

Seen: writing the exchange no_room, the accept loop took its place in the set before anybody had come, and then asked an idle connection to go for nobody (src/front/platform/submitters.rs, listen). Checked by reading: a client just accepted whose request is still on its way counts as idle, so it could be closed for no one. Now src/net/mod.rs, accept, waits for somebody first, for both fronts. Probes: a probe line in the log showed 'TEXT pending=0, busy_reqs=2.001, x0=4.998' and, while there is no report, an empty body; both are read as they should be (ruled out: lost reports).

--- a/src/front/faktory/serve.rs
+++ b/src/front/faktory/serve.rs
@@ -6,8 +6,7 @@
 use crate::api::{Effect, Request, Status, Time};
 use crate::core::Answer;
 use crate::net::buffer::Buffer;
-use crate::net::set::Way;
-use crate::net::{Link, Reason, log, within};
+use crate::net::{Link, Reason, within};
 use async_channel::{Sender, bounded};
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
@@ -24,29 +23,14 @@
 const STALLED: Duration = Duration::from_secs(5);
 /// How long a FETCH waits for a job.
 const FETCH: Duration = Duration::from_secs(2);
-/// Between two tries to accept while no descriptor is left.
-const FULL: Duration = Duration::from_millis(10);
 /// The longest time that a submitter can say it waits, in milliseconds.
 const DEADLINE_MOST: u64 = 24 * 3600 * 1000;
 
 /// Accepts connections for as long as the program runs.
 pub async fn listen(front: Rc<Faktory>, listener: Async<TcpListener>) {
     loop {
-        let Some(seat) = front.net.set.seat(Way::In) else {
-            Timer::after(FULL).await;
-            continue;
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let link = Link::new(stream, seat);
-                front.net.start(serve(front.clone(), link));
-            }
-            Err(error) => {
-                drop(seat);
-                log(format_args!("faktory accept failed: {error}"));
-                Timer::after(FULL).await;
-            }
-        }
+        let link = front.net.accept(&listener).await;
+        front.net.start(serve(front.clone(), link));
     }
 }
 
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -7,13 +7,12 @@
 use crate::core::{Answer, Told};
 use crate::net::buffer::Buffer;
 use crate::net::http::{self, Bad, Frame, Head, Kind, Progress};
-use crate::net::set::Way;
-use crate::net::{Link, Reason, log, within};
+use crate::net::{Link, Reason, within};
 use async_channel::bounded;
-use async_io::{Async, Timer};
+use async_io::Async;
 use futures_lite::FutureExt;
 use std::fmt::Display;
-use std::io::{ErrorKind, Write};
+use std::io::Write;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,35 +21,14 @@
 const SLOW: Duration = Duration::from_secs(10);
 /// An answer must be taken within this time.
 const STALLED: Duration = Duration::from_secs(5);
-/// Between two tries to accept while no descriptor is left.
-const FULL: Duration = Duration::from_millis(10);
 /// The longest time that a submitter can say it waits.
 const LEFT_MOST: u64 = 24 * 3600 * 1000;
 
 /// Accepts connections for as long as the program runs.
 pub async fn listen(front: Rc<Platform>, listener: Async<TcpListener>) {
     loop {
-        // Beyond the room for submitters a few are let in for the sake of news.
-        let seat = front.net.set.seat(Way::In).map(|s| (s, false));
-        let Some((seat, extra)) = seat.or_else(|| front.net.set.seat(Way::Extra).map(|s| (s, true))) else {
-            // One idle submitter was asked to go. What waits to be accepted waits a little longer.
-            Timer::after(FULL).await;
-            continue;
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let link = Link::new(stream, seat).as_extra(extra);
-                front.net.start(serve(front.clone(), link));
-            }
-            Err(error) => {
-                drop(seat);
-                log(format_args!("accept failed: {error}"));
-                if !matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) {
-                    front.net.set.shed(); // no descriptor is left: make room
-                    Timer::after(FULL).await;
-                }
-            }
-        }
+        let link = front.net.accept(&listener).await;
+        front.net.start(serve(front.clone(), link));
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,10 +12,13 @@
 use set::{Seat, Set, Way};
 use std::fmt::Display;
 use std::io::{self, ErrorKind, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Between two tries to accept while there is no room.
+const FULL: Duration = Duration::from_millis(5);
+
 /// Tasks, buffers and connections of the one thread.
 #[derive(Clone)]
 pub struct Net {
@@ -42,10 +45,41 @@
         self.tasks.spawn(task)
     }
 
+    /// The next connection that comes. Where there is no room for it the longest idle submitter is asked to go;
+    /// where none is idle, a few are let in all the same, for the sake of news.
+    pub async fn accept(&self, listener: &Async<TcpListener>) -> Link {
+        loop {
+            // No place is taken, and nobody asked to go, before somebody is there.
+            let _ = listener.readable().await;
+            let seat = match self.set.seat(Way::In) {
+                Some(seat) => Some((seat, false)),
+                None if self.set.shed() => None,
+                None => self.set.seat(Way::Extra).map(|seat| (seat, true)),
+            };
+            let Some((seat, extra)) = seat else {
+                Timer::after(FULL).await;
+                continue;
+            };
+            match listener.accept().await {
+                Ok((stream, _)) => return Link::new(stream, seat).as_extra(extra),
+                Err(error) => {
+                    drop(seat);
+                    log(format_args!("accept failed: {error}"));
+                    if !matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) {
+                        self.set.shed(); // no descriptor is left (EMFILE): make room
+                        Timer::after(FULL).await;
+                    }
+                }
+            }
+        }
+    }
+
     /// Dials; no longer than the limit.
     pub async fn dial(&self, to: SocketAddr, limit: Duration) -> Result<Link, Reason> {
-        // Idle submitters make room; the set asks one of them to go each time there is none.
-        let Some(seat) = self.set.seat(Way::Out) else { return Err(Reason::NoRoom) };
+        let Some(seat) = self.set.seat(Way::Out) else {
+            self.set.shed();
+            return Err(Reason::NoRoom);
+        };
         let dial = async { Async::<TcpStream>::connect(to).await.map_err(|_| Reason::Refused) };
         let stream = dial.or(async { after(limit, Reason::DialTimeout).await }).await?;
         Ok(Link::new(stream, seat))
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -57,10 +57,9 @@
         self.open.get() + kept < self.limit
     }
 
-    /// A place for a connection. Where there is none, the longest idle submitter is asked to go.
+    /// A place for a connection, if there is one.
     pub fn seat(self: &Rc<Self>, way: Way) -> Option<Seat> {
         if !self.has_room(way) {
-            self.shed();
             return None;
         }
         self.open.set(self.open.get() + 1);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -2,9 +2,12 @@
 //!
 //!     NAME listen                  a stand-in listens; `$NAME` is its address from then on
 //!     known HOSTS                  the machine list in the configuration (JSON lines of discovery's form)
-//!     start platform|faktory       starts the program on settings.json; `$gw` is its address
+//!     set OLD => NEW               changes a text in settings.json
+//!     start platform|faktory [sockets=N] [ulimit=N]   starts the program on that; `$gw` is its address
 //!     NAME dial                    connects to the program
 //!     NAME accept LISTENER         takes a connection that the program has made
+//!     crowd N BYTES                connects N times as c0, c1 ... and sends; `$n` is the number
+//!     scatter                      closes all of these
 //!     NAME > BYTES                 sends; `\r` and `\n` are escapes, `$L` is the length of what follows the head
 //!     NAME < PATTERN               waits for bytes that match from the first one on; `*` stands for any
 //!     NAME close / NAME eof        closes / waits for the other side to close
@@ -31,6 +34,7 @@
     program: Option<(Child, Receiver<String>)>,
     log: Vec<String>,
     known: String,
+    settings: String,
     listeners: HashMap<String, TcpListener>,
     links: HashMap<String, (TcpStream, Vec<u8>)>,
     vars: HashMap<String, String>,
@@ -78,17 +82,22 @@
         text.replace("$L", &body.to_string())
     }
 
-    fn start(&mut self, front: &str) {
+    fn start(&mut self, front: &str, more: &str) {
+        let given = |name: &str| more.split(' ').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
+        let sockets = given("sockets").unwrap_or("256");
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let name = format!("{}-{:?}.json", std::process::id(), std::thread::current().id());
         let path = dir.join(name.replace(['(', ')'], ""));
-        let mut command = Command::new(env!("CARGO_BIN_EXE_indigofold"));
-        let (settings, known) = (SETTINGS, self.filled(&self.known));
+        // A limit lower than the one in the configuration, as another program's share would make it.
+        let limit = given("ulimit").map_or(String::new(), |n| format!("ulimit -n {n}; "));
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &format!("{limit}exec {}", env!("CARGO_BIN_EXE_indigofold"))]);
+        let (settings, known) = (&self.settings, self.filled(&self.known));
         let text = if front == "platform" {
             let discovery = &self.vars["disc"];
             command.env("GW_CONFIG", &path).env_remove("INDIGOFOLD_FAKTORY");
             format!(
-                r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5","limits":{{"sockets":256}},
+                r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5","limits":{{"sockets":{sockets}}},
                 "known":{{"seq":1,"whole":true,"hosts":[{known}]}},"settings":{settings}}}"#
             )
         } else {
@@ -174,7 +183,19 @@
         let (verb, more) = rest.split_once(' ').unwrap_or((rest, ""));
         match (name, verb) {
             ("known", _) => self.known = rest.into(),
-            ("start", front) => self.start(front),
+            ("set", _) => {
+                let (old, new) = rest.split_once(" => ").expect("OLD => NEW");
+                assert!(self.settings.contains(old), "{old} is not in the settings");
+                self.settings = self.settings.replace(old, new);
+            }
+            ("start", front) => self.start(front, more),
+            ("crowd", count) => {
+                for n in 0..count.parse().expect("a number") {
+                    self.line(&format!("c{n} dial"));
+                    self.line(&format!("c{n} > {}", more.replace("$n", &n.to_string())));
+                }
+            }
+            ("scatter", _) => self.links.retain(|name, _| !name.starts_with('c')),
             ("log", _) => _ = self.log_line(&self.filled(rest)),
             ("runs", job) => {
                 let (id, trace) = (format!("\"jid\":\"{job}\""), format!("X-Trace-Id: {job}\r\n"));
@@ -229,6 +250,7 @@
 fn played(#[files("tests/exchanges/*.txt")] path: PathBuf) {
     let text = std::fs::read_to_string(&path).expect("an exchange");
     let mut stage = Stage::default();
+    stage.settings = SETTINGS.into();
     for line in text.lines().filter(|l| !l.is_empty() && !l.starts_with('#')) {
         stage.line(line);
     }
