Turn down deeply nested JSON, which ended the program; refuse what was never fetched

At fault: every use of the JSON reader on what comes from outside (src/config.rs, src/front/faktory/codec.rs), which calls itself at each level. Now config::decode counts the depth before it reads; 64 levels are taken. Also: a Faktory claim that nobody fetched in its time is told as never sent, so an unsafe job is refused and not failed (exchange faktory_unfetched); a job is not written to a job worker that has already closed; a trace id must be one word, as it becomes part of a path; looking whether a connection is stale no longer takes a byte from it.

--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,29 @@
 /// What was expected and not found.
 pub type Parse<T> = Result<T, String>;
 
+/// Brackets that may stand within each other in a document.
+const DEPTH: usize = 64;
+
+/// Reads a JSON text, which is used up. A text nested deeper than any that is meant is turned down unread: the
+/// reader calls itself at each level, and a few thousand of them would end the program.
+pub fn decode<T: for<'a> Deserialize<'a>>(text: &mut [u8]) -> Parse<T> {
+    let (mut depth, mut quoted, mut escaped) = (0usize, false, false);
+    for byte in text.iter() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if quoted => escaped = true,
+            b'"' => quoted = !quoted,
+            b'[' | b'{' if !quoted => depth += 1,
+            b']' | b'}' if !quoted => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > DEPTH {
+            return Err("brackets too deep within each other".into());
+        }
+    }
+    simd_json::serde::from_slice(text).map_err(|e| e.to_string())
+}
+
 /// Names in order of their ids; unknown names get new ids.
 #[derive(Clone, Debug, Default)]
 pub struct Names(Vec<String>);
@@ -108,7 +131,7 @@
 impl Site {
     /// Reads the settings object from JSON text, which is used up.
     pub fn read(mut text: Vec<u8>) -> Parse<Self> {
-        let value = simd_json::to_owned_value(&mut text)
+        let value = decode::<OwnedValue>(&mut text)
             .map_err(|e| format!("the settings must be a JSON object: {e}"))?;
         Site::from_value(&value)
     }
@@ -302,7 +325,7 @@
 impl MachineList {
     /// Reads a list from JSON text, which is used up.
     pub fn read(text: &mut [u8]) -> Parse<Self> {
-        simd_json::serde::from_slice(text).map_err(|e| format!("no machine list: {e}"))
+        decode(text).map_err(|e| format!("no machine list: {e}"))
     }
 }
 
@@ -330,7 +353,7 @@
 impl News {
     /// Reads one piece of news from JSON text, which is used up.
     pub fn read(text: &mut [u8]) -> Parse<Self> {
-        simd_json::serde::from_slice(text).map_err(|e| format!("no news: {e}"))
+        decode(text).map_err(|e| format!("no news: {e}"))
     }
 }
 
@@ -347,7 +370,7 @@
             }
             return Some(load);
         }
-        let value = simd_json::to_owned_value(&mut text.as_bytes().to_vec()).ok()?;
+        let value = decode::<OwnedValue>(&mut text.as_bytes().to_vec()).ok()?;
         Some(self.load_value(value.get("load").unwrap_or(&value)))
     }
 
@@ -407,8 +430,7 @@
 impl Platform {
     /// Reads the configuration from JSON text; what the environment says goes before it.
     pub fn read(mut text: Vec<u8>, env: impl Fn(&str) -> Option<String>) -> Parse<Self> {
-        let raw: Raw =
-            simd_json::serde::from_slice(&mut text).map_err(|e| format!("no configuration: {e}"))?;
+        let raw: Raw = decode(&mut text).map_err(|e| format!("no configuration: {e}"))?;
         let or = |name: &str, value: String| env(name).filter(|v| !v.is_empty()).unwrap_or(value);
         let seed = raw.seed.as_str().map(|s| u64::from_str_radix(s, 16).unwrap_or_else(|_| hash(s)));
         Ok(Platform {
@@ -484,8 +506,7 @@
 impl Faktory {
     /// Reads the operator's file from JSON text.
     pub fn read(mut text: Vec<u8>) -> Parse<Self> {
-        let raw: RawFaktory =
-            simd_json::serde::from_slice(&mut text).map_err(|e| format!("no Faktory front: {e}"))?;
+        let raw: RawFaktory = decode(&mut text).map_err(|e| format!("no Faktory front: {e}"))?;
         let mut wids: Vec<&String> = raw.machines.iter().flat_map(|m| &m.wids).collect();
         wids.sort();
         if let Some(pair) = wids.windows(2).find(|w| w[0] == w[1]) {
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -119,8 +119,8 @@
                 for (n, held) in job.claims.iter_mut().enumerate().filter(|(_, h)| h.out) {
                     held.out = false;
                     let claim = ClaimId { job: id, attempt: n as u32 };
-                    floor.give_up(claim, held.machine);
-                    let status = Status::Timeout;
+                    let unsent = floor.give_up(claim, held.machine);
+                    let status = if unsent { Status::Moot } else { Status::Timeout };
                     let (request, attempt) = (id, claim.attempt);
                     self.events.push(Event::Outcome { request, attempt, status, closed, load: None });
                 }
@@ -155,8 +155,8 @@
                 let closed = job.answer.is_none();
                 let Some(held) = job.claims.get_mut(attempt as usize).filter(|h| h.out) else { return };
                 held.out = false;
-                floor.give_up(ClaimId { job: request, attempt }, held.machine);
-                let status = Status::Cancelled;
+                let unsent = floor.give_up(ClaimId { job: request, attempt }, held.machine);
+                let status = if unsent { Status::Moot } else { Status::Cancelled };
                 self.events.push(Event::Outcome { request, attempt, status, closed, load: None });
                 self.settle(request, floor);
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -76,8 +76,8 @@
 pub trait Floor {
     /// Carries a claim to its machine. [`Told::Ended`] follows, once.
     fn claim(&self, claim: Claim) -> bool;
-    /// Stops waiting for a claim; nothing more need be told of it.
-    fn give_up(&self, claim: ClaimId, machine: WorkerId);
+    /// Stops waiting for a claim; nothing more need be told of it. `true`: it has not gone out, and never will.
+    fn give_up(&self, claim: ClaimId, machine: WorkerId) -> bool;
     /// Asks a machine for its load. [`Told::Probed`] follows.
     fn probe(&self, machine: WorkerId) -> bool;
     /// Closes the idle connections to a machine.
--- a/src/front/faktory/codec.rs
+++ b/src/front/faktory/codec.rs
@@ -122,8 +122,7 @@
 fn json<T: for<'a> Deserialize<'a>>(verb: &str, text: &str) -> Result<T, String> {
     let mut bytes = text.as_bytes().to_vec();
     // The library's words may quote the line; a reply must stay one line.
-    simd_json::serde::from_slice(&mut bytes)
-        .map_err(|e| one_line(&format!("{verb} needs a JSON object: {e}")))
+    crate::config::decode(&mut bytes).map_err(|e| one_line(&format!("{verb} needs a JSON object: {e}")))
 }
 
 fn checked(job: Job) -> Result<Job, String> {
--- a/src/front/faktory/machines.rs
+++ b/src/front/faktory/machines.rs
@@ -253,6 +253,7 @@
                 continue;
             }
             handed.parcel.in_hand.set(handed.parcel.in_hand.get() + 1);
+            handed.parcel.given_out.borrow_mut().push(handed.claim.id);
             self.in_hand.insert(handed.parcel.jid.clone(), handed);
         }
     }
--- a/src/front/faktory/mod.rs
+++ b/src/front/faktory/mod.rs
@@ -33,6 +33,8 @@
     pub text: Buffer,
     /// Job workers that have it in hand.
     pub in_hand: Cell<usize>,
+    /// Claims that were given out to a job worker.
+    pub given_out: RefCell<Vec<ClaimId>>,
     /// Claims that were given up: marked at once, as word of it may be behind a fetch in a machine's mailbox.
     pub off: RefCell<Vec<ClaimId>>,
 }
@@ -248,11 +250,12 @@
         self.order(claim.machine, Order::Claim(claim, parcel))
     }
 
-    fn give_up(&self, claim: ClaimId, machine: WorkerId) {
-        if let Some(parcel) = self.parcels.borrow().get(&claim.job) {
-            parcel.off.borrow_mut().push(claim);
-        }
+    fn give_up(&self, claim: ClaimId, machine: WorkerId) -> bool {
+        let parcel = self.parcels.borrow().get(&claim.job).cloned();
+        parcel.iter().for_each(|p| p.off.borrow_mut().push(claim));
         self.order(machine, Order::Clear);
+        // What is marked and was not given out before is never given out.
+        parcel.is_some_and(|p| !p.given_out.borrow().contains(&claim))
     }
 
     fn probe(&self, _: WorkerId) -> bool {
--- a/src/front/faktory/serve.rs
+++ b/src/front/faktory/serve.rs
@@ -219,8 +219,14 @@
         };
         let (to, from) = bounded(1);
         let jid = job.jid.clone();
-        let (in_hand, off) = (Cell::new(0), RefCell::default());
-        let parcel = Parcel { jid: job.jid, queue: job.queue, text, in_hand, off };
+        let parcel = Parcel {
+            jid: job.jid,
+            queue: job.queue,
+            text,
+            in_hand: Cell::new(0),
+            given_out: RefCell::default(),
+            off: RefCell::default(),
+        };
         self.front.life.last_job.set(self.front.clock.now());
         // The submitter's time runs from when it began to send.
         let until = since + request.left;
@@ -305,6 +311,8 @@
             .and_then(|()| whole.write_all(b"\r\n"));
         let mut gone_out = 0;
         let written = match room {
+            // Nobody is there any more: it would go out, but to no one.
+            Ok(()) if self.link.closed() => Err(Reason::PeerLeft),
             Ok(()) => {
                 let write = self.link.write(whole.filled(), &mut gone_out);
                 within(STALLED, Reason::Stalled, async { write.await.map_err(|_| Reason::Broke) }).await
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -162,7 +162,7 @@
                 cell: m.block,
                 state,
                 power: m.share,
-                ready_at: m.born_ms * 1000,
+                ready_at: m.born_ms.saturating_mul(1000),
             });
         }
         entries
@@ -208,8 +208,9 @@
         self.order(claim.machine, Order::Claim(claim, parcel))
     }
 
-    fn give_up(&self, claim: ClaimId, machine: WorkerId) {
+    fn give_up(&self, claim: ClaimId, machine: WorkerId) -> bool {
         self.order(machine, Order::GiveUp(claim));
+        false // it may go out while the word is under way
     }
 
     fn probe(&self, machine: WorkerId) -> bool {
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -187,6 +187,10 @@
     let Some(class) = site.classes.find(name) else { return Ok(Wish::Bad(404, "no such class of jobs\n")) };
     let settings = &site.settings.classes[class as usize];
     let trace = head.header("X-Trace-Id").filter(|t| !t.is_empty()).ok_or("X-Trace-Id is missing\n")?;
+    // It becomes part of a path when an attempt is given up.
+    if trace.len() > 128 || !trace.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:~".contains(&b)) {
+        return Err("X-Trace-Id must be one word\n");
+    }
     let key = head.header("Idempotency-Key");
     if key.is_none() && matches!(settings.effect, Effect::Keyed { .. }) {
         return Err("Idempotency-Key is missing\n");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -219,9 +219,15 @@
 
     /// Has the other side closed an idle connection, or sent what it should not?
     pub fn stale(&self) -> bool {
-        let mut byte = [0];
-        let mut stream: &TcpStream = self.stream.get_ref();
-        !matches!(io::Read::read(&mut stream, &mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        !matches!(self.stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Has the other side closed it, with nothing left to read?
+    pub fn closed(&self) -> bool {
+        match self.stream.get_ref().peek(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
     }
 
     /// Writes all of it and counts what went out, also when it breaks off.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -8,7 +8,8 @@
 //!     NAME accept LISTENER         takes a connection that the program has made
 //!     crowd N BYTES                connects N times as c0, c1 ... and sends; `$n` is the number
 //!     scatter                      closes all of these
-//!     NAME > BYTES                 sends; `\r` and `\n` are escapes, `$L` is the length of what follows the head
+//!     NAME > BYTES                 sends; `\r` and `\n` are escapes, `$L` is the length of what follows the head,
+//!                                  `$deep` are 30,000 pairs of brackets in each other
 //!     NAME < PATTERN               waits for bytes that match from the first one on; `*` stands for any
 //!     NAME close / NAME eof        closes / waits for the other side to close
 //!     log TEXT                     waits until the log has a line with the text
@@ -251,6 +252,7 @@
     let text = std::fs::read_to_string(&path).expect("an exchange");
     let mut stage = Stage::default();
     stage.settings = SETTINGS.into();
+    stage.vars.insert("deep".into(), ["[".repeat(30_000), "]".repeat(30_000)].concat());
     for line in text.lines().filter(|l| !l.is_empty() && !l.starts_with('#')) {
         stage.line(line);
     }
