--- a/src/front/platform/machines.rs
+++ b/src/front/platform/machines.rs
@@ -17,7 +17,9 @@
 /// How long a call for changes may wait. What discovery has to tell counts as told two seconds after that,
 /// also if its connection has gone silent: short enough that little can be missed.
 const WAIT_MS: u64 = 4_000;
-/// How long a call may take beyond its wait. Discovery gives up on a call in less.
+/// How long a call for changes may take beyond its wait ...
+const BEYOND: Duration = Duration::from_millis(1_500);
+/// ... and one for the whole list. Discovery itself gives up on a call in less.
 const CALL: Duration = Duration::from_millis(4_000);
 /// ... and how long a dial may take.
 const DIAL: Duration = Duration::from_millis(500);
@@ -108,7 +110,7 @@
 
     /// One call.
     async fn exchange(&mut self, wait: Option<u64>) -> Result<MachineList, Reason> {
-        let limit = CALL + Duration::from_millis(wait.unwrap_or(0));
+        let limit = wait.map_or(CALL, |wait| BEYOND + Duration::from_millis(wait));
         if self.link.as_ref().is_some_and(Link::stale) {
             self.drop_link(Reason::PeerClosed);
         }
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -171,10 +171,15 @@
     let path = head.target.split('?').next().unwrap_or("");
     match (head.method, path) {
         ("GET", "/-/ready") => Wish::Ready,
-        ("POST", "/_jobs/news") => match News::read(&mut body.to_vec()) {
-            Ok(news) => Wish::News(front.hear(news)),
-            Err(_) => Wish::Bad(400, "no news\n"),
-        },
+        ("POST", "/_jobs/news") => {
+            // The reader works on the text in place: on a copy, as more messages may stand behind this one.
+            let mut copy = front.net.pool.take();
+            match copy.write_all(body).map_err(|e| e.to_string()).and_then(|()| News::read(copy.filled_mut()))
+            {
+                Ok(news) => Wish::News(front.hear(news)),
+                Err(_) => Wish::Bad(400, "no news\n"),
+            }
+        }
         (_, "/-/ready" | "/_jobs/news") => Wish::Bad(405, ""),
         ("POST", _) => job_of(front, &head, body, path).unwrap_or_else(|why| Wish::Bad(400, why)),
         _ => Wish::Bad(405, "jobs come by POST\n"),
