Test that another job worker's word on a job has no effect

Seen: with the check of the wid taken out of src/front/faktory/machines.rs (Order::Ended) no test failed.

--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -106,7 +106,7 @@
             format!(
                 r#"{{"listen":"127.0.0.1:0","password":"sesame","iterations":3,"settings":{settings},
                 "reconnect_within_ms":100,"machines":[
-                {{"machine":"m1","wids":["w-one"],"zone":"north","kind":"big"}}]}}"#
+                {{"machine":"m1","wids":["w-one","w-two"],"zone":"north","kind":"big"}}]}}"#
             )
         };
         std::fs::write(&path, text).expect("a configuration");
