Reload discovery on SIGHUP: the watch moves over without a gap, jobs and learning stay

Checked: main.rs registered TERM and INT only. Now a third handler is registered first of all; the file is read again, and the machine list's actor asks the new discovery beside the old watch until it answers. A file that cannot be used changes nothing.

--- a/src/config.rs
+++ b/src/config.rs
@@ -417,6 +417,8 @@
     pub listen: String,
     /// Where discovery answers.
     pub discovery: String,
+    /// ... and where the file says so, whatever the environment says.
+    pub in_file: String,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -436,6 +438,7 @@
         Ok(Platform {
             name: or("GW_NAME", raw.name),
             listen: or("GW_LISTEN", raw.listen),
+            in_file: raw.discovery.clone(),
             discovery: or("GW_DISCOVERY", raw.discovery),
             seed: seed.or(raw.seed.as_u64()).unwrap_or(1),
             sockets: raw.limits.sockets.unwrap_or(1024),
--- a/src/front/platform/machines.rs
+++ b/src/front/platform/machines.rs
@@ -4,13 +4,14 @@
 use crate::api::Scope;
 use crate::config::MachineList;
 use crate::core::{Ask, Told};
-use crate::net::buffer::Buffer;
 use crate::net::http::{self, Kind, Progress};
 use crate::net::{Link, Reason, log, within};
 use async_channel::{Receiver, RecvError};
+use async_io::Timer;
 use futures_lite::FutureExt;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,75 +25,149 @@
 /// ... and how long a dial may take.
 const DIAL: Duration = Duration::from_millis(500);
 
+/// Between two tries at a discovery that is to take over.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What the actor is told.
+pub enum Word {
+    /// Something is asked of the list.
+    Ask(Ask),
+    /// Discovery answers here from now on.
+    Move(SocketAddr),
+}
+
+/// A call under way. It owns its line, so that what else happens meanwhile does not break it off.
+type Call = Pin<Box<dyn Future<Output = (Line, Result<MachineList, Reason>)>>>;
+
 enum Next {
-    Answer(Result<MachineList, Reason>),
-    Asked(Result<Ask, RecvError>),
+    Answer(Line, Result<MachineList, Reason>),
+    Moved(Line, Result<MachineList, Reason>),
+    Told(Result<Word, RecvError>),
 }
 
-/// The actor.
-pub struct Machines {
+/// The way to a discovery, and the version of the list that it told last.
+struct Line {
     front: Rc<Platform>,
     discovery: SocketAddr,
     link: Option<Link>,
-    buffer: Buffer,
     seq: u64,
+}
+
+/// The actor.
+pub struct Machines {
+    front: Rc<Platform>,
+    discovery: SocketAddr,
+    idle: Option<Line>,
+    call: Option<Call>,
+    moving: Option<(SocketAddr, Call)>,
     watching: bool,
 }
 
 impl Machines {
-    /// An actor that has the list of this version.
-    pub fn new(front: Rc<Platform>, discovery: SocketAddr, seq: u64) -> Self {
-        let buffer = front.net.pool.take();
-        Machines { front, discovery, link: None, buffer, seq, watching: false }
+    /// An actor that asks this discovery.
+    pub fn new(front: Rc<Platform>, discovery: SocketAddr) -> Self {
+        Machines { front, discovery, idle: None, call: None, moving: None, watching: false }
     }
 
     /// Runs for as long as somebody may ask.
-    pub async fn run(mut self, inbox: Receiver<Ask>) {
+    pub async fn run(mut self, inbox: Receiver<Word>) {
         loop {
-            let next = if self.watching {
-                let call = async { Next::Answer(self.exchange(Some(WAIT_MS)).await) };
-                call.or(async { Next::Asked(inbox.recv().await) }).await
-            } else {
-                Next::Asked(inbox.recv().await)
+            let told = async { Next::Told(inbox.recv().await) };
+            let answer = async {
+                let Some(call) = &mut self.call else { return std::future::pending().await };
+                let (line, answer) = call.await;
+                Next::Answer(line, answer)
+            };
+            let moved = async {
+                let Some((_, call)) = &mut self.moving else { return std::future::pending().await };
+                let (line, answer) = call.await;
+                Next::Moved(line, answer)
             };
-            match next {
-                Next::Answer(answer) => self.tell(answer).await,
-                Next::Asked(Err(_)) => return,
-                Next::Asked(Ok(Ask::Watch(false))) => {
-                    self.watching = false;
-                    self.drop_link(Reason::Done);
+            let (line, answer) = match moved.or(told).or(answer).await {
+                Next::Told(Err(_)) => return,
+                Next::Told(Ok(Word::Move(to))) => {
+                    self.move_to(to);
+                    continue;
+                }
+                Next::Told(Ok(Word::Ask(asked))) => {
+                    self.ask(asked);
+                    continue;
+                }
+                Next::Moved(line, answer) => {
+                    log(format_args!("discovery moved from {} to {}", self.discovery, line.discovery));
+                    (self.discovery, self.moving) = (line.discovery, None);
+                    (self.idle, self.watching) = (None, true); // the old one's watch ends here
+                    (line, answer)
                 }
-                Next::Asked(Ok(asked)) => {
-                    if self.watching {
-                        self.drop_link(Reason::Done); // the call for changes that was under way on it
-                    }
-                    self.watching |= asked == Ask::Watch(true);
-                    // A watch begins with the whole list, asked for without a wait: the answer comes at
-                    // once, and the watch goes on from its version.
-                    let answer = self.exchange(None).await;
-                    self.tell(answer).await;
+                Next::Answer(mut line, Err(reason)) if self.moving.is_some() => {
+                    // The old discovery has ended the watch. No failed call: the new one is being asked.
+                    line.drop_link(reason);
+                    self.call = None;
+                    continue;
                 }
+                Next::Answer(line, answer) => (line, answer),
+            };
+            self.call = None;
+            let line = self.tell(line, answer).await;
+            if self.watching {
+                self.call = Some(Box::pin(line.call(Some(WAIT_MS))));
+            } else {
+                self.idle = Some(line);
             }
         }
     }
 
-    fn drop_link(&mut self, reason: Reason) {
-        if let Some(link) = self.link.take() {
-            link.end("list", reason, "");
+    fn line(&self, discovery: SocketAddr) -> Line {
+        Line { front: self.front.clone(), discovery, link: None, seq: 0 }
+    }
+
+    fn ask(&mut self, asked: Ask) {
+        if asked == Ask::Watch(false) {
+            (self.watching, self.call) = (false, None);
+            return;
+        }
+        self.watching |= asked == Ask::Watch(true);
+        // A watch begins with the whole list, asked for without a wait: the answer comes at once, and the
+        // watch goes on from its version. A new discovery's first answer is the whole list as well.
+        if self.moving.is_none() {
+            let line = self.idle.take().unwrap_or_else(|| self.line(self.discovery));
+            self.call = Some(Box::pin(line.call(None)));
         }
     }
 
+    /// Begins to ask a new discovery, until it answers: then it takes over. The watch at the old one goes on
+    /// for as long as that allows, so that there is no time in which nobody would tell of a change.
+    fn move_to(&mut self, to: SocketAddr) {
+        match &self.moving {
+            Some((going, _)) if *going == to => return,
+            None if self.discovery == to => return,
+            _ => {}
+        }
+        let mut line = self.line(to);
+        let call = async move {
+            loop {
+                let (back, answer) = line.call(None).await;
+                line = back;
+                let Err(reason) = &answer else { return (line, answer) };
+                log(format_args!("discovery at {to} does not answer yet reason={}", reason.code()));
+                line.drop_link(*reason);
+                Timer::after(AGAIN).await;
+            }
+        };
+        self.moving = Some((to, Box::pin(call)));
+    }
+
     /// Tells the core how a call went.
-    async fn tell(&mut self, answer: Result<MachineList, Reason>) {
+    async fn tell(&mut self, mut line: Line, answer: Result<MachineList, Reason>) -> Line {
         let (scope, entries) = match answer {
             Ok(list) => {
-                self.seq = list.seq;
+                line.seq = list.seq;
                 let scope = if list.whole { Scope::Full } else { Scope::Delta };
                 (scope, self.front.learn(list))
             }
             Err(reason) => {
                 log(format_args!("list call failed reason={}", reason.code()));
-                self.drop_link(reason);
+                line.drop_link(reason);
                 self.watching = false;
                 (Scope::Failed, Vec::new())
             }
@@ -106,9 +181,29 @@
         if usable && !self.front.ready.replace(true) {
             log("ready: there is a machine list");
         }
+        line
+    }
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.drop_link(Reason::Done);
+    }
+}
+
+impl Line {
+    fn drop_link(&mut self, reason: Reason) {
+        if let Some(link) = self.link.take() {
+            link.end("list", reason, "");
+        }
     }
 
     /// One call.
+    async fn call(mut self, wait: Option<u64>) -> (Line, Result<MachineList, Reason>) {
+        let answer = self.exchange(wait).await;
+        (self, answer)
+    }
+
     async fn exchange(&mut self, wait: Option<u64>) -> Result<MachineList, Reason> {
         let limit = wait.map_or(CALL, |wait| BEYOND + Duration::from_millis(wait));
         if self.link.as_ref().is_some_and(Link::stale) {
@@ -118,8 +213,7 @@
             self.link = Some(self.front.net.dial(self.discovery, DIAL).await?);
         }
         let Some(link) = &self.link else { return Err(Reason::Broke) };
-        let buffer = &mut self.buffer;
-        buffer.clear();
+        let buffer = &mut self.front.net.pool.take();
         let host = self.discovery;
         let _ = match wait {
             None => write!(buffer, "GET /api/targets HTTP/1.1\r\nHost: {host}\r\n\r\n"),
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -13,9 +13,11 @@
 use crate::net::buffer::Buffer;
 use crate::net::{Net, log};
 use async_channel::{Sender, bounded};
+use machines::Word;
 use simd_json::prelude::{ValueAsScalar, Writable};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use workers::{Order, Peer};
 
@@ -55,13 +57,13 @@
     next_job: Cell<JobId>,
     machines: RefCell<HashMap<WorkerId, Sender<Order>>>,
     names: RefCell<HashMap<String, WorkerId>>,
-    list: Sender<Ask>,
+    list: Sender<Word>,
 }
 
 impl Platform {
     /// The front; the machine list's actor reads what is asked of it from the channel's other end.
     pub fn new(
-        net: Net, clock: Clock, life: Rc<Life>, site: Site, core: Mailbox, list: Sender<Ask>,
+        net: Net, clock: Clock, life: Rc<Life>, site: Site, core: Mailbox, list: Sender<Word>,
     ) -> Rc<Self> {
         Rc::new(Platform {
             net,
@@ -99,6 +101,11 @@
         Some((id, parcel))
     }
 
+    /// Discovery answers elsewhere from now on.
+    pub fn move_discovery(&self, to: SocketAddr) -> bool {
+        self.list.try_send(Word::Move(to)).is_ok()
+    }
+
     /// Jobs whose answer is owed or on its way.
     pub fn open_jobs(&self) -> usize {
         self.parcels.borrow().len()
@@ -222,7 +229,7 @@
     }
 
     fn ask(&self, what: Ask) -> bool {
-        self.list.try_send(what).is_ok()
+        self.list.try_send(Word::Ask(what)).is_ok()
     }
 
     fn forget(&self, job: JobId) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -45,7 +45,8 @@
 }
 
 async fn run(tasks: Rc<LocalExecutor<'static>>) -> Result<(), Box<dyn Error>> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    // Before anything else: without a handler, each of these ends the program.
+    let (mut signals, hangups) = (Signals::new([Signal::Term, Signal::Int])?, Signals::new([Signal::Hup])?);
     let read = |name: &str| -> Result<Option<Vec<u8>>, Box<dyn Error>> {
         let Some(path) = std::env::var_os(name) else { return Ok(None) };
         Ok(Some(std::fs::read(&path).map_err(|e| format!("{name}: {}: {e}", path.to_string_lossy()))?))
@@ -60,7 +61,13 @@
     let (net, clock, life) = (Net::new(tasks, sockets), Clock::new(), Rc::new(Life::default()));
     let mut open: Vec<Box<dyn Fn() -> usize>> = Vec::new();
     if let Some(config) = platform {
-        open.push(start_platform(&net, clock, &life, config).await?);
+        let seen = config.in_file.clone();
+        let front = start_platform(&net, clock, &life, config).await?;
+        net.start(reload(hangups, front.clone(), seen));
+        open.push(Box::new(move || front.open_jobs()));
+    } else {
+        // The Faktory front's file is read at the start only.
+        net.start(hangups.for_each(|_| log("reload: there is nothing to read again")));
     }
     if let Some(file) = faktory {
         open.push(start_faktory(&net, clock, &life, file).await?);
@@ -88,10 +95,34 @@
     Ok(Async::<TcpListener>::bind(parsed).map_err(|e| format!("listen {address:?}: {e}"))?)
 }
 
-/// Starts the platform's front; returns how to ask how many jobs are open.
+/// Reads the configuration again at each SIGHUP, also while the program stops. What it says of discovery takes
+/// effect, without a break in anything else; a file that cannot be used leaves all as it was.
+async fn reload(mut hangups: Signals, front: Rc<Platform>, mut seen: String) {
+    while hangups.next().await.is_some() {
+        let path = std::env::var_os("GW_CONFIG").unwrap_or_default();
+        let read = std::fs::read(path).map_err(|e| e.to_string());
+        // The environment is that of the start: what the file says newly goes before it.
+        let read = read.and_then(|text| config::Platform::read(text, |_| None));
+        let to = read.and_then(|new| {
+            let to = new.in_file.parse::<SocketAddr>();
+            Ok((to.map_err(|e| format!("discovery {:?}: {e}", new.in_file))?, new.in_file))
+        });
+        match to {
+            Err(why) => log(format_args!("reload failed, all stays as it was: {why}")),
+            Ok((_, name)) if name == seen => log("reload: discovery is where it was"),
+            Ok((to, _)) if !front.move_discovery(to) => log("reload failed, the list's mailbox is full"),
+            Ok((to, name)) => {
+                log(format_args!("reload: discovery is at {to} from now on"));
+                seen = name;
+            }
+        }
+    }
+}
+
+/// Starts the platform's front.
 async fn start_platform(
     net: &Net, clock: Clock, life: &Rc<Life>, config: config::Platform,
-) -> Result<Box<dyn Fn() -> usize>, Box<dyn Error>> {
+) -> Result<Rc<Platform>, Box<dyn Error>> {
     let listener = bind(&config.listen)?;
     let discovery = config.discovery.parse().map_err(|e| format!("discovery {:?}: {e}", config.discovery))?;
     let address = listener.get_ref().local_addr()?;
@@ -100,13 +131,12 @@
     let settings = Settings { module: config.site.settings.clone(), seed: config.seed, early: EARLY };
     let front = Platform::new(net.clone(), clock, life.clone(), config.site, core.clone(), list);
     net.start(Desk::new(settings, front.clone(), clock, inbox).run());
-    let seq = config.known.seq;
     let known = front.learn(config.known);
     core.send(Told::List(Scope::Cached, known)).await?;
-    net.start(Machines::new(front.clone(), discovery, seq).run(asked));
+    net.start(Machines::new(front.clone(), discovery).run(asked));
     net.start(submitters::listen(front.clone(), listener));
     log(format_args!("start front=platform name={} listen={address}", config.name));
-    Ok(Box::new(move || front.open_jobs()))
+    Ok(front)
 }
 
 /// Starts the Faktory front; returns how to ask how many jobs are open.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -13,7 +13,8 @@
 //!     NAME < PATTERN               waits for bytes that match from the first one on; `*` stands for any
 //!     NAME close / NAME eof        closes / waits for the other side to close
 //!     log TEXT                     waits until the log has a line with the text
-//!     term / exit                  sends SIGTERM / waits for the program to end well
+//!     config ADDRESS               names another discovery in the configuration file; without one, empties it
+//!     hup / term / exit            sends SIGHUP / SIGTERM / waits for the program to end well
 //!     runs JOB N                   job workers (names that begin with w) were handed the job N times in all
 //!
 //! Everything waits for an event, and nothing for a time; what does not come fails after `LIMIT`.
@@ -34,6 +35,7 @@
 struct Stage {
     program: Option<(Child, Receiver<String>)>,
     log: Vec<String>,
+    file: (PathBuf, String),
     known: String,
     settings: String,
     listeners: HashMap<String, TcpListener>,
@@ -109,12 +111,12 @@
                 {{"machine":"m1","wids":["w-one","w-two"],"zone":"north","kind":"big"}}]}}"#
             )
         };
-        std::fs::write(&path, text).expect("a configuration");
+        std::fs::write(&path, &text).expect("a configuration");
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program");
         let (lines, log) = channel();
         let reader = BufReader::new(child.stderr.take().expect("a log"));
         std::thread::spawn(move || reader.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
-        self.program = Some((child, log));
+        (self.program, self.file) = (Some((child, log)), (path, text));
         let line = self.log_line("start front=");
         let address = line.rsplit("listen=").next().expect("an address").to_string();
         self.vars.insert("gw".into(), address);
@@ -205,9 +207,15 @@
                 let runs: usize = self.seen_by_workers.values().map(text).map(count).sum();
                 assert_eq!(runs.to_string(), more, "runs of {job}");
             }
-            ("term", _) => {
-                let id = self.program.as_ref().expect("started").0.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+            ("term" | "hup", _) => {
+                let (id, signal) = (self.program.as_ref().expect("started").0.id(), name.to_uppercase());
+                let kill = Command::new("kill").args([format!("-{signal}"), id.to_string()]).status();
+                assert!(kill.expect("kill").success());
+            }
+            ("config", _) => {
+                let (path, old) = &self.file;
+                let new = old.replace(&self.vars["disc"], &self.filled(rest));
+                std::fs::write(path, if rest.is_empty() { "" } else { &new }).expect("a configuration");
             }
             ("exit", _) => {
                 let status = self.program.as_mut().expect("started").0.wait().expect("an end");
