Told to stop, keep serving on open connections for 2.4 s; buffers from memory; log thread

Checked: n0 is down until 17.4 s, n1 gets SIGTERM at 16.05 s and ends at 17.46 s: for 1.4 s nobody serves. n1 was there all that time, but closed each connection after its answer and idle ones after 0.5 s (main.rs, STAY; submitters.rs, answer and talk), and the front deals no new ones to a scheduler that stops. Now connections stay open for 2.4 s after the signal, and a job that comes then is bounded to 3.4 s after it, before the program may be killed (3.7 s). Beside it, from reading: 1,024 kept buffers of 80 KiB were more than 32 MB; how many there can be now follows from limits.memory_mb. Writing the log to a pipe that nobody reads stopped the one thread; a thread of its own writes it. Tests: sigterm, unread_log, a unit test of the pool; each fails without its change (unread_log tried).

--- a/src/config.rs
+++ b/src/config.rs
@@ -406,8 +406,12 @@
 #[derive(Default, Deserialize)]
 struct RawLimits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
+/// Memory that the process may use where nothing is said of it.
+pub const MEMORY_MB: usize = 192;
+
 /// What a scheduler on the platform is told when it starts.
 #[derive(Clone, Debug)]
 pub struct Platform {
@@ -423,6 +427,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that it may use.
+    pub memory_mb: usize,
     /// The machine list as last held, perhaps old.
     pub known: MachineList,
     /// The settings.
@@ -442,6 +448,7 @@
             discovery: or("GW_DISCOVERY", raw.discovery),
             seed: seed.or(raw.seed.as_u64()).unwrap_or(1),
             sockets: raw.limits.sockets.unwrap_or(1024),
+            memory_mb: raw.limits.memory_mb.unwrap_or(MEMORY_MB),
             known: raw.known,
             site: Site::from_value(&raw.settings)?,
         })
@@ -476,6 +483,7 @@
     password: String,
     iterations: Option<u32>,
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
     beat_within_ms: Option<u64>,
     reconnect_within_ms: Option<u64>,
     remember: Option<usize>,
@@ -494,6 +502,8 @@
     pub iterations: u32,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that it may use.
+    pub memory_mb: usize,
     /// A job worker that has not sent its heartbeat for this long is gone.
     pub beat_within: Time,
     /// ... and one without a connection is, after this long.
@@ -526,6 +536,7 @@
             password: raw.password,
             iterations: raw.iterations.unwrap_or(1000).clamp(1, 100_000),
             sockets: raw.sockets.unwrap_or(1024),
+            memory_mb: raw.memory_mb.unwrap_or(MEMORY_MB),
             beat_within: raw.beat_within_ms.unwrap_or(30_000) * 1000,
             reconnect_within: raw.reconnect_within_ms.unwrap_or(1_000) * 1000,
             remember: raw.remember.unwrap_or(4096),
--- a/src/front/faktory/serve.rs
+++ b/src/front/faktory/serve.rs
@@ -66,9 +66,16 @@
         let (password, times) = (self.front.file.password.clone(), self.front.file.iterations);
         let asked = (!password.is_empty()).then_some((salt.as_str(), times));
         self.reply(&codec::greeting(asked)).await?;
-        let mut buffer = self.front.net.pool.take();
-        let read = self.front.net.unless_shed(Rank::Part, line(&self.link, &mut buffer));
-        let first = match within(WHOLE, Reason::Slow, read).await {
+        let net = self.front.net.clone();
+        let first = async {
+            net.unless_shed(Rank::Silent, async { self.link.readable().await.map_err(|_| Reason::Broke) })
+                .await?;
+            let mut buffer = net.buffer().await?;
+            let read = net.unless_shed(Rank::Part, line(&self.link, &mut buffer)).await;
+            Ok((read, buffer))
+        };
+        let (first, mut buffer) = within(WHOLE, Reason::Slow, first).await?;
+        let first = match first {
             Err(Reason::Malformed) => return self.reject("the command is too long").await,
             other => other?,
         };
@@ -101,7 +108,7 @@
                 None => {
                     self.idle().await?;
                     since = self.front.clock.now();
-                    self.front.net.pool.take()
+                    self.front.net.buffer().await?
                 }
             };
             let length = within(WHOLE, Reason::Slow, line(&self.link, &mut buffer)).await;
@@ -228,7 +235,7 @@
         };
         self.front.life.last_job.set(self.front.clock.now());
         // The submitter's time runs from when it began to send.
-        let until = since + request.left;
+        let until = self.front.life.bound(since + request.left);
         let number = self.front.push(request, until, parcel, to).await;
         let answered = async { Ok(from.recv().await.unwrap_or(Answer::Failed)) };
         match answered.or(async { Err(self.link.left(rest, &self.front.net.pool).await) }).await {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -11,6 +11,17 @@
 pub struct Life {
     /// The program is to stop.
     pub stopping: Cell<bool>,
+    /// ... and closes connections, each after its answer.
+    pub closing: Cell<bool>,
+    /// By when a job that still comes must be answered.
+    pub last_moment: Cell<Option<Time>>,
     /// When a job last came.
     pub last_job: Cell<Time>,
 }
+
+impl Life {
+    /// The time until which a job that comes now may take.
+    pub fn bound(&self, until: Time) -> Time {
+        self.last_moment.get().map_or(until, |last| until.min(last))
+    }
+}
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -84,7 +84,10 @@
                     return reason;
                 }
                 since = front.clock.now();
-                front.net.pool.take()
+                match front.net.buffer().await {
+                    Ok(buffer) => buffer,
+                    Err(reason) => return reason,
+                }
             }
         };
         if messages > 0 {
@@ -132,7 +135,7 @@
             Wish::Job { request, trace, text, body } => {
                 front.life.last_job.set(front.clock.now());
                 // The submitter's time runs from when it began to send.
-                let until = since + request.left;
+                let until = front.life.bound(since + request.left);
                 kept = Some(buffer).filter(|b| !b.filled().is_empty());
                 let (status, more, result) =
                     match job(front, link, &mut kept, (request, until), (&trace, text, body)).await {
@@ -146,7 +149,7 @@
         if let Err(reason) = done {
             return reason;
         }
-        if !frame.keep || (submitter && front.life.stopping.get()) {
+        if !frame.keep || (submitter && front.life.closing.get()) {
             return Reason::Done;
         }
         kept = Some(buffer).filter(|b| !b.filled().is_empty());
@@ -304,7 +307,7 @@
     front: &Platform, link: &Link, status: u16, more: impl Display, body: &[u8], keep: bool,
 ) -> Result<(), Reason> {
     let mut buffer = front.net.pool.take();
-    let close = if keep && !front.life.stopping.get() { "" } else { "Connection: close\r\n" };
+    let close = if keep && !front.life.closing.get() { "" } else { "Connection: close\r\n" };
     let length = if status == 204 { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     let head = write!(buffer, "HTTP/1.1 {status} {}\r\n{more}{length}{close}\r\n", http::reason(status));
     // A result that one buffer does not hold goes out after the head.
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,19 +15,22 @@
 use indigofold::front::faktory::{Faktory, serve};
 use indigofold::front::platform::machines::Machines;
 use indigofold::front::platform::{Platform, submitters};
-use indigofold::net::{Net, log};
+use indigofold::net::Net;
+use indigofold::net::log::{finish_log, log};
 use std::error::Error;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A job is answered this long before its submitter's time is up: the answer has its way to go, and the time
 /// runs from when the submitter began to send.
 const EARLY: u64 = 40_000;
-/// After a signal to stop, submitters keep coming for a while. Then idle connections are closed: what came on
-/// them later could not all be answered before the program is killed.
-const STAY: Duration = Duration::from_millis(500);
+/// After a signal to stop, submitters keep coming for a while, and use the connections that they have for as long as
+/// these stay open: perhaps nobody else is there to serve them. Connections are closed from this moment on ...
+const STAY: Duration = Duration::from_millis(2_400);
+/// ... and what came after the signal is answered by this one, before the program may be killed.
+const LAST: u64 = 3_400_000;
 /// The program stays until no job has come for this long.
 const QUIET: u64 = 400_000;
 /// What may be asked of the machine list's actor at once.
@@ -35,13 +38,12 @@
 
 fn main() -> ExitCode {
     let tasks = Rc::new(LocalExecutor::new());
-    match async_io::block_on(tasks.run(run(tasks.clone()))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log(format_args!("indigofold: {error}"));
-            ExitCode::FAILURE
-        }
+    let ended = async_io::block_on(tasks.run(run(tasks.clone())));
+    if let Err(error) = &ended {
+        log(format_args!("indigofold: {error}"));
     }
+    finish_log();
+    if ended.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 async fn run(tasks: Rc<LocalExecutor<'static>>) -> Result<(), Box<dyn Error>> {
@@ -58,7 +60,10 @@
     let faktory = read("INDIGOFOLD_FAKTORY")?.map(config::Faktory::read).transpose()?;
     let sockets = platform.as_ref().map(|p| p.sockets).into_iter().chain(faktory.as_ref().map(|f| f.sockets));
     let sockets = sockets.min().ok_or("neither GW_CONFIG nor INDIGOFOLD_FAKTORY names a configuration")?;
-    let (net, clock, life) = (Net::new(tasks, sockets), Clock::new(), Rc::new(Life::default()));
+    let memory =
+        platform.as_ref().map(|p| p.memory_mb).into_iter().chain(faktory.as_ref().map(|f| f.memory_mb));
+    let memory = memory.min().unwrap_or(config::MEMORY_MB);
+    let (net, clock, life) = (Net::new(tasks, sockets, memory), Clock::new(), Rc::new(Life::default()));
     let mut open: Vec<Box<dyn Fn() -> usize>> = Vec::new();
     if let Some(config) = platform {
         let seen = config.in_file.clone();
@@ -74,19 +79,24 @@
     }
 
     signals.next().await;
-    // What still comes is taken and answered; each answer says that the connection closes after it.
-    life.stopping.set(true);
     let jobs = || open.iter().map(|jobs| jobs()).sum::<usize>();
     log(format_args!("stop jobs={} connections={}", jobs(), net.set.open()));
-    life.last_job.set(clock.now());
-    Timer::after(STAY).await;
+    let (from, begin) = (clock.now(), Instant::now());
+    life.stopping.set(true);
+    life.last_moment.set(Some(from + LAST));
+    life.last_job.set(from);
     loop {
-        net.set.shed_all(); // between two messages a connection may be closed
+        Timer::after(Duration::from_millis(20)).await;
+        if begin.elapsed() > STAY && !life.closing.replace(true) {
+            log(format_args!("closing jobs={} connections={}", jobs(), net.set.open()));
+        }
+        if life.closing.get() {
+            net.set.shed_all(); // between two messages a connection may be closed
+        }
         if clock.now().saturating_sub(life.last_job.get()) > QUIET && jobs() == 0 {
             log("stopped: nothing is left to answer");
             return Ok(());
         }
-        Timer::after(Duration::from_millis(20)).await;
     }
 }
 
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -1,6 +1,6 @@
 //! Buffers of one size, used again from a pool.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// The largest body that is taken.
@@ -9,26 +9,34 @@
 pub const HEAD: usize = 8 * 1024;
 /// The one size: a whole message fits, with room for the framing of a chunked body.
 pub const SIZE: usize = BODY + 2 * HEAD;
-/// Buffers kept for use again: as many as there can be connections. One that was given back to the system
-/// would have to be cleared when it is made anew, and all of it would count as memory in use.
-const KEPT: usize = 1024;
-
-/// Where buffers come from and go back to.
-#[derive(Default)]
-pub struct Pool(RefCell<Vec<Vec<u8>>>);
+/// Where buffers come from and go back to. One that was given back to the system would have to be cleared when it
+/// is made anew, so those that there have been at once stay; how many these can be follows from the memory limit.
+pub struct Pool {
+    free: RefCell<Vec<Vec<u8>>>,
+    out: Cell<usize>,
+    most: usize,
+}
 
 impl Pool {
-    /// An empty pool.
-    pub fn new() -> Rc<Self> {
-        Rc::default()
+    /// An empty pool for a process that may use so much memory.
+    pub fn new(memory_mb: usize) -> Rc<Self> {
+        let most = ((memory_mb << 20) / 2 / SIZE).max(8);
+        Rc::new(Pool { free: RefCell::default(), out: Cell::new(0), most })
     }
 
     /// An empty buffer.
     pub fn take(self: &Rc<Self>) -> Buffer {
         // Zeroed pages are only touched as they fill: a mostly empty buffer costs little memory.
-        let bytes = self.0.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE]);
+        let bytes = self.free.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE]);
+        self.out.set(self.out.get() + 1);
         Buffer { bytes, len: 0, pool: self.clone() }
     }
+
+    /// May one more message be read? Each may need a buffer more until it is passed on; a quarter is for answers
+    /// and claims.
+    pub fn has_room(&self) -> bool {
+        self.out.get() < self.most - self.most / 4
+    }
 }
 
 /// A buffer out of the pool; it goes back when dropped.
@@ -87,9 +95,31 @@
 
 impl Drop for Buffer {
     fn drop(&mut self) {
-        let mut kept = self.pool.0.borrow_mut();
-        if kept.len() < KEPT {
-            kept.push(std::mem::take(&mut self.bytes));
+        self.pool.out.set(self.pool.out.get() - 1);
+        let mut free = self.pool.free.borrow_mut();
+        if self.pool.out.get() + free.len() < self.pool.most {
+            free.push(std::mem::take(&mut self.bytes));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a crowd of large messages that takes more memory than there is.
+    #[test]
+    fn buffers_out_and_kept_stay_within_the_memory_limit() {
+        let pool = Pool::new(4);
+        let mut out = Vec::new();
+        while pool.has_room() {
+            out.push(pool.take());
         }
+        let read = out.len();
+        assert!(read * SIZE < 2 << 20, "{read} buffers for messages");
+        out.extend((0..100).map(|_| pool.take()));
+        drop(out);
+        assert!((read..=(2 << 20) / SIZE).contains(&pool.free.borrow().len()), "what is kept");
+        assert!(pool.has_room() && pool.out.get() == 0);
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,15 +3,17 @@
 
 pub mod buffer;
 pub mod http;
+pub mod log;
 pub mod set;
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use buffer::{Buffer, Pool};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future::yield_now};
+pub use log::log;
 use set::{Rank, Seat, Set, Way};
 use std::fmt::Display;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,9 +49,9 @@
 }
 
 impl Net {
-    /// For a process that may hold so many descriptors.
-    pub fn new(tasks: Rc<LocalExecutor<'static>>, descriptors: usize) -> Self {
-        Net { tasks, pool: Pool::new(), set: Set::new(descriptors) }
+    /// For a process that may hold so many descriptors and use so much memory.
+    pub fn new(tasks: Rc<LocalExecutor<'static>>, descriptors: usize, memory_mb: usize) -> Self {
+        Net { tasks, pool: Pool::new(memory_mb), set: Set::new(descriptors) }
     }
 
     /// Starts a task that runs until it ends by itself.
@@ -94,6 +96,19 @@
         }
     }
 
+    /// A buffer for a message that begins to come. Where there is no room, connections whose first message is not
+    /// whole are asked to go.
+    pub async fn buffer(&self) -> Result<Buffer, Reason> {
+        let wait = async {
+            while !self.pool.has_room() {
+                self.set.shed_up_to(Rank::Part);
+                Timer::after(FULL).await;
+            }
+            Ok(self.pool.take())
+        };
+        within(WHOLE, Reason::NoRoom, wait).await
+    }
+
     /// Runs something on an accepted connection that may be asked to go meanwhile.
     pub async fn unless_shed<T>(
         &self, rank: Rank, work: impl Future<Output = Result<T, Reason>>,
@@ -313,8 +328,3 @@
         log(format_args!("conn side={side} peer={} reason={} {about}", self.peer(), reason.code()));
     }
 }
-
-/// One line to the log. A log that cannot be written to is no reason to stop.
-pub fn log(line: impl Display) {
-    let _ = writeln!(io::stderr(), "{line}");
-}
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -82,10 +82,14 @@
 
     /// Asks the connection that is missed least to close. `false`: none has offered to.
     pub fn shed(&self) -> bool {
-        match self.offers.borrow_mut().pop_first() {
-            Some((_, ask)) => ask.try_send(()).is_ok(),
-            None => false,
-        }
+        self.shed_up_to(Rank::Used)
+    }
+
+    /// The same, but only among those that are missed no more than this.
+    pub fn shed_up_to(&self, rank: Rank) -> bool {
+        let mut offers = self.offers.borrow_mut();
+        let first = offers.first_entry().filter(|first| first.key().0 <= rank);
+        first.is_some_and(|first| first.remove().try_send(()).is_ok())
     }
 
     /// Asks all that stand idle to close.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -3,10 +3,12 @@
 //!     NAME listen                  a stand-in listens; `$NAME` is its address from then on
 //!     known HOSTS                  the machine list in the configuration (JSON lines of discovery's form)
 //!     set OLD => NEW               changes a text in settings.json
-//!     start platform|faktory [sockets=N] [ulimit=N]   starts the program on that; `$gw` is its address
+//!     start platform|faktory [sockets=N] [ulimit=N] [unread=1]   starts the program on that; `$gw` is its address,
+//!                                  and with `unread` nobody reads its log after the line that says so
 //!     NAME dial                    connects to the program
 //!     NAME accept LISTENER         takes a connection that the program has made
 //!     crowd N BYTES                connects N times as c0, c1 ... and sends; `$n` is the number
+//!     visits N BYTES               connects N times, one after another, each until the program has closed it
 //!     scatter                      closes all of these
 //!     NAME > BYTES                 sends; `\r` and `\n` are escapes, `$L` is the length of what follows the head,
 //!                                  `$deep` are 30,000 pairs of brackets in each other
@@ -115,7 +117,18 @@
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program");
         let (lines, log) = channel();
         let reader = BufReader::new(child.stderr.take().expect("a log"));
-        std::thread::spawn(move || reader.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
+        let unread = given("unread").is_some();
+        std::thread::spawn(move || {
+            for line in reader.lines().map_while(Result::ok) {
+                let last = unread && line.contains("start front=");
+                let _ = lines.send(line);
+                if last {
+                    loop {
+                        std::thread::park(); // the reader stays open
+                    }
+                }
+            }
+        });
         (self.program, self.file) = (Some((child, log)), (path, text));
         let line = self.log_line("start front=");
         let address = line.rsplit("listen=").next().expect("an address").to_string();
@@ -198,6 +211,14 @@
                     self.line(&format!("c{n} > {}", more.replace("$n", &n.to_string())));
                 }
             }
+            ("visits", count) => {
+                for _ in 0..count.parse().expect("a number") {
+                    self.line("visit dial");
+                    self.line(&format!("visit > {more}"));
+                    let (stream, got) = self.links.get_mut("visit").expect("a connection");
+                    assert!(stream.read_to_end(got).expect("an answer and the end") > 0);
+                }
+            }
             ("scatter", _) => self.links.retain(|name, _| !name.starts_with('c')),
             ("log", _) => _ = self.log_line(&self.filled(rest)),
             ("runs", job) => {
--- a/tests/faktory.rs
+++ b/tests/faktory.rs
@@ -288,7 +288,7 @@
     let tasks = Rc::new(LocalExecutor::new());
     async_io::block_on(tasks.run(async {
         let file = config::Faktory::read(file("9000000").replace(PASSWORD, "").into_bytes()).expect("a file");
-        let (net, clock, (core, heard)) = (Net::new(tasks.clone(), 64), Clock::new(), desk::mailbox());
+        let (net, clock, (core, heard)) = (Net::new(tasks.clone(), 64, 64), Clock::new(), desk::mailbox());
         let front = faktory::Faktory::new(net.clone(), clock, Rc::new(Life::default()), file, core);
         front.open().await;
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
