End claims made for just-closed jobs; suspicion fades; claims without a 202 block nobody

Checked, by printing what the module believed every 2.5 s: nearly each worker had one attempt of ours 'waiting' for 3 to 14 s, longer than any job's time, and so counted as crowded; others had been left out. Three causes: 1. core/book.rs, act: Action::Send for a job that the book had just forgotten (its submitter left, or it was served, in the same batch) returned without an outcome. The module counted that attempt as out for ever. 2. choice.rs, usable and judge: over SUSPECT only 'safe' classes may try a worker. This site has none, and only an answer of an attempt still out lowered the share: one error on an idle worker left it out for good. 3. A claim on a connection that had gone silent counted as a queue at its worker until its job's time was up. Ruled out: news lost (it came for each claim with a 202), timers, CPU. Now the book ends such a claim as never sent; suspicion fades and keyed jobs are trials; a front tells the module that a claim was not taken within 250 ms (Event::Unheard), and the claim is waited for all the same.

--- a/src/api.rs
+++ b/src/api.rs
@@ -343,6 +343,14 @@
         /// The attempt.
         attempt: Attempt,
     },
+    /// The worker has not said that it took an attempt, though that is overdue: either it or the way to it
+    /// hangs. Not told where takers say nothing.
+    Unheard {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: Attempt,
+    },
     /// An attempt's job has this share done.
     Progress {
         /// The request.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,7 +35,8 @@
 const MISSES_MOST: usize = 2; // held requests of a queue that may be passed over in one go
 const FAILURE_STEP: (f64, f64) = (0.25, 0.1); // of the failure rate at an error or answer; at a silence
 const OVERDUE: (f64, f64) = (1.2, 1.6); // a share done is overdue after so many intervals, the first later
-const SUSPECT: f64 = 0.15; // failure rate over which a worker gets one safe request at a time
+const SUSPECT: f64 = 0.15; // failure rate over which a worker gets one request at a time that may be repeated
+const FORGIVE: f64 = 0.7; // weight that failures keep at each solution once a worker is no longer set aside
 const ASIDE: (f64, f64) = (2e5, 6e6); // set aside: this over the square of the share of answers, at most
 const ASIDE_FULL: f64 = 2e6; // set aside when full: a mean run time, at most this
 const IDLE: (f64, f64) = (0.5, 1.02); // part of an idle time that broke that is trusted; growth a solution
@@ -46,6 +47,7 @@
 const TIERS: [(&[usize], bool); 6] =
     [(&[0], false), (&[1], true), (&[2], false), (&[3], true), (&[0, 2], false), (&[1, 3], true)];
 
+mod health; // judges workers by what comes back, and finds attempts that hang
 mod kept; // compares what is kept from event to event with a fresh count, in debug builds
 
 type Sent = (RequestId, Attempt);
@@ -92,6 +94,7 @@
     started: Option<Time>, // where it is not told: when it was sent, if no other job of ours was there
     sign: (Time, f64),     // its last one and the share done by then
     silent: bool,          // no sign came when it was due: its slots are taken for free
+    unheard: bool,         // the worker has not said in time that it took it
     done: bool,
     never_ran: bool,
 }
@@ -213,12 +216,14 @@
                 self.place_or_hold(now, request, out);
             }
             Event::Gone(request) => self.close(request, out),
+            Event::Unheard { request, attempt } => self.unheard(now, request, attempt, out),
             Event::Timer(name) if name.wrapping_add(1) == self.timer => {
                 self.ask_list(now, out);
                 self.tell(out);
                 if self.timer % SOLVE_TICKS == 0 {
                     self.solve_draw(now);
                     self.idle_most *= IDLE.1;
+                    self.forgive(now);
                 }
                 self.review(now, out);
             }
@@ -606,36 +611,14 @@
     /// May this worker get this request at all, now?
     fn usable(&self, now: Time, i: usize, open: &Open, work: f64) -> bool {
         let w = &self.workers[i];
-        let safe = self.settings.classes[open.class].effect == Effect::Safe;
         w.active
             && now >= w.aside_until
-            && (w.failure <= SUSPECT || (w.own == 0.0 && safe))
+            && (w.failure <= SUSPECT || self.may_try(w, open))
             && !open.tries.iter().any(|t| t.worker == i && !t.never_ran)
             && self.group_allows(open, w)
             && self.allowance(now, w, work) >= work
     }
 
-    fn judge(&mut self, now: Time, i: usize, status: Status) {
-        let w = &mut self.workers[i];
-        match status {
-            Status::Ok => w.failure -= FAILURE_STEP.0 * w.failure,
-            // An error at once leaves the worker with few jobs in flight: unguarded it would win every draw.
-            Status::Error | Status::Reset | Status::ConnectFailed | Status::Timeout => {
-                let step = if status == Status::Timeout { FAILURE_STEP.1 } else { FAILURE_STEP.0 };
-                w.failure += step * (1.0 - w.failure);
-                let aside = (ASIDE.0 / (1.0 - w.failure).powi(2)).min(ASIDE.1);
-                w.aside_until = w.aside_until.max(now + aside as Time);
-            }
-            Status::Full => {
-                // A slot frees within about a run time.
-                w.aside_until = w.aside_until.max(now + (self.run.1 / self.run.0).min(ASIDE_FULL) as Time);
-                self.count_start(i, true);
-                self.full_share += LATE_STEP * (1.0 - self.full_share);
-            }
-            Status::Cancelled | Status::Moot => {}
-        }
-    }
-
     /// Share of its capacity that a worker has at least: rises evenly from the cold share.
     fn warmth(&self, now: Time, w: &Worker) -> f64 {
         let (rules, age) = (&self.settings.rules, now.saturating_sub(w.listed.ready_at) as f64);
@@ -786,13 +769,6 @@
         self.close(id, out);
     }
 
-    /// When the next share done of a job is overdue; where none are told, a long job looks the same.
-    fn overdue_at(&self, t: &Try) -> Time {
-        let every = if t.sign.1 > 0.0 { OVERDUE.0 } else { OVERDUE.1 } * self.settings.progress as f64;
-        let known = t.started.filter(|_| self.settings.tells_start && every > 0.0);
-        known.map_or(Time::MAX, |_| t.sign.0.saturating_add(every as Time + 4 * self.settings.granularity))
-    }
-
     /// Ends what can earn nothing more, also at a worker, moves late held ones behind, finds silent attempts.
     fn review(&mut self, now: Time, out: &mut Vec<Action>) {
         while let Some(&(at, id)) = self.due.first().filter(|due| due.0 <= now) {
@@ -810,28 +786,6 @@
         }
     }
 
-    /// Where a sign is overdue, the job hangs, its answer is lost, or the way to it is dead: whichever it is,
-    /// its slots count as free, and where the class allows it goes to another worker beside.
-    fn pass_over_silent(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
-        let resends = self.resends_left(now);
-        let Some(open) = self.open.get(&id) else { return };
-        let again = resends >= 1.0 && now < self.sendable_until(open);
-        let overdue = |t: &Try| !t.done && !t.silent && now >= self.overdue_at(t);
-        if let Some(n) = open.tries.iter().position(overdue) {
-            let (i, slots) = (open.tries[n].worker, open.slots);
-            self.leave(now, i, (id, n as Attempt), slots);
-            self.judge(now, i, Status::Timeout);
-            self.open.get_mut(&id).into_iter().for_each(|o| o.tries[n].silent = true);
-            if again && !self.settings.limits.duplicates && self.settings.limits.cancel {
-                out.push(Action::Cancel { request: id, attempt: n as Attempt }); // its end sends the next
-            }
-        }
-        let silent = self.open.get(&id).is_some_and(|o| o.tries.iter().all(|t| t.done || t.silent));
-        if silent && again && self.settings.limits.duplicates && !self.place(now, id, out) {
-            self.due.insert((now + 5 * self.tick(), id));
-        }
-    }
-
     /// Sends held requests while a worker takes them: the worthiest for their work first, then the newest.
     fn place_held(&mut self, now: Time, out: &mut Vec<Action>) {
         let mut order: Vec<usize> = (0..self.held.len()).filter(|q| !self.held[*q].is_empty()).collect();
--- /dev/null
+++ b/src/choice/health.rs
@@ -0,0 +1,76 @@
+//! What comes back from a worker, or does not: who is set aside, who is tried again, which attempts hang.
+
+use super::*;
+
+impl Dispatcher {
+    pub(super) fn judge(&mut self, now: Time, i: usize, status: Status) {
+        let w = &mut self.workers[i];
+        match status {
+            Status::Ok => w.failure -= FAILURE_STEP.0 * w.failure,
+            // An error at once leaves the worker with few jobs in flight: unguarded it would win every draw.
+            Status::Error | Status::Reset | Status::ConnectFailed | Status::Timeout => {
+                let step = if status == Status::Timeout { FAILURE_STEP.1 } else { FAILURE_STEP.0 };
+                w.failure += step * (1.0 - w.failure);
+                let aside = (ASIDE.0 / (1.0 - w.failure).powi(2)).min(ASIDE.1);
+                w.aside_until = w.aside_until.max(now + aside as Time);
+            }
+            Status::Full => {
+                // A slot frees within about a run time.
+                w.aside_until = w.aside_until.max(now + (self.run.1 / self.run.0).min(ASIDE_FULL) as Time);
+                self.count_start(i, true);
+                self.full_share += LATE_STEP * (1.0 - self.full_share);
+            }
+            Status::Cancelled | Status::Moot => {}
+        }
+    }
+
+    /// A worker under suspicion gets one request at a time, whose failure can be made good elsewhere.
+    pub(super) fn may_try(&self, w: &Worker, open: &Open) -> bool {
+        w.own == 0.0 && self.settings.classes[open.class].effect != Effect::Unsafe
+    }
+
+    /// Suspicion fades by itself: where no class may be repeated, nothing else would ever end it.
+    pub(super) fn forgive(&mut self, now: Time) {
+        self.workers.iter_mut().filter(|w| w.aside_until <= now).for_each(|w| w.failure *= FORGIVE);
+    }
+
+    /// The worker has not taken an attempt that has gone out: one that waits for nobody must not pass for a
+    /// queue there, and where the class allows it the request goes to another worker beside.
+    pub(super) fn unheard(&mut self, now: Time, id: RequestId, attempt: Attempt, out: &mut Vec<Action>) {
+        let t = self.open.get_mut(&id).and_then(|o| o.tries.get_mut(attempt as usize));
+        if let Some(t) = t.filter(|t| !t.done && t.started.is_none()) {
+            t.unheard = true;
+            self.pass_over_silent(now, id, out);
+        }
+    }
+
+    /// When the next share done of a job is overdue; where none are told, a long job looks the same.
+    pub(super) fn overdue_at(&self, t: &Try) -> Time {
+        let every = if t.sign.1 > 0.0 { OVERDUE.0 } else { OVERDUE.1 } * self.settings.progress as f64;
+        let known = t.started.filter(|_| self.settings.tells_start && every > 0.0);
+        let unheard = if t.unheard && t.started.is_none() { 0 } else { Time::MAX };
+        known.map_or(unheard, |_| t.sign.0.saturating_add(every as Time + 4 * self.settings.granularity))
+    }
+
+    /// Where a sign is overdue, the job hangs, its answer is lost, or the way to it is dead: whichever it is,
+    /// its slots count as free, and where the class allows it goes to another worker beside.
+    pub(super) fn pass_over_silent(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let resends = self.resends_left(now);
+        let Some(open) = self.open.get(&id) else { return };
+        let again = resends >= 1.0 && now < self.sendable_until(open);
+        let overdue = |t: &Try| !t.done && !t.silent && now >= self.overdue_at(t);
+        if let Some(n) = open.tries.iter().position(overdue) {
+            let (i, slots) = (open.tries[n].worker, open.slots);
+            self.leave(now, i, (id, n as Attempt), slots);
+            self.judge(now, i, Status::Timeout);
+            self.open.get_mut(&id).into_iter().for_each(|o| o.tries[n].silent = true);
+            if again && !self.settings.limits.duplicates && self.settings.limits.cancel {
+                out.push(Action::Cancel { request: id, attempt: n as Attempt }); // its end sends the next
+            }
+        }
+        let silent = self.open.get(&id).is_some_and(|o| o.tries.iter().all(|t| t.done || t.silent));
+        if silent && again && self.settings.limits.duplicates && !self.place(now, id, out) {
+            self.due.insert((now + 5 * self.tick(), id));
+        }
+    }
+}
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -26,6 +26,9 @@
     due: BTreeSet<(Time, JobId)>,
     events: Vec<Event>,
     early: Time,
+    /// Jobs forgotten since the module last took its events, and how many claims they had: until it has heard that
+    /// a job is closed, it may send it.
+    closed: HashMap<JobId, u32>,
     /// Answers by kind since they were last read: served, requeue notices, failed, gone.
     pub counts: [u64; 4],
 }
@@ -41,6 +44,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// The module has dealt with the events that it took, and knows which jobs are closed.
+    pub fn events_done(&mut self) {
+        self.closed.clear();
+    }
+
     /// Are there events for the module?
     pub fn has_events(&self) -> bool {
         !self.events.is_empty()
@@ -81,7 +89,10 @@
             Told::Progress(id, done) if self.is_out(id) => {
                 self.events.push(Event::Progress { request: id.job, attempt: id.attempt, done });
             }
-            Told::Started(_) | Told::Progress(..) => {}
+            Told::Unheard(id) if self.is_out(id) => {
+                self.events.push(Event::Unheard { request: id.job, attempt: id.attempt });
+            }
+            Told::Started(_) | Told::Progress(..) | Told::Unheard(_) => {}
             Told::Ended(id, status, load) => {
                 let Some(job) = self.jobs.get_mut(&id.job) else { return };
                 let Some(held) = job.claims.get_mut(id.attempt as usize) else { return };
@@ -139,7 +150,15 @@
     pub fn act(&mut self, action: Action, floor: &dyn Floor) {
         match action {
             Action::Send { request, worker, .. } => {
-                let Some(job) = self.jobs.get_mut(&request) else { return };
+                let Some(job) = self.jobs.get_mut(&request) else {
+                    // Sent before the module came to the event that closes the job. Without an outcome it would
+                    // count the claim as waiting at its machine for ever.
+                    let claims = self.closed.entry(request).or_default();
+                    let (status, attempt) = (Status::Moot, *claims);
+                    *claims += 1;
+                    let outcome = Event::Outcome { request, attempt, status, closed: true, load: None };
+                    return self.events.push(outcome);
+                };
                 let id = ClaimId { job: request, attempt: job.claims.len() as u32 };
                 let open = job.answer.is_some();
                 let out = open && floor.claim(Claim { id, machine: worker, until: job.until });
@@ -204,6 +223,7 @@
             return;
         }
         if let Some(job) = self.jobs.remove(&id) {
+            self.closed.insert(id, job.claims.len() as u32);
             self.due.remove(&(job.until, id));
             self.due.remove(&(job.until + GRACE, id));
             floor.forget(id);
@@ -294,6 +314,28 @@
         assert_eq!(floor.0.take().last().map(String::as_str), Some("forget 1"));
     }
 
+    /// Guards against a claim that stays out for ever in the module's count, and blocks its machine: one made for
+    /// a job whose submitter has left, or that was served, when the module had not heard of it yet.
+    #[test]
+    fn a_claim_for_a_job_that_has_just_closed_ends_at_once() {
+        let (mut book, floor) = (Book::new(0), Noted::default());
+        let _left = job(&mut book, &floor);
+        book.told(5, Told::Gone(1), &floor);
+        assert_eq!(book.take_events().len(), 2);
+        claim(&mut book, &floor, 5);
+        assert!(format!("{:?}", book.take_events()).contains("attempt: 0, status: Moot, closed: true"));
+        book.events_done();
+
+        let answer = job(&mut book, &floor);
+        claim(&mut book, &floor, 5);
+        book.told(10, ended(0, Status::Ok), &floor);
+        assert_eq!(answer.try_recv(), Ok(Answer::Served));
+        book.take_events();
+        claim(&mut book, &floor, 6);
+        assert!(format!("{:?}", book.take_events()).contains("attempt: 1, status: Moot, closed: true"));
+        assert_eq!(floor.0.take(), ["forget 1", "claim 0 at 5", "forget 1"], "nothing more goes out");
+    }
+
     /// Guards against a claim that nobody will end: one that the front did not take has failed at once.
     #[test]
     fn a_claim_that_is_not_taken_or_comes_too_late_ends_at_once() {
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -125,6 +125,7 @@
                 }
             }
         }
+        self.book.events_done();
         any
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -51,6 +51,8 @@
     Gone(JobId),
     /// A claim's job has begun.
     Started(ClaimId),
+    /// The machine has not said that it took a claim, though that is overdue; the claim goes on.
+    Unheard(ClaimId),
     /// A claim's job has come so far, 0 to 1.
     Progress(ClaimId, f64),
     /// How a claim ended. Told again, or after it was given up, it changes nothing but this: a job that is
--- a/src/front/platform/workers.rs
+++ b/src/front/platform/workers.rs
@@ -8,6 +8,8 @@
 use crate::net::{Link, Reason, within};
 use async_channel::Receiver;
 use async_executor::Task;
+use async_io::Timer;
+use futures_lite::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::Write;
@@ -23,6 +25,9 @@
 const DELETE: Duration = Duration::from_millis(500);
 /// How long a 202 is waited for once the claim has timed out.
 const LINGER: Duration = Duration::from_millis(500);
+/// A machine says within this time of a claim that it took it. One that has not hangs, or the connection has gone
+/// silent: the module hears of it, and the claim is waited for all the same.
+const HEARD: Duration = Duration::from_millis(250);
 /// Idle connections kept to one machine.
 const IDLE_MOST: usize = 16;
 
@@ -190,7 +195,13 @@
             return Some((Status::Moot, None));
         }
         let limit = Duration::from_millis(left) + LINGER;
-        match within(limit, Reason::Unanswered, self.exchange(&mut buffer, stage)).await {
+        let unheard = async {
+            Timer::after(HEARD).await;
+            let _ = self.front.core.send(Told::Unheard(claim.id)).await;
+            std::future::pending().await
+        };
+        let exchange = self.exchange(&mut buffer, stage).or(unheard);
+        match within(limit, Reason::Unanswered, exchange).await {
             Ok(frame) => {
                 let (head, _) = frame.read(&buffer, Kind::Answer)?;
                 let site = self.front.site.borrow();
