Set a worker aside at the second failure in a row, not at the first

Checked, by printing the module's belief each second: three machines restart at once (9 to 13 s), and of the seven others three or four were set aside at any time, each for one reset: the network breaks some 6% of the claims, whoever is at the other end. choice.rs, judge: each error, reset or failed connect set the worker aside for 0.36 s or more, and over SUSPECT (0.15, so after one) it got no unsafe job. Ruled out: leaks (no attempt waits for long), timers.

--- a/src/choice/health.rs
+++ b/src/choice/health.rs
@@ -12,7 +12,11 @@
                 let step = if status == Status::Timeout { FAILURE_STEP.1 } else { FAILURE_STEP.0 };
                 w.failure += step * (1.0 - w.failure);
                 let aside = (ASIDE.0 / (1.0 - w.failure).powi(2)).min(ASIDE.1);
-                w.aside_until = w.aside_until.max(now + aside as Time);
+                // One failure among answers may be the way's alone: a network that breaks now and then would
+                // leave half the fleet out. Two in a row are not.
+                if status == Status::Timeout || w.failure > SUSPECT {
+                    w.aside_until = w.aside_until.max(now + aside as Time);
+                }
             }
             Status::Full => {
                 // A slot frees within about a run time.
