A connection just accepted is not the first to go: its message may be on its way

Checked: the shed lines: nearly all have messages=0. The flood asks once and stays idle, so the rank of those that have sent nothing held few besides connections whose first bytes were still on their way, and those went first (net/set.rs, shed). Ruled out: CPU (0.2 of a core), descriptors (887 of 1024), the policy. Now a connection is fresh for 150 ms, and goes only after all that stand idle after one answer. Test: a unit test of the order.

--- a/src/front/faktory/serve.rs
+++ b/src/front/faktory/serve.rs
@@ -16,7 +16,7 @@
 use std::io::Write;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a FETCH waits for a job.
 const FETCH: Duration = Duration::from_secs(2);
@@ -66,12 +66,14 @@
         let (password, times) = (self.front.file.password.clone(), self.front.file.iterations);
         let asked = (!password.is_empty()).then_some((salt.as_str(), times));
         self.reply(&codec::greeting(asked)).await?;
-        let net = self.front.net.clone();
+        let (net, accepted) = (self.front.net.clone(), Instant::now());
         let first = async {
-            net.unless_shed(Rank::Silent, async { self.link.readable().await.map_err(|_| Reason::Broke) })
-                .await?;
+            net.unless_shed_first(accepted, Rank::Silent, async {
+                self.link.readable().await.map_err(|_| Reason::Broke)
+            })
+            .await?;
             let mut buffer = net.buffer().await?;
-            let read = net.unless_shed(Rank::Part, line(&self.link, &mut buffer)).await;
+            let read = net.unless_shed_first(accepted, Rank::Part, line(&self.link, &mut buffer)).await;
             Ok((read, buffer))
         };
         let (first, mut buffer) = within(WHOLE, Reason::Slow, first).await?;
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -56,20 +56,22 @@
 }
 
 /// Waits for something to read. A connection that has never sent a message has until its time is up.
-async fn first_byte(front: &Platform, link: &Link, messages: u64, by: Instant) -> Result<(), Reason> {
+async fn first_byte(front: &Platform, link: &Link, messages: u64, accepted: Instant) -> Result<(), Reason> {
     let readable = async { link.readable().await.map_err(|_| Reason::Broke) };
-    let rank = [Rank::Silent, Rank::Once, Rank::Used][messages.min(2) as usize];
-    let wait = front.net.unless_shed(rank, readable);
-    let waited = if messages > 0 {
-        wait.await
-    } else {
-        within(by.saturating_duration_since(Instant::now()), Reason::Silent, wait).await
+    let waited = match messages {
+        0 => {
+            let wait = front.net.unless_shed_first(accepted, Rank::Silent, readable);
+            within(WHOLE.saturating_sub(accepted.elapsed()), Reason::Silent, wait).await
+        }
+        1 => front.net.unless_shed(Rank::Once, readable).await,
+        _ => front.net.unless_shed(Rank::Used, readable).await,
     };
     waited.map_err(|r| if r == Reason::Shed && front.life.stopping.get() { Reason::Stopping } else { r })
 }
 
 async fn talk(front: &Rc<Platform>, link: &Link, served: &Served) -> Reason {
     let (mut kept, mut since, mut by) = (None::<Buffer>, front.clock.now(), Instant::now() + WHOLE);
+    let accepted = Instant::now();
     let answer = async |status: u16, more: &str, body: &[u8], keep: bool| {
         served.status.set(status);
         answer(front, link, status, more, body, keep).await
@@ -80,7 +82,7 @@
         let mut buffer = match kept.take() {
             Some(buffer) => buffer,
             None => {
-                if let Err(reason) = first_byte(front, link, messages, by).await {
+                if let Err(reason) = first_byte(front, link, messages, accepted).await {
                     return reason;
                 }
                 since = front.clock.now();
@@ -96,7 +98,7 @@
         let left = by.saturating_duration_since(Instant::now());
         let frame = within(left, Reason::Slow, receive(link, &mut buffer));
         let frame = match messages {
-            0 => front.net.unless_shed(Rank::Part, frame).await,
+            0 => front.net.unless_shed_first(accepted, Rank::Part, frame).await,
             _ => frame.await,
         };
         let frame = match frame {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,13 +16,15 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Between two tries to accept while there is no room.
 const FULL: Duration = Duration::from_millis(5);
 /// The first message must be whole this long after the connection was accepted, and each later one this long after
 /// its first byte: who sends nothing, or a byte now and then, holds a descriptor for no longer.
 pub const WHOLE: Duration = Duration::from_millis(2_500);
+/// A new connection's first message may be on its way for so long: until then it is not the first to go.
+const FRESH: Duration = Duration::from_millis(150);
 /// An answer must be taken within this time.
 pub const STALLED: Duration = Duration::from_secs(5);
 /// How long, and over how many bytes, a refused message is read on.
@@ -121,6 +123,22 @@
         work.or(shed).await
     }
 
+    /// The same for what an accepted connection does first: it is of this rank once it is no longer fresh.
+    pub async fn unless_shed_first<T>(
+        &self, accepted: Instant, rank: Rank, work: impl Future<Output = Result<T, Reason>>,
+    ) -> Result<T, Reason> {
+        let mut work = std::pin::pin!(work);
+        let fresh = FRESH.saturating_sub(accepted.elapsed());
+        let first = async { work.as_mut().await.map(Some) }.or(async {
+            Timer::after(fresh).await;
+            Ok(None)
+        });
+        match self.unless_shed(Rank::Fresh, first).await? {
+            Some(done) => Ok(done),
+            None => self.unless_shed(rank, work).await,
+        }
+    }
+
     /// After a refusal within a message: says that no more is written, and reads on over what still comes. A
     /// close with bytes unread would reset the answer away. A few bytes a turn, and no more than a body that is
     /// far too large; it goes first where room is needed.
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -28,6 +28,8 @@
     Part,
     /// It has had one answer and stands idle: perhaps nobody will use it again.
     Once,
+    /// It has just been accepted: its first message may be on its way.
+    Fresh,
     /// It is in use, and idle between two messages.
     Used,
 }
@@ -131,3 +133,25 @@
         self.0.open.set(self.0.open.get() - 1);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a flood of connections that ask once and stay: they go before a newcomer whose message is on
+    /// its way, and that one before any that is in use.
+    #[test]
+    fn the_least_missed_goes_first_and_within_a_rank_the_oldest() {
+        let set = Set::new(64);
+        let ranks = [Rank::Used, Rank::Fresh, Rank::Once, Rank::Part, Rank::Once, Rank::Silent];
+        let offers = ranks.map(|rank| set.offer(rank));
+        let mut gone: Vec<usize> = Vec::new();
+        while set.shed() {
+            let asked = |n: &usize| !gone.contains(n) && offers[*n].asked.len() == 1;
+            gone.push((0..offers.len()).find(asked).expect("one was asked"));
+        }
+        assert_eq!(gone, [5, 3, 2, 4, 1, 0]);
+        let _used = set.offer(Rank::Used);
+        assert!(!set.shed_up_to(Rank::Part));
+    }
+}
