Thin out idle connections before submitters hold their third of the descriptors

Submitters hold a third of the descriptors at most (128 here), idle ones included, so whoever comes next cannot connect. Nothing here closed an idle connection before the set was full (264). Ruled out: backlog (1024), floods (none before 6 s), the restart (14% before it). Now, from three quarters of that third on, each new or newly idle connection asks the least missed idle one to go. Test: a unit test of the set.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -85,7 +85,10 @@
                 continue;
             };
             match listener.accept().await {
-                Ok((stream, _)) => return Link::new(stream, seat).as_extra(extra),
+                Ok((stream, _)) => {
+                    self.set.thin_out();
+                    return Link::new(stream, seat).as_extra(extra);
+                }
                 Err(error) => {
                     drop(seat);
                     log(format_args!("accept failed: {error}"));
@@ -116,6 +119,9 @@
         &self, rank: Rank, work: impl Future<Output = Result<T, Reason>>,
     ) -> Result<T, Reason> {
         let offer = self.set.offer(rank);
+        if matches!(rank, Rank::Once | Rank::Used) {
+            self.set.thin_out();
+        }
         let shed = async {
             offer.asked().await;
             Err(Reason::Shed)
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -10,10 +10,15 @@
 /// Descriptors that only connections to job workers may use.
 const OUTWARD: usize = 128;
 
+/// Part of the submitters' share of the descriptors from which on idle connections are closed.
+const THIN: (usize, usize) = (3, 4);
+
 /// All connections of the program, within the limit on sockets.
 pub struct Set {
     limit: usize,
+    third: usize,
     open: Cell<usize>,
+    accepted: Cell<usize>,
     next: Cell<u64>,
     offers: RefCell<BTreeMap<(Rank, u64), Sender<()>>>,
 }
@@ -46,7 +51,7 @@
 }
 
 /// One connection's place in the set; given back when dropped.
-pub struct Seat(Rc<Set>);
+pub struct Seat(Rc<Set>, Way);
 
 /// A connection's offer to be closed; withdrawn when dropped.
 pub struct Offer {
@@ -59,7 +64,8 @@
     /// A set for a process that may hold so many descriptors.
     pub fn new(descriptors: usize) -> Rc<Self> {
         let limit = descriptors.saturating_sub(KEPT_BACK).max(16);
-        Rc::new(Set { limit, open: Cell::new(0), next: Cell::new(0), offers: RefCell::default() })
+        let (open, accepted, next) = Default::default();
+        Rc::new(Set { limit, third: descriptors / 3, open, accepted, next, offers: RefCell::default() })
     }
 
     /// Is there room for one more connection of this kind?
@@ -79,7 +85,10 @@
             return None;
         }
         self.open.set(self.open.get() + 1);
-        Some(Seat(self.clone()))
+        if way != Way::Out {
+            self.accepted.set(self.accepted.get() + 1);
+        }
+        Some(Seat(self.clone(), way))
     }
 
     /// Asks the connection that is missed least to close. `false`: none has offered to.
@@ -94,6 +103,17 @@
         first.is_some_and(|first| first.remove().try_send(()).is_ok())
     }
 
+    /// Asks one to go if accepted connections take up most of what submitters may hold: no more than a third of
+    /// the descriptors is theirs, and one that stands idle keeps somebody else from connecting at all. One just
+    /// accepted stays.
+    pub fn thin_out(&self) {
+        if self.accepted.get() > self.third * THIN.0 / THIN.1 && !self.shed_up_to(Rank::Once) {
+            let mut offers = self.offers.borrow_mut();
+            let used = offers.range((Rank::Used, 0)..).next().map(|(key, _)| *key);
+            let _ = used.and_then(|key| offers.remove(&key)).map(|ask| ask.try_send(()));
+        }
+    }
+
     /// Asks all that stand idle to close.
     pub fn shed_all(&self) {
         while self.shed() {}
@@ -131,6 +151,9 @@
 impl Drop for Seat {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
+        if self.1 != Way::Out {
+            self.0.accepted.set(self.0.accepted.get() - 1);
+        }
     }
 }
 
@@ -154,4 +177,23 @@
         let _used = set.offer(Rank::Used);
         assert!(!set.shed_up_to(Rank::Part));
     }
+
+    /// Guards against submitters that keep idle connections and so keep others from connecting.
+    #[test]
+    fn idle_connections_are_thinned_out_before_submitters_hold_their_third() {
+        let set = Set::new(120);
+        let seats: Vec<Seat> = (0..30).filter_map(|_| set.seat(Way::In)).collect();
+        let _dialled: Vec<Seat> = (0..30).filter_map(|_| set.seat(Way::Out)).collect();
+        let offers = [Rank::Fresh, Rank::Used, Rank::Used, Rank::Once].map(|rank| set.offer(rank));
+        let asked = || offers.each_ref().map(|o| o.asked.len());
+        set.thin_out();
+        assert_eq!((seats.len(), asked()), (30, [0; 4]), "30 of 40 are no reason");
+        let more = set.seat(Way::In);
+        set.thin_out();
+        set.thin_out();
+        assert_eq!(asked(), [0, 1, 0, 1]);
+        drop(more);
+        set.thin_out();
+        assert_eq!(asked(), [0, 1, 0, 1]);
+    }
 }
