A kind's slots follow load reports, not jobs whose end was never told

Checked, by printing the module's belief each second and tracing the news: some started jobs are never told of again (hang), all others end in their usual time. Until their next share done is overdue they seem to run, and choice.rs, started, took the most own jobs 'running' at once for the kind's slots: 7 real ones became 11, 14 and 21 for the whole kind, so workers were not taken for crowded any more and late starts rose. Ruled out: late news, timers (mean under 40 us late), leaks (no attempt waits beyond 0.25 s). Now, once a report has told held and free slots, only reports raise the figure. Test of the module; it fails without the change (6 sent, not 3).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,7 +74,8 @@
 
 #[derive(Clone, Default)]
 struct Kind {
-    slots: f64,          // most own slots seen running at once on one worker, or free slots reported
+    slots: f64,          // most own slots seen running at once on one worker, or as reported
+    reported: bool,      // reports have told them: a job whose end is told late seems to run on
     log_run: (f64, f64), // weight and sum of log run times against the class mean
     speed: f64,          // ... and the speed against all kinds that follows
 }
@@ -299,7 +300,9 @@
         let known = w.news_at.map_or(0.0, |at| w.foreign * fresh(now, at));
         (w.foreign, w.news_at) = (if overdue { rest + 1.0 } else { rest.min(known) }, Some(now));
         w.quick = if wait < w.quick { wait } else { w.quick * 1.01 };
-        kind.slots = kind.slots.max(runs + if overdue { 0.0 } else { w.told(now).floor() });
+        if !kind.reported {
+            kind.slots = kind.slots.max(runs + if overdue { 0.0 } else { w.told(now).floor() });
+        }
     }
 
     /// Notes a sign of an attempt, and looks at the request again when the next one is overdue.
@@ -600,7 +603,10 @@
         let kind = &mut self.kinds[w.kind];
         if let Some(free) = load.free_slots.filter(|f| *f >= 0.7) {
             // With free slots nothing waits: what is held and what is free are all the slots.
-            kind.slots = kind.slots.max((load.inflight.unwrap_or(0.0) + free - 0.3).round());
+            let first = load.inflight.is_some() && !kind.reported;
+            kind.reported |= first;
+            let known = if first { 1.0 } else { kind.slots };
+            kind.slots = known.max((load.inflight.unwrap_or(0.0) + free - 0.3).round());
         }
         if let Some(held) = load.inflight.or(load.free_slots.map(|free| kind.slots - free)) {
             // The report tells of a moment before this one: own jobs are taken as they stood around then.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -218,6 +218,27 @@
     assert_eq!(s.ask(0).1, Some(1), "nobody else holds a slot there");
 }
 
+/// Guards against jobs whose end is never told: they seem to run on, and would show slots that are not there.
+#[test]
+fn what_reports_say_of_slots_goes_before_jobs_that_seem_to_run() {
+    let mut settings = settings();
+    settings.reports = Reports::OnProbe;
+    let mut s = Stage::new(settings, &[entry(1, 0)]);
+    let load = Load { inflight: Some(0.0), free_slots: Some(2.0), ..Load::default() };
+    s.event(Event::Probed { worker: 1, status: Status::Ok, load: Some(load) });
+    for _ in 0..6 {
+        let (id, worker) = s.ask(0);
+        s.pass(MS);
+        if worker.is_some() {
+            s.start(id, 0); // also the third and later ones: others have ended, and nobody has said so
+        }
+    }
+    s.list(Scope::Delta, &[entry(2, 0)]);
+    s.event(Event::Probed { worker: 2, status: Status::Ok, load: Some(load) });
+    let sent = (0..6).filter(|_| s.ask(0).1 == Some(2)).count();
+    assert!((2..=3).contains(&sent), "two run and one waits, {sent} were sent");
+}
+
 // ---- Holding ---------------------------------------------------------------------------------------------
 
 #[test]
