--- a/src/choice.rs
+++ b/src/choice.rs
@@ -243,6 +243,13 @@
         debug_assert!(self.kept_right(), "what is kept must agree with a fresh count");
     }
 
+    /// Machines that the list holds, and how many of them get nothing now, or only a try, after failures.
+    pub fn pool(&self, now: Time) -> (u64, u64) {
+        let listed = self.workers.iter().filter(|w| w.listed.state != WorkerState::Left);
+        let avoided = |w: &&Worker| w.active && (now < w.aside_until || w.failure > SUSPECT);
+        (listed.clone().count() as u64, listed.filter(avoided).count() as u64)
+    }
+
     fn tick(&self) -> Time {
         (self.settings.granularity * TICK.0).max(TICK.1)
     }
@@ -836,7 +843,7 @@
             self.ask = (Time::MAX, ASK.0);
         }
         if matches!(scope, Scope::Full | Scope::Cached) {
-            self.workers.iter_mut().for_each(|w| w.active = false);
+            self.workers.iter_mut().for_each(|w| (w.active, w.listed.state) = (false, WorkerState::Left));
         }
         entries.into_iter().for_each(|e| self.learn_entry(now, e));
         let leaving = |i: &usize| !self.workers[*i].active && self.workers[*i].linked;
--- a/src/config.rs
+++ b/src/config.rs
@@ -45,6 +45,11 @@
         (self.0.len() - 1) as u32
     }
 
+    /// All names, in order of their ids.
+    pub fn all(&self) -> impl Iterator<Item = &str> {
+        self.0.iter().map(String::as_str)
+    }
+
     /// The id of a name that is known.
     pub fn find(&self, name: &str) -> Option<u32> {
         self.0.iter().position(|n| n == name).map(|i| i as u32)
@@ -395,6 +400,8 @@
     #[serde(default)]
     discovery: String,
     #[serde(default)]
+    management: String,
+    #[serde(default)]
     seed: OwnedValue,
     #[serde(default)]
     limits: RawLimits,
@@ -423,6 +430,8 @@
     pub discovery: String,
     /// ... and where the file says so, whatever the environment says.
     pub in_file: String,
+    /// Where operators call; empty: nowhere.
+    pub management: String,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -446,6 +455,7 @@
             listen: or("GW_LISTEN", raw.listen),
             in_file: raw.discovery.clone(),
             discovery: or("GW_DISCOVERY", raw.discovery),
+            management: or("GW_MANAGEMENT", raw.management),
             seed: seed.or(raw.seed.as_u64()).unwrap_or(1),
             sockets: raw.limits.sockets.unwrap_or(1024),
             memory_mb: raw.limits.memory_mb.unwrap_or(MEMORY_MB),
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -1,9 +1,11 @@
 //! The book of jobs and claims. Whatever the module or a front does, a job gets one answer, in time.
 
+use super::figures::{End, Figures, add};
 use super::{Answer, Ask, Claim, ClaimId, Floor, JobId, Told};
-use crate::api::{Action, Event, Scope, Status, Time, WorkerId};
+use crate::api::{Action, ClassId, Event, Scope, Status, Time, WorkerId};
 use async_channel::Sender;
 use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
 
 /// After a job's last moment the module has this long to answer before the book does.
 const GRACE: Time = 10_000;
@@ -14,6 +16,7 @@
 }
 
 struct Job {
+    class: ClassId,
     answer: Option<Sender<Answer>>, // until it is answered
     until: Time,
     claims: Vec<Held>,
@@ -29,14 +32,13 @@
     /// Jobs forgotten since the module last took its events, and how many claims they had: until it has heard that
     /// a job is closed, it may send it.
     closed: HashMap<JobId, u32>,
-    /// Answers by kind since they were last read: served, requeue notices, failed, gone.
-    pub counts: [u64; 4],
+    figures: Rc<Figures>,
 }
 
 impl Book {
     /// An empty book; jobs are answered this long before the submitter's time is up.
-    pub fn new(early: Time) -> Self {
-        Book { early, ..Book::default() }
+    pub fn new(early: Time, figures: Rc<Figures>) -> Self {
+        Book { early, figures, ..Book::default() }
     }
 
     /// Events for the module, in the order in which they happened.
@@ -72,13 +74,16 @@
                 let until = until.saturating_sub(self.early).max(now);
                 request.left = until - now;
                 self.due.insert((until, request.id));
-                self.jobs.insert(request.id, Job { answer: Some(answer), until, claims: Vec::new() });
+                let (class, answer) = (request.class, Some(answer));
+                self.jobs.insert(request.id, Job { class, answer, until, claims: Vec::new() });
+                add(&self.figures.open, 1);
                 self.events.push(Event::Request(request));
             }
             Told::Gone(job) => {
                 let Some(open) = self.jobs.get_mut(&job) else { return };
                 if open.answer.take().is_some() {
-                    self.counts[3] += 1;
+                    add(&self.figures.gone, 1);
+                    self.figures.open.set(self.figures.open.get() - 1);
                     self.events.push(Event::Gone(job));
                 }
                 self.settle(job, floor);
@@ -100,7 +105,7 @@
                 let answered = if done { job.answer.take() } else { None };
                 let closed = answered.is_some();
                 if let Some(answer) = answered {
-                    self.counts[0] += 1;
+                    ended(&self.figures, job.class, End::Served);
                     let _ = answer.try_send(Answer::Served);
                 }
                 let (request, attempt) = (id.job, id.attempt);
@@ -138,7 +143,7 @@
                 self.due.insert((at + GRACE, id));
             } else if let Some(answer) = job.answer.take() {
                 floor.note("a job was left unanswered at its last moment and has failed");
-                self.counts[2] += 1;
+                ended(&self.figures, job.class, End::Failed);
                 let _ = answer.try_send(Answer::Failed);
                 self.events.push(Event::Gone(id));
             }
@@ -210,8 +215,9 @@
     }
 
     fn answer(&mut self, id: JobId, answer: Answer, floor: &dyn Floor) {
-        let Some(to) = self.jobs.get_mut(&id).and_then(|job| job.answer.take()) else { return };
-        self.counts[if answer == Answer::Failed { 2 } else { 1 }] += 1;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(to) = job.answer.take() else { return };
+        ended(&self.figures, job.class, if answer == Answer::Failed { End::Failed } else { End::Refused });
         let _ = to.try_send(answer);
         self.settle(id, floor);
     }
@@ -231,6 +237,12 @@
     }
 }
 
+/// Counts a job's one answer.
+fn ended(figures: &Figures, class: ClassId, end: End) {
+    figures.count(class, end);
+    figures.open.set(figures.open.get() - 1);
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -283,7 +295,7 @@
     /// Guards against a job without an answer where the module gives none.
     #[test]
     fn a_job_that_the_module_forgets_fails_just_after_its_last_moment() {
-        let (mut book, floor) = (Book::new(40_000), Noted::default());
+        let (mut book, floor) = (Book::new(40_000, Rc::default()), Noted::default());
         let answer = job(&mut book, &floor);
         claim(&mut book, &floor, 5);
         book.expire(960_000, &floor);
@@ -299,7 +311,7 @@
     /// Guards against two answers, and against one lost: a claim taken for lost that is done yet serves its job.
     #[test]
     fn a_job_is_served_once_also_by_a_claim_taken_for_lost() {
-        let (mut book, floor) = (Book::new(0), Noted::default());
+        let (mut book, floor) = (Book::new(0, Rc::default()), Noted::default());
         let answer = job(&mut book, &floor);
         claim(&mut book, &floor, 5);
         book.told(10, ended(0, Status::Reset), &floor);
@@ -318,7 +330,7 @@
     /// a job whose submitter has left, or that was served, when the module had not heard of it yet.
     #[test]
     fn a_claim_for_a_job_that_has_just_closed_ends_at_once() {
-        let (mut book, floor) = (Book::new(0), Noted::default());
+        let (mut book, floor) = (Book::new(0, Rc::default()), Noted::default());
         let _left = job(&mut book, &floor);
         book.told(5, Told::Gone(1), &floor);
         assert_eq!(book.take_events().len(), 2);
@@ -339,7 +351,7 @@
     /// Guards against a claim that nobody will end: one that the front did not take has failed at once.
     #[test]
     fn a_claim_that_is_not_taken_or_comes_too_late_ends_at_once() {
-        let (mut book, floor) = (Book::new(0), Noted::default());
+        let (mut book, floor) = (Book::new(0, Rc::default()), Noted::default());
         let answer = job(&mut book, &floor);
         claim(&mut book, &floor, 9);
         assert!(format!("{:?}", book.take_events()).contains("ConnectFailed, closed: false"));
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -2,6 +2,7 @@
 
 use super::book::Book;
 use super::clock::Clock;
+use super::figures::Figures;
 use super::{Floor, Settings, Told};
 use crate::api::{Action, Event, Time};
 use crate::choice::Dispatcher;
@@ -36,15 +37,19 @@
     inbox: Receiver<Told>,
     gap: Time,
     timers: BTreeSet<(Time, u64)>,
+    figures: Rc<Figures>,
+    said: [u64; 4],
 }
 
 impl<F: Floor> Desk<F> {
     /// A desk with an empty book, and the mailbox to it.
-    pub fn new(settings: Settings, floor: Rc<F>, clock: Clock, inbox: Receiver<Told>) -> Self {
+    pub fn new(
+        settings: Settings, floor: Rc<F>, clock: Clock, inbox: Receiver<Told>, figures: Rc<Figures>,
+    ) -> Self {
         let gap = settings.module.granularity;
         let dispatcher = Dispatcher::new(settings.module, settings.seed, clock.now());
-        let book = Book::new(settings.early);
-        Desk { dispatcher, book, floor, clock, inbox, gap, timers: BTreeSet::new() }
+        let book = Book::new(settings.early, figures.clone());
+        Desk { dispatcher, book, floor, clock, inbox, gap, timers: BTreeSet::new(), figures, said: [0; 4] }
     }
 
     /// Runs until all fronts have dropped the mailbox.
@@ -126,11 +131,17 @@
             }
         }
         self.book.events_done();
+        if any {
+            self.figures.pool.set(self.dispatcher.pool(now));
+        }
         any
     }
 
     fn say(&mut self, (most, sum, count): (Time, Time, u64)) {
-        let [served, requeued, failed, gone] = std::mem::take(&mut self.book.counts);
+        let [served, requeued, failed] = self.figures.all();
+        let sums = [served, requeued, failed, self.figures.gone.get()];
+        let said = std::mem::replace(&mut self.said, sums);
+        let [served, requeued, failed, gone] = [0, 1, 2, 3].map(|n| sums[n] - said[n]);
         let (jobs, mean) = (self.book.jobs(), sum / count.max(1));
         self.floor.note(&format!(
             "jobs={jobs} served={served} requeued={requeued} failed={failed} gone={gone} \
--- /dev/null
+++ b/src/core/figures.rs
@@ -0,0 +1,57 @@
+//! What is counted: each thing once, where it happens, and never set back.
+
+use crate::api::ClassId;
+use std::cell::{Cell, RefCell};
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Done.
+    Served,
+    /// Refused: trying again is harmless.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
+/// The figures of one front since the program's start.
+#[derive(Debug, Default)]
+pub struct Figures {
+    ends: RefCell<Vec<[u64; 3]>>,
+    /// Jobs whose submitter left before there was an answer.
+    pub gone: Cell<u64>,
+    /// Jobs taken and not ended.
+    pub open: Cell<u64>,
+    /// Claims whose last byte went out.
+    pub tries: Cell<u64>,
+    /// Machines in the list, and how many of them the module avoids.
+    pub pool: Cell<(u64, u64)>,
+    /// Configuration files taken, and turned down, at SIGHUP.
+    pub files: Cell<(u64, u64)>,
+}
+
+impl Figures {
+    /// A job of this class has ended.
+    pub fn count(&self, class: ClassId, end: End) {
+        let (mut ends, n) = (self.ends.borrow_mut(), class as usize);
+        if ends.len() <= n {
+            ends.resize(n + 1, [0; 3]);
+        }
+        ends[n][end as usize] += 1;
+    }
+
+    /// The jobs of this class by their end: served, refused, failed.
+    pub fn of(&self, class: ClassId) -> [u64; 3] {
+        self.ends.borrow().get(class as usize).copied().unwrap_or_default()
+    }
+
+    /// The jobs of all classes by their end.
+    pub fn all(&self) -> [u64; 3] {
+        self.ends.borrow().iter().fold([0; 3], |sum, ends| [0, 1, 2].map(|n| sum[n] + ends[n]))
+    }
+}
+
+/// Adds to a counter.
+pub fn add(counter: &Cell<u64>, count: u64) {
+    counter.set(counter.get() + count);
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub mod book;
 pub mod clock;
 pub mod desk;
+pub mod figures;
 
 use crate::api::{Entry, Load, Request, RequestId, Scope, Status, Time, WorkerId};
 use async_channel::Sender;
--- /dev/null
+++ b/src/door.rs
@@ -0,0 +1,202 @@
+//! The operators' door: a listener of its own, one line a connection, one answer. It shares neither descriptors nor
+//! buffers with the fronts, so that what happens there does not delay an answer here.
+
+use crate::core::figures::Figures;
+use crate::front::Life;
+use crate::net::{Net, log};
+use async_executor::Task;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Calls at once: so many descriptors are set aside. One more, and the oldest is turned away.
+const CALLS: usize = 16;
+/// The longest line that is a call.
+const LINE: usize = 128;
+/// A call must be whole within this time, and its answer taken within as much again.
+const CALL: Duration = Duration::from_millis(700);
+/// An operator's other end has this long to read its answer before the connection is closed over what it still sends.
+const AFTER: Duration = Duration::from_millis(100);
+/// Once drained, idle submitters' connections are left for so long: until then the front has not seen that the
+/// scheduler is not ready, and jobs come on them.
+const STILL_COME: Duration = Duration::from_millis(1_000);
+/// ... then those go that have been idle for this long: a job may be on its way on the others ...
+const IDLE: Duration = Duration::from_millis(300);
+/// ... and after this all that are idle.
+const ALL: Duration = Duration::from_millis(2_500);
+/// How often that is looked at.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What the door shows and moves.
+pub struct Door {
+    /// The network: its tasks and its connections.
+    pub net: Net,
+    /// The program's life.
+    pub life: Rc<Life>,
+    /// The figures.
+    pub figures: Rc<Figures>,
+    /// Does this process take submitters?
+    pub serves: Box<dyn Fn() -> bool>,
+    /// The classes by name.
+    pub classes: Box<dyn Fn() -> Vec<String>>,
+    /// What closes connections while the program is drained.
+    pub draining: RefCell<Option<Task<()>>>,
+}
+
+/// What one hears that has to make room.
+const AWAY: &str = "too many calls";
+
+/// Takes calls for as long as the program runs.
+pub async fn listen(door: Rc<Door>, listener: Async<TcpListener>) {
+    let waiting: Rc<RefCell<VecDeque<async_channel::Sender<()>>>> = Rc::default();
+    let open = Rc::new(Cell::new(0));
+    loop {
+        // Nobody is turned away before somebody is there.
+        let _ = listener.readable().await;
+        if open.get() >= CALLS {
+            let oldest = waiting.borrow_mut().pop_front();
+            oldest.inspect(|oldest| _ = oldest.try_send(()));
+            Timer::after(Duration::from_millis(1)).await;
+            continue;
+        }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log(format_args!("door accept failed: {error}"));
+                Timer::after(Duration::from_millis(5)).await;
+                continue;
+            }
+        };
+        open.set(open.get() + 1);
+        let (turn_away, turned_away) = async_channel::bounded(1);
+        waiting.borrow_mut().push_back(turn_away.clone());
+        let (door, waiting, open) = (door.clone(), waiting.clone(), open.clone());
+        door.net.clone().start(async move {
+            let away = async {
+                let _ = turned_away.recv().await;
+                Err(AWAY)
+            };
+            let (line, length) = match call(&stream).or(away).await {
+                Ok((line, length)) => (line, Ok(length)),
+                Err(why) => ([0; LINE], Err(why)),
+            };
+            waiting.borrow_mut().retain(|w| !w.same_channel(&turn_away));
+            let text = match length {
+                Ok(length) => door.obey(&line[..length]),
+                Err(why) => format!("fail {why}\n"),
+            };
+            let written = async { (&stream).write_all(text.as_bytes()).await.is_ok() };
+            let stalled = async {
+                Timer::after(CALL).await;
+                false
+            };
+            // One that is turned away makes room at once.
+            if written.or(stalled).await && length != Err(AWAY) {
+                part(&stream).await;
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// Reads one line.
+async fn call(stream: &Async<TcpStream>) -> Result<([u8; LINE], usize), &'static str> {
+    let read = async {
+        let (mut line, mut length) = ([0; LINE], 0);
+        loop {
+            match (&mut &*stream).read(&mut line[length..]).await {
+                Ok(0) if length == LINE => return Err("a call is one short line"),
+                Ok(count @ 1..) => length += count,
+                _ => return Err("the call broke off"),
+            }
+            if let Some(end) = line[..length].iter().position(|b| *b == b'\n') {
+                return Ok((line, end));
+            }
+        }
+    };
+    let late = async {
+        Timer::after(CALL).await;
+        Err("no whole call in time")
+    };
+    read.or(late).await
+}
+
+/// Says that nothing more comes, and reads over what does: a close over it could cost the other side its answer.
+async fn part(stream: &Async<TcpStream>) {
+    let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
+    let rest = async {
+        let mut bytes = [0; LINE];
+        for _ in 0..CALLS {
+            if !matches!((&mut &*stream).read(&mut bytes).await, Ok(1..)) {
+                return;
+            }
+        }
+    };
+    rest.or(async { _ = Timer::after(AFTER).await }).await;
+}
+
+impl Door {
+    fn obey(self: &Rc<Self>, line: &[u8]) -> String {
+        let called = line.trim_ascii();
+        match called {
+            b"status" if (self.serves)() => return "ok\n".into(),
+            b"status" => return "fail takes no submitters\n".into(),
+            b"stats" => return self.stats(),
+            b"standby" => self.drain(),
+            b"active" => {
+                self.life.drained.set(false);
+                self.draining.take();
+            }
+            _ => return "fail no such call\n".into(),
+        }
+        log(format_args!("door call={}", String::from_utf8_lossy(called)));
+        "ok\n".into()
+    }
+
+    /// The figures, one a line.
+    fn stats(&self) -> String {
+        let (mut text, figures) = (String::new(), &self.figures);
+        let mut line = |name: &str, value: u64, kind: char| {
+            let _ = writeln!(text, "edge_gw.{name}:{value}|{kind}");
+        };
+        for (class, name) in (self.classes)().iter().enumerate() {
+            let ends = figures.of(class as u32);
+            for (end, count) in ["ok", "shed", "errors"].iter().zip(ends) {
+                line(&format!("{end}.{name}"), count, 'c');
+            }
+        }
+        let ((size, avoided), (applied, rejected)) = (figures.pool.get(), figures.files.get());
+        line("tries", figures.tries.get(), 'c');
+        line("config_applied", applied, 'c');
+        line("config_rejected", rejected, 'c');
+        line("active", figures.open.get(), 'g');
+        line("pool_size", size, 'g');
+        line("pool_ejected", avoided, 'g');
+        text + "eof\n"
+    }
+
+    /// No new submitters: from now on not ready, and each job's answer closes its connection. A connection that
+    /// stands idle is closed too, once the front has had time to see it.
+    fn drain(self: &Rc<Self>) {
+        if self.life.drained.replace(true) {
+            return;
+        }
+        let (set, since) = (self.net.set.clone(), Instant::now());
+        let closing = self.net.held(async move {
+            loop {
+                match since.elapsed() {
+                    all if all > ALL => set.shed_submitters(Duration::ZERO),
+                    some if some > STILL_COME => set.shed_submitters(IDLE),
+                    _ => {}
+                }
+                Timer::after(LOOK).await;
+            }
+        });
+        self.draining.replace(Some(closing));
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -15,6 +15,8 @@
     pub closing: Cell<bool>,
     /// By when a job that still comes must be answered.
     pub last_moment: Cell<Option<Time>>,
+    /// Operators have asked for no new submitters: not ready, and connections are closed, each after its answer.
+    pub drained: Cell<bool>,
     /// When a job last came.
     pub last_job: Cell<Time>,
 }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -9,6 +9,7 @@
 use crate::config::{self, MachineList, News, Site};
 use crate::core::clock::Clock;
 use crate::core::desk::Mailbox;
+use crate::core::figures::Figures;
 use crate::core::{Ask, Claim, ClaimId, Floor, JobId, Told};
 use crate::net::buffer::Buffer;
 use crate::net::{Net, log};
@@ -52,6 +53,8 @@
     pub ready: Cell<bool>,
     /// The program's life.
     pub life: Rc<Life>,
+    /// What is counted.
+    pub figures: Rc<Figures>,
     parcels: RefCell<HashMap<JobId, Rc<Parcel>>>,
     traces: RefCell<HashMap<String, JobId>>,
     next_job: Cell<JobId>,
@@ -63,7 +66,8 @@
 impl Platform {
     /// The front; the machine list's actor reads what is asked of it from the channel's other end.
     pub fn new(
-        net: Net, clock: Clock, life: Rc<Life>, site: Site, core: Mailbox, list: Sender<Word>,
+        net: Net, clock: Clock, life: Rc<Life>, figures: Rc<Figures>, site: Site, core: Mailbox,
+        list: Sender<Word>,
     ) -> Rc<Self> {
         Rc::new(Platform {
             net,
@@ -72,6 +76,7 @@
             core,
             ready: Cell::new(false),
             life,
+            figures,
             parcels: RefCell::default(),
             traces: RefCell::default(),
             next_job: Cell::new(1),
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -2,8 +2,9 @@
 //! whoever asks whether the program is ready.
 
 use super::Platform;
-use crate::api::{Effect, Request, Time};
-use crate::config::News;
+use crate::api::{ClassId, Effect, Request, Time};
+use crate::config::{News, Site};
+use crate::core::figures::End;
 use crate::core::{Answer, Told};
 use crate::net::buffer::Buffer;
 use crate::net::http::{self, Bad, Frame, Head, Kind, Progress};
@@ -56,22 +57,29 @@
 }
 
 /// Waits for something to read. A connection that has never sent a message has until its time is up.
-async fn first_byte(front: &Platform, link: &Link, messages: u64, accepted: Instant) -> Result<(), Reason> {
+async fn first_byte(
+    front: &Platform, link: &Link, (messages, submitter): (u64, bool), accepted: Instant,
+) -> Result<(), Reason> {
     let readable = async { link.readable().await.map_err(|_| Reason::Broke) };
     let waited = match messages {
         0 => {
             let wait = front.net.unless_shed_first(accepted, Rank::Silent, readable);
             within(WHOLE.saturating_sub(accepted.elapsed()), Reason::Silent, wait).await
         }
-        1 => front.net.unless_shed(Rank::Once, readable).await,
-        _ => front.net.unless_shed(Rank::Used, readable).await,
+        1 => front.net.unless_shed_from(Rank::Once, submitter, readable).await,
+        _ => front.net.unless_shed_from(Rank::Used, submitter, readable).await,
     };
-    waited.map_err(|r| if r == Reason::Shed && front.life.stopping.get() { Reason::Stopping } else { r })
+    let (stopping, drained) = (front.life.stopping.get(), front.life.drained.get());
+    waited.map_err(|reason| match reason {
+        Reason::Shed if stopping => Reason::Stopping,
+        Reason::Shed if drained => Reason::Drained,
+        other => other,
+    })
 }
 
 async fn talk(front: &Rc<Platform>, link: &Link, served: &Served) -> Reason {
     let (mut kept, mut since, mut by) = (None::<Buffer>, front.clock.now(), Instant::now() + WHOLE);
-    let accepted = Instant::now();
+    let (accepted, mut submitter) = (Instant::now(), false);
     let answer = async |status: u16, more: &str, body: &[u8], keep: bool| {
         served.status.set(status);
         answer(front, link, status, more, body, keep).await
@@ -82,7 +90,7 @@
         let mut buffer = match kept.take() {
             Some(buffer) => buffer,
             None => {
-                if let Err(reason) = first_byte(front, link, messages, accepted).await {
+                if let Err(reason) = first_byte(front, link, (messages, submitter), accepted).await {
                     return reason;
                 }
                 since = front.clock.now();
@@ -118,8 +126,11 @@
         served.messages.set(messages + 1);
         let wish = read(front, &buffer, &frame);
         buffer.consume(frame.total);
-        let submitter = matches!(wish, Wish::Job { .. });
+        let is_job = matches!(wish, Wish::Job { .. });
+        submitter |= is_job;
+        let mut keep = frame.keep;
         let done = match wish {
+            Wish::Ready if front.life.drained.get() => answer(503, "", b"drained\n", frame.keep).await,
             Wish::Ready if front.ready.get() => answer(200, "", b"ready\n", frame.keep).await,
             Wish::Ready => answer(503, "", b"no machine list yet\n", frame.keep).await,
             Wish::News(told) => {
@@ -129,8 +140,9 @@
                 answer(204, "", b"", frame.keep).await
             }
             Wish::Bad(status, why) => answer(status, "", why.as_bytes(), frame.keep).await,
-            Wish::Job { .. } if link.extra() => {
+            Wish::Job { request, .. } if link.extra() => {
                 // The last descriptors are for news, which ends jobs and so makes room.
+                front.figures.count(request.class, End::Refused);
                 let (after, why) = ("Retry-After: 0.5\r\n", b"no room for more connections\n");
                 answer(503, after, why, false).await.and(Err(Reason::NoRoom))
             }
@@ -145,13 +157,15 @@
                         Err(reason) => return reason,
                     };
                 buffer = kept.take().unwrap_or_else(|| front.net.pool.take());
-                answer(status, &more, &result, frame.keep).await
+                // Decided once, after the wait: a connection is closed only if its answer says so.
+                keep &= !front.life.closing.get() && !front.life.drained.get();
+                answer(status, &more, &result, keep).await
             }
         };
         if let Err(reason) = done {
             return reason;
         }
-        if !frame.keep || (submitter && front.life.closing.get()) {
+        if !keep {
             return Reason::Done;
         }
         kept = Some(buffer).filter(|b| !b.filled().is_empty());
@@ -213,10 +227,19 @@
     }
 }
 
+/// What a job asks for; one of a known class that cannot be taken has failed.
 fn job_of(front: &Platform, head: &Head<'_>, body: &[u8], path: &str) -> Result<Wish, &'static str> {
     let site = front.site.borrow();
     let name = path.trim_start_matches('/').split('/').next().unwrap_or("");
     let Some(class) = site.classes.find(name) else { return Ok(Wish::Bad(404, "no such class of jobs\n")) };
+    let job = job_of_class(front, &site, class, (head, body));
+    job.inspect_err(|_| front.figures.count(class, End::Failed))
+}
+
+/// The job of a class; or why it is none.
+fn job_of_class(
+    front: &Platform, site: &Site, class: ClassId, (head, body): (&Head<'_>, &[u8]),
+) -> Result<Wish, &'static str> {
     let settings = &site.settings.classes[class as usize];
     let trace = head.header("X-Trace-Id").filter(|t| !t.is_empty()).ok_or("X-Trace-Id is missing\n")?;
     // It becomes part of a path when an attempt is given up.
@@ -282,6 +305,7 @@
     (trace, text, body): (&str, Buffer, usize),
 ) -> Result<Reply, Reason> {
     let Some((id, parcel)) = front.take_in(trace, text, body) else {
+        front.figures.count(request.class, End::Failed);
         return Ok((409, String::new(), b"a job of this id is open\n".into()));
     };
     request.id = id;
@@ -309,7 +333,7 @@
     front: &Platform, link: &Link, status: u16, more: impl Display, body: &[u8], keep: bool,
 ) -> Result<(), Reason> {
     let mut buffer = front.net.pool.take();
-    let close = if keep && !front.life.closing.get() { "" } else { "Connection: close\r\n" };
+    let close = if keep { "" } else { "Connection: close\r\n" };
     let length = if status == 204 { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     let head = write!(buffer, "HTTP/1.1 {status} {}\r\n{more}{length}{close}\r\n", http::reason(status));
     // A result that one buffer does not hold goes out after the head.
--- a/src/front/platform/workers.rs
+++ b/src/front/platform/workers.rs
@@ -2,6 +2,7 @@
 
 use super::{Parcel, Platform};
 use crate::api::{Load, Status, WorkerId};
+use crate::core::figures::add;
 use crate::core::{Claim, ClaimId, Told};
 use crate::net::buffer::Buffer;
 use crate::net::http::{self, Kind, Progress};
@@ -137,13 +138,11 @@
     }
 
     /// Sends a message and reads the answer's head and body, both left in the buffer.
-    async fn talk(
-        &self, link: &Link, buffer: &mut Buffer, sent: &Cell<Stage>,
-    ) -> Result<http::Frame, Reason> {
+    async fn talk(&self, link: &Link, buffer: &mut Buffer, sent: impl Fn()) -> Result<http::Frame, Reason> {
         let mut gone_out = 0;
         let write = link.write(buffer.filled(), &mut gone_out).await;
         if gone_out == buffer.filled().len() {
-            sent.set(Stage::Sent);
+            sent();
         }
         write.map_err(|_| Reason::Broke)?;
         buffer.clear();
@@ -168,7 +167,7 @@
     }
 
     /// One exchange. The connection is kept where both sides keep it.
-    async fn exchange(&self, buffer: &mut Buffer, sent: &Cell<Stage>) -> Result<http::Frame, Reason> {
+    async fn exchange(&self, buffer: &mut Buffer, sent: impl Fn()) -> Result<http::Frame, Reason> {
         let mut hold = self.connect().await?;
         let Some(link) = &hold.link else { return Err(Reason::Broke) };
         let talk = self.talk(link, buffer, sent).await;
@@ -200,7 +199,11 @@
             let _ = self.front.core.send(Told::Unheard(claim.id)).await;
             std::future::pending().await
         };
-        let exchange = self.exchange(&mut buffer, stage).or(unheard);
+        let sent = || {
+            stage.set(Stage::Sent);
+            add(&self.front.figures.tries, 1);
+        };
+        let exchange = self.exchange(&mut buffer, sent).or(unheard);
         match within(limit, Reason::Unanswered, exchange).await {
             Ok(frame) => {
                 let (head, _) = frame.read(&buffer, Kind::Answer)?;
@@ -226,7 +229,8 @@
         let mut buffer = self.front.net.pool.take();
         let _ = write!(buffer, "GET /-/load HTTP/1.1\r\nHost: service.internal\r\n\r\n");
         let stage = Cell::new(Stage::Unsent);
-        let talk = within(PROBE, Reason::Unanswered, self.exchange(&mut buffer, &stage)).await;
+        let talk =
+            within(PROBE, Reason::Unanswered, self.exchange(&mut buffer, || stage.set(Stage::Sent))).await;
         let (status, load) = match &talk {
             Ok(frame) => {
                 let read = frame.read(&buffer, Kind::Answer);
@@ -248,7 +252,8 @@
             "DELETE /jobs/{trace} HTTP/1.1\r\nHost: service.internal\r\nContent-Length: 0\r\n\r\n"
         );
         let stage = Cell::new(Stage::Unsent);
-        let _ = within(DELETE, Reason::Unanswered, self.exchange(&mut buffer, &stage)).await;
+        let _ =
+            within(DELETE, Reason::Unanswered, self.exchange(&mut buffer, || stage.set(Stage::Sent))).await;
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`choice::Dispatcher`] is the whole decision module. It is fed [`api::Event`]s and answers with
 //! [`api::Action`]s; it does no I/O and reads no clock. [`wire`] translates a text protocol for the drill.
-//! Round the module stand [`core`], which knows no wire, [`net`] and the fronts in [`front`].
+//! Round the module stand [`core`], which knows no wire, [`net`] and the fronts in [`front`];
+//! operators call at the [`door`].
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -11,6 +12,7 @@
 pub mod choice;
 pub mod config;
 pub mod core;
+pub mod door;
 pub mod front;
 pub mod net;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,13 +10,16 @@
 use indigofold::config;
 use indigofold::core::clock::Clock;
 use indigofold::core::desk::{self, Desk};
+use indigofold::core::figures::Figures;
 use indigofold::core::{Settings, Told};
+use indigofold::door::{self, Door};
 use indigofold::front::Life;
 use indigofold::front::faktory::{Faktory, serve};
 use indigofold::front::platform::machines::Machines;
 use indigofold::front::platform::{Platform, submitters};
 use indigofold::net::Net;
 use indigofold::net::log::{finish_log, log};
+use std::cell::RefCell;
 use std::error::Error;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
@@ -134,21 +137,37 @@
     net: &Net, clock: Clock, life: &Rc<Life>, config: config::Platform,
 ) -> Result<Rc<Platform>, Box<dyn Error>> {
     let listener = bind(&config.listen)?;
+    let management = if config.management.is_empty() { None } else { Some(bind(&config.management)?) };
     let discovery = config.discovery.parse().map_err(|e| format!("discovery {:?}: {e}", config.discovery))?;
     let address = listener.get_ref().local_addr()?;
     let (core, inbox) = desk::mailbox();
     let (list, asked) = async_channel::bounded(ASKED);
     let settings = Settings { module: config.site.settings.clone(), seed: config.seed, early: EARLY };
-    let front = Platform::new(net.clone(), clock, life.clone(), config.site, core.clone(), list);
-    net.start(Desk::new(settings, front.clone(), clock, inbox).run());
+    let figures = Rc::new(Figures::default());
+    let front =
+        Platform::new(net.clone(), clock, life.clone(), figures.clone(), config.site, core.clone(), list);
+    net.start(Desk::new(settings, front.clone(), clock, inbox, figures).run());
     let known = front.learn(config.known);
     core.send(Told::List(Scope::Cached, known)).await?;
     net.start(Machines::new(front.clone(), discovery).run(asked));
     net.start(submitters::listen(front.clone(), listener));
+    if let Some(listener) = management {
+        log(format_args!("door listen={}", listener.get_ref().local_addr()?));
+        net.start(door::listen(door_of(&front), listener));
+    }
     log(format_args!("start front=platform name={} listen={address}", config.name));
     Ok(front)
 }
 
+/// The operators' door, which shows this front.
+fn door_of(front: &Rc<Platform>) -> Rc<Door> {
+    let (net, life, figures) = (front.net.clone(), front.life.clone(), front.figures.clone());
+    let (serving, named) = (front.clone(), front.clone());
+    let serves = Box::new(move || serving.ready.get() && !serving.life.drained.get());
+    let classes = Box::new(move || named.site.borrow().classes.all().map(str::to_string).collect());
+    Rc::new(Door { net, life, figures, serves, classes, draining: RefCell::default() })
+}
+
 /// Starts the Faktory front; returns how to ask how many jobs are open.
 async fn start_faktory(
     net: &Net, clock: Clock, life: &Rc<Life>, file: config::Faktory,
@@ -158,7 +177,7 @@
     let settings = Settings { module: file.site.settings.clone(), seed: clock.now(), early: EARLY };
     let address = listener.get_ref().local_addr()?;
     let front = Faktory::new(net.clone(), clock, life.clone(), file, core);
-    net.start(Desk::new(settings, front.clone(), clock, inbox).run());
+    net.start(Desk::new(settings, front.clone(), clock, inbox, Rc::default()).run());
     front.open().await;
     net.start(serve::listen(front.clone(), listener));
     log(format_args!("start front=faktory listen={address}"));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -118,7 +118,14 @@
     pub async fn unless_shed<T>(
         &self, rank: Rank, work: impl Future<Output = Result<T, Reason>>,
     ) -> Result<T, Reason> {
-        let offer = self.set.offer(rank);
+        self.unless_shed_from(rank, false, work).await
+    }
+
+    /// The same; a submitter's connection is also asked to go as the program drains.
+    pub async fn unless_shed_from<T>(
+        &self, rank: Rank, submitter: bool, work: impl Future<Output = Result<T, Reason>>,
+    ) -> Result<T, Reason> {
+        let offer = self.set.offer(rank, submitter);
         if matches!(rank, Rank::Once | Rank::Used) {
             self.set.thin_out();
         }
@@ -214,6 +221,8 @@
     Shed,
     /// It was closed as the program stops.
     Stopping,
+    /// It was closed as operators drain the program.
+    Drained,
     /// The attempt on it was given up.
     GivenUp,
     /// No answer in time.
@@ -243,6 +252,7 @@
             Reason::Idle => "idle",
             Reason::Shed => "shed",
             Reason::Stopping => "stopping",
+            Reason::Drained => "drained",
             Reason::GivenUp => "given-up",
             Reason::Unanswered => "unanswered",
             Reason::Refused => "refused",
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -4,8 +4,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-/// Descriptors kept back for what is not a connection: listener, poller, timer, signals, log, list.
+/// Descriptors kept back for what is not in the set: listeners, poller, timer, signals, log, operators' calls.
 const KEPT_BACK: usize = 32;
 /// Descriptors that only connections to job workers may use.
 const OUTWARD: usize = 128;
@@ -20,7 +21,14 @@
     open: Cell<usize>,
     accepted: Cell<usize>,
     next: Cell<u64>,
-    offers: RefCell<BTreeMap<(Rank, u64), Sender<()>>>,
+    offers: RefCell<BTreeMap<(Rank, u64), Offered>>,
+}
+
+/// A connection that may be asked to go: how, whether it is known to be a submitter's, and since when it stands so.
+struct Offered {
+    ask: Sender<()>,
+    submitter: bool,
+    since: Instant,
 }
 
 /// What is lost if an accepted connection goes, the least first. Within a rank the one that has stood for longest
@@ -100,7 +108,7 @@
     pub fn shed_up_to(&self, rank: Rank) -> bool {
         let mut offers = self.offers.borrow_mut();
         let first = offers.first_entry().filter(|first| first.key().0 <= rank);
-        first.is_some_and(|first| first.remove().try_send(()).is_ok())
+        first.is_some_and(|first| first.remove().ask.try_send(()).is_ok())
     }
 
     /// Asks one to go if accepted connections take up most of what submitters may hold: no more than a third of
@@ -110,7 +118,7 @@
         if self.accepted.get() > self.third * THIN.0 / THIN.1 && !self.shed_up_to(Rank::Once) {
             let mut offers = self.offers.borrow_mut();
             let used = offers.range((Rank::Used, 0)..).next().map(|(key, _)| *key);
-            let _ = used.and_then(|key| offers.remove(&key)).map(|ask| ask.try_send(()));
+            let _ = used.and_then(|key| offers.remove(&key)).map(|offered| offered.ask.try_send(()));
         }
     }
 
@@ -119,11 +127,19 @@
         while self.shed() {}
     }
 
+    /// Asks those submitters' connections to close that have stood idle for so long.
+    pub fn shed_submitters(&self, idle: Duration) {
+        self.offers.borrow_mut().retain(|_, offered| {
+            let goes = offered.submitter && offered.since.elapsed() >= idle;
+            !goes || offered.ask.try_send(()).is_err()
+        });
+    }
+
     /// Notes that a connection may be asked to close.
-    pub fn offer(self: &Rc<Self>, rank: Rank) -> Offer {
+    pub fn offer(self: &Rc<Self>, rank: Rank, submitter: bool) -> Offer {
         let (ask, asked) = bounded(1);
         let key = (rank, self.next.replace(self.next.get() + 1));
-        self.offers.borrow_mut().insert(key, ask);
+        self.offers.borrow_mut().insert(key, Offered { ask, submitter, since: Instant::now() });
         Offer { set: self.clone(), key, asked }
     }
 
@@ -167,14 +183,14 @@
     fn the_least_missed_goes_first_and_within_a_rank_the_oldest() {
         let set = Set::new(64);
         let ranks = [Rank::Used, Rank::Fresh, Rank::Once, Rank::Part, Rank::Once, Rank::Silent];
-        let offers = ranks.map(|rank| set.offer(rank));
+        let offers = ranks.map(|rank| set.offer(rank, false));
         let mut gone: Vec<usize> = Vec::new();
         while set.shed() {
             let asked = |n: &usize| !gone.contains(n) && offers[*n].asked.len() == 1;
             gone.push((0..offers.len()).find(asked).expect("one was asked"));
         }
         assert_eq!(gone, [5, 3, 2, 4, 1, 0]);
-        let _used = set.offer(Rank::Used);
+        let _used = set.offer(Rank::Used, false);
         assert!(!set.shed_up_to(Rank::Part));
     }
 
@@ -184,7 +200,7 @@
         let set = Set::new(120);
         let seats: Vec<Seat> = (0..30).filter_map(|_| set.seat(Way::In)).collect();
         let _dialled: Vec<Seat> = (0..30).filter_map(|_| set.seat(Way::Out)).collect();
-        let offers = [Rank::Fresh, Rank::Used, Rank::Used, Rank::Once].map(|rank| set.offer(rank));
+        let offers = [Rank::Fresh, Rank::Used, Rank::Used, Rank::Once].map(|rank| set.offer(rank, false));
         let asked = || offers.each_ref().map(|o| o.asked.len());
         set.thin_out();
         assert_eq!((seats.len(), asked()), (30, [0; 4]), "30 of 40 are no reason");
@@ -196,4 +212,15 @@
         set.thin_out();
         assert_eq!(asked(), [0, 1, 0, 1]);
     }
+
+    /// Guards against a drain that closes the connections of news and probes, or one that a job may be on its way on.
+    #[test]
+    fn a_drain_asks_submitters_that_have_stood_idle() {
+        let set = Set::new(64);
+        let offers = [false, true].map(|submitter| set.offer(Rank::Used, submitter));
+        set.shed_submitters(Duration::from_secs(60));
+        assert_eq!(offers.each_ref().map(|o| o.asked.len()), [0, 0]);
+        set.shed_submitters(Duration::ZERO);
+        assert_eq!(offers.each_ref().map(|o| o.asked.len()), [0, 1]);
+    }
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -5,7 +5,7 @@
 //!     set OLD => NEW               changes a text in settings.json
 //!     start platform|faktory [sockets=N] [ulimit=N] [unread=1]   starts the program on that; `$gw` is its address,
 //!                                  and with `unread` nobody reads its log after the line that says so
-//!     NAME dial                    connects to the program
+//!     NAME dial [door]             connects to the program, or to its operators' door
 //!     NAME accept LISTENER         takes a connection that the program has made
 //!     crowd N BYTES                connects N times as c0, c1 ... and sends; `$n` is the number
 //!     visits N BYTES               connects N times, one after another, each until the program has closed it
@@ -102,7 +102,7 @@
             let discovery = &self.vars["disc"];
             command.env("GW_CONFIG", &path).env_remove("INDIGOFOLD_FAKTORY");
             format!(
-                r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5","limits":{{"sockets":{sockets}}},
+                r#"{{"name":"n0","listen":"127.0.0.1:0","management":"127.0.0.1:0","discovery":"{discovery}","seed":"5","limits":{{"sockets":{sockets}}},
                 "known":{{"seq":1,"whole":true,"hosts":[{known}]}},"settings":{settings}}}"#
             )
         } else {
@@ -130,9 +130,12 @@
             }
         });
         (self.program, self.file) = (Some((child, log)), (path, text));
-        let line = self.log_line("start front=");
-        let address = line.rsplit("listen=").next().expect("an address").to_string();
-        self.vars.insert("gw".into(), address);
+        let listens = [("gw", "start front=")].into_iter();
+        for (name, text) in listens.chain((front == "platform").then_some(("door", "door listen="))) {
+            let line = self.log_line(text);
+            let address = line.rsplit("listen=").next().expect("an address").to_string();
+            self.vars.insert(name.into(), address);
+        }
     }
 
     fn log_line(&mut self, text: &str) -> String {
@@ -250,7 +253,8 @@
             }
             (_, "deaf") => _ = self.listeners.remove(name),
             (_, "dial") => {
-                let stream = TcpStream::connect(&self.vars["gw"]).expect("the program listens");
+                let stream = TcpStream::connect(&self.vars[if more.is_empty() { "gw" } else { more }])
+                    .expect("the program listens");
                 self.take(name, stream);
             }
             (_, "accept") => {
