Replace the process under load: the listeners are passed on, both are one scheduler

Ruled out: closing at once ( first closed all idle submitters at the hand-over and halved descriptors; 133 connections were shed as the third was halved): the third stays, unused descriptors go over. Lines at fault: main.rs bind (second listen), submitters.rs read (news of unknown jobs was dropped), platform/mod.rs take_in (ids of one process only).

--- a/src/front/faktory/serve.rs
+++ b/src/front/faktory/serve.rs
@@ -24,7 +24,7 @@
 const DEADLINE_MOST: u64 = 24 * 3600 * 1000;
 
 /// Accepts connections for as long as the program runs.
-pub async fn listen(front: Rc<Faktory>, listener: Async<TcpListener>) {
+pub async fn listen(front: Rc<Faktory>, listener: Rc<Async<TcpListener>>) {
     loop {
         let link = front.net.accept(&listener).await;
         front.net.start(serve(front.clone(), link));
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -17,11 +17,20 @@
     pub last_moment: Cell<Option<Time>>,
     /// Operators have asked for no new submitters: not ready, and connections are closed, each after its answer.
     pub drained: Cell<bool>,
+    /// This process accepts submitters.
+    pub accepting: Cell<bool>,
+    /// A new process serves in place of this one.
+    pub handed: Cell<bool>,
     /// When a job last came.
     pub last_job: Cell<Time>,
 }
 
 impl Life {
+    /// Are submitters to go elsewhere, each after its answer?
+    pub fn sends_away(&self) -> bool {
+        self.closing.get() || self.drained.get() || self.handed.get()
+    }
+
     /// The time until which a job that comes now may take.
     pub fn bound(&self, until: Time) -> Time {
         self.last_moment.get().map_or(until, |last| until.min(last))
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's protocol: HTTP/1.1 with submitters, job workers and discovery.
 
+pub mod kin;
 pub mod machines;
 pub mod submitters;
 pub mod workers;
@@ -14,7 +15,7 @@
 use crate::net::buffer::Buffer;
 use crate::net::{Net, log};
 use async_channel::{Sender, bounded};
-use machines::Word;
+use kin::Kin;
 use simd_json::prelude::{ValueAsScalar, Writable};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -60,14 +61,15 @@
     next_job: Cell<JobId>,
     machines: RefCell<HashMap<WorkerId, Sender<Order>>>,
     names: RefCell<HashMap<String, WorkerId>>,
-    list: Sender<Word>,
+    kin: RefCell<Vec<Rc<Kin>>>,
+    list: Sender<machines::Word>,
 }
 
 impl Platform {
     /// The front; the machine list's actor reads what is asked of it from the channel's other end.
     pub fn new(
         net: Net, clock: Clock, life: Rc<Life>, figures: Rc<Figures>, site: Site, core: Mailbox,
-        list: Sender<Word>,
+        list: Sender<machines::Word>,
     ) -> Rc<Self> {
         Rc::new(Platform {
             net,
@@ -82,13 +84,14 @@
             next_job: Cell::new(1),
             machines: RefCell::default(),
             names: RefCell::default(),
+            kin: RefCell::default(),
             list,
         })
     }
 
     /// Takes in a job's parcel. `None` while a job of that id is open.
     fn take_in(&self, trace: &str, text: Buffer, body: usize) -> Option<(JobId, Rc<Parcel>)> {
-        if self.traces.borrow().contains_key(trace) {
+        if self.traces.borrow().contains_key(trace) || self.open_elsewhere(trace) {
             return None;
         }
         let id = self.next_job.get();
@@ -103,12 +106,13 @@
         let parcel = Rc::new(parcel);
         self.traces.borrow_mut().insert(trace.to_string(), id);
         self.parcels.borrow_mut().insert(id, parcel.clone());
+        self.tell_kin(|| kin::Word::Opened(trace.to_string()));
         Some((id, parcel))
     }
 
     /// Discovery answers elsewhere from now on.
     pub fn move_discovery(&self, to: SocketAddr) -> bool {
-        self.list.try_send(Word::Move(to)).is_ok()
+        self.list.try_send(machines::Word::Move(to)).is_ok()
     }
 
     /// Jobs whose answer is owed or on its way.
@@ -234,12 +238,13 @@
     }
 
     fn ask(&self, what: Ask) -> bool {
-        self.list.try_send(Word::Ask(what)).is_ok()
+        self.list.try_send(machines::Word::Ask(what)).is_ok()
     }
 
     fn forget(&self, job: JobId) {
         if let Some(parcel) = self.parcels.borrow_mut().remove(&job) {
             self.traces.borrow_mut().remove(&parcel.trace);
+            self.tell_kin(|| kin::Word::Closed(parcel.trace.clone()));
             for (n, machine) in parcel.claims.borrow().iter().enumerate() {
                 self.order(*machine, Order::Forget(ClaimId { job, attempt: n as u32 }));
             }
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -26,7 +26,7 @@
 const LEFT_MOST: u64 = 24 * 3600 * 1000;
 
 /// Accepts connections for as long as the program runs.
-pub async fn listen(front: Rc<Platform>, listener: Async<TcpListener>) {
+pub async fn listen(front: Rc<Platform>, listener: Rc<Async<TcpListener>>) {
     loop {
         let link = front.net.accept(&listener).await;
         front.net.start(serve(front.clone(), link));
@@ -36,7 +36,7 @@
 /// What a request asks for.
 enum Wish {
     Ready,
-    News(Option<Told>),
+    News(News, Vec<u8>),
     Job { request: Request, trace: String, text: Buffer, body: usize },
     Bad(u16, &'static str),
 }
@@ -69,7 +69,7 @@
         1 => front.net.unless_shed_from(Rank::Once, submitter, readable).await,
         _ => front.net.unless_shed_from(Rank::Used, submitter, readable).await,
     };
-    let (stopping, drained) = (front.life.stopping.get(), front.life.drained.get());
+    let (stopping, drained) = (front.life.stopping.get(), front.life.sends_away());
     waited.map_err(|reason| match reason {
         Reason::Shed if stopping => Reason::Stopping,
         Reason::Shed if drained => Reason::Drained,
@@ -133,10 +133,8 @@
             Wish::Ready if front.life.drained.get() => answer(503, "", b"drained\n", frame.keep).await,
             Wish::Ready if front.ready.get() => answer(200, "", b"ready\n", frame.keep).await,
             Wish::Ready => answer(503, "", b"no machine list yet\n", frame.keep).await,
-            Wish::News(told) => {
-                if let Some(told) = told {
-                    let _ = front.core.send(told).await;
-                }
+            Wish::News(news, text) => {
+                front.news(&text, news, None).await;
                 answer(204, "", b"", frame.keep).await
             }
             Wish::Bad(status, why) => answer(status, "", why.as_bytes(), frame.keep).await,
@@ -158,7 +156,7 @@
                     };
                 buffer = kept.take().unwrap_or_else(|| front.net.pool.take());
                 // Decided once, after the wait: a connection is closed only if its answer says so.
-                keep &= !front.life.closing.get() && !front.life.drained.get();
+                keep &= !front.life.sends_away();
                 answer(status, &more, &result, keep).await
             }
         };
@@ -214,7 +212,7 @@
             let mut copy = front.net.pool.take();
             match copy.write_all(body).map_err(|e| e.to_string()).and_then(|()| News::read(copy.filled_mut()))
             {
-                Ok(news) => Wish::News(front.hear(news)),
+                Ok(news) => Wish::News(news, body.to_vec()),
                 Err(_) => Wish::Bad(400, "no news\n"),
             }
         }
--- /dev/null
+++ b/src/handover.rs
@@ -0,0 +1,293 @@
+//! Replacing the process: a new one asks the old one, over a Unix socket in `$TMPDIR`, for its listeners, and tells it
+//! once it serves. Until the old one has ended, the two are one scheduler, by what they tell each other on this link.
+//!
+//! A word on the link is a byte that names it, the length of what follows (four bytes, the least first), and that.
+
+use crate::config::{self, News};
+use crate::front::platform::Platform;
+use crate::front::platform::kin::{Kin, Word};
+use crate::net::{Reason, log, within};
+use async_channel::Receiver;
+use async_executor::Task;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use std::cell::RefCell;
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::TcpListener;
+use std::os::fd::AsFd;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Listeners that can be passed on: the platform's and the Faktory front's.
+const LISTENERS: usize = 2;
+/// The longest word: news, with room to spare.
+const WORD: usize = 128 * 1024;
+/// The old process answers within this time, or it is taken for gone.
+const ANSWER: Duration = Duration::from_millis(1_000);
+/// Once handed on, a submitter's connection that has stood idle for this long is closed: a job is hardly on its way ...
+const IDLE: Duration = Duration::from_millis(1_000);
+/// ... and from so long after on, all idle ones.
+const ALL: Duration = Duration::from_millis(2_500);
+/// Descriptors that the old process may take beyond those it has.
+const STILL: usize = 32;
+/// How often that is looked at, and whether there is a machine list.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A listener by the name of its front.
+pub type Named = (&'static str, Rc<Async<TcpListener>>);
+
+/// What the old process has passed on.
+pub struct Inherited {
+    link: Async<UnixStream>,
+    /// Its listeners, by the names of their fronts.
+    pub listeners: Vec<(String, TcpListener)>,
+    /// The descriptors that the new process may hold until the old one has ended.
+    pub descriptors: usize,
+}
+
+/// Where the process that listens at an address can be asked. Without a `$TMPDIR` of its own it cannot be.
+pub fn path(listen: &str) -> Option<PathBuf> {
+    let dir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty())?;
+    Some(Path::new(&dir).join(format!("indigofold-{:016x}.sock", config::hash(listen))))
+}
+
+/// Asks the old process for its listeners. `None`: there is none that answers.
+pub async fn ask(path: &Path) -> Option<Inherited> {
+    let asked = async {
+        let link = Async::<UnixStream>::connect(path).await.map_err(|_| Reason::Refused)?;
+        (&link).write_all(&word(b'H', &[])).await.map_err(|_| Reason::Broke)?;
+        receive(link).await.map_err(|_| Reason::Broke)
+    };
+    within(ANSWER, Reason::Unanswered, asked).await.ok()
+}
+
+/// Reads the first word of the old process, with the listeners that come along.
+async fn receive(link: Async<UnixStream>) -> io::Result<Inherited> {
+    let (mut bytes, mut fds) = ([0; 64], Vec::new());
+    let count = link
+        .read_with(|link| {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let (into, flags) = (&mut [IoSliceMut::new(&mut bytes)], RecvFlags::CMSG_CLOEXEC);
+            let count = recvmsg(link, into, &mut control, flags)?.bytes;
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(rights) = message {
+                    fds.extend(rights);
+                }
+            }
+            Ok(count)
+        })
+        .await?;
+    let bad = || io::Error::from(ErrorKind::InvalidData);
+    // `L`, how many descriptors, and the names of the fronts: as long as the buffer, so that no more is read.
+    if count != bytes.len() || bytes[0] != b'L' {
+        return Err(bad());
+    }
+    let text = std::str::from_utf8(&bytes[1..]).map_err(|_| bad())?.trim_end_matches('\0');
+    let (descriptors, names) = text.split_once(' ').ok_or_else(bad)?;
+    let listeners = names.split(' ').map(str::to_string).zip(fds.into_iter().map(TcpListener::from));
+    let descriptors = descriptors.parse().map_err(|_| bad())?;
+    Ok(Inherited { listeners: listeners.collect(), descriptors, link })
+}
+
+fn word(name: u8, text: &[u8]) -> Vec<u8> {
+    let mut word = vec![name];
+    word.extend((text.len() as u32).to_le_bytes());
+    word.extend(text);
+    word
+}
+
+async fn read(mut link: &Async<UnixStream>) -> io::Result<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    link.read_exact(&mut head).await?;
+    let length = u32::from_le_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    if length > WORD {
+        return Err(ErrorKind::InvalidData.into());
+    }
+    let mut text = vec![0; length];
+    link.read_exact(&mut text).await?;
+    Ok((head[0], text))
+}
+
+/// This process's part in a replacement.
+pub struct Handover {
+    /// The platform's front.
+    pub front: Rc<Platform>,
+    /// Where it can be asked, if anywhere.
+    pub path: Option<PathBuf>,
+    /// Descriptors, and megabytes, that the process may hold when it is alone.
+    pub limits: (usize, usize),
+    /// All fronts' listeners.
+    pub listeners: Vec<Named>,
+    /// Starts to accept at all of them; dropped, the tasks stop.
+    pub accept: Box<dyn Fn() -> Vec<Task<()>>>,
+    /// What accepts.
+    pub accepting: RefCell<Vec<Task<()>>>,
+    /// What answers a new process.
+    pub answering: RefCell<Option<Task<()>>>,
+    /// What closes idle connections once handed on.
+    pub closing: RefCell<Option<Task<()>>>,
+}
+
+impl Handover {
+    /// Begins to take submitters: at once, or in place of the old process as soon as there is a machine list.
+    pub async fn serve(self: Rc<Self>, inherited: Option<Inherited>) {
+        let Some(Inherited { link, .. }) = inherited else {
+            self.open();
+            return self.answer();
+        };
+        let (kin, words) = self.front.join();
+        let (whole, old) = (self.clone(), kin.clone());
+        self.front.net.start(async move {
+            whole.link(&link, &old, words).await;
+            whole.front.part(&old);
+            log("handover: the old process has ended");
+            whole.front.net.keep_within(whole.limits.0, whole.limits.1);
+        });
+        while !self.front.ready.get() {
+            Timer::after(LOOK).await;
+        }
+        self.open();
+        self.answer();
+        let _ = kin.words.send(Word::Serves).await;
+        log("handover: serves in place of the old process");
+    }
+
+    fn open(&self) {
+        self.accepting.replace((self.accept)());
+        self.front.life.accepting.set(true);
+    }
+
+    /// Answers a new process from now on, in place of whoever did so before. What an ended process has left is
+    /// replaced: nobody answers there.
+    fn answer(self: &Rc<Self>) {
+        let Some(path) = &self.path else { return };
+        let mut new = path.clone().into_os_string();
+        new.push(format!(".{}", std::process::id()));
+        let bound = || {
+            let _ = std::fs::remove_file(&new);
+            let listener = Async::<UnixListener>::bind(&new)?;
+            std::fs::rename(&new, path)?;
+            Ok(listener)
+        };
+        let listener: Async<UnixListener> = match bound() {
+            Ok(listener) => listener,
+            Err(error) => {
+                let error: io::Error = error;
+                return log(format_args!("handover: not possible, {}: {error}", path.display()));
+            }
+        };
+        let whole = self.clone();
+        let answering = self.front.net.held(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((link, _)) => whole.front.net.start(whole.clone().replaced(link)),
+                    Err(_) => _ = Timer::after(ANSWER).await,
+                }
+            }
+        });
+        self.answering.replace(Some(answering));
+    }
+
+    /// A new process has called: passes the listeners on, and stands by until it serves or ends.
+    async fn replaced(self: Rc<Self>, link: Async<UnixStream>) {
+        let hello = async { read(&link).await.map_err(|_| Reason::Broke) };
+        let hello = within(ANSWER, Reason::Unanswered, hello).await;
+        if !hello.is_ok_and(|(name, _)| name == b'H') || self.front.life.handed.get() {
+            return;
+        }
+        // Both together stay within the limits; this one keeps what it has, and a few for what it still tries.
+        let (net, life) = (&self.front.net, &self.front.life);
+        let mine = (net.set.descriptors() + STILL).min(self.limits.0 * 3 / 4);
+        let names: Vec<&str> = self.listeners.iter().map(|(name, _)| *name).collect();
+        let mut first = [0; 64];
+        let text = format!("L{} {}", self.limits.0 - mine, names.join(" "));
+        first[..text.len()].copy_from_slice(text.as_bytes());
+        let fds: Vec<_> = self.listeners.iter().map(|(_, listener)| listener.as_fd()).collect();
+        let sent = link.write_with(|link| {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS))];
+            let mut control = SendAncillaryBuffer::new(&mut space);
+            control.push(SendAncillaryMessage::ScmRights(&fds));
+            Ok(sendmsg(link, &[IoSlice::new(&first)], &mut control, SendFlags::NOSIGNAL)?)
+        });
+        if sent.await.is_err() {
+            return;
+        }
+        log("handover: a new process has the listeners");
+        net.keep_within(mine, self.limits.1 / 2);
+        let (kin, words) = self.front.join();
+        self.link(&link, &kin, words).await;
+        self.front.part(&kin);
+        net.keep_within(self.limits.0, self.limits.1);
+        log("handover: the new process has ended");
+        if life.handed.replace(false) && !life.stopping.get() {
+            // It was to serve in place of this one, which goes on.
+            self.closing.take();
+            self.open();
+            self.answer();
+        }
+    }
+
+    /// The new process serves: this one takes nobody new, and closes what it has, each connection after its answer.
+    fn hand_on(&self) {
+        let life = &self.front.life;
+        if life.handed.replace(true) {
+            return;
+        }
+        life.accepting.set(false);
+        self.accepting.take();
+        self.answering.take();
+        log("handover: the new process serves");
+        let (set, since) = (self.front.net.set.clone(), Instant::now());
+        let closing = self.front.net.held(async move {
+            loop {
+                set.shed_submitters(if since.elapsed() > ALL { Duration::ZERO } else { IDLE });
+                Timer::after(LOOK).await;
+            }
+        });
+        self.closing.replace(Some(closing));
+    }
+
+    /// Carries words both ways until the link ends.
+    async fn link(&self, link: &Async<UnixStream>, kin: &Rc<Kin>, words: Receiver<Word>) {
+        let out = async {
+            while let Ok(told) = words.recv().await {
+                let text = match told {
+                    Word::Opened(id) => word(b'+', id.as_bytes()),
+                    Word::Closed(id) => word(b'-', id.as_bytes()),
+                    Word::News(text) => word(b'N', &text),
+                    Word::Serves => word(b'S', &[]),
+                };
+                (&mut &*link).write_all(&text).await?;
+            }
+            io::Result::Ok(())
+        };
+        let in_ = async {
+            loop {
+                let (name, mut text) = read(link).await?;
+                match name {
+                    b'N' => {
+                        let whole = text.clone();
+                        if let Ok(news) = News::read(&mut text) {
+                            self.front.news(&whole, news, Some(kin)).await;
+                        }
+                    }
+                    b'S' => self.hand_on(),
+                    _ => {
+                        let id = String::from_utf8(text).map_err(|_| ErrorKind::InvalidData)?;
+                        let mut ids = kin.ids.borrow_mut();
+                        let _ = if name == b'+' { ids.insert(id) } else { ids.remove(&id) };
+                    }
+                }
+            }
+        };
+        let _ = out.or(in_).await;
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 
 #![forbid(unsafe_code)]
 
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -17,11 +17,14 @@
 use indigofold::front::faktory::{Faktory, serve};
 use indigofold::front::platform::machines::Machines;
 use indigofold::front::platform::{Platform, submitters};
+use indigofold::handover::{self, Handover, Inherited};
 use indigofold::net::Net;
 use indigofold::net::log::{finish_log, log};
 use std::cell::RefCell;
 use std::error::Error;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,6 +39,9 @@
 const LAST: u64 = 3_400_000;
 /// The program stays until no job has come for this long.
 const QUIET: u64 = 400_000;
+/// How long, and how often, the address is tried for where somebody listens who does not answer.
+const PATIENCE: Duration = Duration::from_secs(4);
+const AGAIN: Duration = Duration::from_millis(50);
 /// What may be asked of the machine list's actor at once.
 const ASKED: usize = 16;
 
@@ -68,18 +74,52 @@
     let memory = memory.min().unwrap_or(config::MEMORY_MB);
     let (net, clock, life) = (Net::new(tasks, sockets, memory), Clock::new(), Rc::new(Life::default()));
     let mut open: Vec<Box<dyn Fn() -> usize>> = Vec::new();
-    if let Some(config) = platform {
-        let seen = config.in_file.clone();
-        let front = start_platform(&net, clock, &life, config).await?;
-        net.start(reload(hangups, front.clone(), seen));
-        open.push(Box::new(move || front.open_jobs()));
-    } else {
-        // The Faktory front's file is read at the start only.
-        net.start(hangups.for_each(|_| log("reload: there is nothing to read again")));
-    }
+    let path = platform.as_ref().and_then(|config| handover::path(&config.listen));
+    let (mut old, mut listeners, mut accepts) = (None, Vec::new(), Accepts::new());
+    let front = match platform {
+        Some(config) => {
+            let listener = listen_or_inherit(path.as_deref(), &config.listen, &mut old).await?;
+            if let Some(old) = &old {
+                net.keep_within(old.descriptors, memory / 2);
+            }
+            let seen = config.in_file.clone();
+            let front = start_platform(&net, clock, &life, config, &listener, old.is_some()).await?;
+            net.start(reload(hangups, front.clone(), seen));
+            let (jobs, accept) = (front.clone(), front.clone());
+            open.push(Box::new(move || jobs.open_jobs()));
+            listeners.push(("platform", listener.clone()));
+            accepts.push(Box::new(move |net| net.held(submitters::listen(accept.clone(), listener.clone()))));
+            Some(front)
+        }
+        None => {
+            // The Faktory front's file is read at the start only.
+            net.start(hangups.for_each(|_| log("reload: there is nothing to read again")));
+            None
+        }
+    };
     if let Some(file) = faktory {
-        open.push(start_faktory(&net, clock, &life, file).await?);
+        let listener = Rc::new(match old.as_mut().and_then(|old| take(old, "faktory")) {
+            Some(listener) => Async::new(listener)?,
+            None => bind(&file.listen)?,
+        });
+        let front = start_faktory(&net, clock, &life, file, &listener).await?;
+        let jobs = front.clone();
+        open.push(Box::new(move || jobs.open_jobs()));
+        listeners.push(("faktory", listener.clone()));
+        accepts.push(Box::new(move |net| net.held(serve::listen(front.clone(), listener.clone()))));
     }
+    let network = net.clone();
+    let accept = Box::new(move || accepts.iter().map(|accept| accept(&network)).collect());
+    let _accepting = match front {
+        Some(front) => {
+            let (limits, accepting) = ((sockets, memory), RefCell::default());
+            let [answering, closing] = Default::default();
+            let handover = Handover { front, path, limits, listeners, accept, accepting, answering, closing };
+            net.start(Rc::new(handover).serve(old));
+            Vec::new()
+        }
+        None => accept(),
+    };
 
     signals.next().await;
     let jobs = || open.iter().map(|jobs| jobs()).sum::<usize>();
@@ -96,18 +136,56 @@
         if life.closing.get() {
             net.set.shed_all(); // between two messages a connection may be closed
         }
-        if clock.now().saturating_sub(life.last_job.get()) > QUIET && jobs() == 0 {
+        // Where a new process serves, this one waits only for its connections to end.
+        let over = match life.handed.get() && !life.closing.get() {
+            true => net.set.accepted() == 0,
+            false => clock.now().saturating_sub(life.last_job.get()) > QUIET,
+        };
+        if over && jobs() == 0 {
             log("stopped: nothing is left to answer");
             return Ok(());
         }
     }
 }
 
+/// What starts to accept at each front's listener.
+type Accepts = Vec<Box<dyn Fn(&Net) -> Task<()>>>;
+
 fn bind(address: &str) -> Result<Async<TcpListener>, Box<dyn Error>> {
     let parsed: SocketAddr = address.parse().map_err(|e| format!("listen {address:?}: {e}"))?;
     Ok(indigofold::net::listen(parsed).map_err(|e| format!("listen {address:?}: {e}"))?)
 }
 
+/// Takes one of the old process's listeners.
+fn take(old: &mut Inherited, name: &str) -> Option<TcpListener> {
+    let at = old.listeners.iter().position(|(of, _)| of == name)?;
+    Some(old.listeners.swap_remove(at).1)
+}
+
+/// The listener of the process that serves now, if there is one and it answers; else one of our own. Where somebody
+/// listens who does not answer (it is about to end, or about to be asked), that is tried again for a while.
+async fn listen_or_inherit(
+    path: Option<&Path>, address: &str, old: &mut Option<Inherited>,
+) -> Result<Rc<Async<TcpListener>>, Box<dyn Error>> {
+    let begin = Instant::now();
+    loop {
+        if let Some(path) = path {
+            *old = handover::ask(path).await;
+        }
+        if let Some(listener) = old.as_mut().and_then(|old| take(old, "platform")) {
+            return Ok(Rc::new(Async::new(listener)?));
+        }
+        let parsed: SocketAddr = address.parse().map_err(|e| format!("listen {address:?}: {e}"))?;
+        match indigofold::net::listen(parsed) {
+            Ok(listener) => return Ok(Rc::new(listener)),
+            Err(e) if e.kind() == ErrorKind::AddrInUse && path.is_some() && begin.elapsed() < PATIENCE => {
+                Timer::after(AGAIN).await;
+            }
+            Err(e) => return Err(format!("listen {address:?}: {e}").into()),
+        }
+    }
+}
+
 /// Reads the configuration again at each SIGHUP, also while the program stops. What it says of discovery takes
 /// effect, without a break in anything else; a file that cannot be used leaves all as it was.
 async fn reload(mut hangups: Signals, front: Rc<Platform>, mut seen: String) {
@@ -134,10 +212,9 @@
 
 /// Starts the platform's front.
 async fn start_platform(
-    net: &Net, clock: Clock, life: &Rc<Life>, config: config::Platform,
+    net: &Net, clock: Clock, life: &Rc<Life>, config: config::Platform, listener: &Async<TcpListener>,
+    replaces: bool,
 ) -> Result<Rc<Platform>, Box<dyn Error>> {
-    let listener = bind(&config.listen)?;
-    let management = if config.management.is_empty() { None } else { Some(bind(&config.management)?) };
     let discovery = config.discovery.parse().map_err(|e| format!("discovery {:?}: {e}", config.discovery))?;
     let address = listener.get_ref().local_addr()?;
     let (core, inbox) = desk::mailbox();
@@ -150,36 +227,55 @@
     let known = front.learn(config.known);
     core.send(Told::List(Scope::Cached, known)).await?;
     net.start(Machines::new(front.clone(), discovery).run(asked));
-    net.start(submitters::listen(front.clone(), listener));
-    if let Some(listener) = management {
-        log(format_args!("door listen={}", listener.get_ref().local_addr()?));
-        net.start(door::listen(door_of(&front), listener));
+    match config.management.as_str() {
+        "" => {}
+        address => match bind(address) {
+            Ok(listener) => open_door(&front, listener)?,
+            // The old process still has it: the door opens once that one has ended.
+            Err(why) if replaces => {
+                log(format_args!("door: {why}, tried again"));
+                let (front, address) = (front.clone(), address.to_string());
+                net.start(async move {
+                    let listener = loop {
+                        Timer::after(AGAIN).await;
+                        match bind(&address) {
+                            Ok(listener) => break listener,
+                            Err(_) => continue,
+                        }
+                    };
+                    let _ = open_door(&front, listener);
+                });
+            }
+            Err(why) => return Err(why),
+        },
     }
     log(format_args!("start front=platform name={} listen={address}", config.name));
     Ok(front)
 }
 
-/// The operators' door, which shows this front.
-fn door_of(front: &Rc<Platform>) -> Rc<Door> {
+/// Opens the operators' door, which shows this front.
+fn open_door(front: &Rc<Platform>, listener: Async<TcpListener>) -> Result<(), Box<dyn Error>> {
+    log(format_args!("door listen={}", listener.get_ref().local_addr()?));
     let (net, life, figures) = (front.net.clone(), front.life.clone(), front.figures.clone());
     let (serving, named) = (front.clone(), front.clone());
-    let serves = Box::new(move || serving.ready.get() && !serving.life.drained.get());
+    let serves =
+        Box::new(move || serving.ready.get() && serving.life.accepting.get() && !serving.life.drained.get());
     let classes = Box::new(move || named.site.borrow().classes.all().map(str::to_string).collect());
-    Rc::new(Door { net, life, figures, serves, classes, draining: RefCell::default() })
+    let door = Door { net, life, figures, serves, classes, draining: RefCell::default() };
+    front.net.start(door::listen(Rc::new(door), listener));
+    Ok(())
 }
 
-/// Starts the Faktory front; returns how to ask how many jobs are open.
+/// Starts the Faktory front.
 async fn start_faktory(
-    net: &Net, clock: Clock, life: &Rc<Life>, file: config::Faktory,
-) -> Result<Box<dyn Fn() -> usize>, Box<dyn Error>> {
-    let listener = bind(&file.listen)?;
+    net: &Net, clock: Clock, life: &Rc<Life>, file: config::Faktory, listener: &Async<TcpListener>,
+) -> Result<Rc<Faktory>, Box<dyn Error>> {
     let (core, inbox) = desk::mailbox();
     let settings = Settings { module: file.site.settings.clone(), seed: clock.now(), early: EARLY };
     let address = listener.get_ref().local_addr()?;
     let front = Faktory::new(net.clone(), clock, life.clone(), file, core);
     net.start(Desk::new(settings, front.clone(), clock, inbox, Rc::default()).run());
     front.open().await;
-    net.start(serve::listen(front.clone(), listener));
     log(format_args!("start front=faktory listen={address}"));
-    Ok(Box::new(move || front.open_jobs()))
+    Ok(front)
 }
--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -14,14 +14,21 @@
 pub struct Pool {
     free: RefCell<Vec<Vec<u8>>>,
     out: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
 }
 
 impl Pool {
     /// An empty pool for a process that may use so much memory.
     pub fn new(memory_mb: usize) -> Rc<Self> {
-        let most = ((memory_mb << 20) / 2 / SIZE).max(8);
-        Rc::new(Pool { free: RefCell::default(), out: Cell::new(0), most })
+        let pool = Rc::new(Pool { free: RefCell::default(), out: Cell::new(0), most: Cell::new(0) });
+        pool.keep_within(memory_mb);
+        pool
+    }
+
+    /// So much memory is the process's from now on. What is out comes back by itself.
+    pub fn keep_within(&self, memory_mb: usize) {
+        self.most.set(((memory_mb << 20) / 2 / SIZE).max(8));
+        self.free.borrow_mut().truncate(self.most.get());
     }
 
     /// An empty buffer.
@@ -35,7 +42,7 @@
     /// May one more message be read? Each may need a buffer more until it is passed on; a quarter is for answers
     /// and claims.
     pub fn has_room(&self) -> bool {
-        self.out.get() < self.most - self.most / 4
+        self.out.get() < self.most.get() - self.most.get() / 4
     }
 }
 
@@ -97,7 +104,7 @@
     fn drop(&mut self) {
         self.pool.out.set(self.pool.out.get() - 1);
         let mut free = self.pool.free.borrow_mut();
-        if self.pool.out.get() + free.len() < self.pool.most {
+        if self.pool.out.get() + free.len() < self.pool.most.get() {
             free.push(std::mem::take(&mut self.bytes));
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -56,6 +56,12 @@
         Net { tasks, pool: Pool::new(memory_mb), set: Set::new(descriptors) }
     }
 
+    /// The process may hold so many descriptors and use so much memory from now on.
+    pub fn keep_within(&self, descriptors: usize, memory_mb: usize) {
+        self.set.keep_within(descriptors);
+        self.pool.keep_within(memory_mb);
+    }
+
     /// Starts a task that runs until it ends by itself.
     pub fn start(&self, task: impl Future<Output = ()> + 'static) {
         self.tasks.spawn(task).detach();
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -16,8 +16,8 @@
 
 /// All connections of the program, within the limit on sockets.
 pub struct Set {
-    limit: usize,
-    third: usize,
+    limit: Cell<usize>,
+    third: Cell<usize>,
     open: Cell<usize>,
     accepted: Cell<usize>,
     next: Cell<u64>,
@@ -71,20 +71,38 @@
 impl Set {
     /// A set for a process that may hold so many descriptors.
     pub fn new(descriptors: usize) -> Rc<Self> {
-        let limit = descriptors.saturating_sub(KEPT_BACK).max(16);
-        let (open, accepted, next) = Default::default();
-        Rc::new(Set { limit, third: descriptors / 3, open, accepted, next, offers: RefCell::default() })
+        let (limit, third, open, accepted, next) = Default::default();
+        let set = Rc::new(Set { limit, third, open, accepted, next, offers: RefCell::default() });
+        set.keep_within(descriptors);
+        set.third.set(descriptors / 3);
+        set
+    }
+
+    /// So many descriptors are the process's from now on. What is open stays, and so does the submitters' third: it is
+    /// theirs over all processes of the scheduler together.
+    pub fn keep_within(&self, descriptors: usize) {
+        self.limit.set(descriptors.saturating_sub(KEPT_BACK).max(16));
+    }
+
+    /// Descriptors in use, with those kept back.
+    pub fn descriptors(&self) -> usize {
+        self.open.get() + KEPT_BACK
+    }
+
+    /// Accepted connections open now.
+    pub fn accepted(&self) -> usize {
+        self.accepted.get()
     }
 
     /// Is there room for one more connection of this kind?
     pub fn has_room(&self, way: Way) -> bool {
-        let outward = OUTWARD.min(self.limit / 4);
+        let outward = OUTWARD.min(self.limit.get() / 4);
         let kept = match way {
             Way::In => outward,
             Way::Extra => outward / 2,
             Way::Out => 0,
         };
-        self.open.get() + kept < self.limit
+        self.open.get() + kept < self.limit.get()
     }
 
     /// A place for a connection, if there is one.
@@ -115,7 +133,7 @@
     /// the descriptors is theirs, and one that stands idle keeps somebody else from connecting at all. One just
     /// accepted stays.
     pub fn thin_out(&self) {
-        if self.accepted.get() > self.third * THIN.0 / THIN.1 && !self.shed_up_to(Rank::Once) {
+        if self.accepted.get() > self.third.get() * THIN.0 / THIN.1 && !self.shed_up_to(Rank::Once) {
             let mut offers = self.offers.borrow_mut();
             let used = offers.range((Rank::Used, 0)..).next().map(|(key, _)| *key);
             let _ = used.and_then(|key| offers.remove(&key)).map(|offered| offered.ask.try_send(()));
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -3,9 +3,11 @@
 //!     NAME listen                  a stand-in listens; `$NAME` is its address from then on
 //!     known HOSTS                  the machine list in the configuration (JSON lines of discovery's form)
 //!     set OLD => NEW               changes a text in settings.json
-//!     start platform|faktory [sockets=N] [ulimit=N] [unread=1]   starts the program on that; `$gw` is its address,
+//!     start platform|faktory|both [sockets=N] [ulimit=N] [unread=1]   starts the program on that; `$gw` is its address,
 //!                                  and with `unread` nobody reads its log after the line that says so
-//!     NAME dial [door]             connects to the program, or to its operators' door
+//!     replace                     starts the program once more beside the one that runs, which is `old` from then on
+//!     stale                        leaves a socket file in the program's $TMPDIR where nobody answers
+//!     NAME dial [door|faktory]     connects to the program, to its operators' door, or to its Faktory front beside
 //!     NAME accept LISTENER         takes a connection that the program has made
 //!     crowd N BYTES                connects N times as c0, c1 ... and sends; `$n` is the number
 //!     visits N BYTES               connects N times, one after another, each until the program has closed it
@@ -16,7 +18,9 @@
 //!     NAME close / NAME eof        closes / waits for the other side to close
 //!     log TEXT                     waits until the log has a line with the text
 //!     config ADDRESS               names another discovery in the configuration file; without one, empties it
-//!     hup / term / exit            sends SIGHUP / SIGTERM / waits for the program to end well
+//!     hup / term / exit [old]      sends SIGHUP / SIGTERM / waits for the program to end well
+//!     kill                         kills the program, and goes on with the old one
+//!     was TEXT                     waits until the old program's log has a line with the text
 //!     runs JOB N                   job workers (names that begin with w) were handed the job N times in all
 //!
 //! Everything waits for an event, and nothing for a time; what does not come fails after `LIMIT`.
@@ -33,10 +37,33 @@
 const LIMIT: Duration = Duration::from_secs(20);
 const SETTINGS: &str = include_str!("exchanges/settings.json");
 
+struct Program {
+    child: Child,
+    lines: Receiver<String>,
+    log: Vec<String>,
+}
+
+impl Program {
+    fn log_line(&mut self, text: &str) -> String {
+        let until = Instant::now() + LIMIT;
+        loop {
+            if let Some(line) = self.log.iter().find(|l| l.contains(text)) {
+                return line.clone();
+            }
+            match self.lines.recv_timeout(until.saturating_duration_since(Instant::now())) {
+                Ok(line) => self.log.push(line),
+                Err(_) => panic!("no log line with {text:?} in {:#?}", self.log),
+            }
+        }
+    }
+}
+
 #[derive(Default)]
 struct Stage {
-    program: Option<(Child, Receiver<String>)>,
-    log: Vec<String>,
+    program: Option<Program>,
+    old: Option<Program>,
+    dir: PathBuf,
+    front: String,
     file: (PathBuf, String),
     known: String,
     settings: String,
@@ -48,14 +75,15 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
-        if let Some((child, log)) = &mut self.program {
+        for program in self.old.iter_mut().chain(&mut self.program) {
             if std::thread::panicking() {
-                self.log.extend(log.try_iter());
-                eprintln!("log of the program: {:#?}", self.log);
+                program.log.extend(program.lines.try_iter());
+                eprintln!("log of the program: {:#?}", program.log);
             }
-            let _ = child.kill();
-            let _ = child.wait();
+            let _ = program.child.kill();
+            let _ = program.child.wait();
         }
+        let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
 
@@ -95,29 +123,46 @@
         let path = dir.join(name.replace(['(', ')'], ""));
         // A limit lower than the one in the configuration, as another program's share would make it.
         let limit = given("ulimit").map_or(String::new(), |n| format!("ulimit -n {n}; "));
-        let mut command = Command::new("/bin/sh");
-        command.args(["-c", &format!("{limit}exec {}", env!("CARGO_BIN_EXE_indigofold"))]);
+        // The path of a socket is short.
+        if self.dir.as_os_str().is_empty() {
+            self.dir = std::env::temp_dir().join(name.replace(['(', ')'], "").replace("json", "d"));
+        }
+        std::fs::create_dir_all(&self.dir).expect("a folder");
         let (settings, known) = (&self.settings, self.filled(&self.known));
-        let text = if front == "platform" {
+        let faktory = format!(
+            r#"{{"listen":"127.0.0.1:0","password":"sesame","iterations":3,"settings":{settings},
+            "reconnect_within_ms":100,"machines":[
+            {{"machine":"m1","wids":["w-one","w-two"],"zone":"north","kind":"big"}}]}}"#
+        );
+        let text = if front == "faktory" {
+            faktory.clone()
+        } else {
             let discovery = &self.vars["disc"];
-            command.env("GW_CONFIG", &path).env_remove("INDIGOFOLD_FAKTORY");
             format!(
                 r#"{{"name":"n0","listen":"127.0.0.1:0","management":"127.0.0.1:0","discovery":"{discovery}","seed":"5","limits":{{"sockets":{sockets}}},
                 "known":{{"seq":1,"whole":true,"hosts":[{known}]}},"settings":{settings}}}"#
             )
-        } else {
-            command.env("INDIGOFOLD_FAKTORY", &path).env_remove("GW_CONFIG");
-            format!(
-                r#"{{"listen":"127.0.0.1:0","password":"sesame","iterations":3,"settings":{settings},
-                "reconnect_within_ms":100,"machines":[
-                {{"machine":"m1","wids":["w-one","w-two"],"zone":"north","kind":"big"}}]}}"#
-            )
         };
+        if front == "both" {
+            std::fs::write(path.with_extension("faktory"), faktory).expect("a file");
+        }
         std::fs::write(&path, &text).expect("a configuration");
+        self.file = (path, text);
+        self.spawn(front, &limit, given("unread").is_some());
+    }
+
+    fn spawn(&mut self, front: &str, limit: &str, unread: bool) {
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &format!("{limit}exec {}", env!("CARGO_BIN_EXE_indigofold"))]);
+        command.env_remove("GW_CONFIG").env_remove("INDIGOFOLD_FAKTORY").env("TMPDIR", &self.dir);
+        command.env(if front == "faktory" { "INDIGOFOLD_FAKTORY" } else { "GW_CONFIG" }, &self.file.0);
+        if front == "both" {
+            command.env("INDIGOFOLD_FAKTORY", self.file.0.with_extension("faktory"));
+        }
+        self.front = front.into();
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program");
         let (lines, log) = channel();
         let reader = BufReader::new(child.stderr.take().expect("a log"));
-        let unread = given("unread").is_some();
         std::thread::spawn(move || {
             for line in reader.lines().map_while(Result::ok) {
                 let last = unread && line.contains("start front=");
@@ -129,9 +174,12 @@
                 }
             }
         });
-        (self.program, self.file) = (Some((child, log)), (path, text));
-        let listens = [("gw", "start front=")].into_iter();
-        for (name, text) in listens.chain((front == "platform").then_some(("door", "door listen="))) {
+        self.program = Some(Program { child, lines: log, log: Vec::new() });
+        let listens = [("gw", "start front="), ("door", "door listen="), ("faktory", "start front=faktory")];
+        let here = |name: &&(&str, &str)| {
+            name.0 == "gw" || (name.0 == "door" && front != "faktory") || front == "both"
+        };
+        for (name, text) in listens.iter().filter(here).copied() {
             let line = self.log_line(text);
             let address = line.rsplit("listen=").next().expect("an address").to_string();
             self.vars.insert(name.into(), address);
@@ -139,17 +187,11 @@
     }
 
     fn log_line(&mut self, text: &str) -> String {
-        let until = Instant::now() + LIMIT;
-        loop {
-            if let Some(line) = self.log.iter().find(|l| l.contains(text)) {
-                return line.clone();
-            }
-            let (_, log) = self.program.as_ref().expect("started");
-            match log.recv_timeout(until.saturating_duration_since(Instant::now())) {
-                Ok(line) => self.log.push(line),
-                Err(_) => panic!("no log line with {text:?} in {:#?}", self.log),
-            }
-        }
+        self.program.as_mut().expect("started").log_line(text)
+    }
+
+    fn named(&mut self, name: &str) -> &mut Program {
+        if name == "old" { &mut self.old } else { &mut self.program }.as_mut().expect("started")
     }
 
     fn take(&mut self, name: &str, stream: TcpStream) {
@@ -223,6 +265,23 @@
                 }
             }
             ("scatter", _) => self.links.retain(|name, _| !name.starts_with('c')),
+            ("replace", _) => {
+                self.old = self.program.take();
+                self.spawn(&self.front.clone(), "", false);
+            }
+            ("kill", _) => {
+                let program = self.named("");
+                program.child.kill().and_then(|()| program.child.wait()).expect("an end");
+                self.program = self.old.take();
+            }
+            ("stale", _) => {
+                let hash = indigofold::config::hash("127.0.0.1:0");
+                self.dir = std::env::temp_dir().join(format!("stale-{}", std::process::id()));
+                std::fs::create_dir_all(&self.dir).expect("a folder");
+                let path = self.dir.join(format!("indigofold-{hash:016x}.sock"));
+                drop(std::os::unix::net::UnixListener::bind(path).expect("a socket"));
+            }
+            ("was", _) => _ = self.old.as_mut().expect("started").log_line(rest),
             ("log", _) => _ = self.log_line(&self.filled(rest)),
             ("runs", job) => {
                 let (id, trace) = (format!("\"jid\":\"{job}\""), format!("X-Trace-Id: {job}\r\n"));
@@ -232,7 +291,7 @@
                 assert_eq!(runs.to_string(), more, "runs of {job}");
             }
             ("term" | "hup", _) => {
-                let (id, signal) = (self.program.as_ref().expect("started").0.id(), name.to_uppercase());
+                let (id, signal) = (self.named(rest).child.id(), name.to_uppercase());
                 let kill = Command::new("kill").args([format!("-{signal}"), id.to_string()]).status();
                 assert!(kill.expect("kill").success());
             }
@@ -242,8 +301,9 @@
                 std::fs::write(path, if rest.is_empty() { "" } else { &new }).expect("a configuration");
             }
             ("exit", _) => {
-                let status = self.program.as_mut().expect("started").0.wait().expect("an end");
-                assert!(status.success(), "{status}, {:#?}", self.log);
+                let program = self.named(rest);
+                let status = program.child.wait().expect("an end");
+                assert!(status.success(), "{status}, {:#?}", program.log);
             }
             (_, "listen") => {
                 let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
