--- a/src/api.rs
+++ b/src/api.rs
@@ -50,7 +50,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// The one kind of worker that can run it, if it is bound to one.
     pub kind: Option<KindId>,
@@ -386,6 +386,9 @@
         /// The load report, if one came along.
         load: Option<Load>,
     },
+    /// Other settings from now on. Ids keep their meaning; classes and tenants may be added at the end. An open
+    /// request keeps the class that it came with.
+    Settings(Box<Settings>),
     /// A message from another dispatcher.
     Peer {
         /// The sender's number.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,7 @@
 
 mod health; // judges workers by what comes back, and finds attempts that hang
 mod kept; // compares what is kept from event to event with a fresh count, in debug builds
+mod retune; // takes other settings
 
 type Sent = (RequestId, Attempt);
 
@@ -80,7 +81,7 @@
     speed: f64,          // ... and the speed against all kinds that follows
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct ClassStat {
     log_run: (f64, f64), // weight and sum of log run times at mean speed, less the log of the estimate
     work: (f64, f64),    // sums of run times at mean speed and of their estimates (1 where there are none)
@@ -107,6 +108,7 @@
     deadline: Time,
     estimate: Option<Time>,
     slots: f64, // slots, or memory where that is more: a worker has about one unit for each slot
+    attempts: usize, // it may have at most
     over: bool,
     closed: bool,
     held: Option<usize>, // in this queue
@@ -119,6 +121,7 @@
 #[derive(Default)]
 pub struct Dispatcher {
     settings: Settings,
+    class_of: Vec<usize>, // where a class's rules stand now; other entries of the tables are old
     rng: Option<Pcg64Mcg>,
     workers: Vec<Worker>,
     index: BTreeMap<WorkerId, usize>,
@@ -151,6 +154,12 @@
     resent: VecDeque<Time>, // ... and attempts beyond a request's first
 }
 
+impl ClassStat {
+    fn of(class: &Class) -> Self {
+        ClassStat { work: (class.aim.max(1) as f64, 1.0), ..Default::default() }
+    }
+}
+
 impl Worker {
     /// Own slots running, averaged over the age of a report. To be called before their number changes.
     fn running(&mut self, now: Time) -> f64 {
@@ -172,14 +181,14 @@
 impl Dispatcher {
     /// A dispatcher without state. All its randomness comes from `seed`.
     pub fn new(mut settings: Settings, seed: u64, now: Time) -> Self {
+        let class_of = (0..settings.classes.len()).collect();
         // Requests of a class that the settings lack are taken for the most delicate kind.
         settings.classes.push(Class::UNKNOWN);
         settings.dispatchers = settings.dispatchers.max(1);
         // Until a run time is known, a job is taken to be as long as its class's aim.
-        let stat = |c: &Class| ClassStat { work: (c.aim.max(1) as f64, 1.0), ..Default::default() };
         Dispatcher {
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
-            classes: settings.classes.iter().map(stat).collect(),
+            classes: settings.classes.iter().map(ClassStat::of).collect(),
             held: vec![VecDeque::new(); settings.classes.len() * 4],
             window: f64::MAX, // finite, and cut to the number of workers by the first start
             tenant_share: settings.tenants.iter().map(|t| t.fraction).collect(),
@@ -187,6 +196,7 @@
             stay: 1.0,
             idle_most: f64::MAX,
             ask: (if settings.list_pushed { Time::MAX } else { now }, ASK.0),
+            class_of,
             settings,
             ..Default::default()
         }
@@ -235,6 +245,7 @@
                     self.let_go(i, out);
                 }
             }
+            Event::Settings(settings) => self.retune(*settings),
             Event::Peer { from, held } => return self.hear(now, from, &held),
             Event::Progress { request, attempt, done } => return self.sign(now, request, attempt, done),
             Event::Timer(_) => return,
@@ -255,7 +266,8 @@
     }
 
     fn accept(&mut self, now: Time, r: Request, out: &mut Vec<Action>) {
-        let class = (r.class as usize).min(self.settings.classes.len() - 1);
+        let unknown = || self.settings.classes.iter().position(|c| *c == Class::UNKNOWN).unwrap_or(0);
+        let class = self.class_of.get(r.class as usize).copied().unwrap_or_else(unknown);
         let estimate = r.estimate.filter(|e| *e > 0);
         let slots = [r.slots, r.memory].into_iter().filter(|v| v.is_finite()).fold(1.0, f64::max);
         let work = self.work(class, estimate);
@@ -268,7 +280,8 @@
         let late_from =
             arrived.saturating_add(aim).saturating_add_signed(((stretch - LATE_MARGIN) * work) as i64);
         self.taken.extend(self.settings.rules.resends.map(|_| now));
-        let open = Open { class, late_from, deadline, estimate, slots, over, ..Open::default() };
+        let attempts = self.settings.limits.attempts as usize;
+        let open = Open { class, late_from, deadline, estimate, slots, attempts, over, ..Open::default() };
         self.open.insert(r.id, open);
         // While attempts are turned away, a job displaces others: by Erlang's formula about the root of the
         // share turned away, of its work. Refused if they are worth more; it hurts where 'full' is no load.
@@ -678,7 +691,11 @@
         let ran = open.tries.iter().find(|t| !t.never_ran);
         let until = |end: Time| end.saturating_sub(self.tick()).min(open.deadline);
         match (ran, self.settings.classes[open.class].effect) {
-            _ if open.closed || open.tries.len() >= self.settings.limits.attempts as usize => 0,
+            _ if open.closed
+                || open.tries.len() >= open.attempts.min(self.settings.limits.attempts as usize) =>
+            {
+                0
+            }
             (Some(_), Effect::Unsafe) => 0,
             (Some(first), Effect::Keyed { ttl, .. }) => until(first.sent.saturating_add(ttl)),
             _ => open.deadline,
--- a/src/config.rs
+++ b/src/config.rs
@@ -77,6 +77,8 @@
     pub classes: Names,
     /// Tenants, as in [`Settings::tenants`].
     pub tenants: Names,
+    /// Classes that the settings no longer have; they keep their ids.
+    pub dropped: Vec<ClassId>,
     /// An idle connection to a machine is closed by it after this long.
     pub conn_idle: Time,
     fields: [ReportField; 2],
@@ -161,11 +163,41 @@
             kinds: names("kinds", None),
             classes: names("profiles", Some("name")),
             tenants: names("customers", Some("name")),
+            dropped: Vec::new(),
             conn_idle: env.at("policyLimits").number_or("connIdle", 5e6).max(0.0) as Time,
             fields: [field("reportX0"), field("reportX1")],
         })
     }
 
+    /// The class of this name, if the settings have it now.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.find(name).filter(|class| !self.dropped.contains(class))
+    }
+
+    /// The new settings under the ids of the old ones, which keep their names for good: open jobs, figures and what
+    /// was learned go by them. Names that are new come behind, and a class that is gone keeps its rules.
+    pub fn followed_by(&self, new: Site) -> Site {
+        let mut site = Site { settings: new.settings.clone(), ..self.clone() };
+        (site.conn_idle, site.fields) = (new.conn_idle, new.fields);
+        let map = |old: &mut Names, names: &Names| names.all().map(|name| old.id(name)).collect::<Vec<_>>();
+        let (zones, kinds) = (map(&mut site.zones, &new.zones), map(&mut site.kinds, &new.kinds));
+        let (classes, tenants) = (map(&mut site.classes, &new.classes), map(&mut site.tenants, &new.tenants));
+        let at = |ids: &[u32], id: u32| ids.get(id as usize).copied().unwrap_or(id);
+        site.settings.zone = at(&zones, new.settings.zone);
+        site.settings.classes.clone_from(&self.settings.classes);
+        for (id, mut class) in classes.iter().zip(new.settings.classes) {
+            class.kind = class.kind.map(|kind| at(&kinds, kind));
+            put(&mut site.settings.classes, *id, class);
+        }
+        site.settings.tenants.clone_from(&self.settings.tenants);
+        for (id, tenant) in tenants.iter().zip(new.settings.tenants) {
+            put(&mut site.settings.tenants, *id, tenant);
+        }
+        let all = 0..site.settings.classes.len() as ClassId;
+        site.dropped = all.filter(|id| !classes.contains(id)).collect();
+        site
+    }
+
     /// Takes one named figure of a load report; an unknown one is skipped.
     pub fn report(&self, load: &mut Load, name: &str, value: f64) {
         let slot = match name {
@@ -185,6 +217,14 @@
     }
 }
 
+/// Puts an entry at its id: in place of the one there, or behind the last.
+fn put<T>(list: &mut Vec<T>, id: u32, entry: T) {
+    match list.get_mut(id as usize) {
+        Some(old) => *old = entry,
+        None => list.push(entry),
+    }
+}
+
 /// Reads the settings object; what a rule or a limit rests on must be there, the rest has defaults.
 fn settings(env: Json<'_>, zone: ZoneId) -> Parse<Settings> {
     let (rules, limits, prices, domain) =
@@ -442,11 +482,13 @@
     pub known: MachineList,
     /// The settings.
     pub site: Site,
+    whole: OwnedValue,
 }
 
 impl Platform {
     /// Reads the configuration from JSON text; what the environment says goes before it.
     pub fn read(mut text: Vec<u8>, env: impl Fn(&str) -> Option<String>) -> Parse<Self> {
+        let whole: OwnedValue = decode(&mut text.clone()).map_err(|e| format!("no configuration: {e}"))?;
         let raw: Raw = decode(&mut text).map_err(|e| format!("no configuration: {e}"))?;
         let or = |name: &str, value: String| env(name).filter(|v| !v.is_empty()).unwrap_or(value);
         let seed = raw.seed.as_str().map(|s| u64::from_str_radix(s, 16).unwrap_or_else(|_| hash(s)));
@@ -460,9 +502,76 @@
             sockets: raw.limits.sockets.unwrap_or(1024),
             memory_mb: raw.limits.memory_mb.unwrap_or(MEMORY_MB),
             known: raw.known,
-            site: Site::from_value(&raw.settings)?,
+            site: Site::from_value(&raw.settings)?.checked()?,
+            whole,
         })
     }
+
+    /// Reads the file again in place of this one: it must have all that this one has.
+    pub fn again(&self, text: Vec<u8>) -> Parse<Self> {
+        // The environment is that of the start: what the file says newly goes before it.
+        let new = Platform::read(text, |_| None)?;
+        lacks(&self.whole, &new.whole)
+            .map_or(Ok(new), |key| Err(format!("'{key}' is missing or of another kind")))
+    }
+}
+
+/// A key that an object has and its successor has not, or has with a value of another kind. In a list of objects each
+/// must have what all had before; how many there are is free.
+fn lacks(old: &OwnedValue, new: &OwnedValue) -> Option<String> {
+    let within = |key: &str, of: Option<String>| of.map(|inner| format!("{key}.{inner}"));
+    match (old, new) {
+        (OwnedValue::Object(old), OwnedValue::Object(new)) => old.iter().find_map(|(key, value)| {
+            let missing = || Some(key.to_string());
+            new.get(key).map_or_else(missing, |new| match key.as_str() {
+                "known" => None, // as old as the program's start
+                _ if kind(value) != kind(new) => missing(),
+                _ => within(key, lacks(value, new)),
+            })
+        }),
+        (OwnedValue::Array(old), OwnedValue::Array(new)) => {
+            let objects: Vec<_> = old.iter().filter_map(|v| v.as_object()).collect();
+            let (first, rest) = objects.split_first()?;
+            let common = first.iter().filter(|(key, _)| rest.iter().all(|o| o.contains_key(*key)));
+            common.into_iter().find_map(|(key, value)| {
+                let has = |v: &OwnedValue| v.get(key.as_str()).is_some_and(|v| kind(v) == kind(value));
+                (!new.iter().all(has)).then(|| key.to_string())
+            })
+        }
+        _ => None,
+    }
+}
+
+/// What kind of value it is. Null is none, and may be taken for any.
+fn kind(value: &OwnedValue) -> u8 {
+    match value {
+        OwnedValue::Object(_) => 0,
+        OwnedValue::Array(_) => 1,
+        OwnedValue::String(_) => 2,
+        _ if value.is_bool() => 3,
+        _ => 4,
+    }
+}
+
+impl Site {
+    /// What a scheduler in service needs beyond what the module needs to start.
+    fn checked(self) -> Parse<Self> {
+        let settings = &self.settings;
+        let timeless = settings.classes.iter().position(|c| c.deadline == 0);
+        let names: Vec<&str> = self.classes.all().collect();
+        let unnamed = |n: &usize| names[*n].is_empty() || names[..*n].contains(&names[*n]);
+        match () {
+            () if settings.classes.is_empty() => Err("there are no classes ('profiles')".into()),
+            () if settings.limits.attempts == 0 => Err("'attemptsCap' must be over 0".into()),
+            () if let Some(n) = timeless => {
+                Err(format!("the deadline of class {:?} must be over 0", names[n]))
+            }
+            () if (0..names.len()).any(|n| unnamed(&n)) => {
+                Err("each class must have a name of its own".into())
+            }
+            () => Ok(self),
+        }
+    }
 }
 
 /// A machine whose job workers speak the Faktory work protocol.
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -120,6 +120,7 @@
                 self.settle(request, floor);
             }
             Told::List(scope, entries) => self.events.push(Event::List { scope, entries }),
+            Told::Settings(settings) => self.events.push(Event::Settings(settings)),
             Told::Probed(worker, status, load) => self.events.push(Event::Probed { worker, status, load }),
         }
     }
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -83,11 +83,11 @@
             };
             let now = self.clock.now();
             if let Some(told) = told {
-                self.book.told(now, told, &*self.floor);
+                self.told(now, told);
             }
             for _ in 0..IN_ONE_GO {
                 let Ok(told) = self.inbox.try_recv() else { break };
-                self.book.told(now, told, &*self.floor);
+                self.told(now, told);
             }
             self.book.expire(now, &*self.floor);
             if now >= gate && self.batch(now) {
@@ -100,6 +100,13 @@
         }
     }
 
+    fn told(&mut self, now: Time, told: Told) {
+        if let Told::Settings(settings) = &told {
+            self.gap = settings.granularity;
+        }
+        self.book.told(now, told, &*self.floor);
+    }
+
     /// The next moment at which something is due.
     fn wake_at(&self, gate: Time) -> Option<Time> {
         let timer = self.timers.first().map(|t| t.0.max(gate));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -61,6 +61,8 @@
     Ended(ClaimId, Status, Option<Load>),
     /// News of the machine list.
     List(Scope, Vec<Entry>),
+    /// Other settings of the module from now on.
+    Settings(Box<crate::api::Settings>),
     /// What a probe brought.
     Probed(WorkerId, Status, Option<Load>),
 }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -14,7 +14,8 @@
 use crate::core::{Ask, Claim, ClaimId, Floor, JobId, Told};
 use crate::net::buffer::Buffer;
 use crate::net::{Net, log};
-use async_channel::{Sender, bounded};
+use async_channel::{Sender, TrySendError, bounded};
+use futures_lite::future::yield_now;
 use kin::Kin;
 use simd_json::prelude::{ValueAsScalar, Writable};
 use std::cell::{Cell, RefCell};
@@ -111,8 +112,20 @@
     }
 
     /// Discovery answers elsewhere from now on.
-    pub fn move_discovery(&self, to: SocketAddr) -> bool {
-        self.list.try_send(machines::Word::Move(to)).is_ok()
+    pub async fn move_discovery(&self, to: SocketAddr) {
+        let _ = self.list.send(machines::Word::Move(to)).await;
+    }
+
+    /// Other settings hold from now on: for the names that are read here, and for the module, without a break between.
+    /// A job read before stands before them in the core's mailbox, one read after stands behind.
+    pub async fn follow(&self, new: Site) {
+        let site = self.site.borrow().followed_by(new);
+        let mut told = Told::Settings(Box::new(site.settings.clone()));
+        while let Err(TrySendError::Full(back)) = self.core.try_send(told) {
+            told = back;
+            yield_now().await;
+        }
+        *self.site.borrow_mut() = site;
     }
 
     /// Jobs whose answer is owed or on its way.
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -229,7 +229,11 @@
 fn job_of(front: &Platform, head: &Head<'_>, body: &[u8], path: &str) -> Result<Wish, &'static str> {
     let site = front.site.borrow();
     let name = path.trim_start_matches('/').split('/').next().unwrap_or("");
-    let Some(class) = site.classes.find(name) else { return Ok(Wish::Bad(404, "no such class of jobs\n")) };
+    let Some(class) = site.class(name) else {
+        // One that the settings had once is still counted.
+        site.classes.find(name).inspect(|dropped| front.figures.count(*dropped, End::Failed));
+        return Ok(Wish::Bad(404, "no such class of jobs\n"));
+    };
     let job = job_of_class(front, &site, class, (head, body));
     job.inspect_err(|_| front.figures.count(class, End::Failed))
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -82,9 +82,9 @@
             if let Some(old) = &old {
                 net.keep_within(old.descriptors, memory / 2);
             }
-            let seen = config.in_file.clone();
+            let used = config.clone();
             let front = start_platform(&net, clock, &life, config, &listener, old.is_some()).await?;
-            net.start(reload(hangups, front.clone(), seen));
+            net.start(reload(hangups, front.clone(), used));
             let (jobs, accept) = (front.clone(), front.clone());
             open.push(Box::new(move || jobs.open_jobs()));
             listeners.push(("platform", listener.clone()));
@@ -186,25 +186,36 @@
     }
 }
 
-/// Reads the configuration again at each SIGHUP, also while the program stops. What it says of discovery takes
-/// effect, without a break in anything else; a file that cannot be used leaves all as it was.
-async fn reload(mut hangups: Signals, front: Rc<Platform>, mut seen: String) {
+/// Reads the configuration again at each SIGHUP, also while the program stops. The whole file is checked first; then
+/// what it says of discovery and its settings take effect, without a break in anything else. A file that cannot be used
+/// leaves all as it was.
+async fn reload(mut hangups: Signals, front: Rc<Platform>, mut used: config::Platform) {
     while hangups.next().await.is_some() {
         let path = std::env::var_os("GW_CONFIG").unwrap_or_default();
-        let read = std::fs::read(path).map_err(|e| e.to_string());
-        // The environment is that of the start: what the file says newly goes before it.
-        let read = read.and_then(|text| config::Platform::read(text, |_| None));
-        let to = read.and_then(|new| {
+        let new = std::fs::read(path).map_err(|e| e.to_string()).and_then(|text| used.again(text));
+        let new = new.and_then(|new| {
             let to = new.in_file.parse::<SocketAddr>();
-            Ok((to.map_err(|e| format!("discovery {:?}: {e}", new.in_file))?, new.in_file))
+            Ok((to.map_err(|e| format!("discovery {:?}: {e}", new.in_file))?, new))
         });
-        match to {
-            Err(why) => log(format_args!("reload failed, all stays as it was: {why}")),
-            Ok((_, name)) if name == seen => log("reload: discovery is where it was"),
-            Ok((to, _)) if !front.move_discovery(to) => log("reload failed, the list's mailbox is full"),
-            Ok((to, name)) => {
-                log(format_args!("reload: discovery is at {to} from now on"));
-                seen = name;
+        let (applied, rejected) = front.figures.files.get();
+        match new {
+            Err(why) => {
+                front.figures.files.set((applied, rejected + 1));
+                log(format_args!("reload failed, all stays as it was: {why}"));
+            }
+            Ok((to, new)) => {
+                front.follow(new.site.clone()).await;
+                let (classes, limits) = (&new.site.settings.classes, &new.site.settings.limits);
+                let (classes, attempts) = (classes.len(), limits.attempts);
+                log(format_args!("reload: settings taken classes={classes} attempts={attempts}"));
+                if new.in_file == used.in_file {
+                    log("reload: discovery is where it was");
+                } else {
+                    front.move_discovery(to).await;
+                    log(format_args!("reload: discovery is at {to} from now on"));
+                }
+                front.figures.files.set((applied + 1, rejected));
+                used = new;
             }
         }
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -18,6 +18,8 @@
 //!     NAME close / NAME eof        closes / waits for the other side to close
 //!     log TEXT                     waits until the log has a line with the text
 //!     config ADDRESS               names another discovery in the configuration file; without one, empties it
+//!     edit OLD => NEW              changes a text in the configuration file
+//!     broken OLD => NEW            the same, but the next such line starts from the file as it was before
 //!     hup / term / exit [old]      sends SIGHUP / SIGTERM / waits for the program to end well
 //!     kill                         kills the program, and goes on with the old one
 //!     was TEXT                     waits until the old program's log has a line with the text
@@ -300,6 +302,15 @@
                 let new = old.replace(&self.vars["disc"], &self.filled(rest));
                 std::fs::write(path, if rest.is_empty() { "" } else { &new }).expect("a configuration");
             }
+            ("edit" | "broken", _) => {
+                let (old, new) = rest.split_once(" => ").expect("OLD => NEW");
+                assert!(self.file.1.contains(old), "{old} is not in the file");
+                let text = self.file.1.replace(old, new);
+                std::fs::write(&self.file.0, &text).expect("a configuration");
+                if name == "edit" {
+                    self.file.1 = text;
+                }
+            }
             ("exit", _) => {
                 let program = self.named(rest);
                 let status = program.child.wait().expect("an end");
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1216,3 +1216,66 @@
     s.pass(5 * SEC);
     assert!(s.sent(id).is_none());
 }
+
+// ---- Other settings -------------------------------------------------------------------------------------
+
+fn retuned(change: impl Fn(&mut Settings)) -> Event {
+    let mut settings = settings();
+    change(&mut settings);
+    Event::Settings(Box::new(settings))
+}
+
+/// Guards against a job that runs twice as its class turns harmless, and one lost as its class turns delicate, while
+/// it is open: it keeps the rules that it came with. The next job has the new ones.
+#[test]
+fn an_open_request_keeps_the_class_that_it_came_with() {
+    let mut stage = Stage::new(settings(), &[entry(1, 0), entry(2, 0)]);
+    let (delicate, harmless) = (stage.ask(2).0, stage.ask(0).0);
+    stage.event(retuned(|s| (s.classes[2].effect, s.classes[0].effect) = (Effect::Safe, Effect::Unsafe)));
+    stage.end(delicate, 0, Status::Reset);
+    assert!(stage.failed(delicate) && stage.sent(delicate).is_none());
+    stage.end(harmless, 0, Status::Reset);
+    assert!(stage.sent(harmless).is_some());
+    for (class, again) in [(2, true), (0, false)] {
+        let mut stage = Stage::new(settings(), &[entry(1, 0), entry(2, 0)]);
+        stage.event(retuned(|s| (s.classes[2].effect, s.classes[0].effect) = (Effect::Safe, Effect::Unsafe)));
+        let id = stage.ask(class).0;
+        stage.end(id, 0, Status::Reset);
+        assert_eq!((stage.sent(id).is_some(), stage.failed(id)), (again, !again), "class {class}");
+    }
+}
+
+/// Guards against an added class that is taken for the one that unknown classes count as, or whose jobs are judged by
+/// another's rules; and against tables that grow with each change.
+#[test]
+fn an_added_class_has_rules_of_its_own_and_an_unknown_one_stays_unknown() {
+    let mut stage = Stage::new(settings(), &[entry(1, 0), entry(2, 0)]);
+    for n in 0..50 {
+        let aim = 300 * MS + n;
+        stage.event(retuned(|s| {
+            s.classes[0].aim = aim;
+            s.classes.push(Class { effect: Effect::Safe, aim, ..s.classes[2].clone() });
+        }));
+    }
+    for (class, again) in [(4, true), (2, false), (9, false)] {
+        let id = stage.ask(class).0;
+        stage.end(id, 0, Status::Reset);
+        assert_eq!((stage.sent(id).is_some(), stage.failed(id)), (again, !again), "class {class}");
+        stage.end(id, 1, Status::Ok);
+        stage.pass(7 * SEC);
+    }
+}
+
+/// Guards against more attempts than are allowed, by the settings of when a job came or by those that hold now.
+#[test]
+fn an_open_request_has_the_fewer_attempts_of_both_settings() {
+    for (before, after) in [(1, 4), (4, 1)] {
+        let mut first = settings();
+        first.limits.attempts = before;
+        let mut stage = Stage::new(first, &[entry(1, 0), entry(2, 0)]);
+        let id = stage.ask(0).0;
+        stage.event(retuned(|s| s.limits.attempts = after));
+        stage.end(id, 0, Status::Reset);
+        assert!(stage.sent(id).is_none() && stage.refused(id), "{before} to {after}");
+    }
+}
