--- a/src/front/platform/machines.rs
+++ b/src/front/platform/machines.rs
@@ -9,15 +9,26 @@
 use async_channel::{Receiver, RecvError};
 use async_io::Timer;
 use futures_lite::FutureExt;
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a call for changes may wait. What discovery has to tell counts as told two seconds after that,
-/// also if its connection has gone silent: short enough that little can be missed.
-const WAIT_MS: u64 = 4_000;
+/// How long a call for changes may wait, at least and at most. What discovery has to tell counts as told two seconds
+/// after that, also if its connection has gone silent: short enough that little can be missed. Discovery is one service
+/// for all schedulers and takes one call after another: with many, each calls less often.
+const WAIT_MS: (u64, u64) = (4_000, 30_000);
+const WAIT_EACH_MS: u64 = 500;
+/// With so many schedulers, calls are spread out: as they start together, fail together and hear of a change together,
+/// they would call together, and most would be turned away, again and again ...
+const MANY: u64 = 8;
+/// ... over so long for each scheduler.
+const SPREAD_EACH: Duration = Duration::from_millis(200);
+/// ... and so many times as long at most, as calls fail: discovery still works through those that it has turned away.
+const FAILED: u32 = 4;
 /// How long a call for changes may take beyond its wait ...
 const BEYOND: Duration = Duration::from_millis(1_500);
 /// ... and one for the whole list. Discovery itself gives up on a call in less.
@@ -45,6 +56,11 @@
     Told(Result<Word, RecvError>),
 }
 
+/// Over how long calls are spread out.
+fn spread(schedulers: u64, failed: u32) -> Duration {
+    SPREAD_EACH * if schedulers < MANY { 0 } else { schedulers as u32 * failed }
+}
+
 /// The way to a discovery, and the version of the list that it told last.
 struct Line {
     front: Rc<Platform>,
@@ -61,12 +77,30 @@
     call: Option<Call>,
     moving: Option<(SocketAddr, Call)>,
     watching: bool,
+    failed: u32, // doubled at each failed call in a row, up to `FAILED`
+    rng: Pcg64Mcg,
 }
 
 impl Machines {
     /// An actor that asks this discovery.
-    pub fn new(front: Rc<Platform>, discovery: SocketAddr) -> Self {
-        Machines { front, discovery, idle: None, call: None, moving: None, watching: false }
+    pub fn new(front: Rc<Platform>, discovery: SocketAddr, seed: u64) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        Machines { front, discovery, idle: None, call: None, moving: None, watching: false, failed: 1, rng }
+    }
+
+    fn schedulers(&self) -> u64 {
+        self.front.site.borrow().settings.dispatchers.into()
+    }
+
+    /// How long a call for changes may wait.
+    fn wait(&self) -> u64 {
+        (WAIT_EACH_MS * self.schedulers()).clamp(WAIT_MS.0, WAIT_MS.1)
+    }
+
+    /// How long the next call is put off: at random, so that all come one after another.
+    fn put_off(&mut self) -> Duration {
+        let spread = spread(self.schedulers(), self.failed);
+        Duration::from_micros(self.rng.next_u64() % spread.as_micros().max(1) as u64)
     }
 
     /// Runs for as long as somebody may ask.
@@ -110,7 +144,7 @@
             self.call = None;
             let line = self.tell(line, answer).await;
             if self.watching {
-                self.call = Some(Box::pin(line.call(Some(WAIT_MS))));
+                self.call = Some(Box::pin(line.call(Some(self.wait()), self.put_off())));
             } else {
                 self.idle = Some(line);
             }
@@ -130,8 +164,15 @@
         // A watch begins with the whole list, asked for without a wait: the answer comes at once, and the
         // watch goes on from its version. A new discovery's first answer is the whole list as well.
         if self.moving.is_none() {
+            // Where discovery has many to serve, a watch that goes on from the list held is one call less, and the one
+            // that is under way is not begun anew.
+            let many = self.schedulers() >= MANY;
+            if many && self.call.is_some() {
+                return;
+            }
             let line = self.idle.take().unwrap_or_else(|| self.line(self.discovery));
-            self.call = Some(Box::pin(line.call(None)));
+            let wait = (many && line.seq > 0 && self.watching).then(|| self.wait());
+            self.call = Some(Box::pin(line.call(wait, self.put_off())));
         }
     }
 
@@ -144,14 +185,15 @@
             _ => {}
         }
         let mut line = self.line(to);
+        let mut put_off = self.put_off();
         let call = async move {
             loop {
-                let (back, answer) = line.call(None).await;
+                let (back, answer) = line.call(None, put_off).await;
                 line = back;
                 let Err(reason) = &answer else { return (line, answer) };
                 log(format_args!("discovery at {to} does not answer yet reason={}", reason.code()));
                 line.drop_link(*reason);
-                Timer::after(AGAIN).await;
+                put_off = put_off.max(AGAIN);
             }
         };
         self.moving = Some((to, Box::pin(call)));
@@ -161,14 +203,14 @@
     async fn tell(&mut self, mut line: Line, answer: Result<MachineList, Reason>) -> Line {
         let (scope, entries) = match answer {
             Ok(list) => {
-                line.seq = list.seq;
+                (line.seq, self.failed) = (list.seq, 1);
                 let scope = if list.whole { Scope::Full } else { Scope::Delta };
                 (scope, self.front.learn(list))
             }
             Err(reason) => {
                 log(format_args!("list call failed reason={}", reason.code()));
                 line.drop_link(reason);
-                self.watching = false;
+                (self.watching, self.failed) = (false, (2 * self.failed).min(FAILED));
                 (Scope::Failed, Vec::new())
             }
         };
@@ -199,7 +241,10 @@
     }
 
     /// One call.
-    async fn call(mut self, wait: Option<u64>) -> (Line, Result<MachineList, Reason>) {
+    async fn call(mut self, wait: Option<u64>, put_off: Duration) -> (Line, Result<MachineList, Reason>) {
+        if !put_off.is_zero() {
+            Timer::after(put_off).await;
+        }
         let answer = self.exchange(wait).await;
         (self, answer)
     }
@@ -251,3 +296,19 @@
         Ok(list)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a fleet that keeps discovery down by calling together (a call costs it 0.11 to 0.15 s), and against
+    /// calls put off where there are few schedulers: a watch that goes on within 200 ms is not begun anew.
+    #[test]
+    fn many_schedulers_spread_their_calls_out() {
+        assert_eq!((spread(3, 1), spread(7, FAILED)), (Duration::ZERO, Duration::ZERO));
+        for many in [8, 20, 48] {
+            let a_second = |failed| many as f64 / spread(many, failed).as_secs_f64();
+            assert!(a_second(1) <= 5.1 && a_second(FAILED) <= 1.3, "{many} schedulers");
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -237,7 +237,7 @@
     net.start(Desk::new(settings, front.clone(), clock, inbox, figures).run());
     let known = front.learn(config.known);
     core.send(Told::List(Scope::Cached, known)).await?;
-    net.start(Machines::new(front.clone(), discovery).run(asked));
+    net.start(Machines::new(front.clone(), discovery, config.seed).run(asked));
     match config.management.as_str() {
         "" => {}
         address => match bind(address) {
