--- a/examples/in_process.rs
+++ b/examples/in_process.rs
@@ -30,6 +30,7 @@
         worth_by_work: false,
         over_share_worth: 0.2,
         limits: Limits {
+            open: None,
             attempts: 3,
             cancel: true,
             duplicates: false,
--- a/src/api.rs
+++ b/src/api.rs
@@ -110,6 +110,9 @@
 pub struct Limits {
     /// Attempts a request may have.
     pub attempts: u32,
+    /// Requests that may be open at once; `None`: as many as come. Each keeps a connection of its client's, and those
+    /// are limited.
+    pub open: Option<usize>,
     /// `Cancel` may be used.
     pub cancel: bool,
     /// Two attempts of one request may be out at once.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -283,14 +283,20 @@
         let attempts = self.settings.limits.attempts as usize;
         let open = Open { class, late_from, deadline, estimate, slots, attempts, over, ..Open::default() };
         self.open.insert(r.id, open);
-        // While attempts are turned away, a job displaces others: by Erlang's formula about the root of the
-        // share turned away, of its work. Refused if they are worth more; it hurts where 'full' is no load.
+        // While attempts are turned away, a job displaces others (Erlang's formula): refused if worth less.
         let [value, mean] = [usize::from(over) * 2, 0].map(|q| work * self.density(class * 4 + q));
         self.asked = (self.asked.0 * KEEP + mean, self.asked.1 * KEEP + work * slots);
         let displaced = self.full_share.sqrt() * self.asked.0 / self.asked.1 * work * slots;
         if unit(&mut self.rng) * displaced > value {
             return self.answer(now, r.id, out);
         }
+        // Held ones keep better ones from connecting: the least worthy is given up in time.
+        let full = self.settings.limits.open.is_some_and(|most| self.open.len() > most);
+        let queues = (0..self.held.len()).filter(|q| full && !self.held[*q].is_empty());
+        if let Some(q) = queues.min_by(|a, b| self.density(*a).total_cmp(&self.density(*b))) {
+            let id = self.held[q].pop_front().unwrap_or_default();
+            self.answer(now, id, out);
+        }
         self.credit = (self.credit + SPEND.0).min(SPEND.1);
         if self.settings.limits.probes && self.settings.reports != Reports::Off {
             self.probe(now, r.id, out);
--- a/src/choice/health.rs
+++ b/src/choice/health.rs
@@ -12,8 +12,7 @@
                 let step = if status == Status::Timeout { FAILURE_STEP.1 } else { FAILURE_STEP.0 };
                 w.failure += step * (1.0 - w.failure);
                 let aside = (ASIDE.0 / (1.0 - w.failure).powi(2)).min(ASIDE.1);
-                // One failure among answers may be the way's alone: a network that breaks now and then would
-                // leave half the fleet out. Two in a row are not.
+                // One failure alone may be the way's, and would leave half the fleet out; two in a row are not.
                 if status == Status::Timeout || w.failure > SUSPECT {
                     w.aside_until = w.aside_until.max(now + aside as Time);
                 }
@@ -38,8 +37,7 @@
         self.workers.iter_mut().filter(|w| w.aside_until <= now).for_each(|w| w.failure *= FORGIVE);
     }
 
-    /// The worker has not taken an attempt that has gone out: one that waits for nobody must not pass for a
-    /// queue there, and where the class allows it the request goes to another worker beside.
+    /// An attempt that the worker has not taken is no queue there; where the class allows, another goes beside.
     pub(super) fn unheard(&mut self, now: Time, id: RequestId, attempt: Attempt, out: &mut Vec<Action>) {
         let t = self.open.get_mut(&id).and_then(|o| o.tries.get_mut(attempt as usize));
         if let Some(t) = t.filter(|t| !t.done && t.started.is_none()) {
@@ -56,8 +54,7 @@
         known.map_or(unheard, |_| t.sign.0.saturating_add(every as Time + 4 * self.settings.granularity))
     }
 
-    /// Where a sign is overdue, the job hangs, its answer is lost, or the way to it is dead: whichever it is,
-    /// its slots count as free, and where the class allows it goes to another worker beside.
+    /// Where a sign is overdue, slots count as free; where the class allows, another attempt goes beside.
     pub(super) fn pass_over_silent(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let resends = self.resends_left(now);
         let Some(open) = self.open.get(&id) else { return };
--- a/src/choice/kept.rs
+++ b/src/choice/kept.rs
@@ -3,7 +3,6 @@
 use super::Dispatcher;
 
 impl Dispatcher {
-    /// A fresh count of what is kept up to date from event to event; asked in tests.
     pub(super) fn kept_right(&self) -> bool {
         let own = self.workers.iter().enumerate().filter(|(_, w)| w.own > 0.0).map(|(i, _)| i);
         let named = self.workers.iter().map(|w| w.peers.len()).sum::<usize>();
--- a/src/choice/retune.rs
+++ b/src/choice/retune.rs
@@ -8,7 +8,6 @@
         let wanted = std::mem::replace(&mut settings.classes, std::mem::take(&mut self.settings.classes));
         let fractions = settings.tenants.iter().map(|t| t.fraction).skip(self.tenant_share.len());
         self.tenant_share.extend(fractions);
-        settings.dispatchers = settings.dispatchers.max(1);
         self.settings = settings;
         for (id, class) in wanted.into_iter().enumerate() {
             let known = self.class_of.get(id).copied();
--- a/src/config.rs
+++ b/src/config.rs
@@ -279,6 +279,7 @@
         over_share_worth: env.number_or("overShareWorth", 1.0),
         limits: Limits {
             attempts: limits.need("attemptsCap")?.max(0.0) as u32,
+            open: None,
             cancel: limits.at("cancel").flag(),
             duplicates: limits.at("mayDuplicate").flag(),
             probes: limits.at("probes").flag(),
@@ -492,6 +493,10 @@
         let raw: Raw = decode(&mut text).map_err(|e| format!("no configuration: {e}"))?;
         let or = |name: &str, value: String| env(name).filter(|v| !v.is_empty()).unwrap_or(value);
         let seed = raw.seed.as_str().map(|s| u64::from_str_radix(s, 16).unwrap_or_else(|_| hash(s)));
+        let mut site = Site::from_value(&raw.settings)?.checked()?;
+        let sockets = raw.limits.sockets.unwrap_or(1024);
+        // Submitters hold at most a third of the descriptors: a quarter of that is kept free for the next ones.
+        site.settings.limits.open = Some(sockets / 4);
         Ok(Platform {
             name: or("GW_NAME", raw.name),
             listen: or("GW_LISTEN", raw.listen),
@@ -499,10 +504,10 @@
             discovery: or("GW_DISCOVERY", raw.discovery),
             management: or("GW_MANAGEMENT", raw.management),
             seed: seed.or(raw.seed.as_u64()).unwrap_or(1),
-            sockets: raw.limits.sockets.unwrap_or(1024),
+            sockets,
             memory_mb: raw.limits.memory_mb.unwrap_or(MEMORY_MB),
             known: raw.known,
-            site: Site::from_value(&raw.settings)?.checked()?,
+            site,
             whole,
         })
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -92,7 +92,7 @@
             };
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    self.set.thin_out();
+                    self.set.thin_out(Instant::now());
                     return Link::new(stream, seat).as_extra(extra);
                 }
                 Err(error) => {
@@ -133,7 +133,7 @@
     ) -> Result<T, Reason> {
         let offer = self.set.offer(rank, submitter);
         if matches!(rank, Rank::Once | Rank::Used) {
-            self.set.thin_out();
+            self.set.thin_out(Instant::now());
         }
         let shed = async {
             offer.asked().await;
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -14,6 +14,9 @@
 /// Part of the submitters' share of the descriptors from which on idle connections are closed.
 const THIN: (usize, usize) = (3, 4);
 
+/// A connection that has been idle for less is about to be used again, or not; nobody knows yet.
+const SETTLED: Duration = Duration::from_millis(100);
+
 /// All connections of the program, within the limit on sockets.
 pub struct Set {
     limit: Cell<usize>,
@@ -130,14 +133,21 @@
     }
 
     /// Asks one to go if accepted connections take up most of what submitters may hold: no more than a third of
-    /// the descriptors is theirs, and one that stands idle keeps somebody else from connecting at all. One just
-    /// accepted stays.
-    pub fn thin_out(&self) {
-        if self.accepted.get() > self.third.get() * THIN.0 / THIN.1 && !self.shed_up_to(Rank::Once) {
-            let mut offers = self.offers.borrow_mut();
-            let used = offers.range((Rank::Used, 0)..).next().map(|(key, _)| *key);
-            let _ = used.and_then(|key| offers.remove(&key)).map(|offered| offered.ask.try_send(()));
+    /// the descriptors is theirs, and one that stands idle keeps somebody else from connecting at all. One just accepted
+    /// stays; so does one that has just had its answer: where submitters wait for a connection, the next job is on its
+    /// way on it at that moment.
+    pub fn thin_out(&self, now: Instant) {
+        if self.accepted.get() <= self.third.get() * THIN.0 / THIN.1 || self.shed_up_to(Rank::Part) {
+            return;
         }
+        let mut offers = self.offers.borrow_mut();
+        // Within a rank the oldest stands first: where it has not settled, none has.
+        let settled = |rank| {
+            let first = offers.range((rank, 0)..).next().filter(|(key, _)| key.0 == rank);
+            first.filter(|(_, o)| now.saturating_duration_since(o.since) >= SETTLED).map(|(key, _)| *key)
+        };
+        let goes = settled(Rank::Once).or_else(|| settled(Rank::Used));
+        let _ = goes.and_then(|key| offers.remove(&key)).map(|offered| offered.ask.try_send(()));
     }
 
     /// Asks all that stand idle to close.
@@ -220,14 +230,18 @@
         let _dialled: Vec<Seat> = (0..30).filter_map(|_| set.seat(Way::Out)).collect();
         let offers = [Rank::Fresh, Rank::Used, Rank::Used, Rank::Once].map(|rank| set.offer(rank, false));
         let asked = || offers.each_ref().map(|o| o.asked.len());
-        set.thin_out();
+        let later = Instant::now() + SETTLED;
+        set.thin_out(later);
         assert_eq!((seats.len(), asked()), (30, [0; 4]), "30 of 40 are no reason");
         let more = set.seat(Way::In);
-        set.thin_out();
-        set.thin_out();
+        // Guards against a job that meets a close as it comes right behind the answer to the one before.
+        set.thin_out(Instant::now());
+        assert_eq!(asked(), [0; 4], "they have only just become idle");
+        set.thin_out(later);
+        set.thin_out(later);
         assert_eq!(asked(), [0, 1, 0, 1]);
         drop(more);
-        set.thin_out();
+        set.thin_out(later);
         assert_eq!(asked(), [0, 1, 0, 1]);
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -43,6 +43,7 @@
         over_share_worth: 0.2,
         limits: Limits {
             attempts: 4,
+            open: None,
             cancel: true,
             duplicates: true,
             probes: true,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1279,3 +1279,24 @@
         assert!(stage.sent(id).is_none() && stage.refused(id), "{before} to {after}");
     }
 }
+
+// ---- Room for the next ones -----------------------------------------------------------------------------
+
+/// Guards against held jobs that take up all of the submitters' connections, so that better ones cannot even come: the
+/// least worthy held one is refused at once, the one held for longest first.
+#[test]
+fn the_least_worthy_held_request_is_refused_before_clients_have_no_connection_left() {
+    let mut settings = settings();
+    settings.limits.open = Some(3);
+    settings.classes[2].worth = 50.0;
+    let mut stage = Stage::new(settings, &[]);
+    let poor = [stage.ask(0).0, stage.ask(0).0];
+    let rich = stage.ask(2).0;
+    assert!(!stage.refused(poor[0]));
+    for (n, gone) in [(0, poor[0]), (1, poor[1])] {
+        stage.ask(2);
+        assert!(stage.refused(gone) && !stage.refused(rich), "{n}");
+    }
+    stage.ask(2);
+    assert!(stage.refused(rich));
+}
