--- a/src/main.rs
+++ b/src/main.rs
@@ -110,16 +110,19 @@
     }
     let network = net.clone();
     let accept = Box::new(move || accepts.iter().map(|accept| accept(&network)).collect());
-    let _accepting = match front {
+    // What accepts ends with its owner: each owner lives as long as this function.
+    let (mut _handover, mut _accepting) = (None, Vec::new());
+    match front {
         Some(front) => {
             let (limits, accepting) = ((sockets, memory), RefCell::default());
             let [answering, closing] = Default::default();
             let handover = Handover { front, path, limits, listeners, accept, accepting, answering, closing };
-            net.start(Rc::new(handover).serve(old));
-            Vec::new()
+            let handover = Rc::new(handover);
+            net.start(handover.clone().serve(old));
+            _handover = Some(handover);
         }
-        None => accept(),
-    };
+        None => _accepting = accept(),
+    }
 
     signals.next().await;
     let jobs = || open.iter().map(|jobs| jobs()).sum::<usize>();
