--- /dev/null
+++ b/crates/traffic/src/detect.rs
@@ -0,0 +1,57 @@
+//! What a file most likely is, by its beginning.
+
+use crate::line::LineFormat;
+use crate::recording::FORMAT;
+use crate::stamp::Reader;
+use jiff::tz::TimeZone;
+
+/// What a file holds.
+#[derive(Clone, Debug)]
+pub enum Kind {
+    /// A HAR document.
+    Har,
+    /// A recording of this project.
+    Recording,
+    /// Lines.
+    Lines(LineFormat),
+}
+
+/// Lines that are tried.
+const LINES: usize = 50;
+
+/// Guesses what a file is. JSON lines have no form of their own, and are taken only where their fields are known.
+///
+/// # Errors
+/// That it cannot be told, and what to do.
+pub fn detect(head: &[u8], json: Option<&crate::line::json::Fields>) -> Result<Kind, String> {
+    let text = String::from_utf8_lossy(head);
+    let trimmed = text.trim_start();
+    let first = trimmed.lines().next().unwrap_or("");
+    if first.contains(FORMAT) {
+        return Ok(Kind::Recording);
+    }
+    if first.starts_with('{') {
+        let whole = serde_json::from_str::<serde_json::Value>(first);
+        let is_har = |text: &str| text.contains("\"log\"");
+        return match (whole, json) {
+            (Ok(value), _) if value.get("log").is_some_and(|log| log.get("entries").is_some()) => Ok(Kind::Har),
+            (Ok(_), Some(fields)) => Ok(Kind::Lines(LineFormat::Json(fields.clone()))),
+            (Err(_), _) if is_har(&trimmed[..trimmed.floor_char_boundary(4096)]) => Ok(Kind::Har),
+            _ => Err("these look like JSON lines: the mapping must say under 'json' where the fields stand".into()),
+        };
+    }
+    let mut best: Option<(usize, LineFormat)> = None;
+    for name in ["combined", "common", "nginx", "envoy"] {
+        let format = LineFormat::named(name)?;
+        let mut stamps = Reader::new(TimeZone::UTC);
+        let fits = text.lines().take(LINES).filter(|line| format.read(line, &mut stamps).is_ok()).count();
+        if fits > best.as_ref().map_or(0, |b| b.0) {
+            best = Some((fits, format));
+        }
+    }
+    best.map(|(_, format)| Kind::Lines(format)).ok_or_else(|| {
+        "its form is none that is known by itself: name it with --format, as common, combined, nginx, envoy, json, har, \
+         recording, or apache:FORMAT, nginx:FORMAT, envoy:FORMAT"
+            .into()
+    })
+}
--- /dev/null
+++ b/crates/traffic/src/fold.rs
@@ -0,0 +1,222 @@
+//! Client retries become one first try: by key, by mark, and, where there is neither, by who asked for what.
+//!
+//! Tries come in the order in which they were made. A first try stays open until no retry can belong to it any more; jobs
+//! come out in the order of their first tries. How sure a fold is says [`Again::sure`](crate::Again): by key or id, that
+//! two clients do not draw the same one; by mark, one over the jobs that it could belong to; by guess, how much likelier a
+//! retry is than another job of that client about the same subject, whose rate is counted as the log goes on.
+
+use crate::job::{Again, How, Job, Micros, done};
+use crate::order::Try;
+use crate::tally::{Remark, Tally};
+use rustc_hash::{FxHashMap, FxHasher};
+use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
+
+/// A key or an id counts for so long after the last try's end.
+const KEYED: Micros = 15_000_000;
+/// Where nobody says how long a client waits, it is taken to be this.
+const WAIT: Micros = 10_000_000;
+/// Open first tries at the most; beyond that the oldest are closed.
+const OPEN: usize = 100_000;
+/// How often a try that was not served is followed by a retry, as far as nothing else is known.
+const RETRIED: f64 = 0.7;
+/// How sure two tries with the same key belong together.
+const SURE: f32 = 0.999;
+
+/// How retries are known.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// A retry without key or mark comes so long after the end of the try before, at the latest; 0: none is guessed.
+    pub guess_within: Micros,
+    /// Tries of one job, the first included.
+    pub tries: u32,
+    /// Clients keep the request id.
+    pub id_kept: bool,
+}
+
+struct Open {
+    job: Job,
+    /// When the last try had ended, or its client had stopped waiting.
+    end: Micros,
+    /// The end is known no better than this.
+    within: Micros,
+    served: bool,
+    closes: Micros,
+    keys: [Option<u64>; 4], // by key, id, who and what, who alone
+}
+
+/// Folds tries.
+pub struct Folder {
+    rules: Rules,
+    open: VecDeque<Open>,
+    first: u64, // number of the first in `open`
+    /// Open first tries by key, id, who and what, who alone; the newest last.
+    by: [FxHashMap<u64, Vec<u64>>; 4],
+    /// Jobs of one client about one thing.
+    seen: FxHashMap<u64, u32>,
+    began: Option<Micros>,
+    now: Micros,
+}
+
+fn mixed(parts: impl Hash) -> u64 {
+    let mut hasher = FxHasher::default();
+    parts.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl Folder {
+    /// A folder by these rules.
+    pub fn new(rules: Rules) -> Self {
+        let (open, by, seen) = Default::default();
+        Folder { rules, open, first: 0, by, seen, began: None, now: Micros::MIN }
+    }
+
+    /// Takes the next try and hands out the jobs that are closed by then.
+    pub fn push(&mut self, t: Try, tally: &mut Tally, mut out: impl FnMut(Job)) {
+        self.now = self.now.max(t.job.at);
+        self.began.get_or_insert(t.job.at);
+        let job = &t.job;
+        let keys = [
+            job.key.as_ref().map(|key| mixed((&job.class, key))),
+            (self.rules.id_kept && t.id != 0).then_some(t.id),
+            (job.client != 0 || !job.subject.is_empty() || !job.parish.is_empty())
+                .then(|| mixed((job.client, &job.class, &job.parish, &job.subject))),
+            (job.client != 0 || !job.parish.is_empty()).then(|| mixed((job.client, &job.class, &job.parish, 0u8))),
+        ];
+        match self.first_try_of(&t, &keys) {
+            Some((n, how, sure)) => {
+                tally.folded += 1;
+                self.join(n, &t, how, sure);
+            }
+            None => {
+                tally.taken += 1;
+                if t.marked {
+                    tally.remark_only(Remark::Orphan);
+                }
+                self.begin(t, keys);
+            }
+        }
+        self.close(false, &mut out);
+    }
+
+    /// Hands out the rest.
+    pub fn finish(mut self, mut out: impl FnMut(Job)) {
+        self.close(true, &mut out);
+    }
+
+    fn end(&self, job_at: Micros, took: Option<Micros>, deadline: Option<Micros>) -> Micros {
+        job_at + took.or(deadline).unwrap_or(WAIT)
+    }
+
+    fn begin(&mut self, t: Try, keys: [Option<u64>; 4]) {
+        let number = self.first + self.open.len() as u64;
+        for (by, key) in self.by.iter_mut().zip(keys) {
+            if let Some(key) = key {
+                by.entry(key).or_default().push(number);
+            }
+        }
+        if let Some(what) = keys[2] {
+            // Bounded: what was seen long ago says little of now.
+            if self.seen.len() > 4 * OPEN {
+                self.seen.clear();
+                self.began = Some(self.now);
+            }
+            *self.seen.entry(what).or_default() += 1;
+        }
+        let end = self.end(t.job.at, t.job.took, t.job.deadline);
+        let served = done(t.job.status);
+        let keyed = keys[0].is_some() || keys[1].is_some();
+        let closes = end + self.stays(served, keyed);
+        self.open.push_back(Open { job: t.job, end, within: t.within, served, closes, keys });
+    }
+
+    /// How long after its end a job may still get a retry.
+    fn stays(&self, served: bool, keyed: bool) -> Micros {
+        match (keyed, served) {
+            (true, _) => KEYED,
+            // Its answer may have been logged as sent and not have come.
+            (false, true) => 0,
+            (false, false) => self.rules.guess_within.max(2_500_000),
+        }
+    }
+
+    fn join(&mut self, number: u64, t: &Try, how: How, sure: f32) {
+        let end = self.end(t.job.at, t.job.took, t.job.deadline.or(self.open[(number - self.first) as usize].job.deadline));
+        let served = done(t.job.status);
+        let n = (number - self.first) as usize;
+        let stays = self.stays(served, self.open[n].keys[0].is_some() || self.open[n].keys[1].is_some());
+        let open = &mut self.open[n];
+        let (at, status, took) = (t.job.at, t.job.status, t.job.took);
+        open.job.tries.push(Again { at, status, took, how, sure });
+        (open.end, open.within, open.served, open.closes) = (end, t.within, served, end + stays);
+    }
+
+    /// The job that a try is a retry of.
+    fn first_try_of(&self, t: &Try, keys: &[Option<u64>; 4]) -> Option<(u64, How, f32)> {
+        let at = t.job.at;
+        let all = |n: usize| {
+            let list = keys[n].and_then(|key| self.by[n].get(&key));
+            list.into_iter().flatten().rev().copied()
+        };
+        let open = |number: u64| &self.open[(number - self.first) as usize];
+        let more = |o: &Open| (o.job.tries.len() as u32) + 1 < self.rules.tries;
+        // The same key or id: whatever became of the tries before.
+        for n in [0, 1] {
+            if let Some(number) = all(n).find(|number| open(*number).closes >= at && more(open(*number))) {
+                return Some((number, How::Key, SURE));
+            }
+        }
+        // Ended before this one began, as far as that is known, and not served.
+        let slack = |o: &Open| (o.within + t.within).max(20_000);
+        let failed = |number: &u64, within: Micros| {
+            let o = open(*number);
+            let differs = o.job.key.is_some() && t.job.key.is_some(); // equal keys were found above
+            !o.served && !differs && more(o) && o.end <= at + slack(o) && at <= o.end + within + slack(o)
+        };
+        if t.marked {
+            for n in [2, 3] {
+                let fitting: Vec<u64> = all(n).filter(|number| failed(number, KEYED)).collect();
+                // The one that ended last before: clients come back soon.
+                if let Some(number) = fitting.iter().max_by_key(|number| open(**number).end) {
+                    return Some((*number, How::Marker, 1.0 / fitting.len() as f32));
+                }
+            }
+            return None;
+        }
+        let within = self.rules.guess_within;
+        if within == 0 || t.job.key.is_some() {
+            return None;
+        }
+        let number = all(2).filter(|number| failed(number, within)).max_by_key(|number| open(*number).end)?;
+        let sure = self.likely(keys[2]?, at - open(number).end);
+        (sure >= 0.5).then_some((number, How::Guess, sure))
+    }
+
+    /// How likely a try so long after a failed one is its retry, and not another job about the same.
+    fn likely(&self, what: u64, gap: Micros) -> f32 {
+        let known = (self.now - self.began.unwrap_or(self.now)).max(1) as f64;
+        let others = self.seen.get(&what).copied().unwrap_or(1).saturating_sub(1) as f64 + 0.1;
+        let by_chance = 1.0 - (-others / known * gap.max(50_000) as f64).exp();
+        (RETRIED / (RETRIED + by_chance)) as f32
+    }
+
+    fn close(&mut self, all: bool, out: &mut impl FnMut(Job)) {
+        while let Some(first) = self.open.front() {
+            if !all && first.closes >= self.now && self.open.len() <= OPEN {
+                break;
+            }
+            let Some(open) = self.open.pop_front() else { break };
+            for (by, key) in self.by.iter_mut().zip(open.keys) {
+                let Some(key) = key else { continue };
+                if let Some(list) = by.get_mut(&key) {
+                    list.retain(|n| *n != self.first);
+                    if list.is_empty() {
+                        by.remove(&key);
+                    }
+                }
+            }
+            self.first += 1;
+            out(open.job);
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/har.rs
@@ -0,0 +1,279 @@
+//! HAR 1.2: the entries of a document that may be far larger than memory, one after another.
+//!
+//! [`Splitter`] takes the document in pieces, finds the array `log.entries` and hands out each element's text. Of long
+//! texts (bodies) only the beginning is kept, so that memory is bounded whatever the document holds.
+
+use crate::job::Micros;
+use crate::raw::Raw;
+use crate::stamp::{Form, Reader};
+use crate::tally::Reason;
+use serde::Deserialize;
+use std::borrow::Cow;
+
+/// What is kept of a text in an entry, in bytes.
+const TEXT: usize = 8 * 1024;
+/// The longest entry once its texts are cut.
+pub const ENTRY: usize = 1 << 20;
+/// Brackets that may stand within each other in an entry.
+const DEPTH: u32 = 64;
+
+/// Where in the document the splitter is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// Before the `[` of `log.entries`.
+    Before,
+    /// Between two entries.
+    Between,
+    /// In an entry.
+    Within,
+    /// Behind the `]`.
+    After,
+}
+
+/// An element of the array `log.entries`.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Piece<'a> {
+    /// Its whole text, long texts in it cut.
+    Entry(&'a [u8]),
+    /// It is too long or too deep; its beginning.
+    TooLong(&'a [u8]),
+}
+
+/// Finds the entries in a document that comes in pieces.
+#[derive(Debug)]
+pub struct Splitter {
+    place: Place,
+    depth: u32,
+    quoted: bool,
+    escaped: bool,
+    hex: u8,   // digits of an escape still to come
+    cut: bool, // the rest of this text is left out
+    /// Keys of the open objects, as far as they are needed: those at depth 1 and 2.
+    keys: [Vec<u8>; 2],
+    /// The text being read, while looking for the array; then whether it was a key is known by the `:` behind it.
+    text: Vec<u8>,
+    texts: usize, // bytes of the text being read in an entry
+    entry: Vec<u8>,
+    too_long: bool,
+}
+
+impl Default for Splitter {
+    fn default() -> Self {
+        let (keys, text, entry) = Default::default();
+        Splitter {
+            place: Place::Before,
+            depth: 0,
+            quoted: false,
+            escaped: false,
+            hex: 0,
+            cut: false,
+            keys,
+            text,
+            texts: 0,
+            entry,
+            too_long: false,
+        }
+    }
+}
+
+impl Splitter {
+    /// Takes a piece of the document and hands out the entries that end in it.
+    pub fn push(&mut self, bytes: &[u8], mut each: impl FnMut(Piece<'_>)) {
+        for byte in bytes {
+            match self.place {
+                Place::Before => self.before(*byte),
+                Place::After => return,
+                _ => self.entries(*byte, &mut each),
+            }
+        }
+    }
+
+    /// The document has ended. An entry that was not whole is handed back; an error if no entries were ever found.
+    ///
+    /// # Errors
+    /// The document has no array `log.entries`.
+    pub fn finish(&mut self) -> Result<Option<&[u8]>, &'static str> {
+        match self.place {
+            Place::Before => Err("the document has no array log.entries, as HAR 1.2 wants it"),
+            Place::Within => Ok(Some(&self.entry)),
+            Place::Between | Place::After => Ok(None),
+        }
+    }
+
+    /// Did the document end where the array did, or behind it?
+    pub fn whole(&self) -> bool {
+        self.place == Place::After
+    }
+
+    fn before(&mut self, byte: u8) {
+        if self.quoted {
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' => self.escaped = true,
+                b'"' => self.quoted = false,
+                _ if self.text.len() < 16 => self.text.push(byte),
+                _ => {}
+            }
+            return;
+        }
+        match byte {
+            b'"' => {
+                self.quoted = true;
+                self.text.clear();
+            }
+            b':' if (1..=2).contains(&self.depth) => {
+                self.keys[self.depth as usize - 1] = std::mem::take(&mut self.text);
+            }
+            b'[' if self.depth == 2 && self.keys[0] == b"log" && self.keys[1] == b"entries" => {
+                self.place = Place::Between;
+                self.depth = 0;
+            }
+            b'{' | b'[' => {
+                self.depth += 1;
+                if self.depth <= 2 {
+                    self.keys[self.depth as usize - 1].clear();
+                }
+            }
+            b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+
+    fn entries(&mut self, byte: u8, each: &mut impl FnMut(Piece<'_>)) {
+        if self.place == Place::Between {
+            match byte {
+                b']' => self.place = Place::After,
+                b'{' => {
+                    self.place = Place::Within;
+                    (self.depth, self.quoted, self.escaped, self.too_long) = (1, false, false, false);
+                    self.entry.clear();
+                    self.entry.push(byte);
+                }
+                _ => {}
+            }
+            return;
+        }
+        let mut keep = true;
+        if self.quoted {
+            self.texts += 1;
+            let ends = byte == b'"' && !self.escaped && self.hex == 0;
+            // A text is cut before a plain character only: never within one of several bytes, an escape, or the two
+            // escapes of one character.
+            let plain = !self.escaped && self.hex == 0 && byte != b'\\' && byte & 0xc0 != 0x80;
+            self.cut |= self.texts > TEXT && plain;
+            keep = ends || !self.cut;
+            self.hex = match byte {
+                b'u' if self.escaped => 4,
+                _ => self.hex.saturating_sub(1),
+            };
+            self.escaped = byte == b'\\' && !self.escaped;
+            if ends {
+                self.quoted = false;
+            }
+        } else {
+            match byte {
+                b'"' => (self.quoted, self.cut, self.hex, self.texts) = (true, false, 0, 0),
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => self.depth -= 1,
+                b' ' | b'\t' | b'\r' | b'\n' => keep = false,
+                _ => {}
+            }
+        }
+        self.too_long |= self.depth > DEPTH;
+        if keep && self.entry.len() < ENTRY {
+            self.entry.push(byte);
+        } else if keep {
+            self.too_long = true;
+        }
+        if self.depth == 0 {
+            self.place = Place::Between;
+            match self.too_long {
+                false => each(Piece::Entry(&self.entry)),
+                true => each(Piece::TooLong(&self.entry)),
+            }
+            self.entry.clear();
+            self.entry.shrink_to(64 * 1024);
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Entry {
+    started_date_time: Option<String>,
+    time: Option<f64>,
+    request: Option<Request>,
+    response: Option<Response>,
+    /// Some tools write who asked; the standard has no place for it.
+    #[serde(alias = "_clientIPAddress", alias = "clientIPAddress")]
+    client: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Request {
+    method: Option<String>,
+    url: Option<String>,
+    #[serde(default)]
+    headers: Vec<Pair>,
+    #[serde(default)]
+    cookies: Vec<Pair>,
+    body_size: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Response {
+    status: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Pair {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    value: String,
+}
+
+/// Reads one entry. In one of an aborted session the time is -1 and the status 0: it was sent, and has no answer.
+///
+/// # Errors
+/// Why it cannot be read.
+pub fn read(text: &[u8], stamps: &mut Reader) -> Result<Raw<'static>, Reason> {
+    let entry: Entry = serde_json::from_slice(text).map_err(|_| Reason::Malformed)?;
+    let started = entry.started_date_time.filter(|t| !t.is_empty()).ok_or(Reason::NoTime)?;
+    let stamp = stamps.read(&Form::Iso, &started).map_err(|_| Reason::BadTime)?;
+    let request = entry.request.ok_or(Reason::BadRequest)?;
+    let url = request.url.filter(|u| !u.is_empty()).ok_or(Reason::BadRequest)?;
+    let status = match entry.response.and_then(|r| r.status) {
+        None => None,
+        Some(none) if none <= 0.0 => None,
+        Some(status) if (100.0..600.0).contains(&status) => Some(status as u16),
+        Some(_) => return Err(Reason::BadStatus),
+    };
+    let took = entry.time.filter(|ms| ms.is_finite() && *ms >= 0.0 && *ms < 1e9);
+    let own = |p: Pair, name: String| (Cow::Owned(name), Cow::Owned(p.value));
+    let mut headers: Vec<_> = request
+        .headers
+        .into_iter()
+        .map(|p| {
+            let name = p.name.to_ascii_lowercase();
+            own(p, name)
+        })
+        .collect();
+    headers.extend(request.cookies.into_iter().map(|p| {
+        let name = format!("cookie.{}", p.name);
+        own(p, name)
+    }));
+    Ok(Raw {
+        stamp: Some(stamp),
+        peer: entry.client.map(Cow::Owned),
+        method: request.method.map(Cow::Owned),
+        target: Some(Cow::Owned(url)),
+        status,
+        // Without an answer there is no telling how long it would have taken.
+        took: took.filter(|_| status.is_some()).map(|ms| (ms * 1000.0).round() as Micros),
+        received: request.body_size.filter(|b| *b >= 0.0).map(|b| b as u64),
+        headers,
+        ..Raw::default()
+    })
+}
--- /dev/null
+++ b/crates/traffic/src/import.rs
@@ -0,0 +1,428 @@
+//! The whole way from files to a recording.
+
+use crate::detect::{Kind, detect};
+use crate::fold::{Folder, Rules};
+use crate::har::{self, Piece, Splitter};
+use crate::job::{Job, Micros};
+use crate::line::LineFormat;
+use crate::mapping::{Interned, Mapping};
+use crate::order::{Sorter, Spread, Try};
+use crate::raw::Raw;
+use crate::recording::{self, End, Header, Writer};
+use crate::source;
+use crate::stamp::Reader;
+use crate::tally::{Place, Reason, Remark, Tally};
+use memchr::memchr;
+use rustc_hash::{FxHashMap, FxHasher};
+use std::hash::Hasher;
+use std::io::{self, BufRead, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+/// The longest line that is a record.
+const LINE: usize = 64 * 1024;
+/// A clock went back if a record began so long before the latest of its file.
+const BACK: Micros = 60_000_000;
+/// Nothing recorded for so long is a gap.
+const GAP: Micros = 900_000_000;
+/// Records by which one that was read twice is known.
+const REMEMBERED: usize = 200_000;
+
+/// How to import.
+pub struct Options {
+    /// The format; `None`: each file's is found out.
+    pub format: Option<Kind>,
+    /// What records mean.
+    pub mapping: Mapping,
+    /// The first record that cannot be understood ends the import.
+    pub strict: bool,
+    /// A larger share of such records fails it.
+    pub max_bad: f64,
+    /// Random numbers begin here.
+    pub seed: u64,
+}
+
+/// Why there is no recording.
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    /// A file cannot be read or written.
+    #[error("{0}: {1}")]
+    File(String, io::Error),
+    /// A file is not what it should be.
+    #[error("{0}: {1}")]
+    Form(String, String),
+    /// Strictly, one bad record is too many.
+    #[error("{file}, line {line}: {reason:?}: {text}")]
+    Strict {
+        /// The file.
+        file: String,
+        /// The line.
+        line: u64,
+        /// What is wrong.
+        reason: Reason,
+        /// Its beginning.
+        text: String,
+    },
+    /// Too large a share was bad.
+    #[error("{0} of {1} records could not be understood, a share of {2:.4}; {3} is allowed")]
+    TooMany(u64, u64, f64, f64),
+    /// There is not one job.
+    #[error("there is not one job in {0} records; the counts say why")]
+    Nothing(u64, Box<Tally>),
+}
+
+/// Known records, the oldest half forgotten now and then.
+#[derive(Default)]
+struct Known([FxHashMap<u64, u32>; 2]);
+
+impl Known {
+    /// The file in which it was seen first, if that is another; `always`: in any.
+    fn seen(&mut self, what: u64, file: u32, always: bool) -> bool {
+        if let Some(first) = self.0.iter().find_map(|half| half.get(&what)) {
+            return always || *first != file;
+        }
+        if self.0[0].len() >= REMEMBERED {
+            self.0.swap(0, 1);
+            self.0[0].clear();
+        }
+        self.0[0].insert(what, file);
+        false
+    }
+}
+
+/// Reads records of several files into a sorter.
+struct Intake<'a> {
+    options: &'a Options,
+    tally: Tally,
+    names: Interned,
+    sorter: Sorter,
+    known: Known,
+    files: usize,
+    seq: u64,
+    /// The latest time of this file, and that of the record before.
+    latest: Option<Micros>,
+    before: Option<Micros>,
+    wrong: Option<Failed>,
+}
+
+impl Intake<'_> {
+    fn reject(&mut self, reason: Reason, place: Place<'_>, text: &[u8]) {
+        let before = self.tally.bad();
+        self.tally.reject(reason, place, text);
+        if self.options.strict && self.tally.bad() > before && self.wrong.is_none() {
+            let example = self.tally.rejected[&reason].examples.last();
+            let text = example.map(|e| e.text.clone()).unwrap_or_default();
+            self.wrong = Some(Failed::Strict { file: place.file.into(), line: place.line, reason, text });
+        }
+    }
+
+    fn take(
+        &mut self, raw: Result<Raw<'_>, Reason>, file: u32, place: Place<'_>, text: &[u8], stamps: &mut Reader,
+    ) -> io::Result<()> {
+        let meant = raw.and_then(|raw| self.options.mapping.meaning(&raw, &mut self.names));
+        let meant = match meant {
+            Ok(meant) => meant,
+            Err(reason) => {
+                self.reject(reason, place, text);
+                return Ok(());
+            }
+        };
+        let mut hash = FxHasher::default();
+        hash.write_u64(meant.id);
+        hash.write_i64(meant.job.at);
+        if meant.id == 0 {
+            hash.write(text);
+        }
+        // Without an id two equal lines may be two requests, unless they stand in two files: then one is a copy.
+        let ided = meant.id != 0;
+        if (ided || self.files > 1) && self.known.seen(hash.finish(), file, ided) {
+            self.reject(Reason::Duplicate, place, text);
+            return Ok(());
+        }
+        for remark in &meant.remarks {
+            self.tally.remark(*remark, place, text);
+        }
+        if stamps.was_dst() {
+            self.tally.remark(Remark::Dst, place, text);
+        }
+        let at = meant.job.at;
+        match (self.latest, self.before) {
+            (Some(latest), _) if at + BACK < latest => {
+                self.tally.remark(Remark::ClockBack, place, text);
+                self.latest = Some(at); // from here on the new time counts
+            }
+            (Some(latest), _) if at > latest + GAP => self.tally.remark(Remark::Gap, place, text),
+            (_, Some(before)) if at < before => self.tally.remark_only(Remark::Reordered),
+            _ => {}
+        }
+        self.latest = Some(self.latest.map_or(at, |l| l.max(at)));
+        self.before = Some(at);
+        self.tally.pass();
+        self.seq += 1;
+        self.sorter.push(Try { job: meant.job, within: meant.within, seq: self.seq, id: meant.id, marked: meant.marked })
+    }
+
+    fn lines(&mut self, format: &LineFormat, from: &mut dyn BufRead, name: &str, file: u32) -> io::Result<()> {
+        let mut stamps = Reader::new(self.options.mapping.zone.clone());
+        let (mut line, mut kept, mut latin, mut too_long) = (0, Vec::new(), String::new(), false);
+        loop {
+            let bytes = from.fill_buf()?;
+            let last = bytes.is_empty();
+            if last && kept.is_empty() && !too_long {
+                return Ok(());
+            }
+            let end = memchr(b'\n', bytes);
+            let (whole, used) = match end {
+                Some(end) => (true, end + 1),
+                None => (last, bytes.len()),
+            };
+            let piece = &bytes[..end.unwrap_or(used)];
+            if !whole || !kept.is_empty() || too_long {
+                // It goes on in the next piece, or did in the one before.
+                if kept.len() + piece.len() > LINE {
+                    too_long = true;
+                    kept.truncate(1024);
+                } else if !too_long {
+                    kept.extend_from_slice(piece);
+                }
+                if !whole {
+                    from.consume(used);
+                    continue;
+                }
+                line += 1;
+                let place = Place { file: name, line };
+                let text = std::mem::take(&mut kept);
+                match std::mem::take(&mut too_long) {
+                    true => self.reject(Reason::TooLong, place, &text),
+                    false => self.line(format, &text, (file, place, last), &mut stamps, &mut latin)?,
+                }
+                kept = text;
+                kept.clear();
+            } else {
+                line += 1;
+                self.line(format, piece, (file, Place { file: name, line }, false), &mut stamps, &mut latin)?;
+            }
+            from.consume(used);
+            if self.wrong.is_some() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// One line; the last of a file may lack its end.
+    fn line(
+        &mut self, format: &LineFormat, bytes: &[u8], (file, place, last): (u32, Place<'_>, bool), stamps: &mut Reader,
+        latin: &mut String,
+    ) -> io::Result<()> {
+        let bytes = bytes.strip_suffix(b"\r").unwrap_or(bytes);
+        if bytes.iter().all(u8::is_ascii_whitespace) {
+            self.reject(Reason::Blank, place, bytes);
+            return Ok(());
+        }
+        if bytes[0] == b'#' {
+            self.reject(Reason::Comment, place, bytes);
+            return Ok(());
+        }
+        if bytes.iter().any(|b| *b < 0x20 && *b != b'\t') {
+            self.reject(Reason::Binary, place, bytes);
+            return Ok(());
+        }
+        let text = match std::str::from_utf8(bytes) {
+            Ok(text) => text,
+            Err(_) => {
+                latin.clear();
+                latin.extend(bytes.iter().map(|b| *b as char));
+                latin.as_str()
+            }
+        };
+        let raw = format.read(text, stamps).map_err(|reason| match last && reason == Reason::Malformed {
+            true => Reason::Truncated,
+            false => reason,
+        });
+        let good = raw.is_ok();
+        let before = self.tally.read;
+        self.take(raw, file, place, bytes, stamps)?;
+        if good && text.len() != bytes.len() && self.tally.read > before {
+            self.tally.remark(Remark::Latin1, place, bytes);
+        }
+        Ok(())
+    }
+
+    fn har(&mut self, from: &mut dyn BufRead, name: &str, file: u32) -> io::Result<Result<(), String>> {
+        let mut stamps = Reader::new(self.options.mapping.zone.clone());
+        let (mut splitter, mut entry, mut failed) = (Splitter::default(), 0, None);
+        loop {
+            let bytes = from.fill_buf()?;
+            let used = bytes.len();
+            if used == 0 {
+                break;
+            }
+            splitter.push(bytes, |piece| {
+                entry += 1;
+                let place = Place { file: name, line: entry };
+                match piece {
+                    Piece::Entry(text) => {
+                        let raw = har::read(text, &mut stamps);
+                        failed = failed.take().or(self.take(raw, file, place, text, &mut stamps).err());
+                    }
+                    Piece::TooLong(text) => self.reject(Reason::TooLong, place, text),
+                }
+            });
+            from.consume(used);
+            if let Some(e) = failed {
+                return Err(e);
+            }
+            if self.wrong.is_some() {
+                return Ok(Ok(()));
+            }
+        }
+        match splitter.finish() {
+            Err(why) => return Ok(Err(why.into())),
+            Ok(Some(text)) => {
+                let text = text.to_vec();
+                self.reject(Reason::Truncated, Place { file: name, line: entry + 1 }, &text);
+            }
+            Ok(None) => {}
+        }
+        Ok(Ok(()))
+    }
+
+    /// A recording is read again as the tries that it was made of.
+    fn recording(&mut self, from: &mut dyn BufRead, name: &str) -> Result<(), Failed> {
+        let reader = recording::Reader::new(from).map_err(|e| Failed::Form(name.into(), e.to_string()))?;
+        for job in reader {
+            let job = job.map_err(|e| Failed::Form(name.into(), e.to_string()))?;
+            for t in unfolded(job) {
+                self.tally.pass();
+                self.seq += 1;
+                let t = Try { seq: self.seq, ..t };
+                self.sorter.push(t).map_err(|e| Failed::File(name.into(), e))?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The tries of a job, the first and its retries, each as if it were a first try.
+pub fn unfolded(mut job: Job) -> impl Iterator<Item = Try> {
+    let again = std::mem::take(&mut job.tries);
+    let first = job.clone();
+    let rest = again.into_iter().map(move |a| {
+        let marked = a.how != crate::job::How::Key;
+        (Job { at: a.at, status: a.status, took: a.took, ..job.clone() }, marked)
+    });
+    std::iter::once((first, false)).chain(rest).map(|(job, marked)| Try { job, within: 1, seq: 0, id: 0, marked })
+}
+
+/// What came of an import.
+#[derive(Clone, Debug)]
+pub struct Imported {
+    /// The recording's last line.
+    pub end: End,
+    /// What became of every record.
+    pub tally: Tally,
+}
+
+/// Imports files into a recording. Rotated files may be named in any order. `read` counts bytes as they are read.
+///
+/// # Errors
+/// Why there is no recording; what had been written is of no use then.
+pub fn import(
+    paths: &[PathBuf], options: &Options, out: impl Write, read: &Arc<AtomicU64>,
+) -> Result<Imported, Failed> {
+    let (names, known, sorter) = Default::default();
+    let mut intake = Intake {
+        options,
+        tally: Tally::default(),
+        names,
+        sorter,
+        known,
+        files: paths.len(),
+        seq: 0,
+        latest: None,
+        before: None,
+        wrong: None,
+    };
+    let mut files = Vec::new();
+    for path in paths {
+        files.push((first_time(path, options)?, path));
+    }
+    files.sort();
+    let mut made_of = Vec::new();
+    for (n, (_, path)) in files.into_iter().enumerate() {
+        let name = path.file_name().map_or_else(|| path.display().to_string(), |n| n.to_string_lossy().into_owned());
+        let io = |e| Failed::File(path.display().to_string(), e);
+        let mut from = source::open(path, read.clone()).map_err(io)?;
+        (intake.latest, intake.before) = (None, None);
+        match kind(path, options)? {
+            Kind::Lines(format) => intake.lines(&format, &mut *from, &name, n as u32).map_err(io)?,
+            Kind::Har => {
+                intake.har(&mut *from, &name, n as u32).map_err(io)?.map_err(|why| Failed::Form(name.clone(), why))?;
+            }
+            Kind::Recording => intake.recording(&mut *from, &name)?,
+        }
+        if let Some(wrong) = intake.wrong.take() {
+            return Err(wrong);
+        }
+        made_of.push(name);
+    }
+    let (bad, all) = (intake.tally.bad(), intake.tally.read);
+    if bad as f64 > options.max_bad * all as f64 {
+        return Err(Failed::TooMany(bad, all, bad as f64 / all as f64, options.max_bad));
+    }
+    let io = |e| Failed::File("the recording".into(), e);
+    let mut tally = intake.tally;
+    let mut tries = Spread::new(intake.sorter.finish().map_err(io)?, options.seed);
+    let guess = &options.mapping.file.guess;
+    let guess_within = (guess.within_ms.min(3_600_000) * 1000) as Micros;
+    let mut folder = Folder::new(Rules { guess_within, tries: guess.tries, id_kept: options.mapping.file.id_kept });
+    let mut writer = Writer::new(out, &Header::new(made_of, options.seed)).map_err(io)?;
+    let mut failed = None;
+    for t in &mut tries {
+        let t = t.map_err(io)?;
+        folder.push(t, &mut tally, |job| failed = failed.take().or(writer.write(&job).err()));
+        if let Some(e) = failed.take() {
+            return Err(io(e));
+        }
+    }
+    folder.finish(|job| failed = failed.take().or(writer.write(&job).err()));
+    if let Some(e) = failed {
+        return Err(io(e));
+    }
+    for _ in 0..tries.spread {
+        tally.remark_only(Remark::Spread);
+    }
+    if tally.taken == 0 {
+        return Err(Failed::Nothing(tally.read, Box::new(tally)));
+    }
+    let (_, end) = writer.finish(Some(tally.clone())).map_err(io)?;
+    Ok(Imported { end, tally })
+}
+
+/// The beginning of a file, uncompressed.
+fn head(path: &Path) -> Result<Vec<u8>, Failed> {
+    let io = |e| Failed::File(path.display().to_string(), e);
+    let mut from = source::open(path, Arc::default()).map_err(io)?;
+    let mut head = Vec::new();
+    io::Read::read_to_end(&mut io::Read::take(&mut from, LINE as u64), &mut head).map_err(io)?;
+    Ok(head)
+}
+
+fn kind(path: &Path, options: &Options) -> Result<Kind, Failed> {
+    match &options.format {
+        Some(kind) => Ok(kind.clone()),
+        None => detect(&head(path)?, options.mapping.file.json.as_ref())
+            .map_err(|why| Failed::Form(path.display().to_string(), why)),
+    }
+}
+
+/// The first time that can be read in a file: rotated files are read in the order of these.
+fn first_time(path: &Path, options: &Options) -> Result<Micros, Failed> {
+    let Kind::Lines(format) = kind(path, options)? else { return Ok(Micros::MAX) };
+    let head = head(path)?;
+    let mut stamps = Reader::new(options.mapping.zone.clone());
+    let text = String::from_utf8_lossy(&head);
+    let first = text.lines().find_map(|line| format.read(line, &mut stamps).ok()?.stamp);
+    Ok(first.map_or(Micros::MAX, |s| s.at))
+}
--- /dev/null
+++ b/crates/traffic/src/line/envoy.rs
@@ -0,0 +1,69 @@
+//! Envoy's access log format strings.
+
+use super::template::{Builder, Escapes, Field, Template};
+use crate::stamp::Form;
+
+/// Compiles a format string. `START_TIME` is when the request began.
+///
+/// # Errors
+/// What in it is not understood.
+pub fn compile(format: &str) -> Result<Template, String> {
+    let mut parts = Builder::default();
+    let mut rest = format.trim_end_matches('\n');
+    while let Some(at) = rest.find('%') {
+        parts.literal(&rest[..at]);
+        let after = &rest[at + 1..];
+        if let Some(behind) = after.strip_prefix('%') {
+            parts.literal("%");
+            rest = behind;
+            continue;
+        }
+        // %NAME(ARGUMENT):LENGTH%, and the argument of a time holds '%' itself.
+        let name_end = after.find(|c: char| !c.is_ascii_alphanumeric() && c != '_').unwrap_or(after.len());
+        let (name, tail) = after.split_at(name_end);
+        let (argument, tail) = match tail.strip_prefix('(') {
+            Some(inner) => {
+                let close = inner.find(')').ok_or("a '(' in the format is never closed")?;
+                (Some(&inner[..close]), &inner[close + 1..])
+            }
+            None => (None, tail),
+        };
+        let close = tail.find('%').ok_or_else(|| format!("'%{name}' in the format is never closed"))?;
+        rest = &tail[close + 1..];
+        parts.field(field(name, argument)?);
+    }
+    parts.literal(rest);
+    parts.done(Escapes::None, false)
+}
+
+fn field(name: &str, argument: Option<&str>) -> Result<Field, String> {
+    Ok(match (name, argument) {
+        ("START_TIME", None) => Field::Time(Form::Iso),
+        ("START_TIME", Some("%s")) => Field::Time(Form::Seconds),
+        ("START_TIME", Some("%s.%3f" | "%s.%6f" | "%s.%9f")) => Field::Time(Form::Seconds),
+        // Envoy writes a fraction as %3f, where the reader knows %.3f with the dot before it.
+        ("START_TIME", Some(pattern)) => {
+            let mut pattern = pattern.to_string();
+            for digits in ["3", "6", "9"] {
+                pattern = pattern.replace(&format!(".%{digits}f"), &format!("%.{digits}f"));
+            }
+            Field::Time(Form::Pattern(pattern))
+        }
+        ("REQ", Some(header)) => {
+            let first = header.split('?').next().unwrap_or("");
+            match (first, header.split('?').nth(1)) {
+                (":METHOD" | ":method", _) => Field::Method,
+                (":PATH" | ":path", _) | (_, Some(":PATH" | ":path")) => Field::Target,
+                (name, _) => Field::Header(name.to_ascii_lowercase()),
+            }
+        }
+        ("RESPONSE_CODE", _) => Field::Status,
+        ("BYTES_RECEIVED", _) => Field::Received,
+        ("DURATION", _) => Field::Took(1_000),
+        ("DOWNSTREAM_REMOTE_ADDRESS" | "DOWNSTREAM_REMOTE_ADDRESS_WITHOUT_PORT", _) => Field::Peer,
+        ("DOWNSTREAM_DIRECT_REMOTE_ADDRESS" | "DOWNSTREAM_DIRECT_REMOTE_ADDRESS_WITHOUT_PORT", _) => Field::Skip,
+        ("REQ", None) => return Err("%REQ% names no header".into()),
+        ("", _) => return Err("'%' stands alone; a '%' itself is written '%%'".into()),
+        _ => Field::Skip,
+    })
+}
--- /dev/null
+++ b/crates/traffic/src/line/json.rs
@@ -0,0 +1,139 @@
+//! JSON lines, by a map of fields.
+
+use super::template::duration;
+use crate::raw::Raw;
+use crate::stamp::{Form, Reader};
+use crate::tally::Reason;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+
+/// How a time is written.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum TimeForm {
+    /// ISO 8601 text, with or without an offset.
+    #[default]
+    Iso,
+    /// `10/Oct/2000:13:55:36 -0700`.
+    Clf,
+    /// Seconds since 1970, perhaps with decimals.
+    Seconds,
+    /// Milliseconds since 1970.
+    Millis,
+    /// Microseconds since 1970.
+    Micros,
+    /// Text by a pattern of `strftime`.
+    Pattern(String),
+}
+
+/// A unit of durations.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Unit {
+    /// Seconds.
+    #[default]
+    S,
+    /// Milliseconds.
+    Ms,
+    /// Microseconds.
+    Us,
+}
+
+/// Where each field stands in a JSON line, as a JSON Pointer (RFC 6901) such as `/request/path`. Only `time` and
+/// `target` must be named.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Fields {
+    /// The time.
+    pub time: String,
+    /// How it is written.
+    #[serde(default)]
+    pub time_form: TimeForm,
+    /// The time is that of the request's end.
+    #[serde(default)]
+    pub time_is_end: bool,
+    /// Path and query, or a whole URL.
+    pub target: String,
+    /// The method.
+    pub method: Option<String>,
+    /// The status.
+    pub status: Option<String>,
+    /// How long it took.
+    pub took: Option<String>,
+    /// ... in this unit.
+    #[serde(default)]
+    pub took_unit: Unit,
+    /// The address that was connected.
+    pub peer: Option<String>,
+    /// The authenticated user.
+    pub user: Option<String>,
+    /// Bytes of the request's body.
+    pub received: Option<String>,
+    /// Headers, each with its place.
+    #[serde(default)]
+    pub headers: BTreeMap<String, String>,
+}
+
+impl Fields {
+    /// Reads one line.
+    ///
+    /// # Errors
+    /// Why it cannot be read.
+    pub fn read<'a>(&self, line: &'a str, stamps: &mut Reader) -> Result<Raw<'a>, Reason> {
+        let value: Value = serde_json::from_str(line).map_err(|_| Reason::Malformed)?;
+        if !value.is_object() {
+            return Err(Reason::Malformed);
+        }
+        let text = |pointer: &str| match value.pointer(pointer) {
+            None | Some(Value::Null | Value::Array(_) | Value::Object(_)) => None,
+            Some(Value::String(text)) => Some(text.clone()).filter(|t| !t.is_empty() && t != "-"),
+            Some(other) => Some(other.to_string()),
+        };
+        let of = |pointer: &Option<String>| pointer.as_deref().and_then(text);
+        let form = match &self.time_form {
+            TimeForm::Iso => Form::Iso,
+            TimeForm::Clf => Form::Clf,
+            TimeForm::Seconds => Form::Seconds,
+            TimeForm::Millis => Form::Millis,
+            TimeForm::Micros => Form::Micros,
+            TimeForm::Pattern(pattern) => Form::Pattern(pattern.clone()),
+        };
+        let time = text(&self.time).ok_or(Reason::NoTime)?;
+        let mut stamp = stamps.read(&form, &time).map_err(|_| Reason::BadTime)?;
+        stamp.end = self.time_is_end;
+        let status = match of(&self.status).as_deref() {
+            None | Some("0") => None,
+            Some(text) => match text.parse::<u16>() {
+                Ok(status @ 100..=599) => Some(status),
+                _ => return Err(Reason::BadStatus),
+            },
+        };
+        let unit = match self.took_unit {
+            Unit::S => 1_000_000,
+            Unit::Ms => 1_000,
+            Unit::Us => 1,
+        };
+        let mut raw = Raw { stamp: Some(stamp), status, ..Raw::default() };
+        raw.target = Some(Cow::Owned(text(&self.target).ok_or(Reason::BadRequest)?));
+        raw.method = of(&self.method).map(Cow::Owned);
+        raw.peer = of(&self.peer).map(Cow::Owned);
+        raw.user = of(&self.user).map(Cow::Owned);
+        if let Some(took) = of(&self.took) {
+            raw.took = duration(&took, unit);
+            raw.odd_number |= raw.took.is_none();
+        }
+        if let Some(received) = of(&self.received) {
+            raw.received = received.parse().ok();
+            raw.odd_number |= raw.received.is_none();
+        }
+        for (name, pointer) in &self.headers {
+            if let Some(value) = text(pointer) {
+                raw.headers.push((Cow::Owned(name.to_ascii_lowercase()), Cow::Owned(value)));
+            }
+        }
+        Ok(raw)
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/line/mod.rs
@@ -0,0 +1,78 @@
+//! One line of an access log to one [`Raw`] record, by a format that was compiled once.
+
+pub mod apache;
+pub mod envoy;
+pub mod json;
+pub mod nginx;
+pub mod template;
+
+use crate::raw::Raw;
+use crate::stamp::Reader;
+use crate::tally::Reason;
+use template::Template;
+
+/// The Common Log Format.
+pub const COMMON: &str = r#"%h %l %u %t "%r" %>s %b"#;
+/// The Combined Log Format.
+pub const COMBINED: &str = r#"%h %l %u %t "%r" %>s %b "%{Referer}i" "%{User-Agent}i""#;
+/// nginx's `combined`.
+pub const NGINX: &str = concat!(
+    r#"$remote_addr - $remote_user [$time_local] "$request" $status $body_bytes_sent "#,
+    r#""$http_referer" "$http_user_agent""#
+);
+/// Envoy's default text format.
+pub const ENVOY: &str = concat!(
+    r#"[%START_TIME%] "%REQ(:METHOD)% %REQ(X-ENVOY-ORIGINAL-PATH?:PATH)% %PROTOCOL%" %RESPONSE_CODE% "#,
+    r#"%RESPONSE_FLAGS% %RESPONSE_CODE_DETAILS% %CONNECTION_TERMINATION_DETAILS% "#,
+    r#""%UPSTREAM_TRANSPORT_FAILURE_REASON%" %BYTES_RECEIVED% %BYTES_SENT% %DURATION% "#,
+    r#"%RESP(X-ENVOY-UPSTREAM-SERVICE-TIME)% "%REQ(X-FORWARDED-FOR)%" "%REQ(USER-AGENT)%" "#,
+    r#""%REQ(X-REQUEST-ID)%" "%REQ(:AUTHORITY)%" "%UPSTREAM_HOST%""#
+);
+
+/// A format of lines.
+#[derive(Clone, Debug)]
+pub enum LineFormat {
+    /// Text of fields between literals.
+    Text(Template),
+    /// JSON objects, one a line.
+    Json(json::Fields),
+}
+
+impl LineFormat {
+    /// The format of this name: `common`, `combined`, `nginx` or `envoy`, or a format string as its server is given it,
+    /// behind `apache:`, `nginx:` or `envoy:`.
+    ///
+    /// # Errors
+    /// What in the text is not a format, and what is allowed.
+    pub fn named(text: &str) -> Result<Self, String> {
+        let template = match text.split_once(':') {
+            Some(("apache", format)) => apache::compile(format)?,
+            Some(("nginx", format)) => nginx::compile(format)?,
+            Some(("envoy", format)) => envoy::compile(format)?,
+            _ => match text {
+                "common" => apache::compile(COMMON)?,
+                "combined" => apache::compile(COMBINED)?,
+                "nginx" => nginx::compile(NGINX)?,
+                "envoy" => envoy::compile(ENVOY)?,
+                other => {
+                    return Err(format!(
+                        "format {other:?} is not known; allowed are common, combined, nginx, envoy, json, har, \
+                         recording, and apache:FORMAT, nginx:FORMAT, envoy:FORMAT with the server's own format string"
+                    ));
+                }
+            },
+        };
+        Ok(LineFormat::Text(template))
+    }
+
+    /// Reads one line, without its end.
+    ///
+    /// # Errors
+    /// Why it is none of this format.
+    pub fn read<'a>(&self, line: &'a str, stamps: &mut Reader) -> Result<Raw<'a>, Reason> {
+        match self {
+            LineFormat::Text(template) => template.read(line, stamps),
+            LineFormat::Json(fields) => fields.read(line, stamps),
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/line/nginx.rs
@@ -0,0 +1,60 @@
+//! nginx's `log_format` strings.
+
+use super::template::{Builder, Escapes, Field, Template};
+use crate::stamp::Form;
+
+/// Compiles a `log_format` string. nginx logs a request, and reads the clock for it, when the request ends.
+///
+/// # Errors
+/// What in it is not understood.
+pub fn compile(format: &str) -> Result<Template, String> {
+    let mut parts = Builder::default();
+    let mut rest = format;
+    while let Some(at) = rest.find('$') {
+        parts.literal(&rest[..at]);
+        let after = &rest[at + 1..];
+        let name = |c: char| c.is_ascii_alphanumeric() || c == '_';
+        let variable = match after.strip_prefix('{') {
+            Some(inner) => {
+                let close = inner.find('}').ok_or("a '${' in the format is never closed")?;
+                rest = &inner[close + 1..];
+                &inner[..close]
+            }
+            None => {
+                let end = after.find(|c| !name(c)).unwrap_or(after.len());
+                rest = &after[end..];
+                &after[..end]
+            }
+        };
+        if variable.is_empty() || !variable.chars().all(name) {
+            return Err(format!("'${variable}' is no variable: letters, digits and '_' are allowed"));
+        }
+        parts.field(field(variable));
+    }
+    parts.literal(rest);
+    parts.done(Escapes::Backslash, true)
+}
+
+/// What a variable says. Modules add variables of their own: one that is not known is passed over.
+fn field(variable: &str) -> Field {
+    match variable {
+        "remote_addr" | "realip_remote_addr" => Field::Peer,
+        "remote_user" => Field::User,
+        "time_local" => Field::Time(Form::Clf),
+        "time_iso8601" => Field::Time(Form::Iso),
+        "msec" => Field::Time(Form::Seconds),
+        "request" => Field::Request,
+        "request_method" => Field::Method,
+        "request_uri" | "uri" | "document_uri" => Field::Target,
+        "args" | "query_string" => Field::Query,
+        "status" => Field::Status,
+        "content_length" => Field::Received,
+        "request_time" => Field::Took(1_000_000),
+        "request_id" => Field::Header("x-request-id".into()),
+        other => match (other.strip_prefix("http_"), other.strip_prefix("cookie_")) {
+            (Some(header), _) => Field::Header(header.replace('_', "-")),
+            (_, Some(cookie)) => Field::Header(format!("cookie.{cookie}")),
+            _ => Field::Skip,
+        },
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/mapping.rs
@@ -0,0 +1,482 @@
+//! What a record means: its class, parish, subject and key, by an operator's file.
+
+use crate::job::{Job, Micros, number};
+use crate::line::json::Fields;
+use crate::networks::{Networks, address, client};
+use crate::raw::Raw;
+use crate::tally::{Reason, Remark};
+use jiff::tz::TimeZone;
+use regex::Regex;
+use rustc_hash::FxHashMap;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The mapping file.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct File {
+    /// The form of this file: 1.
+    #[schemars(range(min = 1, max = 1))]
+    pub version: u32,
+    /// The time zone of times without an offset, by its IANA name.
+    #[serde(default = "utc")]
+    pub zone: String,
+    /// Networks of proxies whose X-Forwarded-For is believed.
+    #[serde(default)]
+    pub trusted: Vec<String>,
+    /// Networks by name; the longest prefix counts.
+    #[serde(default)]
+    pub networks: BTreeMap<String, Vec<String>>,
+    /// Where the fields stand in JSON lines.
+    pub json: Option<Fields>,
+    /// Which records are jobs at all; without one, all that come by POST.
+    #[serde(default)]
+    pub jobs: Jobs,
+    /// What names the class. The first rule that yields a name counts.
+    #[schemars(length(min = 1))]
+    pub class: Vec<Rule>,
+    /// What names the parish. None need be found.
+    #[serde(default)]
+    pub parish: Vec<Rule>,
+    /// A record without a parish is rejected.
+    #[serde(default)]
+    pub parish_required: bool,
+    /// What the job is about.
+    #[serde(default)]
+    pub subject: Vec<Rule>,
+    /// The idempotency key.
+    #[serde(default)]
+    pub key: Vec<Rule>,
+    /// A request's id. A record read twice is known by it; where clients keep it, so are retries.
+    #[serde(default)]
+    pub id: Vec<Rule>,
+    /// Clients keep the id over their retries.
+    #[serde(default)]
+    pub id_kept: bool,
+    /// What a client marks its retries with: any value but "", "0" and "false" is a mark.
+    #[serde(default)]
+    pub retry_mark: Vec<Rule>,
+    /// How long the client says that it waits, in milliseconds.
+    #[serde(default)]
+    pub deadline_ms: Vec<Rule>,
+    /// ... where it does not say: by class.
+    #[serde(default)]
+    pub deadline_of: BTreeMap<String, u64>,
+    /// Slots that the job takes.
+    #[serde(default)]
+    pub slots: Vec<Rule>,
+    /// Retries that carry neither mark nor key.
+    #[serde(default)]
+    pub guess: Guess,
+}
+
+fn utc() -> String {
+    "UTC".into()
+}
+
+/// Which records are jobs.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Jobs {
+    /// Methods; empty: all.
+    #[serde(default = "post")]
+    pub methods: Vec<String>,
+    /// Beginnings of paths; empty: all.
+    #[serde(default)]
+    pub paths: Vec<String>,
+    /// Beginnings of paths that are none after all.
+    #[serde(default)]
+    pub not_paths: Vec<String>,
+}
+
+fn post() -> Vec<String> {
+    vec!["POST".into()]
+}
+
+impl Default for Jobs {
+    fn default() -> Self {
+        Jobs { methods: post(), paths: Vec::new(), not_paths: Vec::new() }
+    }
+}
+
+/// How retries without mark and key are known: the same client asks for the same after a try that was not served.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Guess {
+    /// ... so long after that try's end, in milliseconds. 0: nothing is guessed.
+    #[serde(default = "within")]
+    pub within_ms: u64,
+    /// Tries of one job at the most, the first included.
+    #[serde(default = "tries")]
+    pub tries: u32,
+}
+
+fn within() -> u64 {
+    2_500
+}
+
+fn tries() -> u32 {
+    8
+}
+
+impl Default for Guess {
+    fn default() -> Self {
+        Guess { within_ms: within(), tries: tries() }
+    }
+}
+
+/// One way to a value.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Rule {
+    /// Where the value is taken from.
+    pub from: From,
+    /// Other names for values. With it, a value that it lacks yields nothing, unless `others` is set.
+    #[serde(default)]
+    pub names: BTreeMap<String, String>,
+    /// With `names`: values that it lacks are taken as they are.
+    #[serde(default)]
+    pub others: bool,
+}
+
+/// Where a value is taken from.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum From {
+    /// A segment of the path, from 0; from -1 backwards.
+    Segment(i32),
+    /// The first group of a regular expression on the path, or all that it matches.
+    Path(String),
+    /// A parameter of the query.
+    Query(String),
+    /// A header, whose name may be written in any case.
+    Header(String),
+    /// One of the `name=value` pairs in a header, divided by commas: the header, then the name.
+    Pair(String, String),
+    /// A cookie.
+    Cookie(String),
+    /// The authenticated user.
+    User,
+    /// The name of the client's network, among `networks`.
+    Network,
+    /// The client's address.
+    Address,
+    /// Always this.
+    Always(String),
+}
+
+/// An error in a mapping file: where, what, and what is allowed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MapError(pub Vec<String>);
+
+impl std::fmt::Display for MapError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0.join("\n"))
+    }
+}
+
+impl std::error::Error for MapError {}
+
+/// The published schema of the mapping file.
+pub fn schema() -> serde_json::Value {
+    schemars::schema_for!(File).to_value()
+}
+
+#[derive(Clone, Debug)]
+enum Source {
+    Segment(i32),
+    Path(Regex),
+    Query(String),
+    Header(String),
+    Pair(String, String),
+    Cookie(String),
+    User,
+    Network,
+    Address,
+    Always(String),
+}
+
+#[derive(Clone, Debug)]
+struct Way {
+    source: Source,
+    names: FxHashMap<String, String>,
+    others: bool,
+}
+
+/// A mapping, compiled.
+#[derive(Clone, Debug)]
+pub struct Mapping {
+    /// The file that it was made from.
+    pub file: File,
+    /// The zone of times without an offset.
+    pub zone: TimeZone,
+    trusted: Networks,
+    networks: Networks,
+    class: Vec<Way>,
+    parish: Vec<Way>,
+    subject: Vec<Way>,
+    key: Vec<Way>,
+    id: Vec<Way>,
+    mark: Vec<Way>,
+    deadline: Vec<Way>,
+    slots: Vec<Way>,
+}
+
+/// What a record means.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Meant {
+    /// The job, as if it were a first try. Its time is that of the stamp, which may be of the request's end.
+    pub job: Job,
+    /// How exactly the time is known.
+    pub within: Micros,
+    /// The request's id, as a number; 0: none.
+    pub id: u64,
+    /// The client marked it as a retry.
+    pub marked: bool,
+    /// What was odd.
+    pub remarks: Vec<Remark>,
+}
+
+/// Names that come again and again, kept once.
+#[derive(Clone, Debug, Default)]
+pub struct Interned(FxHashMap<String, Arc<str>>);
+
+impl Interned {
+    /// The one copy of a name.
+    pub fn name(&mut self, text: &str) -> Arc<str> {
+        if let Some(name) = self.0.get(text) {
+            return name.clone();
+        }
+        let name: Arc<str> = text.into();
+        // Names out of hostile input are not kept for ever.
+        if self.0.len() < 65_536 {
+            self.0.insert(text.to_string(), name.clone());
+        }
+        name
+    }
+}
+
+impl Mapping {
+    /// Reads a mapping file: against its schema first, so that all errors in its form are told at once.
+    ///
+    /// # Errors
+    /// Each thing that is wrong, with its place.
+    pub fn read(text: &str) -> Result<Self, MapError> {
+        let value: serde_json::Value =
+            serde_json::from_str(text).map_err(|e| MapError(vec![format!("the mapping is no JSON: {e}")]))?;
+        let schema = schema();
+        let validator = jsonschema::validator_for(&schema).map_err(|e| MapError(vec![e.to_string()]))?;
+        let wrong: Vec<String> = validator
+            .iter_errors(&value)
+            .map(|e| {
+                let place = e.instance_path().to_string();
+                format!("at {}: {e}", if place.is_empty() { "the top" } else { &place })
+            })
+            .collect();
+        if !wrong.is_empty() {
+            return Err(MapError(wrong));
+        }
+        let file: File = serde_json::from_value(value).map_err(|e| MapError(vec![e.to_string()]))?;
+        Mapping::new(file)
+    }
+
+    /// Compiles a mapping.
+    ///
+    /// # Errors
+    /// Each thing that is wrong, with its place.
+    pub fn new(file: File) -> Result<Self, MapError> {
+        let mut wrong = Vec::new();
+        let zone = TimeZone::get(&file.zone).unwrap_or_else(|_| {
+            wrong.push(format!("at /zone: {:?} is no time zone; Europe/Lisbon is one", file.zone));
+            TimeZone::UTC
+        });
+        let (mut trusted, mut networks) = (Networks::default(), Networks::default());
+        for (n, net) in file.trusted.iter().enumerate() {
+            let _ = trusted.add(net, "trusted").inspect_err(|e| wrong.push(format!("at /trusted/{n}: {e}")));
+        }
+        for (name, nets) in &file.networks {
+            for (n, net) in nets.iter().enumerate() {
+                let _ = networks.add(net, name).inspect_err(|e| wrong.push(format!("at /networks/{name}/{n}: {e}")));
+            }
+        }
+        let mut ways = |name: &str, rules: &[Rule]| -> Vec<Way> {
+            let mut ways = Vec::new();
+            for (n, rule) in rules.iter().enumerate() {
+                match way(rule, networks.is_empty()) {
+                    Ok(way) => ways.push(way),
+                    Err(e) => wrong.push(format!("at /{name}/{n}: {e}")),
+                }
+            }
+            ways
+        };
+        let [class, parish, subject, key] = [
+            ways("class", &file.class),
+            ways("parish", &file.parish),
+            ways("subject", &file.subject),
+            ways("key", &file.key),
+        ];
+        let [id, mark, deadline, slots] = [
+            ways("id", &file.id),
+            ways("retry-mark", &file.retry_mark),
+            ways("deadline-ms", &file.deadline_ms),
+            ways("slots", &file.slots),
+        ];
+        if file.id_kept && file.id.is_empty() {
+            wrong.push("at /id-kept: there is no rule for the id that is kept".into());
+        }
+        match wrong.is_empty() {
+            true => Ok(Mapping { file, zone, trusted, networks, class, parish, subject, key, id, mark, deadline, slots }),
+            false => Err(MapError(wrong)),
+        }
+    }
+
+    /// What a record means.
+    ///
+    /// # Errors
+    /// Why it is no job.
+    pub fn meaning(&self, raw: &Raw<'_>, names: &mut Interned) -> Result<Meant, Reason> {
+        let stamp = raw.stamp.ok_or(Reason::NoTime)?;
+        let path = raw.path().ok_or(Reason::BadRequest)?;
+        let (jobs, method) = (&self.file.jobs, raw.method.as_deref());
+        let begins = |list: &[String]| list.iter().any(|p| path.starts_with(p.as_str()));
+        let of_method = jobs.methods.is_empty()
+            || method.is_some_and(|m| jobs.methods.iter().any(|j| j.eq_ignore_ascii_case(m)));
+        if !of_method || (!jobs.paths.is_empty() && !begins(&jobs.paths)) || begins(&jobs.not_paths) {
+            return Err(Reason::NotAJob);
+        }
+        let mut remarks = Vec::new();
+        let mut from = None;
+        if let Some(peer) = raw.peer.as_deref() {
+            match address(peer).map(|peer| client(peer, raw.header("x-forwarded-for"), &self.trusted)) {
+                Some(Ok(address)) => from = Some(address),
+                Some(Err(address)) => {
+                    from = Some(address);
+                    remarks.push(Remark::BadForwarded);
+                }
+                None => {}
+            }
+        }
+        let seen = Seen { raw, path, from, networks: &self.networks };
+        let class = seen.first(&self.class).ok_or(Reason::NoClass)?;
+        let class = names.name(&class);
+        let parish = match seen.first(&self.parish) {
+            Some(name) => names.name(&name),
+            None if self.file.parish_required => return Err(Reason::NoParish),
+            None => names.name(""),
+        };
+        let mut odd = raw.odd_number;
+        let mut count = |ways: &[Way], most: f64| {
+            let text = seen.first(ways)?;
+            let value = text.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v > 0.0 && *v <= most);
+            odd |= value.is_none();
+            value
+        };
+        let deadline = count(&self.deadline, 86_400_000.0).map(|ms| (ms * 1000.0) as Micros);
+        let deadline =
+            deadline.or_else(|| self.file.deadline_of.get(&*class).map(|ms| (*ms).min(86_400_000) as Micros * 1000));
+        let slots = count(&self.slots, 65_536.0).map(|v| v as f32);
+        if odd {
+            remarks.push(Remark::BadNumber);
+        }
+        if raw.status.is_none() {
+            remarks.push(Remark::NoAnswer);
+        }
+        let mut at = stamp.at;
+        match raw.took {
+            Some(took) if stamp.end => at -= took,
+            None if raw.status.is_some() => remarks.push(Remark::NoDuration),
+            _ => {}
+        }
+        let who = from.map_or(0, |a| number(&a.to_string()));
+        let user = raw.user.as_deref().map_or(0, |u| number(u).rotate_left(32));
+        let job = Job {
+            at,
+            class,
+            parish,
+            subject: seen.first(&self.subject).map(Cow::into_owned).unwrap_or_default(),
+            key: seen.first(&self.key).map(Cow::into_owned),
+            deadline,
+            bytes: raw.received.unwrap_or(0),
+            slots,
+            client: who ^ user,
+            status: raw.status.unwrap_or(0),
+            took: raw.took,
+            tries: Vec::new(),
+        };
+        let marked = seen.first(&self.mark).is_some_and(|m| !matches!(m.trim(), "" | "0" | "false"));
+        let id = seen.first(&self.id).map_or(0, |id| number(&id).max(1));
+        Ok(Meant { job, within: stamp.within, id, marked, remarks })
+    }
+}
+
+fn way(rule: &Rule, no_networks: bool) -> Result<Way, String> {
+    let source = match &rule.from {
+        From::Segment(n) => Source::Segment(*n),
+        From::Path(pattern) => {
+            let regex = Regex::new(pattern).map_err(|e| format!("{pattern:?} is no regular expression: {e}"))?;
+            Source::Path(regex)
+        }
+        From::Query(name) => Source::Query(name.clone()),
+        From::Header(name) => Source::Header(name.to_ascii_lowercase()),
+        From::Pair(header, name) => Source::Pair(header.to_ascii_lowercase(), name.clone()),
+        From::Cookie(name) => Source::Cookie(name.clone()),
+        From::User => Source::User,
+        From::Network if no_networks => return Err("there are no 'networks' to name a client by".into()),
+        From::Network => Source::Network,
+        From::Address => Source::Address,
+        From::Always(text) => Source::Always(text.clone()),
+    };
+    let names = rule.names.iter().map(|(a, b)| (a.clone(), b.clone())).collect();
+    Ok(Way { source, names, others: rule.others })
+}
+
+/// A record, and who sent it.
+struct Seen<'a> {
+    raw: &'a Raw<'a>,
+    path: &'a str,
+    from: Option<std::net::IpAddr>,
+    networks: &'a Networks,
+}
+
+impl<'a> Seen<'a> {
+    fn first(&self, ways: &'a [Way]) -> Option<Cow<'a, str>> {
+        ways.iter().find_map(|way| {
+            let value = self.value(&way.source).filter(|v| !v.is_empty())?;
+            if way.names.is_empty() {
+                return Some(value);
+            }
+            match way.names.get(value.as_ref()) {
+                Some(name) => Some(Cow::Borrowed(name.as_str())),
+                None => way.others.then_some(value),
+            }
+        })
+    }
+
+    fn value(&self, source: &'a Source) -> Option<Cow<'a, str>> {
+        let plain = |text: &'a str| Some(Cow::Borrowed(text));
+        match source {
+            Source::Segment(n) if *n >= 0 => {
+                plain(self.path.trim_start_matches('/').split('/').nth(*n as usize)?)
+            }
+            Source::Segment(n) => plain(self.path.trim_end_matches('/').rsplit('/').nth((-1 - n) as usize)?),
+            Source::Path(regex) => {
+                let found = regex.captures(self.path)?;
+                plain(found.get(1).or(found.get(0))?.as_str())
+            }
+            Source::Query(name) => plain(self.raw.parameter(name)?),
+            Source::Header(name) => plain(self.raw.header(name)?),
+            Source::Pair(header, name) => {
+                let pairs = self.raw.header(header)?.split(',').filter_map(|p| p.split_once('='));
+                plain(pairs.map(|(n, v)| (n.trim(), v.trim())).find(|(n, _)| n == name)?.1)
+            }
+            Source::Cookie(name) => plain(self.raw.cookie(name)?),
+            Source::User => plain(self.raw.user.as_deref()?),
+            Source::Network => plain(self.networks.find(self.from?)?),
+            Source::Address => Some(Cow::Owned(self.from?.to_string())),
+            Source::Always(text) => plain(text),
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/networks.rs
@@ -0,0 +1,146 @@
+//! Networks by name: prefixes of both kinds in a prefix tree each, longest prefix first.
+
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use prefix_trie::PrefixMap;
+use std::net::{IpAddr, Ipv6Addr, SocketAddr};
+use std::sync::Arc;
+
+/// Names of networks.
+#[derive(Clone, Default)]
+pub struct Networks {
+    v4: PrefixMap<Ipv4Net, Arc<str>>,
+    v6: PrefixMap<Ipv6Net, Arc<str>>,
+}
+
+impl std::fmt::Debug for Networks {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Networks({} + {})", self.v4.len(), self.v6.len())
+    }
+}
+
+/// An address may be written with a prefix length, or alone.
+pub fn network(text: &str) -> Result<IpNet, String> {
+    let bad = || format!("{text:?} is no network: 10.4.0.0/16, 2001:db8::/32 or one address is allowed");
+    match text.parse::<IpNet>() {
+        // A host part that is set was most likely meant otherwise.
+        Ok(net) if net.trunc() != net => Err(format!("{text:?} has bits beyond its prefix: {} was meant?", net.trunc())),
+        Ok(net) => Ok(net),
+        Err(_) => text.parse::<IpAddr>().map(IpNet::from).map_err(|_| bad()),
+    }
+}
+
+impl Networks {
+    /// Adds a network. The same prefix under another name is an error, which names both.
+    ///
+    /// # Errors
+    /// What is wrong with the text, or the other name.
+    pub fn add(&mut self, text: &str, name: &str) -> Result<(), String> {
+        let name: Arc<str> = name.into();
+        let old = match network(text)? {
+            IpNet::V4(net) => self.v4.insert(net, name.clone()),
+            IpNet::V6(net) => self.v6.insert(net, name.clone()),
+        };
+        match old.filter(|old| *old != name) {
+            Some(old) => Err(format!("{text:?} is named both {old:?} and {name:?}")),
+            None => Ok(()),
+        }
+    }
+
+    /// The name of the longest prefix that holds an address.
+    pub fn find(&self, address: IpAddr) -> Option<&Arc<str>> {
+        match address {
+            IpAddr::V4(v4) => self.v4.get_lpm(&Ipv4Net::from(v4)).map(|(_, name)| name),
+            IpAddr::V6(v6) => match v6.to_ipv4_mapped() {
+                Some(v4) => self.find(IpAddr::V4(v4)),
+                None => self.v6.get_lpm(&Ipv6Net::from(v6)).map(|(_, name)| name),
+            },
+        }
+    }
+
+    /// Does any of them hold the address?
+    pub fn hold(&self, address: IpAddr) -> bool {
+        self.find(address).is_some()
+    }
+
+    /// Are there none?
+    pub fn is_empty(&self) -> bool {
+        self.v4.is_empty() && self.v6.is_empty()
+    }
+}
+
+/// An address as logs write it: alone, with a port, in brackets.
+pub fn address(text: &str) -> Option<IpAddr> {
+    let text = text.trim().trim_matches('"');
+    if let Ok(address) = text.parse::<IpAddr>() {
+        return Some(plain(address));
+    }
+    if let Ok(address) = text.parse::<SocketAddr>() {
+        return Some(plain(address.ip()));
+    }
+    let inner = text.strip_prefix('[')?.split(']').next()?;
+    inner.parse::<Ipv6Addr>().ok().map(|v6| plain(IpAddr::V6(v6)))
+}
+
+fn plain(address: IpAddr) -> IpAddr {
+    match address {
+        IpAddr::V6(v6) => v6.to_ipv4_mapped().map_or(address, IpAddr::V4),
+        v4 => v4,
+    }
+}
+
+/// Who asked: the connected address, unless that is a trusted proxy; then the last address in `X-Forwarded-For` that is
+/// none. An error: an entry that had to be believed is no address, and the last one that was is handed back.
+pub fn client(peer: IpAddr, forwarded: Option<&str>, trusted: &Networks) -> Result<IpAddr, IpAddr> {
+    let mut last = peer;
+    if !trusted.hold(peer) {
+        return Ok(peer);
+    }
+    for text in forwarded.unwrap_or("").rsplit(',').filter(|t| !t.trim().is_empty()) {
+        match address(text) {
+            Some(address) => last = address,
+            None => return Err(last),
+        }
+        if !trusted.hold(last) {
+            break;
+        }
+    }
+    Ok(last)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ip(text: &str) -> IpAddr {
+        address(text).expect("an address")
+    }
+
+    #[test]
+    fn the_longest_prefix_names_an_address() {
+        let mut nets = Networks::default();
+        for (net, name) in [("10.0.0.0/8", "all"), ("10.4.0.0/16", "gualtar"), ("10.4.7.1", "till"), ("2001:db8::/32", "six")] {
+            nets.add(net, name).expect("a network");
+        }
+        let name = |text: &str| nets.find(ip(text)).map(|n| n.to_string());
+        assert_eq!(name("10.4.7.1:4711").as_deref(), Some("till"));
+        assert_eq!(name("10.4.7.2").as_deref(), Some("gualtar"));
+        assert_eq!(name("10.5.7.2").as_deref(), Some("all"));
+        assert_eq!(name("::ffff:10.4.9.9").as_deref(), Some("gualtar"));
+        assert_eq!(name("[2001:db8::7]:80").as_deref(), Some("six"));
+        assert_eq!(name("192.0.2.1"), None);
+        assert!(nets.add("10.4.0.0/16", "other").is_err() && nets.add("10.4.0.1/16", "gualtar").is_err());
+        assert!(nets.add("ten", "gualtar").is_err());
+    }
+
+    /// Guards against clients that write themselves another parish into the header.
+    #[test]
+    fn only_what_trusted_proxies_say_is_believed() {
+        let mut trusted = Networks::default();
+        trusted.add("10.0.0.0/8", "proxy").expect("a network");
+        let of = |peer: &str, forwarded| client(ip(peer), forwarded, &trusted).map(|a| a.to_string());
+        assert_eq!(of("192.0.2.1", Some("198.51.100.7")), Ok("192.0.2.1".into()));
+        assert_eq!(of("10.0.0.1", Some("203.0.113.9, 198.51.100.7, 10.0.0.2")), Ok("198.51.100.7".into()));
+        assert_eq!(of("10.0.0.1", Some("unknown, 10.0.0.2")), Err(ip("10.0.0.2")));
+        assert_eq!(of("10.0.0.1", None), Ok("10.0.0.1".into()));
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/raw.rs
@@ -0,0 +1,71 @@
+//! A record as a log or HAR tells it, before anything says what it means.
+
+use crate::job::Micros;
+use crate::stamp::Stamp;
+use std::borrow::Cow;
+
+/// One request as it was recorded. Texts are as they stand there, escapes undone.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Raw<'a> {
+    /// When; which end of the request it speaks of stands in it.
+    pub stamp: Option<Stamp>,
+    /// Who was connected: an address, perhaps with a port.
+    pub peer: Option<Cow<'a, str>>,
+    /// The authenticated user.
+    pub user: Option<Cow<'a, str>>,
+    /// The method.
+    pub method: Option<Cow<'a, str>>,
+    /// Path and query, or a whole URL.
+    pub target: Option<Cow<'a, str>>,
+    /// The query, where the format tells it apart from the path.
+    pub query: Option<Cow<'a, str>>,
+    /// The status; `None`: there was none.
+    pub status: Option<u16>,
+    /// Bytes of the request's body.
+    pub received: Option<u64>,
+    /// How long it took.
+    pub took: Option<Micros>,
+    /// Headers by their names in lower case, cookies as `cookie.NAME`.
+    pub headers: Vec<(Cow<'a, str>, Cow<'a, str>)>,
+    /// A number in it could not be read.
+    pub odd_number: bool,
+}
+
+impl Raw<'_> {
+    /// A header's value, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_ref())
+    }
+
+    /// A cookie's value.
+    pub fn cookie(&self, name: &str) -> Option<&str> {
+        let own = |(n, v): &'_ (Cow<'_, str>, Cow<'_, str>)| {
+            n.strip_prefix("cookie.").is_some_and(|n| n == name).then(|| v.len())
+        };
+        if let Some(i) = self.headers.iter().position(|h| own(h).is_some()) {
+            return Some(&self.headers[i].1);
+        }
+        let all = self.header("cookie")?;
+        all.split(';').filter_map(|p| p.trim().split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+    }
+
+    /// The path alone, without scheme, authority and query.
+    pub fn path(&self) -> Option<&str> {
+        let target = self.target.as_deref()?;
+        let target = target.find("://").map_or(target, |at| {
+            let rest = &target[at + 3..];
+            rest.find('/').map_or("/", |slash| &rest[slash..])
+        });
+        Some(target.split(['?', '#']).next().unwrap_or(""))
+    }
+
+    /// A parameter of the query, as it stands there.
+    pub fn parameter(&self, name: &str) -> Option<&str> {
+        let query = match &self.query {
+            Some(query) => query.trim_start_matches('?'),
+            None => self.target.as_deref()?.split_once('?')?.1,
+        };
+        let query = query.split('#').next().unwrap_or("");
+        query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/recording.rs
@@ -0,0 +1,294 @@
+//! The file format of recordings, version 1: JSON lines, as they are or compressed by zstd.
+//!
+//! The first line is the header, `{"format":"indigofold-recording","version":1,...}`; then one line a job, in the order
+//! of the first tries; the last line is `{"end":{"jobs":N,"tries":M}}`, without which a file was cut off. Times are
+//! microseconds. A job's entries:
+//!
+//! | entry | meaning | if missing |
+//! | --- | --- | --- |
+//! | `t` | when its request was sent, since 1970 | (must be there) |
+//! | `c` | class | (must be there) |
+//! | `p` | parish | unknown |
+//! | `s` | subject | unknown |
+//! | `k` | idempotency key | none |
+//! | `d` | how long the client waits | unknown |
+//! | `b` | bytes of the body | 0 |
+//! | `w` | slots | unknown |
+//! | `u` | a number for the client | 0: unknown |
+//! | `a` | status of the recorded answer | 0: none came |
+//! | `l` | how long that took | unknown |
+//! | `r` | retries, each `[time after t, status, how long, by what, how sure]` | none |
+
+use crate::job::{Again, How, Job, Micros};
+use crate::tally::Tally;
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::io::{self, BufRead, Write};
+use std::sync::Arc;
+
+/// The version that is written.
+pub const VERSION: u32 = 1;
+/// The name in the header.
+pub const FORMAT: &str = "indigofold-recording";
+/// The longest line.
+const LINE: usize = 1 << 20;
+
+/// The first line.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Header {
+    /// [`FORMAT`].
+    pub format: String,
+    /// [`VERSION`].
+    pub version: u32,
+    /// What it was made of, for people.
+    #[serde(default)]
+    pub made_of: Vec<String>,
+    /// Random numbers in the making began here.
+    #[serde(default)]
+    pub seed: u64,
+}
+
+impl Header {
+    /// A header of the version that is written.
+    pub fn new(made_of: Vec<String>, seed: u64) -> Self {
+        Header { format: FORMAT.into(), version: VERSION, made_of, seed }
+    }
+}
+
+/// The last line.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct End {
+    /// First tries.
+    pub jobs: u64,
+    /// Retries.
+    pub tries: u64,
+    /// What became of what was read, where it was imported.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tally: Option<Tally>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Last {
+    end: End,
+}
+
+fn none<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+type Retry = (Micros, u16, Option<Micros>, How, f32);
+
+#[derive(Serialize, Deserialize)]
+struct Line<'a> {
+    t: Micros,
+    #[serde(borrow)]
+    c: Cow<'a, str>,
+    #[serde(borrow, default, skip_serializing_if = "none")]
+    p: Cow<'a, str>,
+    #[serde(borrow, default, skip_serializing_if = "none")]
+    s: Cow<'a, str>,
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    k: Option<Cow<'a, str>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    d: Option<Micros>,
+    #[serde(default, skip_serializing_if = "none")]
+    b: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    w: Option<f32>,
+    #[serde(default, skip_serializing_if = "none")]
+    u: u64,
+    #[serde(default, skip_serializing_if = "none")]
+    a: u16,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    l: Option<Micros>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    r: Vec<Retry>,
+}
+
+/// Writes a recording.
+pub struct Writer<W: Write> {
+    out: W,
+    bytes: Vec<u8>,
+    end: End,
+    last: Micros,
+}
+
+impl<W: Write> Writer<W> {
+    /// Begins with the header.
+    ///
+    /// # Errors
+    /// It cannot be written.
+    pub fn new(mut out: W, header: &Header) -> io::Result<Self> {
+        serde_json::to_writer(&mut out, header)?;
+        out.write_all(b"\n")?;
+        Ok(Writer { out, bytes: Vec::new(), end: End::default(), last: Micros::MIN })
+    }
+
+    /// Writes a job.
+    ///
+    /// # Errors
+    /// It cannot be written, or comes out of order.
+    pub fn write(&mut self, job: &Job) -> io::Result<()> {
+        if job.at < self.last {
+            return Err(io::Error::other("jobs must be written in the order of their times"));
+        }
+        self.last = job.at;
+        let retry = |a: &Again| (a.at - job.at, a.status, a.took, a.how, a.sure);
+        let line = Line {
+            t: job.at,
+            c: Cow::Borrowed(&job.class),
+            p: Cow::Borrowed(&job.parish),
+            s: Cow::Borrowed(&job.subject),
+            k: job.key.as_deref().map(Cow::Borrowed),
+            d: job.deadline,
+            b: job.bytes,
+            w: job.slots,
+            u: job.client,
+            a: job.status,
+            l: job.took,
+            r: job.tries.iter().map(retry).collect(),
+        };
+        self.bytes.clear();
+        serde_json::to_writer(&mut self.bytes, &line)?;
+        self.bytes.push(b'\n');
+        (self.end.jobs, self.end.tries) = (self.end.jobs + 1, self.end.tries + job.tries.len() as u64);
+        self.out.write_all(&self.bytes)
+    }
+
+    /// Writes the last line.
+    ///
+    /// # Errors
+    /// It cannot be written.
+    pub fn finish(mut self, tally: Option<Tally>) -> io::Result<(W, End)> {
+        self.end.tally = tally;
+        serde_json::to_writer(&mut self.out, &Last { end: self.end.clone() })?;
+        self.out.write_all(b"\n")?;
+        self.out.flush()?;
+        Ok((self.out, self.end))
+    }
+}
+
+/// What is wrong with a recording.
+#[derive(Debug, thiserror::Error)]
+pub enum Bad {
+    /// It cannot be read.
+    #[error("the recording cannot be read: {0}")]
+    Io(#[from] io::Error),
+    /// It does not begin with a header.
+    #[error("this is no recording: its first line must be {{\"format\":\"{FORMAT}\",\"version\":{VERSION}}}")]
+    NoHeader,
+    /// It is of another version.
+    #[error("the recording is of version {0}; versions 1 to {VERSION} can be read")]
+    Version(u32),
+    /// A line cannot be read.
+    #[error("line {0} of the recording: {1}")]
+    Line(u64, String),
+    /// It ends before its last line.
+    #[error("the recording was cut off after line {0}: its last line, with the counts, is missing")]
+    CutOff(u64),
+    /// The last line counts other jobs than there are.
+    #[error("the recording's last line counts {0} jobs, but there are {1}")]
+    Counts(u64, u64),
+}
+
+/// Reads a recording.
+pub struct Reader<R> {
+    from: R,
+    /// Its header.
+    pub header: Header,
+    /// Its last line, once that was read.
+    pub end: Option<End>,
+    text: Vec<u8>,
+    line: u64,
+    jobs: u64,
+    last: Micros,
+    names: crate::mapping::Interned,
+    over: bool,
+}
+
+impl<R: BufRead> Reader<R> {
+    /// Reads the header.
+    ///
+    /// # Errors
+    /// It is none, or of a version that is not known.
+    pub fn new(mut from: R) -> Result<Self, Bad> {
+        let mut text = Vec::new();
+        line(&mut from, &mut text)?;
+        let header: Header = serde_json::from_slice(&text).map_err(|_| Bad::NoHeader)?;
+        if header.format != FORMAT {
+            return Err(Bad::NoHeader);
+        }
+        if !(1..=VERSION).contains(&header.version) {
+            return Err(Bad::Version(header.version));
+        }
+        let (names, last) = (Default::default(), Micros::MIN);
+        Ok(Reader { from, header, end: None, text, line: 1, jobs: 0, last, names, over: false })
+    }
+
+    fn job(&mut self) -> Result<Option<Job>, Bad> {
+        self.text.clear();
+        if !line(&mut self.from, &mut self.text)? {
+            return Err(Bad::CutOff(self.line));
+        }
+        self.line += 1;
+        let bad = |e: String| Bad::Line(self.line, e);
+        if self.text.starts_with(b"{\"end\"") {
+            let last: Last = serde_json::from_slice(&self.text).map_err(|e| bad(e.to_string()))?;
+            if last.end.jobs != self.jobs {
+                return Err(Bad::Counts(last.end.jobs, self.jobs));
+            }
+            self.end = Some(last.end);
+            return Ok(None);
+        }
+        let line: Line<'_> = serde_json::from_slice(&self.text).map_err(|e| bad(e.to_string()))?;
+        if line.t < self.last {
+            return Err(bad("jobs must stand in the order of their times".into()));
+        }
+        (self.jobs, self.last) = (self.jobs + 1, line.t);
+        let again =
+            |(dt, status, took, how, sure): &Retry| Again { at: line.t + dt, status: *status, took: *took, how: *how, sure: *sure };
+        Ok(Some(Job {
+            at: line.t,
+            class: self.names.name(&line.c),
+            parish: self.names.name(&line.p),
+            subject: line.s.into_owned(),
+            key: line.k.map(Cow::into_owned),
+            deadline: line.d,
+            bytes: line.b,
+            slots: line.w,
+            client: line.u,
+            status: line.a,
+            took: line.l,
+            tries: line.r.iter().map(again).collect(),
+        }))
+    }
+}
+
+/// Reads a line without its end. `false`: there is none.
+fn line(from: &mut impl BufRead, text: &mut Vec<u8>) -> io::Result<bool> {
+    let count = io::Read::take(&mut *from, LINE as u64).read_until(b'\n', text)?;
+    if text.last() == Some(&b'\n') {
+        text.pop();
+    } else if count == LINE {
+        return Err(io::Error::other("a line is longer than any that is written"));
+    }
+    Ok(count > 0)
+}
+
+impl<R: BufRead> Iterator for Reader<R> {
+    type Item = Result<Job, Bad>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        if self.over {
+            return None;
+        }
+        let job = self.job().transpose();
+        self.over = !matches!(job, Some(Ok(_)));
+        job
+    }
+}
+
+/// A class or parish, for those who make jobs.
+pub fn name(text: &str) -> Arc<str> {
+    text.into()
+}
--- /dev/null
+++ b/crates/traffic/src/source.rs
@@ -0,0 +1,61 @@
+//! Files as they lie there: plain, gzip or zstd, told by their first bytes and not by their names.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Read in one go.
+const BUFFER: usize = 128 * 1024;
+
+/// Counts what is read of a file, compressed as it is.
+struct Counted {
+    file: File,
+    read: Arc<AtomicU64>,
+}
+
+impl Read for Counted {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        let count = self.file.read(into)?;
+        self.read.fetch_add(count as u64, Ordering::Relaxed);
+        Ok(count)
+    }
+}
+
+/// Opens a file; how much of it was read is added to the counter.
+///
+/// # Errors
+/// It cannot be opened, or is in UTF-16, which no server writes.
+pub fn open(path: &Path, read: Arc<AtomicU64>) -> io::Result<Box<dyn BufRead>> {
+    plain(BufReader::with_capacity(BUFFER, Counted { file: File::open(path)?, read }))
+}
+
+/// What stands in a stream that may be compressed.
+///
+/// # Errors
+/// It cannot be read.
+pub fn plain<'a>(mut from: impl BufRead + 'a) -> io::Result<Box<dyn BufRead + 'a>> {
+    let head = from.fill_buf()?;
+    let head = [0, 1, 2, 3].map(|n| head.get(n).copied().unwrap_or(0));
+    Ok(match head {
+        [0x1f, 0x8b, ..] => unmarked(BufReader::with_capacity(BUFFER, flate2::bufread::MultiGzDecoder::new(from)))?,
+        [0x28, 0xb5, 0x2f, 0xfd] => {
+            let decoder = zstd::stream::read::Decoder::with_buffer(from)?;
+            unmarked(BufReader::with_capacity(BUFFER, decoder))?
+        }
+        _ => unmarked(from)?,
+    })
+}
+
+/// Passes over the mark that some editors put before UTF-8.
+fn unmarked<'a>(mut from: impl BufRead + 'a) -> io::Result<Box<dyn BufRead + 'a>> {
+    let head = from.fill_buf()?;
+    if head.starts_with(&[0xff, 0xfe]) || head.starts_with(&[0xfe, 0xff]) {
+        return Err(io::Error::other("the file is in UTF-16; UTF-8, Latin-1, gzip and zstd are read"));
+    }
+    if head.starts_with(&[0xef, 0xbb, 0xbf]) {
+        from.consume(3);
+    }
+    Ok(Box::new(from))
+}
--- /dev/null
+++ b/crates/traffic/src/stamp.rs
@@ -0,0 +1,252 @@
+//! Time stamps: the log formats' own, ISO 8601, counts since 1970, and any pattern of `strftime`.
+
+use crate::job::Micros;
+use jiff::civil::DateTime;
+use jiff::tz::{AmbiguousOffset, TimeZone};
+use jiff::{Timestamp, fmt::strtime};
+
+/// Microseconds in a second.
+pub const SECOND: Micros = 1_000_000;
+/// Times before 1990 and after 2200 are not meant.
+const MEANT: (Micros, Micros) = (631_152_000 * SECOND, 7_258_118_400 * SECOND);
+/// A local time that comes twice is read as the later one if the earlier lies this far before the record before.
+const BACK: Micros = 300 * SECOND;
+
+/// A time and how exactly it is known: the true one lies in `[at, at + within)`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stamp {
+    /// The time.
+    pub at: Micros,
+    /// The width of what it may stand for.
+    pub within: Micros,
+    /// It is that of the request's end, not of its start.
+    pub end: bool,
+}
+
+/// Why a stamp could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadStamp;
+
+/// How a stamp is written.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Form {
+    /// `10/Oct/2000:13:55:36 -0700`
+    Clf,
+    /// ISO 8601, with or without an offset.
+    Iso,
+    /// Seconds since 1970, perhaps with decimals.
+    Seconds,
+    /// Milliseconds since 1970.
+    Millis,
+    /// Microseconds since 1970.
+    Micros,
+    /// A pattern of `strftime`.
+    Pattern(String),
+}
+
+/// Reads stamps of one file: it remembers the last minute, as most lines share it with the one before, and where local
+/// times have come to.
+#[derive(Clone, Debug)]
+pub struct Reader {
+    zone: TimeZone,
+    minute: Option<([u8; 17], [u8; 5], Micros)>,
+    last: Option<Micros>,
+    dst: bool,
+}
+
+impl Reader {
+    /// Local times without an offset are of this zone.
+    pub fn new(zone: TimeZone) -> Self {
+        Reader { zone, minute: None, last: None, dst: false }
+    }
+
+    /// Was the last stamp a local time that comes twice, or not at all?
+    pub fn was_dst(&mut self) -> bool {
+        std::mem::take(&mut self.dst)
+    }
+
+    /// Reads a stamp.
+    pub fn read(&mut self, form: &Form, text: &str) -> Result<Stamp, BadStamp> {
+        let (at, within) = match form {
+            Form::Clf => (self.clf(text.as_bytes())?, SECOND),
+            Form::Iso => self.iso(text)?,
+            Form::Seconds => decimal(text, SECOND)?,
+            Form::Millis => decimal(text, 1_000)?,
+            Form::Micros => decimal(text, 1)?,
+            Form::Pattern(pattern) => self.pattern(pattern, text)?,
+        };
+        if at < MEANT.0 || at >= MEANT.1 {
+            return Err(BadStamp);
+        }
+        self.last = Some(at);
+        Ok(Stamp { at, within, end: false })
+    }
+
+    /// `10/Oct/2000:13:55:36 -0700`, with the minute's start remembered.
+    fn clf(&mut self, text: &[u8]) -> Result<Micros, BadStamp> {
+        let (Some(minute), Some(seconds), Some(offset)) = (text.get(..17), text.get(17..20), text.get(21..26)) else {
+            return Err(BadStamp);
+        };
+        if text.len() != 26 || seconds[0] != b':' || text[20] != b' ' {
+            return Err(BadStamp);
+        }
+        let base = match &self.minute {
+            Some((m, o, base)) if m == minute && o == offset => *base,
+            _ => {
+                let base = clf_minute(minute, offset).ok_or(BadStamp)?;
+                let copied = (minute.try_into().map_err(|_| BadStamp)?, offset.try_into().map_err(|_| BadStamp)?);
+                self.minute = Some((copied.0, copied.1, base));
+                base
+            }
+        };
+        let second = two(&seconds[1..]).filter(|s| *s <= 60).ok_or(BadStamp)?;
+        Ok(base + second.min(59) * SECOND)
+    }
+
+    fn iso(&mut self, text: &str) -> Result<(Micros, Micros), BadStamp> {
+        let within = fraction(text);
+        if let Ok(stamp) = text.parse::<Timestamp>() {
+            return Ok((stamp.as_microsecond(), within));
+        }
+        let local: DateTime = text.parse().map_err(|_| BadStamp)?;
+        Ok((self.local(local)?, within))
+    }
+
+    fn pattern(&mut self, pattern: &str, text: &str) -> Result<(Micros, Micros), BadStamp> {
+        let read = strtime::parse(pattern, text).map_err(|_| BadStamp)?;
+        let within = match () {
+            () if pattern.contains('f') && pattern.contains('%') => fraction(text),
+            () => SECOND,
+        };
+        if let Ok(stamp) = read.to_timestamp() {
+            return Ok((stamp.as_microsecond(), within));
+        }
+        Ok((self.local(read.to_datetime().map_err(|_| BadStamp)?)?, within))
+    }
+
+    /// A local time. One that comes twice is read as the first of the two, unless the log has gone past that; one that
+    /// does not come at all is read with the offset before the change.
+    fn local(&mut self, local: DateTime) -> Result<Micros, BadStamp> {
+        let with = |offset: jiff::tz::Offset| {
+            offset.to_timestamp(local).map(|t| t.as_microsecond()).map_err(|_| BadStamp)
+        };
+        match self.zone.to_ambiguous_timestamp(local).offset() {
+            AmbiguousOffset::Unambiguous { offset } => with(offset),
+            AmbiguousOffset::Gap { before, .. } => {
+                self.dst = true;
+                with(before)
+            }
+            AmbiguousOffset::Fold { before, after } => {
+                self.dst = true;
+                let first = with(before)?;
+                if self.last.is_some_and(|last| first + BACK < last) { with(after) } else { Ok(first) }
+            }
+        }
+    }
+}
+
+fn two(text: &[u8]) -> Option<Micros> {
+    let [a, b] = text else { return None };
+    let digit = |d: &u8| d.is_ascii_digit().then(|| Micros::from(d - b'0'));
+    Some(digit(a)? * 10 + digit(b)?)
+}
+
+/// The start of a minute written `10/Oct/2000:13:55`, at an offset written `-0700`.
+fn clf_minute(minute: &[u8], offset: &[u8]) -> Option<Micros> {
+    const MONTHS: [&[u8]; 12] =
+        [b"Jan", b"Feb", b"Mar", b"Apr", b"May", b"Jun", b"Jul", b"Aug", b"Sep", b"Oct", b"Nov", b"Dec"];
+    let parts = [minute[2], minute[6], minute[11], minute[14]];
+    if parts != *b"//::" {
+        return None;
+    }
+    let month = MONTHS.iter().position(|m| *m == &minute[3..6])? as i8 + 1;
+    let year = two(&minute[7..9])? * 100 + two(&minute[9..11])?;
+    let (day, hour, min) = (two(&minute[..2])?, two(&minute[12..14])?, two(&minute[15..17])?);
+    let at = DateTime::new(year as i16, month, day as i8, hour as i8, min as i8, 0, 0).ok()?;
+    let utc = jiff::tz::Offset::UTC.to_timestamp(at).ok()?.as_microsecond();
+    let sign = match offset[0] {
+        b'+' => 1,
+        b'-' => -1,
+        _ => return None,
+    };
+    let (h, m) = (two(&offset[1..3])?, two(&offset[3..5])?);
+    (h < 24 && m < 60).then(|| utc - sign * (h * 60 + m) * 60 * SECOND)
+}
+
+/// How exactly a text with a fraction of a second tells the time.
+fn fraction(text: &str) -> Micros {
+    let Some(dot) = text.rfind(['.', ',']) else { return SECOND };
+    let digits = text[dot + 1..].bytes().take_while(u8::is_ascii_digit).count() as u32;
+    10i64.pow(6u32.saturating_sub(digits.min(6)))
+}
+
+/// A decimal number of units, exactly.
+fn decimal(text: &str, unit: Micros) -> Result<(Micros, Micros), BadStamp> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, ""));
+    let digits = |t: &str| t.bytes().all(|b| b.is_ascii_digit());
+    if whole.is_empty() || whole.len() > 18 || !digits(whole) || !digits(part) {
+        return Err(BadStamp);
+    }
+    let mut at = whole.parse::<Micros>().ok().and_then(|w| w.checked_mul(unit)).ok_or(BadStamp)?;
+    let mut within = unit;
+    for digit in part.bytes() {
+        if within < 10 {
+            break;
+        }
+        within /= 10;
+        at = at.checked_add(within * Micros::from(digit - b'0')).ok_or(BadStamp)?;
+    }
+    Ok((at, within))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn reader() -> Reader {
+        Reader::new(TimeZone::get("Europe/Lisbon").expect("a zone"))
+    }
+
+    #[test]
+    fn common_log_stamps_mean_what_a_calendar_says() {
+        let mut r = reader();
+        let at = |r: &mut Reader, text: &str| r.read(&Form::Clf, text).map(|s| s.at / SECOND);
+        assert_eq!(at(&mut r, "10/Oct/2000:13:55:36 -0700"), Ok(971_211_336));
+        assert_eq!(at(&mut r, "10/Oct/2000:13:55:59 -0700"), Ok(971_211_359));
+        assert_eq!(at(&mut r, "10/Oct/2000:13:55:36 +0130"), Ok(971_211_336 - 30_600));
+        for bad in ["", "10/Oct/2000:13:55:36", "10/Okt/2000:13:55:36 -0700", "31/Feb/2000:13:55:36 -0700",
+                    "10/Oct/2000:13:55:61 -0700", "10/Oct/2000:24:55:36 -0700", "10/Oct/1970:13:55:36 -0700"] {
+            assert_eq!(at(&mut r, bad), Err(BadStamp), "{bad}");
+        }
+    }
+
+    #[test]
+    fn fractions_say_how_exact_a_stamp_is() {
+        let mut r = reader();
+        let mut read = |form: &Form, text: &str| r.read(form, text).map(|s| (s.at, s.within));
+        let second = 1_700_000_000 * SECOND;
+        assert_eq!(read(&Form::Seconds, "1700000000"), Ok((second, SECOND)));
+        assert_eq!(read(&Form::Seconds, "1700000000.125"), Ok((second + 125_000, 1_000)));
+        assert_eq!(read(&Form::Millis, "1700000000125"), Ok((second + 125_000, 1_000)));
+        assert_eq!(read(&Form::Iso, "2023-11-14T22:13:20.5Z"), Ok((second + 500_000, 100_000)));
+        assert_eq!(read(&Form::Iso, "2023-11-14T22:13:20"), Ok((second, SECOND)), "Lisbon is at UTC in winter");
+        let pattern = Form::Pattern("%Y/%m/%d %H:%M:%S%.3f %z".into());
+        assert_eq!(read(&pattern, "2023/11/14 23:13:20.125 +0100"), Ok((second + 125_000, 1_000)));
+    }
+
+    /// The hour that comes twice: the log goes on, and does not jump back.
+    #[test]
+    fn a_local_hour_that_comes_twice_follows_the_log() {
+        let mut r = reader();
+        let mut at = |text: &str| {
+            let at = r.read(&Form::Iso, text).expect("a time").at / SECOND;
+            (at, r.was_dst())
+        };
+        let (first, dst) = at("2026-10-25T01:10:00");
+        assert!(dst);
+        assert_eq!(at("2026-10-25T01:59:59"), (first + 2_999, true));
+        assert_eq!(at("2026-10-25T01:00:01"), (first + 3_001, true), "the second time round");
+        assert_eq!(at("2026-10-25T02:00:00"), (first + 6_600, false));
+        assert!(at("2026-03-29T01:30:00").1, "this one never came");
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/tally.rs
@@ -0,0 +1,183 @@
+//! What became of every record read: nothing is dropped uncounted.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Examples kept for each reason.
+const EXAMPLES: usize = 3;
+/// Characters kept of an example.
+const SHOWN: usize = 160;
+
+/// Why a record was rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+    /// The line is empty.
+    Blank,
+    /// It begins with `#`, as headers of logs do.
+    Comment,
+    /// It does not have the form that was named.
+    Malformed,
+    /// The file ends within it.
+    Truncated,
+    /// It is longer than any record that is meant.
+    TooLong,
+    /// It holds control bytes: a torn or overwritten part of a file.
+    Binary,
+    /// It has no time.
+    NoTime,
+    /// Its time cannot be read, or lies outside what can be meant.
+    BadTime,
+    /// Its status is no HTTP status.
+    BadStatus,
+    /// It has no request, or one that cannot be read.
+    BadRequest,
+    /// The mapping says that it is no job.
+    NotAJob,
+    /// No rule of the mapping names its class.
+    NoClass,
+    /// No rule of the mapping names its parish, and the mapping wants one.
+    NoParish,
+    /// The same record was read before.
+    Duplicate,
+}
+
+/// What was odd about a record that was taken all the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Remark {
+    /// It was no UTF-8, and was read as Latin-1.
+    Latin1,
+    /// It began before the one read before it.
+    Reordered,
+    /// The clock went back by more than records overtake each other.
+    ClockBack,
+    /// Nothing was recorded for a long time before it.
+    Gap,
+    /// Its local time came twice that day, or not at all; the reading that goes on from the record before was taken.
+    Dst,
+    /// It has no answer: the client left, or the recording broke off.
+    NoAnswer,
+    /// How long it took is not known.
+    NoDuration,
+    /// A forwarded address could not be read.
+    BadForwarded,
+    /// A deadline or a count in it could not be read, and was left out.
+    BadNumber,
+    /// The client marked it as a retry, but its first try is not in the recording.
+    Orphan,
+    /// Its time is known to the second only; it was spread inside.
+    Spread,
+}
+
+/// A record as an example: where it stood, and its beginning.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Example {
+    /// The file.
+    pub file: String,
+    /// Line (or entry of a HAR), from 1.
+    pub line: u64,
+    /// The beginning of it.
+    pub text: String,
+}
+
+/// A count with its first examples.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Count {
+    /// How many.
+    pub count: u64,
+    /// The first of them.
+    pub examples: Vec<Example>,
+}
+
+/// Where a record stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Place<'a> {
+    /// The file.
+    pub file: &'a str,
+    /// Line (or entry of a HAR), from 1.
+    pub line: u64,
+}
+
+/// The counts of an import: `read = taken + folded + rejected`, always.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Records read.
+    pub read: u64,
+    /// First tries.
+    pub taken: u64,
+    /// Retries, each folded into its first try.
+    pub folded: u64,
+    /// Records rejected, by reason.
+    pub rejected: BTreeMap<Reason, Count>,
+    /// What was odd about records that were taken or folded.
+    pub remarks: BTreeMap<Remark, Count>,
+}
+
+impl Count {
+    fn add(&mut self, at: Option<(Place<'_>, &[u8])>) {
+        self.count += 1;
+        if let Some((place, text)) = at.filter(|_| self.examples.len() < EXAMPLES) {
+            let text = String::from_utf8_lossy(&text[..text.len().min(SHOWN * 4)]);
+            let text = text.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).take(SHOWN).collect();
+            self.examples.push(Example { file: place.file.to_string(), line: place.line, text });
+        }
+    }
+}
+
+impl Tally {
+    /// A record was rejected.
+    pub fn reject(&mut self, reason: Reason, place: Place<'_>, text: &[u8]) {
+        self.read += 1;
+        self.rejected.entry(reason).or_default().add(Some((place, text)));
+    }
+
+    /// A record goes on; it is taken or folded later.
+    pub fn pass(&mut self) {
+        self.read += 1;
+    }
+
+    /// Something was odd about a record.
+    pub fn remark(&mut self, remark: Remark, place: Place<'_>, text: &[u8]) {
+        self.remarks.entry(remark).or_default().add(Some((place, text)));
+    }
+
+    /// The same, where the record's text is gone.
+    pub fn remark_only(&mut self, remark: Remark) {
+        self.remarks.entry(remark).or_default().add(None);
+    }
+
+    /// Records rejected for any reason.
+    pub fn rejected(&self) -> u64 {
+        self.rejected.values().map(|c| c.count).sum()
+    }
+
+    /// Records that could not be understood: rejected, but neither blank nor a comment, and not because the mapping
+    /// says that they are no jobs.
+    pub fn bad(&self) -> u64 {
+        let meant = [Reason::Blank, Reason::Comment, Reason::NotAJob, Reason::Duplicate];
+        self.rejected.iter().filter(|(r, _)| !meant.contains(r)).map(|(_, c)| c.count).sum()
+    }
+
+    /// Does every record read stand somewhere?
+    pub fn adds_up(&self) -> bool {
+        self.read == self.taken + self.folded + self.rejected()
+    }
+
+    /// Adds another tally to this one.
+    pub fn merge(&mut self, other: &Tally) {
+        self.read += other.read;
+        self.taken += other.taken;
+        self.folded += other.folded;
+        fn all<K: Ord + Copy>(to: &mut BTreeMap<K, Count>, from: &BTreeMap<K, Count>) {
+            for (k, c) in from {
+                let own = to.entry(*k).or_default();
+                own.count += c.count;
+                let room = EXAMPLES.saturating_sub(own.examples.len());
+                own.examples.extend(c.examples.iter().take(room).cloned());
+            }
+        }
+        all(&mut self.rejected, &other.rejected);
+        all(&mut self.remarks, &other.remarks);
+    }
+}
