--- /dev/null
+++ b/crates/lab/src/client.rs
@@ -0,0 +1,72 @@
+//! Clients: what they do once they have an answer. One draw decides for each job and try, by its number, so that two runs
+//! of one load meet the same clients.
+
+use crate::scenario::{Clients, Effect, Micros};
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+
+/// What a client was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// Served.
+    Served,
+    /// Refused: come back after so long (0: no advice).
+    Refused(Micros),
+    /// Failed.
+    Failed,
+}
+
+/// A draw of its own for each job and purpose.
+pub fn draw(seed: u64, job: u64, purpose: u64) -> Pcg64Mcg {
+    let mixed = seed ^ job.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ purpose.rotate_left(48);
+    Pcg64Mcg::seed_from_u64(mixed)
+}
+
+/// A uniform draw from 0 to 1.
+pub fn unit(rng: &mut Pcg64Mcg) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// When a client tries again after an answer to its try of this number (from 0); `None`: it does not. `until`: its time is
+/// up then.
+pub fn again(
+    clients: &Clients, effect: Effect, said: Said, (seed, job): (u64, u64), tried: u32, now: Micros, until: Micros,
+) -> Option<Micros> {
+    if tried >= clients.retries {
+        return None;
+    }
+    let advice = match said {
+        Said::Served => return None,
+        Said::Refused(after) => after,
+        // Trying again might be a second effect, and a client that was told so leaves it.
+        Said::Failed if effect == Effect::Unsafe || !clients.after_failure => return None,
+        Said::Failed => 0,
+    };
+    let backoff = (clients.backoff_ms * 1e3) as Micros;
+    let honours = unit(&mut draw(seed, job, 0x0c11_e47 + u64::from(tried))) < clients.honour;
+    let wait = match honours && advice > 0 {
+        true => advice.min(clients.max_retry_after_ms * 1000),
+        false => backoff,
+    };
+    Some(now + wait).filter(|at| *at < until)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn clients_retry_as_often_and_as_late_as_they_may() {
+        let clients = Clients { honour: 1.0, ..Clients::default() };
+        let next = |effect, said, tried, until| again(&clients, effect, said, (1, 1), tried, 1000, until);
+        let keyed = Effect::Keyed(1);
+        assert_eq!(next(keyed, Said::Served, 0, 9_000_000), None);
+        assert_eq!(next(Effect::Unsafe, Said::Refused(0), 0, 9_000_000), Some(51_000));
+        assert_eq!(next(Effect::Unsafe, Said::Refused(700_000), 0, 9_000_000), Some(701_000));
+        assert_eq!(next(Effect::Unsafe, Said::Refused(60_000_000), 0, 9_000_000), Some(2_001_000));
+        assert_eq!(next(Effect::Unsafe, Said::Refused(700_000), 0, 600_000), None, "its time is up before");
+        assert_eq!(next(Effect::Unsafe, Said::Refused(0), 3, 9_000_000), None);
+        assert_eq!(next(Effect::Unsafe, Said::Failed, 0, 9_000_000), None);
+        assert_eq!(next(keyed, Said::Failed, 0, 9_000_000), Some(51_000));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/export.rs
@@ -0,0 +1,242 @@
+//! What the schedulers' access logs would have held of a run: the only thing that is kept of a "live" hour.
+
+use crate::scenario::{Effect, Micros, Scenario};
+use crate::virt::Logged;
+use jiff::tz::Offset;
+use jiff::{Timestamp, fmt::strtime};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use std::io::{self, Write};
+
+/// A log format that can be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Form {
+    /// Combined Log Format: seconds, no durations, no headers.
+    Combined,
+    /// An Apache log with microseconds, durations and headers.
+    Apache,
+    /// An nginx log with milliseconds, durations and headers.
+    Nginx,
+    /// Envoy's default text format.
+    Envoy,
+    /// HAR 1.2.
+    Har,
+}
+
+/// The `LogFormat` of [`Form::Apache`].
+pub const APACHE: &str = concat!(
+    r#"%h %l %u %{usec}t "%r" %>s %b %D "%{X-Customer}i" "%{X-Trace-Id}i" "%{Idempotency-Key}i" "#,
+    r#""%{X-Second-Try}i" "%{X-Expires-In-Ms}i" "%{X-Props}i""#
+);
+/// The `log_format` of [`Form::Nginx`].
+pub const NGINX: &str = concat!(
+    r#"$remote_addr - $remote_user [$time_local] "$request" $status $body_bytes_sent $msec $request_time "#,
+    r#""$http_x_customer" "$http_x_trace_id" "$http_idempotency_key" "$http_x_second_try" "#,
+    r#""$http_x_expires_in_ms" "$http_x_props""#
+);
+
+impl Form {
+    /// What the importer calls it.
+    pub fn name(self) -> String {
+        match self {
+            Form::Combined => "combined".into(),
+            Form::Apache => format!("apache:{APACHE}"),
+            Form::Nginx => format!("nginx:{NGINX}"),
+            Form::Envoy => "envoy".into(),
+            Form::Har => "har".into(),
+        }
+    }
+
+    /// A file name's ending.
+    pub fn ending(self) -> &'static str {
+        match self {
+            Form::Har => "har",
+            _ => "log",
+        }
+    }
+}
+
+/// Writes one scheduler's log.
+pub struct Log<W: Write> {
+    form: Form,
+    out: W,
+    first: bool,
+    minute: (i64, String),
+    /// Shares of lines that are lost, and damaged.
+    harm: (f64, f64),
+    rng: Pcg64Mcg,
+}
+
+/// The address of a parish's client.
+pub fn address(parish: u32, office: u32) -> String {
+    format!("10.{}.{}.{}", 4 + parish % 200, office / 250, 1 + office % 250)
+}
+
+/// A name for one try of a job: new on every request.
+fn trace(number: u64, tried: u32) -> String {
+    format!("{:016x}", (number << 4 | u64::from(tried)).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0x5bd1_e995)
+}
+
+impl<W: Write> Log<W> {
+    /// Begins a log. Lines are lost and damaged by chance, from a seed.
+    ///
+    /// # Errors
+    /// It cannot be written.
+    pub fn new(form: Form, mut out: W, harm: (f64, f64), seed: u64) -> io::Result<Self> {
+        if form == Form::Har {
+            out.write_all(br#"{"log":{"version":"1.2","creator":{"name":"indigofold-lab","version":"0.2"},"entries":["#)?;
+        }
+        let minute = (i64::MIN, String::new());
+        Ok(Log { form, out, first: true, minute, harm, rng: crate::client::draw(seed, 0, 0x4a43) })
+    }
+
+    /// Writes a try.
+    ///
+    /// # Errors
+    /// It cannot be written.
+    pub fn write(&mut self, scenario: &Scenario, t: &Logged<'_>) -> io::Result<()> {
+        let line = self.line(scenario, t);
+        let draw = crate::client::unit(&mut self.rng);
+        if draw < self.harm.0 {
+            return Ok(());
+        }
+        let mut bytes = line.into_bytes();
+        if draw < self.harm.0 + self.harm.1 {
+            // Cut, overwritten, or run into itself: in equal shares.
+            let at = (crate::client::unit(&mut self.rng) * bytes.len() as f64) as usize;
+            match (draw * 1e6) as u64 % 3 {
+                0 => bytes.truncate(at),
+                1 => bytes.iter_mut().skip(at).take(24).for_each(|b| *b = 0),
+                _ => {
+                    let copy = bytes[..at].to_vec();
+                    bytes.splice(at..at, copy);
+                }
+            }
+            bytes.retain(|b| *b != b'\n');
+        }
+        if self.form == Form::Har && !self.first {
+            self.out.write_all(b",")?;
+        }
+        self.first = false;
+        self.out.write_all(&bytes)?;
+        self.out.write_all(b"\n")
+    }
+
+    /// Ends the log.
+    ///
+    /// # Errors
+    /// It cannot be written.
+    pub fn finish(mut self) -> io::Result<()> {
+        if self.form == Form::Har {
+            self.out.write_all(b"]}}\n")?;
+        }
+        self.out.flush()
+    }
+
+    fn line(&mut self, scenario: &Scenario, t: &Logged<'_>) -> String {
+        let (a, class) = (t.arrival, &scenario.classes[t.arrival.class as usize]);
+        let peer = address(a.parish.unwrap_or(200), a.office);
+        let parish = a.parish.map_or("-", |p| scenario.parishes[p as usize].name.as_str());
+        let request = format!("/{}/{}", class.name, a.subject);
+        // The client has left: servers write 499, as nginx does.
+        let status = t.status.unwrap_or(499);
+        let key = match class.effect {
+            Effect::Keyed(_) => format!("k{:016x}", a.number.wrapping_mul(0x2545_f491_4f6c_dd1d)),
+            _ => "-".to_string(),
+        };
+        let mark = if scenario.clients.mark && t.tried > 0 { "1" } else { "-" };
+        let trace = trace(a.number, t.tried);
+        let expires = (a.at + a.deadline).saturating_sub(t.from) / 1000;
+        let props = format!("needs={}", a.slots);
+        let took = t.to - t.from;
+        let headers = [parish, &trace, &key, mark, &expires.to_string(), &props];
+        let quoted = headers.map(|h| format!("\"{h}\"")).join(" ");
+        let bytes = if status == 200 { 64 } else { 0 };
+        match self.form {
+            Form::Combined => {
+                let time = self.clf(t.from);
+                format!("{peer} - - [{time}] \"POST {request} HTTP/1.1\" {status} {bytes} \"-\" \"office/1.0\"")
+            }
+            Form::Apache => {
+                let from = t.from;
+                format!("{peer} - - {from} \"POST {request} HTTP/1.1\" {status} {bytes} {took} {quoted}")
+            }
+            Form::Nginx => {
+                let (time, msec, took) = (self.clf(t.to), t.to as f64 / 1e6, took as f64 / 1e6);
+                format!(
+                    "{peer} - - [{time}] \"POST {request} HTTP/1.1\" {status} {bytes} {msec:.3} {took:.3} {quoted}"
+                )
+            }
+            Form::Envoy => {
+                let (time, ms) = (iso(t.from), took / 1000);
+                let (status, flags) = if t.status.is_some() { (status, "-") } else { (0, "DC") };
+                format!(
+                    "[{time}] \"POST {request} HTTP/1.1\" {status} {flags} via_upstream - \"-\" 128 {bytes} {ms} - \
+                     \"{peer}\" \"office/1.0\" \"{trace}\" \"jobs.internal\" \"127.0.0.1:8443\""
+                )
+            }
+            Form::Har => {
+                let names =
+                    ["X-Customer", "X-Trace-Id", "Idempotency-Key", "X-Second-Try", "X-Expires-In-Ms", "X-Props"];
+                let pairs = names.iter().zip(headers).filter(|(_, v)| *v != "-");
+                let headers: Vec<_> = pairs.map(|(n, v)| json!({"name": n, "value": v})).collect();
+                let ms = if t.status.is_some() { took as f64 / 1e3 } else { -1.0 };
+                json!({"startedDateTime": iso(t.from), "time": ms,
+                    "request": {"method": "POST", "url": format!("http://jobs.internal{request}"),
+                        "httpVersion": "HTTP/1.1", "headers": headers, "cookies": [], "queryString": [],
+                        "headersSize": -1, "bodySize": 128},
+                    "response": {"status": t.status.unwrap_or(0), "statusText": "", "httpVersion": "HTTP/1.1",
+                        "headers": [], "cookies": [], "content": {"size": bytes, "mimeType": "text/plain"},
+                        "redirectURL": "", "headersSize": -1, "bodySize": bytes},
+                    "cache": {}, "timings": {"send": 0, "wait": ms, "receive": 0}, "_clientIPAddress": peer})
+                .to_string()
+            }
+        }
+    }
+
+    fn clf(&mut self, at: Micros) -> String {
+        let second = (at / 1_000_000) as i64;
+        let minute = second.div_euclid(60);
+        if self.minute.0 != minute {
+            let begin = Offset::UTC.to_datetime(Timestamp::from_second(minute * 60).unwrap_or_default());
+            self.minute = (minute, strtime::format("%d/%b/%Y:%H:%M", begin).unwrap_or_default());
+        }
+        format!("{}:{:02} +0000", self.minute.1, second.rem_euclid(60))
+    }
+}
+
+fn iso(at: Micros) -> String {
+    let stamp = Timestamp::from_microsecond(at as i64 / 1000 * 1000).unwrap_or_default();
+    format!("{stamp:.3}")
+}
+
+/// The mapping file that goes with such logs.
+pub fn mapping(scenario: &Scenario, form: Form) -> serde_json::Value {
+    let networks: serde_json::Map<_, _> = scenario
+        .parishes
+        .iter()
+        .enumerate()
+        .map(|(n, p)| (p.name.clone(), json!([format!("10.{}.0.0/16", 4 + n % 200)])))
+        .collect();
+    let deadlines: serde_json::Map<_, _> =
+        scenario.classes.iter().map(|c| (c.name.clone(), c.deadline_ms.into())).collect();
+    let header = |name: &str| json!([{"from": {"header": name}}]);
+    let mut mapping = json!({"version": 1, "networks": networks, "jobs": {"not-paths": ["/_", "/-/"]},
+        "class": [{"from": {"segment": 0}}], "subject": [{"from": {"segment": 1}}], "deadline-of": deadlines,
+        "guess": {"within-ms": scenario.clients.max_retry_after_ms + 300, "tries": scenario.clients.retries + 1}});
+    let rest = match form {
+        Form::Combined => json!({"parish": [{"from": "network"}]}),
+        Form::Envoy => json!({"parish": [{"from": "network"}], "id": header("x-request-id")}),
+        _ => json!({"parish": [{"from": {"header": "x-customer"}}, {"from": "network"}],
+            "key": header("idempotency-key"), "id": header("x-trace-id"), "retry-mark": header("x-second-try"),
+            "slots": [{"from": {"pair": ["x-props", "needs"]}}], "deadline-ms": header("x-expires-in-ms")}),
+    };
+    if let (Some(to), serde_json::Value::Object(rest)) = (mapping.as_object_mut(), rest) {
+        to.extend(rest);
+    }
+    if form == Form::Envoy {
+        // Envoy's default format names who asked in X-Forwarded-For alone, and no peer.
+        mapping["parish"] = json!([{"from": "network"}]);
+    }
+    mapping
+}
--- a/crates/traffic/src/ops.rs
+++ b/crates/traffic/src/ops.rs
@@ -202,9 +202,9 @@
 
 /// Puts keyed hashes (BLAKE3) in place of what names people and things: subjects, keys and clients; parishes too if
 /// wanted. The same key gives the same names again, so that recordings can still be compared.
-pub fn pseudonymise(
-    jobs: impl Iterator<Item = Job>, secret: &str, parishes: bool,
-) -> impl Iterator<Item = Job> {
+pub fn pseudonymise<I: Iterator<Item = Job>>(
+    jobs: I, secret: &str, parishes: bool,
+) -> impl Iterator<Item = Job> + use<I> {
     let key = blake3::derive_key("indigofold recording pseudonyms 2026", secret.as_bytes());
     let mut names: FxHashMap<Arc<str>, Arc<str>> = FxHashMap::default();
     jobs.map(move |mut job| {
