--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -487,6 +487,23 @@
         number % self.zones.len() as u32
     }
 
+    /// The kitchen whose schedulers a job's client calls.
+    pub fn home(&self, arrival: &crate::load::Arrival) -> u32 {
+        let zones = self.zones.len() as u32;
+        let of = arrival.parish.map(|p| {
+            let named = self.parishes[p as usize].zone.as_ref();
+            named.and_then(|z| self.zones.iter().position(|o| o == z)).map_or(p % zones, |z| z as u32)
+        });
+        of.unwrap_or((arrival.number % u64::from(zones)) as u32)
+    }
+
+    /// A kitchen's schedulers in turn; where it has none, all are.
+    pub fn scheduler_of(&self, zone: u32, turn: u32) -> u32 {
+        let (zones, all) = (self.zones.len() as u32, self.schedulers);
+        let own = (all + zones - 1 - zone) / zones;
+        if own == 0 { turn % all } else { zone + zones * (turn % own) }
+    }
+
     /// When it starts, in microseconds since 1970.
     pub fn from(&self) -> Micros {
         self.start * 1_000_000
--- /dev/null
+++ b/crates/lab/src/sockets/program.rs
@@ -0,0 +1,82 @@
+//! The real program as a child process, under its limits.
+
+use super::wire::Link;
+use super::{Stage, locked};
+use serde_json::json;
+use smol::Timer;
+use smol::net::TcpStream;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// A scheduler; killed when dropped.
+pub struct Program {
+    /// Where it listens.
+    pub address: SocketAddr,
+    child: Child,
+    dir: PathBuf,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Starts a scheduler.
+pub fn start(stage: &Stage, program: &Path, me: u32, discovery: &SocketAddr) -> Result<Program, String> {
+    let dir = std::env::temp_dir().join(format!("indigofold-lab-{}-{me}", std::process::id()));
+    std::fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    // A port that is free now; it is taken again at once.
+    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?;
+    let limits = &stage.scenario.limits;
+    let known = locked(&stage.list).since(0, me).0;
+    let config = json!({"name": format!("n{me}"), "listen": free.to_string(), "discovery": discovery.to_string(),
+        "seed": format!("{:016x}", stage.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(me)),
+        "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
+        "known": known, "settings": stage.scenario.settings(me)});
+    let path = dir.join("config.json");
+    std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+    let log = std::fs::File::create(dir.join("log")).map_err(|e| e.to_string())?;
+    let run = format!("ulimit -n {}; exec \"$0\"", limits.sockets);
+    let child = Command::new("/bin/sh")
+        .args(["-c", &run])
+        .arg(program)
+        .env("GW_CONFIG", &path)
+        .env("TMPDIR", &dir)
+        .env_remove("INDIGOFOLD_FAKTORY")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .map_err(|e| format!("{}: {e}", program.display()))?;
+    Ok(Program { address: free, child, dir })
+}
+
+impl Program {
+    /// Waits until it is ready.
+    pub async fn ready(&self, within: Duration) -> Result<(), String> {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Ok(stream) = TcpStream::connect(self.address).await {
+                let mut link = Link::new(stream);
+                let ask = b"GET /-/ready HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n";
+                if link.write(ask).await.is_ok() && link.read(true).await.is_ok_and(|a| a.status == 200) {
+                    return Ok(());
+                }
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        let log = std::fs::read_to_string(self.dir.join("log")).unwrap_or_default();
+        let last: Vec<&str> = log.lines().rev().take(5).collect();
+        Err(format!("a scheduler was not ready within {within:?}; its last lines: {last:#?}"))
+    }
+
+    /// How it ended, if it did.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
--- a/crates/lab/src/virt.rs
+++ b/crates/lab/src/virt.rs
@@ -392,13 +392,8 @@
             self.service.retried(at);
         }
         let trip = &self.trips[n as usize];
-        let (until, parish, number) = (trip.until, trip.arrival.parish, trip.arrival.number);
-        let zones = self.scenario.zones.len() as u32;
-        let of = parish.and_then(|p| {
-            let own = self.scenario.parishes[p as usize].zone.as_ref();
-            own.and_then(|z| self.scenario.zones.iter().position(|o| o == z)).map(|z| z as u32).or(Some(p % zones))
-        });
-        let zone = of.unwrap_or((number % u64::from(zones)) as u32);
+        let (until, number) = (trip.until, trip.arrival.number);
+        let zone = self.scenario.home(&trip.arrival);
         let scheduler = self.scheduler_of(zone);
         let job = self.next_job;
         self.next_job += 1;
@@ -412,11 +407,9 @@
 
     /// A zone's schedulers in turn; where it has none, all are.
     fn scheduler_of(&mut self, zone: u32) -> u32 {
-        let (zones, all) = (self.scenario.zones.len() as u32, self.scenario.schedulers);
         let turn = &mut self.turn[zone as usize];
         *turn += 1;
-        let own = (all + zones - 1 - zone) / zones;
-        if own == 0 { *turn % all } else { zone + zones * (*turn % own) }
+        self.scenario.scheduler_of(zone, *turn)
     }
 
     fn tell(&mut self, s: u32, told: Told) {
@@ -812,7 +805,8 @@
                 self.at(self.now + way, Ev::Gone(t.scheduler, job));
             }
             let (arrival, status) = (&self.trips[n as usize].arrival, None);
-            log(Logged { arrival, tried: t.tried, scheduler: t.scheduler, from: t.came, to: self.now, status });
+            let to = self.now.max(t.came);
+            log(Logged { arrival, tried: t.tried, scheduler: t.scheduler, from: t.came, to, status });
         }
         self.over(n, End::Late(self.now));
     }
