--- a/crates/lab/src/export.rs
+++ b/crates/lab/src/export.rs
@@ -220,9 +220,12 @@
         .collect();
     let deadlines: serde_json::Map<_, _> =
         scenario.classes.iter().map(|c| (c.name.clone(), c.deadline_ms.into())).collect();
+    // Only what is a class: a damaged line names others.
+    let classes: serde_json::Map<_, _> =
+        scenario.classes.iter().map(|c| (c.name.clone(), c.name.clone().into())).collect();
     let header = |name: &str| json!([{"from": {"header": name}}]);
     let mut mapping = json!({"version": 1, "networks": networks, "jobs": {"not-paths": ["/_", "/-/"]},
-        "class": [{"from": {"segment": 0}}], "subject": [{"from": {"segment": 1}}], "deadline-of": deadlines,
+        "class": [{"from": {"segment": 0}, "names": classes}], "subject": [{"from": {"segment": 1}}], "deadline-of": deadlines,
         "guess": {"within-ms": scenario.clients.max_retry_after_ms + 300, "tries": scenario.clients.retries + 1}});
     let rest = match form {
         Form::Combined => json!({"parish": [{"from": "network"}]}),
--- a/crates/traffic/src/fold.rs
+++ b/crates/traffic/src/fold.rs
@@ -2,18 +2,24 @@
 //!
 //! Tries come in the order in which they were made. A first try stays open until no retry can belong to it any more; jobs
 //! come out in the order of their first tries. How sure a fold is says [`Again::sure`](crate::Again): by key or id, that
-//! two clients do not draw the same one; by mark, one over the jobs that it could belong to; by guess, how much likelier a
-//! retry is than another job of that client about the same subject, whose rate is counted as the log goes on.
+//! two clients do not draw the same one. By mark and by guess several jobs may fit; how long clients wait before they come
+//! back is learned from those retries that fit one job alone, and the job whose wait is the likeliest is taken. A guess is
+//! also weighed against another job of that client about the same subject, whose rate is counted as the log goes on.
 
 use crate::job::{Again, How, Job, Micros, done};
 use crate::order::Try;
 use crate::tally::{Remark, Tally};
 use rustc_hash::{FxHashMap, FxHasher};
+use smallvec::SmallVec;
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
 
 /// A key or an id counts for so long after the last try's end.
 const KEYED: Micros = 15_000_000;
+/// A marked retry comes so long after the last try's end, at the latest.
+const MARKED: Micros = 5_000_000;
+/// An answer and the retry that follows it may be logged in the wrong order by so much.
+const SLACK: Micros = 2_000;
 /// Where nobody says how long a client waits, it is taken to be this.
 const WAIT: Micros = 10_000_000;
 /// Open first tries at the most; beyond that the oldest are closed.
@@ -32,11 +38,38 @@
     pub tries: u32,
     /// Clients keep the request id.
     pub id_kept: bool,
+    /// Clients mark their retries: what has no mark is no retry, unless its key says so.
+    pub marks: bool,
+}
+
+/// How long clients wait between the end of a try and the next, in bins of a quarter of an octave.
+struct Waits([f64; Waits::BINS]);
+
+impl Waits {
+    const BINS: usize = 64;
+
+    fn bin(wait: Micros) -> usize {
+        // From 1 ms on; what is less, or seems negative, falls into the first bin.
+        let quarters = (wait.max(1_000) as f64 / 1_000.0).log2() * 4.0;
+        (quarters as usize).min(Self::BINS - 1)
+    }
+
+    fn learn(&mut self, wait: Micros) {
+        self.0[Self::bin(wait)] += 1.0;
+    }
+
+    /// How likely such a wait is, for each microsecond of its bin, up to a factor.
+    fn density(&self, wait: Micros) -> f64 {
+        let bin = Self::bin(wait);
+        self.0[bin] / 2f64.powf(bin as f64 / 4.0)
+    }
 }
 
 struct Open {
     job: Job,
-    /// When the last try had ended, or its client had stopped waiting.
+    /// When the last try had ended, or its client had stopped waiting: no earlier than the first, no later than the
+    /// second. Logs without durations leave much room between.
+    ended: Micros,
     end: Micros,
     /// The end is known no better than this.
     within: Micros,
@@ -51,11 +84,12 @@
     open: VecDeque<Open>,
     first: u64, // number of the first in `open`
     /// Open first tries by key, id, who and what, who alone; the newest last.
-    by: [FxHashMap<u64, Vec<u64>>; 4],
+    by: [FxHashMap<u64, SmallVec<[u64; 2]>>; 4],
     /// Jobs of one client about one thing.
     seen: FxHashMap<u64, u32>,
     began: Option<Micros>,
     now: Micros,
+    waits: Waits,
 }
 
 fn mixed(parts: impl Hash) -> u64 {
@@ -68,7 +102,8 @@
     /// A folder by these rules.
     pub fn new(rules: Rules) -> Self {
         let (open, by, seen) = Default::default();
-        Folder { rules, open, first: 0, by, seen, began: None, now: Micros::MIN }
+        let waits = Waits([0.02; Waits::BINS]);
+        Folder { rules, open, first: 0, by, seen, began: None, now: Micros::MIN, waits }
     }
 
     /// Takes the next try and hands out the jobs that are closed by then.
@@ -84,7 +119,11 @@
             (job.client != 0 || !job.parish.is_empty()).then(|| mixed((job.client, &job.class, &job.parish, 0u8))),
         ];
         match self.first_try_of(&t, &keys) {
-            Some((n, how, sure)) => {
+            Some((n, how, sure, learn)) => {
+                if learn {
+                    let wait = t.job.at - self.open[(n - self.first) as usize].ended;
+                    self.waits.learn(wait);
+                }
                 tally.folded += 1;
                 self.join(n, &t, how, sure);
             }
@@ -104,8 +143,12 @@
         self.close(true, &mut out);
     }
 
-    fn end(&self, job_at: Micros, took: Option<Micros>, deadline: Option<Micros>) -> Micros {
-        job_at + took.or(deadline).unwrap_or(WAIT)
+    /// Between which times a try ended.
+    fn end(at: Micros, took: Option<Micros>, deadline: Option<Micros>) -> (Micros, Micros) {
+        match took {
+            Some(took) => (at + took, at + took),
+            None => (at, at + deadline.unwrap_or(WAIT)),
+        }
     }
 
     fn begin(&mut self, t: Try, keys: [Option<u64>; 4]) {
@@ -123,11 +166,11 @@
             }
             *self.seen.entry(what).or_default() += 1;
         }
-        let end = self.end(t.job.at, t.job.took, t.job.deadline);
+        let (ended, end) = Self::end(t.job.at, t.job.took, t.job.deadline);
         let served = done(t.job.status);
         let keyed = keys[0].is_some() || keys[1].is_some();
         let closes = end + self.stays(served, keyed);
-        self.open.push_back(Open { job: t.job, end, within: t.within, served, closes, keys });
+        self.open.push_back(Open { job: t.job, ended, end, within: t.within, served, closes, keys });
     }
 
     /// How long after its end a job may still get a retry.
@@ -136,23 +179,26 @@
             (true, _) => KEYED,
             // Its answer may have been logged as sent and not have come.
             (false, true) => 0,
+            (false, false) if self.rules.marks => MARKED,
             (false, false) => self.rules.guess_within.max(2_500_000),
         }
     }
 
     fn join(&mut self, number: u64, t: &Try, how: How, sure: f32) {
-        let end = self.end(t.job.at, t.job.took, t.job.deadline.or(self.open[(number - self.first) as usize].job.deadline));
-        let served = done(t.job.status);
         let n = (number - self.first) as usize;
+        let (ended, end) = Self::end(t.job.at, t.job.took, t.job.deadline.or(self.open[n].job.deadline));
+        let served = done(t.job.status);
         let stays = self.stays(served, self.open[n].keys[0].is_some() || self.open[n].keys[1].is_some());
         let open = &mut self.open[n];
         let (at, status, took) = (t.job.at, t.job.status, t.job.took);
         open.job.tries.push(Again { at, status, took, how, sure });
-        (open.end, open.within, open.served, open.closes) = (end, t.within, served, end + stays);
+        (open.ended, open.end, open.within) = (ended, end, t.within);
+        (open.served, open.closes) = (served, end + stays);
     }
 
     /// The job that a try is a retry of.
-    fn first_try_of(&self, t: &Try, keys: &[Option<u64>; 4]) -> Option<(u64, How, f32)> {
+    /// By what, how sure that is, and whether the wait before it is one to learn from.
+    fn first_try_of(&self, t: &Try, keys: &[Option<u64>; 4]) -> Option<(u64, How, f32, bool)> {
         let at = t.job.at;
         let all = |n: usize| {
             let list = keys[n].and_then(|key| self.by[n].get(&key));
@@ -163,33 +209,40 @@
         // The same key or id: whatever became of the tries before.
         for n in [0, 1] {
             if let Some(number) = all(n).find(|number| open(*number).closes >= at && more(open(*number))) {
-                return Some((number, How::Key, SURE));
+                return Some((number, How::Key, SURE, false));
             }
         }
         // Ended before this one began, as far as that is known, and not served.
-        let slack = |o: &Open| (o.within + t.within).max(20_000);
+        let slack = |o: &Open| o.within + t.within + SLACK;
         let failed = |number: &u64, within: Micros| {
             let o = open(*number);
             let differs = o.job.key.is_some() && t.job.key.is_some(); // equal keys were found above
-            !o.served && !differs && more(o) && o.end <= at + slack(o) && at <= o.end + within + slack(o)
+            !o.served && !differs && more(o) && o.ended <= at + slack(o) && at <= o.end + within + slack(o)
+        };
+        // The likeliest of those that fit, and how sure that is among them.
+        let likeliest = |fitting: &[u64]| {
+            let density = |number: u64| self.waits.density(at - open(number).ended);
+            let all: f64 = fitting.iter().map(|n| density(*n)).sum();
+            let best = fitting.iter().copied().max_by(|a, b| density(*a).total_cmp(&density(*b)))?;
+            Some((best, (density(best) / all) as f32, fitting.len() == 1))
         };
         if t.marked {
             for n in [2, 3] {
-                let fitting: Vec<u64> = all(n).filter(|number| failed(number, KEYED)).collect();
-                // The one that ended last before: clients come back soon.
-                if let Some(number) = fitting.iter().max_by_key(|number| open(**number).end) {
-                    return Some((*number, How::Marker, 1.0 / fitting.len() as f32));
+                let fitting: SmallVec<[u64; 4]> = all(n).filter(|number| failed(number, MARKED)).collect();
+                if let Some((number, sure, alone)) = likeliest(&fitting) {
+                    return Some((number, How::Marker, sure, alone && n == 2));
                 }
             }
             return None;
         }
         let within = self.rules.guess_within;
-        if within == 0 || t.job.key.is_some() {
+        if within == 0 || t.job.key.is_some() || self.rules.marks {
             return None;
         }
-        let number = all(2).filter(|number| failed(number, within)).max_by_key(|number| open(*number).end)?;
-        let sure = self.likely(keys[2]?, at - open(number).end);
-        (sure >= 0.5).then_some((number, How::Guess, sure))
+        let fitting: SmallVec<[u64; 4]> = all(2).filter(|number| failed(number, within)).collect();
+        let (number, among, alone) = likeliest(&fitting)?;
+        let sure = self.likely(keys[2]?, at - open(number).ended);
+        (sure >= 0.5).then_some((number, How::Guess, sure * among, alone && sure > 0.95))
     }
 
     /// How likely a try so long after a failed one is its retry, and not another job about the same.
--- a/crates/traffic/src/import.rs
+++ b/crates/traffic/src/import.rs
@@ -167,7 +167,15 @@
         let mut stamps = Reader::new(self.options.mapping.zone.clone());
         let (mut line, mut kept, mut latin, mut too_long) = (0, Vec::new(), String::new(), false);
         loop {
-            let bytes = from.fill_buf()?;
+            let bytes = match from.fill_buf() {
+                Ok(bytes) => bytes,
+                Err(e) if broken_off(&e) => {
+                    // What of the last record came before that is in `kept`.
+                    self.reject(Reason::Truncated, Place { file: name, line: line + 1 }, &kept);
+                    return Ok(());
+                }
+                Err(e) => return Err(e),
+            };
             let last = bytes.is_empty();
             if last && kept.is_empty() && !too_long {
                 return Ok(());
@@ -199,6 +207,9 @@
                 }
                 kept = text;
                 kept.clear();
+            } else if piece.len() > LINE {
+                line += 1;
+                self.reject(Reason::TooLong, Place { file: name, line }, piece);
             } else {
                 line += 1;
                 self.line(format, piece, (file, Place { file: name, line }, false), &mut stamps, &mut latin)?;
@@ -253,7 +264,11 @@
         let mut stamps = Reader::new(self.options.mapping.zone.clone());
         let (mut splitter, mut entry, mut failed) = (Splitter::default(), 0, None);
         loop {
-            let bytes = from.fill_buf()?;
+            let bytes = match from.fill_buf() {
+                Ok(bytes) => bytes,
+                Err(e) if broken_off(&e) => break,
+                Err(e) => return Err(e),
+            };
             let used = bytes.len();
             if used == 0 {
                 break;
@@ -376,7 +391,9 @@
     let mut tries = Spread::new(intake.sorter.finish().map_err(io)?, options.seed);
     let guess = &options.mapping.file.guess;
     let guess_within = (guess.within_ms.min(3_600_000) * 1000) as Micros;
-    let mut folder = Folder::new(Rules { guess_within, tries: guess.tries, id_kept: options.mapping.file.id_kept });
+    let file = &options.mapping.file;
+    let marks = !file.retry_mark.is_empty() && !guess.unmarked_too;
+    let mut folder = Folder::new(Rules { guess_within, tries: guess.tries, id_kept: file.id_kept, marks });
     let mut writer = Writer::new(out, &Header::new(made_of, options.seed)).map_err(io)?;
     let mut failed = None;
     for t in &mut tries {
@@ -400,13 +417,21 @@
     Ok(Imported { end, tally })
 }
 
+/// A compressed file that ends too soon, or is damaged from here on.
+fn broken_off(error: &io::Error) -> bool {
+    use io::ErrorKind::{InvalidData, InvalidInput, Other, UnexpectedEof};
+    matches!(error.kind(), UnexpectedEof | InvalidData | InvalidInput | Other)
+}
+
 /// The beginning of a file, uncompressed.
 fn head(path: &Path) -> Result<Vec<u8>, Failed> {
     let io = |e| Failed::File(path.display().to_string(), e);
     let mut from = source::open(path, Arc::default()).map_err(io)?;
     let mut head = Vec::new();
-    io::Read::read_to_end(&mut io::Read::take(&mut from, LINE as u64), &mut head).map_err(io)?;
-    Ok(head)
+    match io::Read::read_to_end(&mut io::Read::take(&mut from, LINE as u64), &mut head) {
+        Err(e) if !broken_off(&e) => Err(io(e)),
+        _ => Ok(head),
+    }
 }
 
 fn kind(path: &Path, options: &Options) -> Result<Kind, Failed> {
--- a/crates/traffic/src/line/mod.rs
+++ b/crates/traffic/src/line/mod.rs
@@ -69,7 +69,7 @@
     ///
     /// # Errors
     /// Why it is none of this format.
-    pub fn read<'a>(&self, line: &'a str, stamps: &mut Reader) -> Result<Raw<'a>, Reason> {
+    pub fn read<'a>(&'a self, line: &'a str, stamps: &mut Reader) -> Result<Raw<'a>, Reason> {
         match self {
             LineFormat::Text(template) => template.read(line, stamps),
             LineFormat::Json(fields) => fields.read(line, stamps),
--- a/crates/traffic/src/line/template.rs
+++ b/crates/traffic/src/line/template.rs
@@ -137,7 +137,7 @@
     ///
     /// # Errors
     /// Why it is none of this format.
-    pub fn read<'a>(&self, line: &'a str, stamps: &mut Reader) -> Result<Raw<'a>, Reason> {
+    pub fn read<'a>(&'a self, line: &'a str, stamps: &mut Reader) -> Result<Raw<'a>, Reason> {
         let (mut raw, mut at, bytes) = (Raw::default(), 0, line.as_bytes());
         let (mut before, mut fraction): (&[u8], Option<(Micros, Micros)>) = (&[], None);
         for (n, part) in self.parts.iter().enumerate() {
@@ -174,7 +174,7 @@
     }
 
     fn take<'a>(
-        &self, raw: &mut Raw<'a>, field: &Field, value: &'a str, stamps: &mut Reader,
+        &self, raw: &mut Raw<'a>, field: &'a Field, value: &'a str, stamps: &mut Reader,
         fraction: &mut Option<(Micros, Micros)>,
     ) -> Result<(), Reason> {
         let absent = value == "-" || value.is_empty();
@@ -239,7 +239,7 @@
                 };
             }
             Field::Header(name) if !absent => {
-                raw.headers.push((Cow::Owned(name.clone()), self.plain(value)));
+                raw.headers.push((Cow::Borrowed(name.as_str()), self.plain(value)));
             }
             _ => {}
         }
--- a/crates/traffic/src/mapping.rs
+++ b/crates/traffic/src/mapping.rs
@@ -112,6 +112,9 @@
     /// Tries of one job at the most, the first included.
     #[serde(default = "tries")]
     pub tries: u32,
+    /// Where `retry-mark` has rules, what has no mark is taken for no retry. With this, it may be one all the same.
+    #[serde(default)]
+    pub unmarked_too: bool,
 }
 
 fn within() -> u64 {
@@ -124,7 +127,7 @@
 
 impl Default for Guess {
     fn default() -> Self {
-        Guess { within_ms: within(), tries: tries() }
+        Guess { within_ms: within(), tries: tries(), unmarked_too: false }
     }
 }
 
@@ -390,7 +393,7 @@
             None if raw.status.is_some() => remarks.push(Remark::NoDuration),
             _ => {}
         }
-        let who = from.map_or(0, |a| number(&a.to_string()));
+        let who = from.map_or(0, address_number);
         let user = raw.user.as_deref().map_or(0, |u| number(u).rotate_left(32));
         let job = Job {
             at,
@@ -412,6 +415,19 @@
     }
 }
 
+/// A number for an address.
+fn address_number(address: std::net::IpAddr) -> u64 {
+    let bits = match address {
+        std::net::IpAddr::V4(v4) => u128::from(v4.to_bits()),
+        std::net::IpAddr::V6(v6) => v6.to_bits(),
+    };
+    let folded = (bits as u64) ^ ((bits >> 64) as u64).rotate_left(29);
+    // The finalizer of SplitMix64: neighbouring addresses become unlike numbers.
+    let mixed = (folded ^ (folded >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (mixed ^ (mixed >> 31)).max(1)
+}
+
 fn way(rule: &Rule, no_networks: bool) -> Result<Way, String> {
     let source = match &rule.from {
         From::Segment(n) => Source::Segment(*n),
--- a/crates/traffic/src/order.rs
+++ b/crates/traffic/src/order.rs
@@ -8,6 +8,7 @@
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::fs::File;
@@ -270,12 +271,12 @@
             Err(e) => return Some(Err(e)),
         };
         let (at, within) = (first.job.at, first.within.max(1));
-        let mut group = vec![first];
         let same = |t: &io::Result<Try>| t.as_ref().is_ok_and(|t| t.job.at == at && t.within.max(1) == within);
+        let mut group: SmallVec<[Try; 1]> = SmallVec::from_buf([first]);
         while let Some(Ok(t)) = self.from.next_if(same) {
             group.push(t);
         }
-        let mut draws: Vec<Micros> = Vec::new();
+        let mut draws: SmallVec<[Micros; 4]> = SmallVec::new();
         if within > 1 {
             draws.extend((0..group.len()).map(|_| (unit(&mut self.rng) * within as f64) as Micros));
             draws.sort_unstable();
--- /dev/null
+++ b/crates/traffic/tests/importing.rs
@@ -0,0 +1,253 @@
+//! Whole imports: the hard cases of logs, and the counts that must add up.
+
+use indigofold_traffic::import::{Failed, Imported, Options, import};
+use indigofold_traffic::line::LineFormat;
+use indigofold_traffic::mapping::Mapping;
+use indigofold_traffic::recording::Reader;
+use indigofold_traffic::{How, Job, Reason, Remark, detect::Kind};
+use std::io::Write;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+const MAPPING: &str = r#"{"version":1,"zone":"Europe/Lisbon","trusted":["10.0.0.0/8"],
+    "networks":{"real":["192.0.2.0/24"],"gualtar":["198.51.100.0/25","2001:db8::/32"]},
+    "class":[{"from":{"segment":0},"names":{"reserve":"reserve-stock","book":"book-delivery"}}],
+    "subject":[{"from":{"segment":1}}],"parish":[{"from":{"header":"X-Customer"}},{"from":"network"}],
+    "key":[{"from":{"header":"Idempotency-Key"}}],"id":[{"from":{"header":"X-Trace-Id"}}],
+    "retry-mark":[{"from":{"header":"X-Second-Try"}}],"deadline-of":{"reserve-stock":5000},"guess":{"unmarked-too":true}}"#;
+const HEADERS: &str = r#"apache:%h %l %u %t "%r" %>s %b %D "%{X-Trace-Id}i" "%{Idempotency-Key}i" "%{X-Second-Try}i""#;
+
+struct Dir(tempfile::TempDir);
+
+impl Dir {
+    fn new() -> Self {
+        Dir(tempfile::tempdir().expect("a folder"))
+    }
+
+    fn file(&self, name: &str, bytes: &[u8]) -> PathBuf {
+        let path = self.0.path().join(name);
+        std::fs::write(&path, bytes).expect("a file");
+        path
+    }
+}
+
+fn options(format: Option<&str>) -> Options {
+    let format = format.map(|f| Kind::Lines(LineFormat::named(f).expect("a format")));
+    Options { format, mapping: Mapping::read(MAPPING).expect("a mapping"), strict: false, max_bad: 1.0, seed: 1 }
+}
+
+fn taken(paths: &[PathBuf], options: &Options) -> Result<(Imported, Vec<Job>), Failed> {
+    let mut bytes = Vec::new();
+    let imported = import(paths, options, &mut bytes, &Arc::default())?;
+    assert!(imported.tally.adds_up(), "{:?}", imported.tally);
+    let mut reader = Reader::new(&bytes[..]).expect("a recording");
+    let jobs: Vec<Job> = reader.by_ref().map(|j| j.expect("a job")).collect();
+    assert_eq!(reader.end.as_ref(), Some(&imported.end));
+    let tries: usize = jobs.iter().map(|j| j.tries.len()).sum();
+    assert_eq!((jobs.len() as u64, tries as u64), (imported.tally.taken, imported.tally.folded));
+    Ok((imported, jobs))
+}
+
+fn line(second: u32, path: &str, more: &str) -> String {
+    format!("192.0.2.7 - - [10/Oct/2026:13:{:02}:{:02} +0000] \"POST {path} HTTP/1.1\" {more}\n", second / 60, second % 60)
+}
+
+fn rejected(imported: &Imported, reason: Reason) -> u64 {
+    imported.tally.rejected.get(&reason).map_or(0, |c| c.count)
+}
+
+fn remarked(imported: &Imported, remark: Remark) -> u64 {
+    imported.tally.remarks.get(&remark).map_or(0, |c| c.count)
+}
+
+#[test]
+fn what_cannot_be_used_is_counted_under_its_reason_with_its_line() {
+    let dir = Dir::new();
+    let mut text = Vec::new();
+    for bytes in [
+        line(1, "/reserve/kit-1", "200 5").as_bytes(),
+        b"\r\n# a comment\nthis is no log line\n",
+        line(2, "/reserve/kit-2", "200 5").replace("POST", "GET").as_bytes(),
+        line(3, "/other/kit-2", "200 5").as_bytes(),
+        line(4, "/reserve/kit-3", "abc 5").as_bytes(),
+        line(5, "/reserve/\0\0\0\0", "200 5").as_bytes(),
+        line(6, &format!("/reserve/{}", "k".repeat(70_000)), "200 5").as_bytes(),
+        &[&b"192.0.2.7 - S\xe3o [10/Oct/2026:13:00:07 +0000] \"POST /reserve/kit-4 HTTP/1.1\" 200 5\r\n"[..], &[]].concat(),
+        &line(8, "/reserve/kit-5", "200 5").as_bytes()[..60],
+    ] {
+        text.extend(bytes);
+    }
+    let path = dir.file("access.log", &text);
+    let (imported, jobs) = taken(&[path.clone()], &options(Some("common"))).expect("jobs");
+    let of = |reason| rejected(&imported, reason);
+    assert_eq!((imported.tally.read, imported.tally.taken), (11, 2));
+    let reasons = [
+        Reason::Blank,
+        Reason::Comment,
+        Reason::Malformed,
+        Reason::NotAJob,
+        Reason::NoClass,
+        Reason::BadStatus,
+        Reason::Binary,
+        Reason::TooLong,
+        Reason::Truncated,
+    ];
+    assert_eq!(reasons.map(of), [1; 9], "{:?}", imported.tally);
+    let example = &imported.tally.rejected[&Reason::Malformed].examples[0];
+    assert_eq!((example.file.as_str(), example.line, example.text.as_str()), ("access.log", 4, "this is no log line"));
+    assert_eq!(remarked(&imported, Remark::Latin1), 1);
+    assert_eq!(remarked(&imported, Remark::Spread), 2);
+    assert_eq!((&*jobs[0].class, &*jobs[0].parish, jobs[0].subject.as_str()), ("reserve-stock", "real", "kit-1"));
+    assert_eq!((jobs[0].deadline, jobs[0].status), (Some(5_000_000), 200));
+    let strict = Options { strict: true, ..options(Some("common")) };
+    assert!(matches!(taken(&[path.clone()], &strict), Err(Failed::Strict { line: 4, reason: Reason::Malformed, .. })));
+    let share = Options { max_bad: 0.1, ..options(Some("common")) };
+    assert!(matches!(taken(&[path], &share), Err(Failed::TooMany(6, 11, _, _))));
+}
+
+#[test]
+fn compressed_and_rotated_files_are_told_by_their_content_and_read_in_order() {
+    let dir = Dir::new();
+    let lines = |from: u32, to: u32| (from..to).map(|s| line(s, &format!("/reserve/kit-{s}"), "200 5")).collect::<String>();
+    let mut gz = flate2::write::GzEncoder::new(Vec::new(), flate2::Compression::fast());
+    gz.write_all(lines(0, 60).as_bytes()).expect("written");
+    let gz = gz.finish().expect("gzip");
+    let zst = zstd::encode_all(lines(60, 120).as_bytes(), 1).expect("zstd");
+    // The newest file is rotated by copying: its first lines stand in the older one as well.
+    let newest = lines(110, 180);
+    let paths = [dir.file("a.log", newest.as_bytes()), dir.file("b.txt", &zst), dir.file("c", &gz)];
+    let (imported, jobs) = taken(&paths, &options(None)).expect("jobs");
+    assert_eq!((jobs.len(), rejected(&imported, Reason::Duplicate)), (180, 10));
+    let subjects: Vec<String> = (0..180).map(|s| format!("kit-{s}")).collect();
+    assert!(jobs.iter().map(|j| &j.subject).eq(subjects.iter()));
+    // A file that breaks off in the middle of compressed data gives what came before.
+    let half = dir.file("half.gz", &gz[..gz.len() / 2]);
+    let (imported, jobs) = taken(&[half], &options(Some("common"))).expect("jobs");
+    assert!(!jobs.is_empty() && jobs.len() < 60 && rejected(&imported, Reason::Truncated) == 1, "{}", jobs.len());
+}
+
+#[test]
+fn one_second_stamps_are_spread_in_the_order_of_the_lines() {
+    let dir = Dir::new();
+    let text: String = (0..400).map(|n| line(n / 100, &format!("/reserve/kit-{n}"), "200 5")).collect();
+    let path = dir.file("a.log", text.as_bytes());
+    let jobs = taken(&[path.clone()], &options(None)).expect("jobs").1;
+    let subjects: Vec<String> = (0..400).map(|n| format!("kit-{n}")).collect();
+    assert!(jobs.iter().map(|j| &j.subject).eq(subjects.iter()), "the order stays");
+    let begin = jobs[0].at / 1_000_000;
+    for (n, job) in jobs.iter().enumerate() {
+        assert_eq!(job.at / 1_000_000 - begin, n as i64 / 100, "each stays in its second");
+    }
+    let parts: Vec<i64> = jobs.iter().map(|j| j.at % 1_000_000).collect();
+    let mean = parts.iter().sum::<i64>() / 400;
+    assert!((400_000..600_000).contains(&mean), "{mean}");
+    assert_eq!(jobs, taken(&[path.clone()], &options(None)).expect("jobs").1, "the same seed, the same draws");
+    let other = Options { seed: 2, ..options(None) };
+    assert_ne!(jobs, taken(&[path], &other).expect("jobs").1);
+}
+
+#[test]
+fn clock_steps_gaps_and_reordering_are_remarked_and_end_nothing() {
+    let dir = Dir::new();
+    let at = |s: u32| line(s, &format!("/reserve/kit-{s}"), "200 5");
+    let text = [at(200), at(201), at(199), at(20), at(21), at(3500)].concat();
+    let (imported, jobs) = taken(&[dir.file("a.log", text.as_bytes())], &options(None)).expect("jobs");
+    let seconds: Vec<String> = jobs.iter().map(|j| j.subject.replace("kit-", "")).collect();
+    assert_eq!(seconds, ["20", "21", "199", "200", "201", "3500"]);
+    assert_eq!([Remark::ClockBack, Remark::Reordered, Remark::Gap].map(|r| remarked(&imported, r)), [1, 1, 1]);
+}
+
+#[test]
+fn retries_become_one_first_try_by_key_mark_and_guess() {
+    let dir = Dir::new();
+    let at = |s: u32, path: &str, status: u32, us: u32, id: &str, key: &str, mark: &str| {
+        line(s, path, &format!("{status} 0 {us} \"{id}\" \"{key}\" \"{mark}\""))
+    };
+    let text = [
+        at(1, "/book/kit-1", 503, 1000, "a1", "k1", "-"),
+        at(2, "/book/kit-1", 503, 1000, "a2", "k1", "1"),
+        at(3, "/book/kit-1", 200, 1000, "a3", "k1", "-"), // the same key, though not marked
+        at(4, "/book/kit-1", 200, 1000, "a4", "k2", "-"), // another key is another job
+        at(10, "/reserve/kit-2", 503, 1000, "b1", "-", "-"),
+        at(12, "/reserve/kit-2", 200, 1000, "b2", "-", "1"),
+        at(20, "/reserve/kit-3", 500, 1000, "c1", "-", "-"),
+        at(22, "/reserve/kit-3", 200, 1000, "c2", "-", "-"), // guessed
+        at(30, "/reserve/kit-4", 200, 1000, "d1", "-", "-"),
+        at(32, "/reserve/kit-4", 200, 1000, "d2", "-", "-"), // it was served: another job
+        at(40, "/reserve/kit-5", 503, 1000, "e1", "-", "-"),
+        at(50, "/reserve/kit-5", 200, 1000, "e2", "-", "-"), // too late for a guess
+        at(60, "/reserve/kit-6", 200, 1000, "f1", "-", "1"), // its first try is lost
+    ];
+    let (imported, jobs) = taken(&[dir.file("a.log", text.concat().as_bytes())], &options(Some(HEADERS))).expect("jobs");
+    let found: Vec<(String, Vec<How>)> =
+        jobs.iter().map(|j| (j.subject.clone(), j.tries.iter().map(|a| a.how).collect())).collect();
+    let wanted = [
+        ("kit-1", vec![How::Key, How::Key]),
+        ("kit-1", vec![]),
+        ("kit-2", vec![How::Marker]),
+        ("kit-3", vec![How::Guess]),
+        ("kit-4", vec![]),
+        ("kit-4", vec![]),
+        ("kit-5", vec![]),
+        ("kit-5", vec![]),
+        ("kit-6", vec![]),
+    ];
+    assert_eq!(found, wanted.map(|(s, t)| (s.to_string(), t)));
+    assert_eq!(remarked(&imported, Remark::Orphan), 1);
+    let sure = |n: usize| jobs[n].tries[0].sure;
+    assert!(sure(0) > 0.99 && sure(2) > 0.99 && sure(3) > 0.5 && sure(3) < sure(2), "a guess is less sure");
+}
+
+#[test]
+fn a_har_sorted_by_page_and_cut_off_comes_out_in_order() {
+    let dir = Dir::new();
+    let entry = |s: u32, status: u32| {
+        format!(
+            r#"{{"startedDateTime":"2026-10-10T13:00:{s:02}.000Z","time":5,"request":{{"method":"POST","url":"http://x/reserve/kit-{s}",
+            "headers":[{{"name":"x-customer","value":"palmeira"}}]}},"response":{{"status":{status}}}}}"#
+        )
+    };
+    let order = [30, 10, 20, 50, 40];
+    let entries: Vec<String> = order.iter().map(|s| entry(*s, if *s == 20 { 0 } else { 200 })).collect();
+    let text = format!(r#"{{"log":{{"version":"1.2","entries":[{},{}"#, entries.join(","), &entry(59, 200)[..40]);
+    let (imported, jobs) = taken(&[dir.file("x.har", text.as_bytes())], &options(None)).expect("jobs");
+    let subjects: Vec<&str> = jobs.iter().map(|j| j.subject.as_str()).collect();
+    assert_eq!(subjects, ["kit-10", "kit-20", "kit-30", "kit-40", "kit-50"]);
+    assert!(jobs.iter().all(|j| &*j.parish == "palmeira"));
+    assert_eq!((jobs[1].status, jobs[1].took), (0, None));
+    assert_eq!((rejected(&imported, Reason::Truncated), remarked(&imported, Remark::NoAnswer)), (1, 1));
+    let none = dir.file("y.har", br#"{"log":{"pages":[]}}"#);
+    assert!(matches!(taken(&[none], &options(None)), Err(Failed::Form(..))));
+}
+
+#[test]
+fn local_times_follow_the_log_over_the_change_of_the_clocks() {
+    let dir = Dir::new();
+    let fields = r#""json":{"time":"/t","target":"/p","method":"/m"}"#;
+    let mapping = MAPPING.replacen("\"version\":1,", &format!("\"version\":1,{fields},"), 1);
+    let times = ["00:59:59", "01:30:00", "01:59:59", "01:00:00", "01:30:00", "02:00:00"];
+    let text: String =
+        times.iter().map(|t| format!("{{\"t\":\"2026-10-25T{t}\",\"p\":\"/reserve/a\",\"m\":\"POST\"}}\n")).collect();
+    let options = Options { mapping: Mapping::read(&mapping).expect("a mapping"), ..options(None) };
+    let (imported, jobs) = taken(&[dir.file("a.json", text.as_bytes())], &options).expect("jobs");
+    let minutes: Vec<i64> = jobs.windows(2).map(|w| (w[1].at / 1_000_000 + 1) / 60 - (w[0].at / 1_000_000 + 1) / 60).collect();
+    assert_eq!(minutes.iter().sum::<i64>(), 120, "two hours pass between 00:59:59 and 02:00:00: {minutes:?}");
+    assert!(minutes.iter().all(|m| *m >= 0));
+    assert_eq!(remarked(&imported, Remark::Dst), 4);
+}
+
+#[test]
+fn a_mapping_that_cannot_work_is_turned_down_with_all_that_is_wrong() {
+    let error = |text: &str| Mapping::read(text).expect_err("an error").to_string();
+    let e = error(r#"{"version":1,"clas":[],"class":[{"from":"network"}]}"#);
+    assert!(e.contains("clas"), "{e}");
+    let e = error(r#"{"version":1,"zone":"Braga","trusted":["10.0.0.1/8"],"networks":{"a":["1.2.3.0/24"],"b":["1.2.3.0/24"]},
+        "class":[{"from":{"path":"("}}],"parish":[{"from":"network"}],"id-kept":true}"#);
+    for part in ["/zone", "/trusted/0", "/networks/b/0", "named both", "/class/0", "/id-kept"] {
+        assert!(e.contains(part), "{part}: {e}");
+    }
+    assert!(error(r#"{"version":2,"class":[{"from":"user"}]}"#).contains("/version"));
+    assert!(error(r#"{"version":1,"class":[]}"#).contains("/class"));
+    assert!(error(r#"{"version":1,"class":[{"from":"network"}]}"#).contains("no 'networks'"));
+    assert!(error("{").contains("no JSON"));
+}
