--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -139,7 +139,11 @@
             }
             Seen::Answered { job, served, refused, at } => {
                 let Some(known) = self.jobs.get_mut(&job) else {
-                    return self.breach(Rule::OneAnswer, at, format!("job {job} has an answer and was never taken"));
+                    return self.breach(
+                        Rule::OneAnswer,
+                        at,
+                        format!("job {job} has an answer and was never taken"),
+                    );
                 };
                 let before = std::mem::replace(&mut known.answered, true);
                 let (class, until, made, ran, gone) =
@@ -172,7 +176,9 @@
                     let ms = after as f64 / 1e3;
                     self.verdict.latest_after_told_ms = self.verdict.latest_after_told_ms.max(ms);
                     if after > rules.drain_grace_ms * 1000 + slack {
-                        let text = format!("scheduler {scheduler} sent to job worker {worker} {ms:.0} ms after it was told");
+                        let text = format!(
+                            "scheduler {scheduler} sent to job worker {worker} {ms:.0} ms after it was told"
+                        );
                         self.breach(Rule::Drain, at, text);
                     }
                 }
@@ -186,7 +192,11 @@
                 match self.scenario.classes[class as usize].effect {
                     Effect::Safe => {}
                     Effect::Unsafe if runs > 0 => {
-                        self.breach(Rule::Repeats, at, format!("job {job} must not repeat, and was sent again"));
+                        self.breach(
+                            Rule::Repeats,
+                            at,
+                            format!("job {job} must not repeat, and was sent again"),
+                        );
                     }
                     Effect::Keyed(ms) if first.is_some_and(|f| at > f + ms * 1000 + slack) => {
                         self.breach(Rule::Repeats, at, format!("job {job} was repeated outside its window"));
@@ -242,7 +252,11 @@
         let multiple = cold.sum / (cold.capacity * window as f64).max(1e-9);
         self.verdict.most_on_cold = self.verdict.most_on_cold.max(multiple);
         if multiple > rules.tip_multiple {
-            self.breach(Rule::Cold, at, format!("job worker {worker} is cold and was sent {multiple:.2} times what it can do"));
+            self.breach(
+                Rule::Cold,
+                at,
+                format!("job worker {worker} is cold and was sent {multiple:.2} times what it can do"),
+            );
         }
     }
 
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -30,7 +30,8 @@
 /// When a client tries again after an answer to its try of this number (from 0); `None`: it does not. `until`: its time is
 /// up then.
 pub fn again(
-    clients: &Clients, effect: Effect, said: Said, (seed, job): (u64, u64), tried: u32, now: Micros, until: Micros,
+    clients: &Clients, effect: Effect, said: Said, (seed, job): (u64, u64), tried: u32, now: Micros,
+    until: Micros,
 ) -> Option<Micros> {
     if tried >= clients.retries {
         return None;
@@ -43,7 +44,7 @@
         Said::Failed => 0,
     };
     let backoff = (clients.backoff_ms * 1e3) as Micros;
-    let honours = unit(&mut draw(seed, job, 0x0c11_e47 + u64::from(tried))) < clients.honour;
+    let honours = unit(&mut draw(seed, job, 0x00c1_1e47 + u64::from(tried))) < clients.honour;
     let wait = match honours && advice > 0 {
         true => advice.min(clients.max_retry_after_ms * 1000),
         false => backoff,
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -101,9 +101,15 @@
         add(&format!("{name} per first try"), per(x.counts, n), per(y.counts, n), None);
     }
     let verdict = match interval {
-        Some([low, high]) if low > 0.0 => format!("B earns more of the worth: by {low:.4} to {high:.4} (95%)."),
-        Some([low, high]) if high < 0.0 => format!("B earns less of the worth: by {:.4} to {:.4} (95%).", -high, -low),
-        Some([low, high]) => format!("No difference is shown: B less A lies between {low:+.4} and {high:+.4} (95%)."),
+        Some([low, high]) if low > 0.0 => {
+            format!("B earns more of the worth: by {low:.4} to {high:.4} (95%).")
+        }
+        Some([low, high]) if high < 0.0 => {
+            format!("B earns less of the worth: by {:.4} to {:.4} (95%).", -high, -low)
+        }
+        Some([low, high]) => {
+            format!("No difference is shown: B less A lies between {low:+.4} and {high:+.4} (95%).")
+        }
         None => "The runs are too short for an interval.".into(),
     };
     let verdict = match (a.verdict.kept(), b.verdict.kept()) {
--- a/crates/lab/src/export.rs
+++ b/crates/lab/src/export.rs
@@ -84,7 +84,9 @@
     /// It cannot be written.
     pub fn new(form: Form, mut out: W, harm: (f64, f64), seed: u64) -> io::Result<Self> {
         if form == Form::Har {
-            out.write_all(br#"{"log":{"version":"1.2","creator":{"name":"indigofold-lab","version":"0.2"},"entries":["#)?;
+            out.write_all(
+                br#"{"log":{"version":"1.2","creator":{"name":"indigofold-lab","version":"0.2"},"entries":["#,
+            )?;
         }
         let minute = (i64::MIN, String::new());
         Ok(Log { form, out, first: true, minute, harm, rng: crate::client::draw(seed, 0, 0x4a43) })
@@ -155,7 +157,9 @@
         match self.form {
             Form::Combined => {
                 let time = self.clf(t.from);
-                format!("{peer} - - [{time}] \"POST {request} HTTP/1.1\" {status} {bytes} \"-\" \"office/1.0\"")
+                format!(
+                    "{peer} - - [{time}] \"POST {request} HTTP/1.1\" {status} {bytes} \"-\" \"office/1.0\""
+                )
             }
             Form::Apache => {
                 let from = t.from;
@@ -176,8 +180,14 @@
                 )
             }
             Form::Har => {
-                let names =
-                    ["X-Customer", "X-Trace-Id", "Idempotency-Key", "X-Second-Try", "X-Expires-In-Ms", "X-Props"];
+                let names = [
+                    "X-Customer",
+                    "X-Trace-Id",
+                    "Idempotency-Key",
+                    "X-Second-Try",
+                    "X-Expires-In-Ms",
+                    "X-Props",
+                ];
                 let pairs = names.iter().zip(headers).filter(|(_, v)| *v != "-");
                 let headers: Vec<_> = pairs.map(|(n, v)| json!({"name": n, "value": v})).collect();
                 let ms = if t.status.is_some() { took as f64 / 1e3 } else { -1.0 };
--- a/crates/lab/src/foldcheck.rs
+++ b/crates/lab/src/foldcheck.rs
@@ -66,7 +66,10 @@
                     tries: Vec::new(),
                 };
                 let seq = tries.len() as u64;
-                tries.push((Try { job, within: 1, seq, id: 0, marked: t.tried > 0 }, a.number));
+                tries.push((
+                    Try { job, within: 1, seq, id: 0, marked: t.tried > 0, file: t.scheduler },
+                    a.number,
+                ));
             },
             |_| {},
         )?;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -176,8 +176,6 @@
     draws: Draws,
     from: recording::Reader<R>,
     number: u64,
-    /// Jobs left out, as their class is none of the scenario's.
-    pub unknown: u64,
 }
 
 impl<'a, R: BufRead> Recorded<'a, R> {
@@ -186,7 +184,7 @@
     /// # Errors
     /// What in the scenario cannot be drawn from.
     pub fn new(scenario: &'a Scenario, from: recording::Reader<R>, seed: u64) -> Result<Self, String> {
-        Ok(Recorded { scenario, draws: Draws::new(scenario, seed)?, from, number: 0, unknown: 0 })
+        Ok(Recorded { scenario, draws: Draws::new(scenario, seed)?, from, number: 0 })
     }
 }
 
@@ -194,35 +192,35 @@
     type Item = Result<Arrival, String>;
 
     fn next(&mut self) -> Option<Self::Item> {
-        loop {
-            let job = match self.from.next()? {
-                Ok(job) => job,
-                Err(e) => return Some(Err(e.to_string())),
-            };
-            let Some(class) = self.scenario.classes.iter().position(|c| c.name == *job.class) else {
-                self.unknown += 1;
-                let names: Vec<&str> = self.scenario.classes.iter().map(|c| c.name.as_str()).collect();
-                let (class, allowed) = (&job.class, names.join(", "));
-                return Some(Err(format!("class {class:?} of the recording is none of the scenario's: {allowed}")));
-            };
-            let class = class as u32;
-            let slots = job.slots.map(|s| (s.ceil() as u32).max(1));
-            let (work, slots) = self.draws.job(self.scenario, self.number, class, slots);
-            let deadline = job.deadline.map_or(self.scenario.classes[class as usize].deadline(), |d| d.max(1) as Micros);
-            let arrival = Arrival {
-                number: self.number,
-                at: job.at.max(0) as Micros,
-                class,
-                parish: self.scenario.parishes.iter().position(|p| p.name == *job.parish).map(|p| p as u32),
-                slots,
-                work,
-                deadline,
-                subject: job.subject,
-                office: (job.client % 65_536) as u32,
-                retries: job.tries.iter().map(|a| (a.at - job.at).max(0) as Micros).collect(),
-            };
-            self.number += 1;
-            return Some(Ok(arrival));
-        }
+        let job = match self.from.next()? {
+            Ok(job) => job,
+            Err(e) => return Some(Err(e.to_string())),
+        };
+        let Some(class) = self.scenario.classes.iter().position(|c| c.name == *job.class) else {
+            let names: Vec<&str> = self.scenario.classes.iter().map(|c| c.name.as_str()).collect();
+            let (class, allowed) = (&job.class, names.join(", "));
+            return Some(Err(format!(
+                "class {class:?} of the recording is none of the scenario's: {allowed}"
+            )));
+        };
+        let class = class as u32;
+        let slots = job.slots.map(|s| (s.ceil() as u32).max(1));
+        let (work, slots) = self.draws.job(self.scenario, self.number, class, slots);
+        let deadline =
+            job.deadline.map_or(self.scenario.classes[class as usize].deadline(), |d| d.max(1) as Micros);
+        let arrival = Arrival {
+            number: self.number,
+            at: job.at.max(0) as Micros,
+            class,
+            parish: self.scenario.parishes.iter().position(|p| p.name == *job.parish).map(|p| p as u32),
+            slots,
+            work,
+            deadline,
+            subject: job.subject,
+            office: (job.client % 65_536) as u32,
+            retries: job.tries.iter().map(|a| (a.at - job.at).max(0) as Micros).collect(),
+        };
+        self.number += 1;
+        Some(Ok(arrival))
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -333,7 +333,8 @@
             } else {
                 say!("{}", found.verdict);
                 for d in &found.figures {
-                    let interval = d.interval.map_or(String::new(), |[l, h]| format!("  ({l:+.4} to {h:+.4})"));
+                    let interval =
+                        d.interval.map_or(String::new(), |[l, h]| format!("  ({l:+.4} to {h:+.4})"));
                     say!("{:44} {:10.4} {:10.4} {:+10.4}{interval}", d.name, d.a, d.b, d.by);
                 }
             }
@@ -344,9 +345,23 @@
             if cli.json {
                 say!("{}", serde_json::to_string(&rows)?);
             } else {
-                say!("{:32} {:>10} {:>10} {:>10} {:>10}", "known by", "retries", "folded", "precision", "recall");
+                say!(
+                    "{:32} {:>10} {:>10} {:>10} {:>10}",
+                    "known by",
+                    "retries",
+                    "folded",
+                    "precision",
+                    "recall"
+                );
                 for r in rows {
-                    say!("{:32} {:10} {:10} {:10.4} {:10.4}", r.by, r.retries, r.folded, r.precision, r.recall);
+                    say!(
+                        "{:32} {:10} {:10} {:10.4} {:10.4}",
+                        r.by,
+                        r.retries,
+                        r.folded,
+                        r.precision,
+                        r.recall
+                    );
                 }
             }
         }
@@ -392,15 +407,20 @@
 }
 
 fn import_files(args: &Import, json: bool) -> Result<ExitCode, Bad> {
-    let text = std::fs::read_to_string(&args.mapping).map_err(|e| format!("{}: {e}", args.mapping.display()))?;
+    let text =
+        std::fs::read_to_string(&args.mapping).map_err(|e| format!("{}: {e}", args.mapping.display()))?;
     let mapping = Mapping::read(&text).map_err(|e| format!("{}:\n{e}", args.mapping.display()))?;
     let format = match args.format.as_deref() {
         None => None,
         Some("har") => Some(Kind::Har),
         Some("recording") => Some(Kind::Recording),
         Some("json") => {
-            let fields = mapping.file.json.clone().ok_or("the mapping must say under 'json' where the fields stand")?;
-            Some(Kind::Lines(LineFormat::Json(fields)))
+            let fields = mapping
+                .file
+                .json
+                .clone()
+                .ok_or("the mapping must say under 'json' where the fields stand")?;
+            Some(Kind::Lines(LineFormat::Json(Box::new(fields))))
         }
         Some(name) => Some(Kind::Lines(LineFormat::named(name)?)),
     };
@@ -447,7 +467,13 @@
         say!("{}", serde_json::to_string(tally)?);
         return Ok(());
     }
-    say!("read {} = taken {} + folded {} + rejected {}", tally.read, tally.taken, tally.folded, tally.rejected());
+    say!(
+        "read {} = taken {} + folded {} + rejected {}",
+        tally.read,
+        tally.taken,
+        tally.folded,
+        tally.rejected()
+    );
     let name = |v: Value| v.as_str().unwrap_or("").to_string();
     for (what, list) in [("rejected", json!(tally.rejected)), ("remarked", json!(tally.remarks))] {
         for (reason, count) in list.as_object().into_iter().flatten() {
@@ -505,7 +531,9 @@
     Ok((header, Box::new(jobs)))
 }
 
-fn write(header: Header, jobs: Jobs<'_>, to: &Path, failed: &Rc<RefCell<Option<String>>>, json: bool) -> Result<(), Bad> {
+fn write(
+    header: Header, jobs: Jobs<'_>, to: &Path, failed: &Rc<RefCell<Option<String>>>, json: bool,
+) -> Result<(), Bad> {
     let (out, part) = create(to)?;
     let mut writer = Writer::new(out, &header)?;
     for job in jobs {
@@ -564,7 +592,12 @@
         std::fs::write(dir.join("mapping.json"), text)?;
         for s in 0..scenario.schedulers {
             let file = File::create(dir.join(format!("scheduler-{s}.{}", args.form.ending())))?;
-            logs.push(Log::new(args.form, BufWriter::new(file), (args.lose, args.damage), seed + u64::from(s))?);
+            logs.push(Log::new(
+                args.form,
+                BufWriter::new(file),
+                (args.lose, args.damage),
+                seed + u64::from(s),
+            )?);
         }
     }
     let begin = Instant::now();
@@ -598,10 +631,11 @@
     let in_time = move |a: &Result<indigofold_lab::load::Arrival, String>| {
         a.as_ref().is_ok_and(|a| until.is_none_or(|u| a.at < u)) || a.is_err()
     };
-    let arrivals: Box<dyn Iterator<Item = Result<indigofold_lab::load::Arrival, String>> + '_> = match &args.recording {
-        Some(path) => Box::new(Recorded::new(&scenario, open(path)?, seed)?.take_while(in_time)),
-        None => Box::new(Made::new(&scenario, seed)?),
-    };
+    let arrivals: Box<dyn Iterator<Item = Result<indigofold_lab::load::Arrival, String>> + '_> =
+        match &args.recording {
+            Some(path) => Box::new(Recorded::new(&scenario, open(path)?, seed)?.take_while(in_time)),
+            None => Box::new(Made::new(&scenario, seed)?),
+        };
     let bar = bar((scenario.load.rate * scenario.load.seconds) as u64, "playing");
     let run = if args.sockets {
         sockets::play(&scenario, seed, args.retries, &args.program, arrivals)?
@@ -648,7 +682,11 @@
         say!("in time, late, refused, failed: {:?}", o.ends);
         say!("most on a cold job worker: {:.2} times what it can do", run.verdict.most_on_cold);
         if o.lateness[1] > 0.0 {
-            say!("generator late: {:.3} ms at the 99th percentile, {:.3} ms at the most", o.lateness[0], o.lateness[1]);
+            say!(
+                "generator late: {:.3} ms at the 99th percentile, {:.3} ms at the most",
+                o.lateness[0],
+                o.lateness[1]
+            );
         }
         match run.verdict.kept() {
             true => say!("rules kept"),
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -40,7 +40,9 @@
         };
         runs.iter().map(line).collect()
     };
-    let sum = |c: &[crate::service::Second], of: &dyn Fn(&crate::service::Second) -> f64| c.iter().map(of).sum::<f64>();
+    let sum = |c: &[crate::service::Second], of: &dyn Fn(&crate::service::Second) -> f64| {
+        c.iter().map(of).sum::<f64>()
+    };
     let earned = series(&|c| {
         let asked = sum(c, &|s| s.asked);
         if asked > 0.0 { sum(c, &|s| s.earned) / asked } else { 1.0 }
@@ -63,7 +65,9 @@
     }
     let latency: Vec<_> = runs
         .iter()
-        .flat_map(|(name, run)| run.outcome.latency.iter().map(move |(of, row)| (name.to_string(), of.clone(), *row)))
+        .flat_map(|(name, run)| {
+            run.outcome.latency.iter().map(move |(of, row)| (name.to_string(), of.clone(), *row))
+        })
         .collect();
     let mut env = Environment::new();
     env.add_template("page.html", PAGE)?;
@@ -75,7 +79,8 @@
             "name": name, "outcome": summary(&run.outcome), "verdict": run.verdict, "kept": run.verdict.kept()
         })).collect::<Vec<_>>(),
     });
-    let text = env.get_template("page.html")?.render(minijinja::Value::from(minijinja::value::Serde(data)))?;
+    let text =
+        env.get_template("page.html")?.render(minijinja::Value::from(minijinja::value::Serde(data)))?;
     Ok(text)
 }
 
@@ -120,11 +125,18 @@
         chart.configure_mesh().x_desc("s").light_line_style(RGBColor(238, 238, 238)).draw()?;
         for (n, line) in lines.iter().enumerate() {
             let colour = COLOURS[n % COLOURS.len()];
-            let drawn = chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(1)))?;
-            drawn.label(line.name.as_str()).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+            let drawn =
+                chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(1)))?;
+            drawn
+                .label(line.name.as_str())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
         }
         if lines.len() > 1 {
-            chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw()?;
+            chart
+                .configure_series_labels()
+                .background_style(WHITE.mix(0.8))
+                .border_style(BLACK.mix(0.3))
+                .draw()?;
         }
         area.present()?;
     }
@@ -137,7 +149,8 @@
     {
         let seconds = &run.outcome.seconds;
         let workers = seconds.first().map_or(0, |s| s.begun.len()).max(1);
-        let area = SVGBackend::with_string(&mut svg, (SIZE.0, 60 + 16 * workers.min(40) as u32)).into_drawing_area();
+        let area =
+            SVGBackend::with_string(&mut svg, (SIZE.0, 60 + 16 * workers.min(40) as u32)).into_drawing_area();
         area.fill(&WHITE)?;
         let end = seconds.len().max(1) as f64;
         let mut chart = ChartBuilder::on(&area)
@@ -150,7 +163,9 @@
             .chunks(step)
             .enumerate()
             .flat_map(|(n, chunk)| {
-                let count = move |w: usize| chunk.iter().map(|s| f64::from(s.begun.get(w).copied().unwrap_or(0))).sum::<f64>();
+                let count = move |w: usize| {
+                    chunk.iter().map(|s| f64::from(s.begun.get(w).copied().unwrap_or(0))).sum::<f64>()
+                };
                 (0..workers).map(move |w| ((n * step) as f64, w, count(w) / chunk.len() as f64))
             })
             .collect();
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -24,6 +24,9 @@
     /// Random numbers begin here.
     #[serde(default = "one")]
     pub seed: u64,
+    /// Job workers' speeds are drawn from this, whatever a run's seed: the fleet is the same in all runs.
+    #[serde(default = "one")]
+    pub fleet_seed: u64,
     /// Schedulers.
     #[serde(default = "three")]
     #[schemars(range(min = 1, max = 256))]
@@ -412,11 +415,14 @@
 /// # Errors
 /// Each thing that is wrong, with its place.
 pub fn read(text: &str) -> Result<Scenario, String> {
-    let value: serde_json::Value = serde_json::from_str(text).map_err(|e| format!("the scenario is no JSON: {e}"))?;
+    let value: serde_json::Value =
+        serde_json::from_str(text).map_err(|e| format!("the scenario is no JSON: {e}"))?;
     let schema = schema();
     let validator = jsonschema::validator_for(&schema).map_err(|e| e.to_string())?;
-    let wrong: Vec<String> =
-        validator.iter_errors(&value).map(|e| format!("at {}: {e}", place(&e.instance_path().to_string()))).collect();
+    let wrong: Vec<String> = validator
+        .iter_errors(&value)
+        .map(|e| format!("at {}: {e}", place(&e.instance_path().to_string())))
+        .collect();
     if !wrong.is_empty() {
         return Err(wrong.join("\n"));
     }
@@ -459,7 +465,10 @@
         }
         for (n, t) in self.troubles.iter().enumerate() {
             if let Some(w) = t.workers.iter().find(|w| **w >= workers) {
-                wrong.push(format!("at /troubles/{n}/workers: there is no job worker {w}; they are 0 to {}", workers - 1));
+                wrong.push(format!(
+                    "at /troubles/{n}/workers: there is no job worker {w}; they are 0 to {}",
+                    workers - 1
+                ));
             }
         }
         wrong
@@ -487,6 +496,13 @@
         number % self.zones.len() as u32
     }
 
+    /// A job worker's speed.
+    pub fn speed_of(&self, worker: u32) -> f64 {
+        let [low, high] = self.kinds[self.kind_of(worker)].speed;
+        low + (high - low)
+            * crate::client::unit(&mut crate::client::draw(self.fleet_seed, worker.into(), 0x59eed))
+    }
+
     /// The kitchen whose schedulers a job's client calls.
     pub fn home(&self, arrival: &crate::load::Arrival) -> u32 {
         let zones = self.zones.len() as u32;
@@ -514,7 +530,8 @@
         let cores: f64 =
             self.kinds.iter().map(|k| f64::from(k.count * k.cores) * (k.speed[0] + k.speed[1]) / 2.0).sum();
         let shares: f64 = self.classes.iter().map(|c| c.share).sum();
-        let work: f64 = self.classes.iter().map(|c| c.share / shares * c.work_ms / 1e3 * c.mean_slots()).sum();
+        let work: f64 =
+            self.classes.iter().map(|c| c.share / shares * c.work_ms / 1e3 * c.mean_slots()).sum();
         cores / work
     }
 
--- a/crates/lab/src/service.rs
+++ b/crates/lab/src/service.rs
@@ -175,7 +175,9 @@
     pub fn arrives(&mut self, at: Micros, parish: Option<u32>) -> bool {
         self.counts[0] += 1;
         self.second(at).first += 1;
-        let Some((rate, tokens, when)) = parish.and_then(|p| self.quota.get_mut(p as usize)) else { return false };
+        let Some((rate, tokens, when)) = parish.and_then(|p| self.quota.get_mut(p as usize)) else {
+            return false;
+        };
         let passed = at.saturating_sub(*when) as f64 / 1e6;
         *tokens = (*tokens + passed * *rate).min(rate.max(1.0));
         *when = at;
@@ -254,7 +256,8 @@
         second.earned += earned;
         let add = |w: &mut Worth| (w.asked, w.earned) = (w.asked + worth, w.earned + earned);
         add(&mut self.classes[job.class as usize].1);
-        if let Some((_, w)) = job.parish.filter(|_| !job.over).and_then(|p| self.parishes.get_mut(p as usize)) {
+        if let Some((_, w)) = job.parish.filter(|_| !job.over).and_then(|p| self.parishes.get_mut(p as usize))
+        {
             add(w);
         }
     }
@@ -288,8 +291,9 @@
         ];
         let parts = [whole, worst_stretch.0, worst_class.0, worst_parish.0];
         let figure = parts.iter().zip(WEIGHTS).map(|(p, w)| p * w).sum::<f64>() - prices.iter().sum::<f64>();
-        let shares =
-            |of: &[(String, Worth)]| of.iter().filter(|(_, w)| w.asked > 0.0).map(|(n, w)| (n.clone(), w.share())).collect();
+        let shares = |of: &[(String, Worth)]| {
+            of.iter().filter(|(_, w)| w.asked > 0.0).map(|(n, w)| (n.clone(), w.share())).collect()
+        };
         let names = self.classes.iter().map(|c| format!("class {}", c.0));
         let names = names.chain(self.parishes.iter().map(|p| format!("parish {}", p.0)));
         let ms = |v: u64| v as f64 / 1e3;
@@ -297,7 +301,8 @@
             let q = [0.5, 0.9, 0.99, 0.999].map(|q| ms(h.value_at_quantile(q)));
             [q[0], q[1], q[2], q[3], ms(h.max()), h.len() as f64]
         };
-        let latency = names.zip(&self.histograms).filter(|(_, h)| !h.is_empty()).map(|(n, h)| (n, row(h))).collect();
+        let latency =
+            names.zip(&self.histograms).filter(|(_, h)| !h.is_empty()).map(|(n, h)| (n, row(h))).collect();
         Outcome {
             figure,
             whole,
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -1,7 +1,7 @@
 //! Submitters: each arrival is sent at its time, whatever became of those before.
 
-use super::workers::Known;
 use super::wire::Link;
+use super::workers::Known;
 use super::{Stage, locked};
 use crate::check::Seen;
 use crate::client::{Said, again};
@@ -84,7 +84,9 @@
         };
         let now = stage.now();
         let next = match stage.retries {
-            Retries::Model => again(&stage.scenario.clients, effect, said, (stage.seed, a.number), tried, now, until),
+            Retries::Model => {
+                again(&stage.scenario.clients, effect, said, (stage.seed, a.number), tried, now, until)
+            }
             Retries::Recorded => recorded.next().map(|after| a.at + after).filter(|at| *at < until),
             Retries::None => None,
         };
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -67,8 +67,10 @@
         let newer = newer.filter(|(_, h)| version > 0 || h.health != "Gone");
         let (mut hosts, mut told) = (Vec::new(), Vec::new());
         for (w, h) in newer {
-            hosts.push(json!({"host": name(w as u32), "dial": h.dial[scheduler as usize].to_string(), "site": h.zone,
-                "class": h.kind, "block": 0, "health": h.health, "share": 1.0, "born_ms": h.born}));
+            hosts.push(
+                json!({"host": name(w as u32), "dial": h.dial[scheduler as usize].to_string(), "site": h.zone,
+                "class": h.kind, "block": 0, "health": h.health, "share": 1.0, "born_ms": h.born}),
+            );
             told.push((w as u32, h.health == "Ready"));
         }
         (json!({"seq": self.version, "whole": version == 0, "hosts": hosts}), told)
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -100,7 +100,8 @@
             })
         })
         .collect();
-    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
+    let unix =
+        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
     let stage = Arc::new(Stage {
         scenario: scenario.clone(),
         seed,
--- a/crates/lab/src/sockets/workers.rs
+++ b/crates/lab/src/sockets/workers.rs
@@ -63,10 +63,8 @@
     let machines = (0..stage.scenario.workers())
         .map(|n| {
             let kind = &stage.scenario.kinds[stage.scenario.kind_of(n)];
-            let draw = crate::client::unit(&mut crate::client::draw(stage.seed, u64::from(n), 0x59eed));
-            let speed = kind.speed[0] + (kind.speed[1] - kind.speed[0]) * draw;
             Machine {
-                worker: Mutex::new(Worker::new(kind, speed)),
+                worker: Mutex::new(Worker::new(kind, stage.scenario.speed_of(n))),
                 held: Mutex::default(),
                 wake: async_channel::bounded(1),
                 life: Default::default(),
@@ -135,9 +133,7 @@
     }
 
     async fn connection(self: Arc<Self>, w: u32, scheduler: u32, life: u64, mut link: Link) {
-        let serve = async {
-            while self.serve(w, scheduler, &mut link).await.is_ok() {}
-        };
+        let serve = async { while self.serve(w, scheduler, &mut link).await.is_ok() {} };
         let gone = async {
             while self.alive(w, life) {
                 Timer::after(Duration::from_millis(5)).await;
@@ -178,7 +174,8 @@
                     Some((job, known)) => match self.offer(w, scheduler, job, known, begun) {
                         Offer::Taken => empty("202 Accepted"),
                         Offer::Full => {
-                            "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n".into()
+                            "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+                                .into()
                         }
                     },
                 }
@@ -266,7 +263,8 @@
             Event::Lost(_) => "\"lost\"".into(),
         };
         let body = format!("{{\"id\":\"{job:016x}\",\"from\":\"{}\",\"state\":{more}}}", name(w));
-        let call = format!("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let call =
+            format!("POST /_jobs/news HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         if let Some(to) = self.news.get().and_then(|n| n.get(scheduler as usize)) {
             let _ = to.try_send(call);
         }
--- a/crates/lab/src/virt.rs
+++ b/crates/lab/src/virt.rs
@@ -235,13 +235,8 @@
     pub fn new(scenario: &'a Scenario, seed: u64, retries: Retries) -> Result<Self, String> {
         let from = scenario.from();
         let mut rng = draw(seed, u64::MAX - 1, 0x9047d);
-        let workers: Vec<Worker> = (0..scenario.workers())
-            .map(|n| {
-                let kind = &scenario.kinds[scenario.kind_of(n)];
-                let speed = kind.speed[0] + (kind.speed[1] - kind.speed[0]) * unit(&mut draw(seed, u64::from(n), 0x59eed));
-                Worker::new(kind, speed)
-            })
-            .collect();
+        let worker = |n| Worker::new(&scenario.kinds[scenario.kind_of(n)], scenario.speed_of(n));
+        let workers: Vec<Worker> = (0..scenario.workers()).map(worker).collect();
         let mut schedulers = Vec::new();
         for me in 0..scenario.schedulers {
             let site = scenario.site(me)?;
@@ -320,8 +315,8 @@
     /// # Errors
     /// What an arrival could not be made of.
     pub fn play(
-        mut self, mut arrivals: impl Iterator<Item = Result<Arrival, String>>, mut log: impl FnMut(Logged<'_>),
-        mut progress: impl FnMut(u64),
+        mut self, mut arrivals: impl Iterator<Item = Result<Arrival, String>>,
+        mut log: impl FnMut(Logged<'_>), mut progress: impl FnMut(u64),
     ) -> Result<Run, String> {
         let mut next = arrivals.next().transpose()?;
         if let Some(first) = &next {
@@ -638,7 +633,10 @@
             Ev::Answer(job, status, after) => self.answer_comes(job, status, after, log),
             Ev::TimeUp(n, number) => {
                 let trip = &self.trips[n as usize];
-                if trip.live && trip.arrival.number as u32 == number && trip.arrival.at + trip.arrival.deadline == now {
+                if trip.live
+                    && trip.arrival.number as u32 == number
+                    && trip.arrival.at + trip.arrival.deadline == now
+                {
                     self.time_up(n, log);
                 }
             }
@@ -706,9 +704,7 @@
             Ev::Warm(w) => {
                 let worker = &self.workers[w as usize];
                 let (warmth, capacity) = (worker.warmth(now), worker.capacity(now));
-                if !worker.up() {
-                    self.checker.see(Seen::Warm { worker: w });
-                } else if warmth >= 1.0 {
+                if !worker.up() || warmth >= 1.0 {
                     self.checker.see(Seen::Warm { worker: w });
                 } else {
                     self.checker.see(Seen::Cold { worker: w, at: now, capacity });
@@ -775,7 +771,9 @@
         let effect = self.scenario.classes[trip.arrival.class as usize].effect;
         let (number, until) = (trip.arrival.number, trip.until);
         let next = match self.retries {
-            Retries::Model => again(&self.scenario.clients, effect, said, (self.seed, number), t.tried, self.now, until),
+            Retries::Model => {
+                again(&self.scenario.clients, effect, said, (self.seed, number), t.tried, self.now, until)
+            }
             _ => None,
         };
         match next {
@@ -784,7 +782,11 @@
                 self.at(at, Ev::Try(n, t.tried + 1));
             }
             None if trip.open == 0 => {
-                let end = if matches!(said, Said::Refused(_)) { End::Refused(self.now) } else { End::Failed(self.now) };
+                let end = if matches!(said, Said::Refused(_)) {
+                    End::Refused(self.now)
+                } else {
+                    End::Failed(self.now)
+                };
                 self.over(n, end);
             }
             None => {}
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -227,7 +227,8 @@
             return;
         }
         let speed = self.speed * self.warmth(now);
-        while let Some(first) = self.queue.pop_front_if(|w| w.slots <= self.free) {
+        while self.queue.front().is_some_and(|w| w.slots <= self.free) {
+            let Some(first) = self.queue.pop_front() else { return };
             self.free -= first.slots;
             let ends = now + (first.work as f64 / speed).max(1.0) as Micros;
             let (ticket, slots) = (first.ticket, first.slots);
--- a/crates/lab/tests/cli.rs
+++ b/crates/lab/tests/cli.rs
@@ -21,7 +21,8 @@
     let dir = tempfile::tempdir().expect("a folder");
     let at = |name: &str| dir.path().join(name).display().to_string();
     let (rec, out) = (at("evening.rec.zst"), at("x.rec"));
-    let import = ["import", "examples/replay/evening.log.gz", "--mapping", "examples/replay/mapping.json", "-o", &rec];
+    let import =
+        ["import", "examples/replay/evening.log.gz", "--mapping", "examples/replay/mapping.json", "-o", &rec];
     let tally = json(&import);
     let count = |name: &str| tally[name].as_u64().expect("a count");
     let reasons = tally["rejected"].as_object().expect("reasons");
@@ -62,7 +63,10 @@
     for (of, file) in [("mapping", "mapping.schema.json"), ("scenario", "scenario.schema.json")] {
         let out = call(&["schema", of]);
         let published = std::fs::read(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs").join(file));
-        assert!(published.expect("a schema") == out.stdout, "docs/{file} is out of date: indigofold-lab schema {of}");
+        assert!(
+            published.expect("a schema") == out.stdout,
+            "docs/{file} is out of date: indigofold-lab schema {of}"
+        );
     }
 }
 
--- a/crates/lab/tests/grounds.rs
+++ b/crates/lab/tests/grounds.rs
@@ -15,7 +15,8 @@
 
 /// A minute and a half with a jump, a hang, a crash and a drain.
 fn scenario() -> Scenario {
-    let mut s = scenario::read(include_str!("../../../examples/replay/ten-minutes.json")).expect("the example");
+    let mut s =
+        scenario::read(include_str!("../../../examples/replay/ten-minutes.json")).expect("the example");
     s.load.seconds = 90.0;
     s.load.jumps = vec![Jump { at_s: 40.0, for_s: 6.0, times: 2.2, edge_s: 0.5 }];
     let trouble = |at_s, for_s, worker, what| Trouble { at_s, for_s, workers: vec![worker], what };
@@ -37,7 +38,8 @@
     let dir = tempfile::tempdir().expect("a folder");
     let paths: Vec<_> = (0..s.schedulers).map(|n| dir.path().join(format!("{n}.log"))).collect();
     let file = |p| std::io::BufWriter::new(std::fs::File::create(p).expect("a file"));
-    let mut logs: Vec<_> = paths.iter().map(|p| Log::new(form, file(p), harm, seed).expect("a log")).collect();
+    let mut logs: Vec<_> =
+        paths.iter().map(|p| Log::new(form, file(p), harm, seed).expect("a log")).collect();
     let ground = Ground::new(s, seed, Retries::Model).expect("a ground");
     let log = |t: Logged<'_>| logs[t.scheduler as usize].write(s, &t).expect("written");
     let run = ground.play(Made::new(s, seed).expect("load"), log, |_| {}).expect("a run");
@@ -69,7 +71,11 @@
     assert!(a.verdict.most_on_cold > 0.0, "the crash made one cold");
     let ends: u64 = a.outcome.ends.iter().sum();
     assert_eq!(ends, a.outcome.counts[0], "each first try ends once");
-    assert!(a.outcome.ends[0] > ends * 9 / 10 && a.outcome.ends[1] + a.outcome.ends[2] > 0, "{:?}", a.outcome.ends);
+    assert!(
+        a.outcome.ends[0] > ends * 9 / 10 && a.outcome.ends[1] + a.outcome.ends[2] > 0,
+        "{:?}",
+        a.outcome.ends
+    );
 }
 
 /// The figure moves when the world does: a lost half of the fleet must show.
--- /dev/null
+++ b/crates/traffic/benches/import.rs
@@ -0,0 +1,130 @@
+//! How fast each format is decoded, and a whole import: `cargo bench -p indigofold-traffic`.
+
+use divan::counter::{BytesCount, ItemsCount};
+use divan::{Bencher, black_box};
+use indigofold_traffic::detect::Kind;
+use indigofold_traffic::har::{self, Piece, Splitter};
+use indigofold_traffic::import::{Options, import};
+use indigofold_traffic::line::LineFormat;
+use indigofold_traffic::mapping::{Interned, Mapping};
+use indigofold_traffic::stamp::Reader;
+use jiff::tz::TimeZone;
+use std::io::Write;
+use std::sync::Arc;
+
+fn main() {
+    divan::main();
+}
+
+const LINES: usize = 20_000;
+const MAPPING: &str = r#"{"version":1,"networks":{"real":["10.0.0.0/8"]},"parish":[{"from":"network"}],
+    "class":[{"from":{"segment":0}}],"subject":[{"from":{"segment":1}}],"deadline-of":{"reserve-stock":5000}}"#;
+const JSON: &str = r#"{"time":"/ts","time-form":"seconds","target":"/path","method":"/method","status":"/status","took":"/took",
+    "peer":"/ip","headers":{"x-customer":"/customer"}}"#;
+
+fn text(format: &str) -> String {
+    let mut out = String::new();
+    for n in 0..LINES {
+        let (s, kit, ip) = (n / 300, n % 977, n % 250);
+        let (m, s) = (s / 60, s % 60);
+        let line = match format {
+            "combined" | "common" | "nginx" => {
+                let more = if format == "common" {
+                    ""
+                } else {
+                    " \"-\" \"office/1.0 (parish till; build 2026.11)\""
+                };
+                format!(
+                    "10.0.0.{ip} - - [10/Oct/2026:13:{m:02}:{s:02} +0000] \"POST /reserve-stock/kit-{kit} HTTP/1.1\" 200 64{more}"
+                )
+            }
+            "envoy" => format!(
+                "[2026-10-10T13:{m:02}:{s:02}.250Z] \"POST /reserve-stock/kit-{kit} HTTP/1.1\" 200 - via_upstream - \"-\" 128 64 \
+                 120 118 \"10.0.0.{ip}\" \"office/1.0\" \"id-{n}\" \"jobs.internal\" \"127.0.0.1:8443\""
+            ),
+            "json" => format!(
+                "{{\"ts\":{}.250,\"ip\":\"10.0.0.{ip}\",\"method\":\"POST\",\"path\":\"/reserve-stock/kit-{kit}\",\"status\":200,\
+                 \"took\":0.12,\"customer\":\"real\"}}",
+                1_791_637_000 + n / 300
+            ),
+            _ => format!(
+                "{{\"startedDateTime\":\"2026-10-10T13:{m:02}:{s:02}.250Z\",\"time\":12.5,\"request\":{{\"method\":\"POST\",\
+                 \"url\":\"http://jobs.internal/reserve-stock/kit-{kit}\",\"httpVersion\":\"HTTP/1.1\",\"headers\":[{{\"name\":\
+                 \"X-Customer\",\"value\":\"real\"}}],\"cookies\":[],\"bodySize\":2}},\"response\":{{\"status\":200,\"content\":\
+                 {{\"size\":64,\"text\":\"{}\"}}}}}},",
+                "made ".repeat(40)
+            ),
+        };
+        out.push_str(&line);
+        out.push('\n');
+    }
+    match format {
+        "har" => format!("{{\"log\":{{\"version\":\"1.2\",\"entries\":[{}{{}}]}}}}", out),
+        _ => out,
+    }
+}
+
+fn line_format(name: &str) -> LineFormat {
+    match name {
+        "json" => LineFormat::Json(Box::new(serde_json::from_str(JSON).expect("fields"))),
+        name => LineFormat::named(name).expect("a format"),
+    }
+}
+
+/// Lines to records: what the format alone costs.
+#[divan::bench(args = ["common", "combined", "nginx", "envoy", "json"])]
+fn decode(bencher: Bencher<'_, '_>, name: &str) {
+    let (text, format) = (text(name), line_format(name));
+    bencher.counter(BytesCount::new(text.len())).counter(ItemsCount::new(LINES)).bench_local(|| {
+        let mut stamps = Reader::new(TimeZone::UTC);
+        text.lines().filter(|line| black_box(format.read(line, &mut stamps)).is_ok()).count()
+    });
+}
+
+/// A HAR document to records.
+#[divan::bench]
+fn decode_har(bencher: Bencher<'_, '_>) {
+    let text = text("har");
+    bencher.counter(BytesCount::new(text.len())).counter(ItemsCount::new(LINES)).bench_local(|| {
+        let (mut splitter, mut stamps, mut good) = (Splitter::default(), Reader::new(TimeZone::UTC), 0);
+        for piece in text.as_bytes().chunks(64 * 1024) {
+            splitter.push(piece, |piece| {
+                if let Piece::Entry(text) = piece {
+                    good += usize::from(black_box(har::read(text, &mut stamps)).is_ok());
+                }
+            });
+        }
+        good
+    });
+}
+
+/// Records to what they mean.
+#[divan::bench]
+fn meaning(bencher: Bencher<'_, '_>) {
+    let (text, format) = (text("combined"), line_format("combined"));
+    let mapping = Mapping::read(MAPPING).expect("a mapping");
+    let mut stamps = Reader::new(TimeZone::UTC);
+    let raws: Vec<_> = text.lines().filter_map(|line| format.read(line, &mut stamps).ok()).collect();
+    bencher.counter(ItemsCount::new(LINES)).bench_local(|| {
+        let mut names = Interned::default();
+        raws.iter().filter(|raw| black_box(mapping.meaning(raw, &mut names)).is_ok()).count()
+    });
+}
+
+/// The whole way from a file to a recording that is not kept.
+#[divan::bench(args = ["common", "combined", "nginx", "envoy", "json", "har"])]
+fn whole_import(bencher: Bencher<'_, '_>, name: &str) {
+    let text = text(name);
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    file.write_all(text.as_bytes()).expect("written");
+    let format = match name {
+        "har" => Kind::Har,
+        name => Kind::Lines(line_format(name)),
+    };
+    let mapping = Mapping::read(MAPPING).expect("a mapping");
+    let options = Options { format: Some(format), mapping, strict: false, max_bad: 1.0, seed: 1 };
+    let paths = [file.path().to_path_buf()];
+    bencher.counter(BytesCount::new(text.len())).counter(ItemsCount::new(LINES)).bench_local(|| {
+        import(&paths, &options, std::io::sink(), &Arc::default()).expect("a recording").tally.taken
+    });
+}
--- a/crates/traffic/src/detect.rs
+++ b/crates/traffic/src/detect.rs
@@ -34,10 +34,15 @@
         let whole = serde_json::from_str::<serde_json::Value>(first);
         let is_har = |text: &str| text.contains("\"log\"");
         return match (whole, json) {
-            (Ok(value), _) if value.get("log").is_some_and(|log| log.get("entries").is_some()) => Ok(Kind::Har),
-            (Ok(_), Some(fields)) => Ok(Kind::Lines(LineFormat::Json(fields.clone()))),
+            (Ok(value), _) if value.get("log").is_some_and(|log| log.get("entries").is_some()) => {
+                Ok(Kind::Har)
+            }
+            (Ok(_), Some(fields)) => Ok(Kind::Lines(LineFormat::Json(Box::new(fields.clone())))),
             (Err(_), _) if is_har(&trimmed[..trimmed.floor_char_boundary(4096)]) => Ok(Kind::Har),
-            _ => Err("these look like JSON lines: the mapping must say under 'json' where the fields stand".into()),
+            _ => {
+                Err("these look like JSON lines: the mapping must say under 'json' where the fields stand"
+                    .into())
+            }
         };
     }
     let mut best: Option<(usize, LineFormat)> = None;
--- a/crates/traffic/src/fold.rs
+++ b/crates/traffic/src/fold.rs
@@ -116,7 +116,8 @@
             (self.rules.id_kept && t.id != 0).then_some(t.id),
             (job.client != 0 || !job.subject.is_empty() || !job.parish.is_empty())
                 .then(|| mixed((job.client, &job.class, &job.parish, &job.subject))),
-            (job.client != 0 || !job.parish.is_empty()).then(|| mixed((job.client, &job.class, &job.parish, 0u8))),
+            (job.client != 0 || !job.parish.is_empty())
+                .then(|| mixed((job.client, &job.class, &job.parish, 0u8))),
         ];
         match self.first_try_of(&t, &keys) {
             Some((n, how, sure, learn)) => {
--- a/crates/traffic/src/import.rs
+++ b/crates/traffic/src/import.rs
@@ -118,7 +118,8 @@
     }
 
     fn take(
-        &mut self, raw: Result<Raw<'_>, Reason>, file: u32, place: Place<'_>, text: &[u8], stamps: &mut Reader,
+        &mut self, raw: Result<Raw<'_>, Reason>, file: u32, place: Place<'_>, text: &[u8],
+        stamps: &mut Reader,
     ) -> io::Result<()> {
         let meant = raw.and_then(|raw| self.options.mapping.meaning(&raw, &mut self.names));
         let meant = match meant {
@@ -160,10 +161,13 @@
         self.before = Some(at);
         self.tally.pass();
         self.seq += 1;
-        self.sorter.push(Try { job: meant.job, within: meant.within, seq: self.seq, id: meant.id, marked: meant.marked })
+        let (job, within, marked) = (meant.job, meant.within, meant.marked);
+        self.sorter.push(Try { job, within, seq: self.seq, id: meant.id, marked, file })
     }
 
-    fn lines(&mut self, format: &LineFormat, from: &mut dyn BufRead, name: &str, file: u32) -> io::Result<()> {
+    fn lines(
+        &mut self, format: &LineFormat, from: &mut dyn BufRead, name: &str, file: u32,
+    ) -> io::Result<()> {
         let mut stamps = Reader::new(self.options.mapping.zone.clone());
         let (mut line, mut kept, mut latin, mut too_long) = (0, Vec::new(), String::new(), false);
         loop {
@@ -223,8 +227,8 @@
 
     /// One line; the last of a file may lack its end.
     fn line(
-        &mut self, format: &LineFormat, bytes: &[u8], (file, place, last): (u32, Place<'_>, bool), stamps: &mut Reader,
-        latin: &mut String,
+        &mut self, format: &LineFormat, bytes: &[u8], (file, place, last): (u32, Place<'_>, bool),
+        stamps: &mut Reader, latin: &mut String,
     ) -> io::Result<()> {
         let bytes = bytes.strip_suffix(b"\r").unwrap_or(bytes);
         if bytes.iter().all(u8::is_ascii_whitespace) {
@@ -327,7 +331,10 @@
         let marked = a.how != crate::job::How::Key;
         (Job { at: a.at, status: a.status, took: a.took, ..job.clone() }, marked)
     });
-    std::iter::once((first, false)).chain(rest).map(|(job, marked)| Try { job, within: 1, seq: 0, id: 0, marked })
+    std::iter::once((first, false)).chain(rest).map(|(job, marked)| {
+        let (within, seq, id, file) = (1, 0, 0, 0);
+        Try { job, within, seq, id, marked, file }
+    })
 }
 
 /// What came of an import.
@@ -366,14 +373,18 @@
     files.sort();
     let mut made_of = Vec::new();
     for (n, (_, path)) in files.into_iter().enumerate() {
-        let name = path.file_name().map_or_else(|| path.display().to_string(), |n| n.to_string_lossy().into_owned());
+        let name =
+            path.file_name().map_or_else(|| path.display().to_string(), |n| n.to_string_lossy().into_owned());
         let io = |e| Failed::File(path.display().to_string(), e);
         let mut from = source::open(path, read.clone()).map_err(io)?;
         (intake.latest, intake.before) = (None, None);
         match kind(path, options)? {
             Kind::Lines(format) => intake.lines(&format, &mut *from, &name, n as u32).map_err(io)?,
             Kind::Har => {
-                intake.har(&mut *from, &name, n as u32).map_err(io)?.map_err(|why| Failed::Form(name.clone(), why))?;
+                intake
+                    .har(&mut *from, &name, n as u32)
+                    .map_err(io)?
+                    .map_err(|why| Failed::Form(name.clone(), why))?;
             }
             Kind::Recording => intake.recording(&mut *from, &name)?,
         }
--- a/crates/traffic/src/line/apache.rs
+++ b/crates/traffic/src/line/apache.rs
@@ -85,8 +85,11 @@
             ('T', Some(unit)) => return Err(format!("%{{{unit}}}T: the unit must be s, ms or us")),
             ('i', Some(name)) => Field::Header(name.to_ascii_lowercase()),
             ('C', Some(name)) => Field::Header(format!("cookie.{name}")),
-            ('a' | 'A' | 'b' | 'B' | 'e' | 'f' | 'H' | 'I' | 'k' | 'l' | 'L' | 'n' | 'o' | 'O' | 'p' | 'P' | 'R' | 'S'
-             | 'v' | 'V' | 'X', _) => Field::Skip,
+            (
+                'a' | 'A' | 'b' | 'B' | 'e' | 'f' | 'H' | 'I' | 'k' | 'l' | 'L' | 'n' | 'o' | 'O' | 'p' | 'P'
+                | 'R' | 'S' | 'v' | 'V' | 'X',
+                _,
+            ) => Field::Skip,
             (letter, _) => return Err(format!("%{letter} is no directive of Apache's LogFormat")),
         };
         parts.field(field);
--- a/crates/traffic/src/line/envoy.rs
+++ b/crates/traffic/src/line/envoy.rs
@@ -61,7 +61,9 @@
         ("BYTES_RECEIVED", _) => Field::Received,
         ("DURATION", _) => Field::Took(1_000),
         ("DOWNSTREAM_REMOTE_ADDRESS" | "DOWNSTREAM_REMOTE_ADDRESS_WITHOUT_PORT", _) => Field::Peer,
-        ("DOWNSTREAM_DIRECT_REMOTE_ADDRESS" | "DOWNSTREAM_DIRECT_REMOTE_ADDRESS_WITHOUT_PORT", _) => Field::Skip,
+        ("DOWNSTREAM_DIRECT_REMOTE_ADDRESS" | "DOWNSTREAM_DIRECT_REMOTE_ADDRESS_WITHOUT_PORT", _) => {
+            Field::Skip
+        }
         ("REQ", None) => return Err("%REQ% names no header".into()),
         ("", _) => return Err("'%' stands alone; a '%' itself is written '%%'".into()),
         _ => Field::Skip,
--- a/crates/traffic/src/line/mod.rs
+++ b/crates/traffic/src/line/mod.rs
@@ -35,7 +35,7 @@
     /// Text of fields between literals.
     Text(Template),
     /// JSON objects, one a line.
-    Json(json::Fields),
+    Json(Box<json::Fields>),
 }
 
 impl LineFormat {
--- a/crates/traffic/src/line/template.rs
+++ b/crates/traffic/src/line/template.rs
@@ -276,7 +276,9 @@
                 None => out.push(b'\\'),
             }
         }
-        Cow::Owned(String::from_utf8(out).unwrap_or_else(|e| e.into_bytes().iter().map(|b| *b as char).collect()))
+        Cow::Owned(
+            String::from_utf8(out).unwrap_or_else(|e| e.into_bytes().iter().map(|b| *b as char).collect()),
+        )
     }
 }
 
@@ -284,7 +286,9 @@
 fn request_line(text: &str) -> Option<(&str, &str)> {
     let (method, rest) = text.split_once(' ')?;
     let target = rest.rsplit_once(" HTTP/").map_or(rest, |(target, _)| target).trim();
-    let word = !method.is_empty() && method.len() <= 32 && method.bytes().all(|b| b.is_ascii_alphabetic() || b == b'-');
+    let word = !method.is_empty()
+        && method.len() <= 32
+        && method.bytes().all(|b| b.is_ascii_alphabetic() || b == b'-');
     (word && !target.is_empty()).then_some((method, target))
 }
 
@@ -297,6 +301,7 @@
     if let Some(value) = one(text) {
         return Some(value);
     }
-    let parts: Vec<Micros> = text.split([',', ':']).filter(|p| p.trim() != "-").map(one).collect::<Option<_>>()?;
+    let parts: Vec<Micros> =
+        text.split([',', ':']).filter(|p| p.trim() != "-").map(one).collect::<Option<_>>()?;
     (!parts.is_empty()).then(|| parts.iter().sum())
 }
--- a/crates/traffic/src/mapping.rs
+++ b/crates/traffic/src/mapping.rs
@@ -302,7 +302,9 @@
         }
         for (name, nets) in &file.networks {
             for (n, net) in nets.iter().enumerate() {
-                let _ = networks.add(net, name).inspect_err(|e| wrong.push(format!("at /networks/{name}/{n}: {e}")));
+                let _ = networks
+                    .add(net, name)
+                    .inspect_err(|e| wrong.push(format!("at /networks/{name}/{n}: {e}")));
             }
         }
         let mut ways = |name: &str, rules: &[Rule]| -> Vec<Way> {
@@ -331,7 +333,20 @@
             wrong.push("at /id-kept: there is no rule for the id that is kept".into());
         }
         match wrong.is_empty() {
-            true => Ok(Mapping { file, zone, trusted, networks, class, parish, subject, key, id, mark, deadline, slots }),
+            true => Ok(Mapping {
+                file,
+                zone,
+                trusted,
+                networks,
+                class,
+                parish,
+                subject,
+                key,
+                id,
+                mark,
+                deadline,
+                slots,
+            }),
             false => Err(MapError(wrong)),
         }
     }
@@ -378,8 +393,8 @@
             value
         };
         let deadline = count(&self.deadline, 86_400_000.0).map(|ms| (ms * 1000.0) as Micros);
-        let deadline =
-            deadline.or_else(|| self.file.deadline_of.get(&*class).map(|ms| (*ms).min(86_400_000) as Micros * 1000));
+        let deadline = deadline
+            .or_else(|| self.file.deadline_of.get(&*class).map(|ms| (*ms).min(86_400_000) as Micros * 1000));
         let slots = count(&self.slots, 65_536.0).map(|v| v as f32);
         if odd {
             remarks.push(Remark::BadNumber);
@@ -432,7 +447,8 @@
     let source = match &rule.from {
         From::Segment(n) => Source::Segment(*n),
         From::Path(pattern) => {
-            let regex = Regex::new(pattern).map_err(|e| format!("{pattern:?} is no regular expression: {e}"))?;
+            let regex =
+                Regex::new(pattern).map_err(|e| format!("{pattern:?} is no regular expression: {e}"))?;
             Source::Path(regex)
         }
         From::Query(name) => Source::Query(name.clone()),
--- a/crates/traffic/src/networks.rs
+++ b/crates/traffic/src/networks.rs
@@ -23,7 +23,9 @@
     let bad = || format!("{text:?} is no network: 10.4.0.0/16, 2001:db8::/32 or one address is allowed");
     match text.parse::<IpNet>() {
         // A host part that is set was most likely meant otherwise.
-        Ok(net) if net.trunc() != net => Err(format!("{text:?} has bits beyond its prefix: {} was meant?", net.trunc())),
+        Ok(net) if net.trunc() != net => {
+            Err(format!("{text:?} has bits beyond its prefix: {} was meant?", net.trunc()))
+        }
         Ok(net) => Ok(net),
         Err(_) => text.parse::<IpAddr>().map(IpNet::from).map_err(|_| bad()),
     }
@@ -118,7 +120,12 @@
     #[test]
     fn the_longest_prefix_names_an_address() {
         let mut nets = Networks::default();
-        for (net, name) in [("10.0.0.0/8", "all"), ("10.4.0.0/16", "gualtar"), ("10.4.7.1", "till"), ("2001:db8::/32", "six")] {
+        for (net, name) in [
+            ("10.0.0.0/8", "all"),
+            ("10.4.0.0/16", "gualtar"),
+            ("10.4.7.1", "till"),
+            ("2001:db8::/32", "six"),
+        ] {
             nets.add(net, name).expect("a network");
         }
         let name = |text: &str| nets.find(ip(text)).map(|n| n.to_string());
--- a/crates/traffic/src/order.rs
+++ b/crates/traffic/src/order.rs
@@ -34,6 +34,8 @@
     pub id: u64,
     /// The client marked it as a retry.
     pub marked: bool,
+    /// The file that it stood in.
+    pub file: u32,
 }
 
 /// By run, time and place; the try itself does not count.
@@ -247,7 +249,7 @@
 }
 
 /// Spreads tries whose time is known only roughly. Those of one and the same stamp are put at uniform draws within its
-/// width, in the order in which they were logged (the order statistics of a Poisson process given its count). The result
+/// width, in the order in which their file logged them (the order statistics of a Poisson process given its count). The result
 /// is in order again.
 pub struct Spread<I: Iterator> {
     from: std::iter::Peekable<I>,
@@ -271,21 +273,26 @@
             Err(e) => return Some(Err(e)),
         };
         let (at, within) = (first.job.at, first.within.max(1));
-        let same = |t: &io::Result<Try>| t.as_ref().is_ok_and(|t| t.job.at == at && t.within.max(1) == within);
+        let same =
+            |t: &io::Result<Try>| t.as_ref().is_ok_and(|t| t.job.at == at && t.within.max(1) == within);
         let mut group: SmallVec<[Try; 1]> = SmallVec::from_buf([first]);
         while let Some(Ok(t)) = self.from.next_if(same) {
             group.push(t);
         }
-        let mut draws: SmallVec<[Micros; 4]> = SmallVec::new();
-        if within > 1 {
-            draws.extend((0..group.len()).map(|_| (unit(&mut self.rng) * within as f64) as Micros));
-            draws.sort_unstable();
-        }
         if within >= 1_000_000 {
             self.spread += group.len() as u64;
         }
-        for (n, mut t) in group.into_iter().enumerate() {
-            t.job.at += draws.get(n).copied().unwrap_or(0);
+        // The lines of one file tell their order; those of two files tell nothing of each other's.
+        group.sort_by_key(|t| t.file);
+        for of_file in group.chunk_by_mut(|a, b| a.file == b.file) {
+            let mut draws: SmallVec<[Micros; 4]> = SmallVec::new();
+            if within > 1 {
+                draws.extend((0..of_file.len()).map(|_| (unit(&mut self.rng) * within as f64) as Micros));
+                draws.sort_unstable();
+            }
+            of_file.iter_mut().zip(draws).for_each(|(t, by)| t.job.at += by);
+        }
+        for t in group {
             self.heap.push(Reverse(Keyed(0, t.job.at, t.seq, Box::new(t))));
         }
         Some(Ok(()))
--- a/crates/traffic/src/recording.rs
+++ b/crates/traffic/src/recording.rs
@@ -245,8 +245,13 @@
             return Err(bad("jobs must stand in the order of their times".into()));
         }
         (self.jobs, self.last) = (self.jobs + 1, line.t);
-        let again =
-            |(dt, status, took, how, sure): &Retry| Again { at: line.t + dt, status: *status, took: *took, how: *how, sure: *sure };
+        let again = |(dt, status, took, how, sure): &Retry| Again {
+            at: line.t + dt,
+            status: *status,
+            took: *took,
+            how: *how,
+            sure: *sure,
+        };
         Ok(Some(Job {
             at: line.t,
             class: self.names.name(&line.c),
--- a/crates/traffic/src/source.rs
+++ b/crates/traffic/src/source.rs
@@ -39,7 +39,9 @@
     let head = from.fill_buf()?;
     let head = [0, 1, 2, 3].map(|n| head.get(n).copied().unwrap_or(0));
     Ok(match head {
-        [0x1f, 0x8b, ..] => unmarked(BufReader::with_capacity(BUFFER, flate2::bufread::MultiGzDecoder::new(from)))?,
+        [0x1f, 0x8b, ..] => {
+            unmarked(BufReader::with_capacity(BUFFER, flate2::bufread::MultiGzDecoder::new(from)))?
+        }
         [0x28, 0xb5, 0x2f, 0xfd] => {
             let decoder = zstd::stream::read::Decoder::with_buffer(from)?;
             unmarked(BufReader::with_capacity(BUFFER, decoder))?
--- a/crates/traffic/src/stamp.rs
+++ b/crates/traffic/src/stamp.rs
@@ -84,7 +84,9 @@
 
     /// `10/Oct/2000:13:55:36 -0700`, with the minute's start remembered.
     fn clf(&mut self, text: &[u8]) -> Result<Micros, BadStamp> {
-        let (Some(minute), Some(seconds), Some(offset)) = (text.get(..17), text.get(17..20), text.get(21..26)) else {
+        let (Some(minute), Some(seconds), Some(offset)) =
+            (text.get(..17), text.get(17..20), text.get(21..26))
+        else {
             return Err(BadStamp);
         };
         if text.len() != 26 || seconds[0] != b':' || text[20] != b' ' {
@@ -94,7 +96,8 @@
             Some((m, o, base)) if m == minute && o == offset => *base,
             _ => {
                 let base = clf_minute(minute, offset).ok_or(BadStamp)?;
-                let copied = (minute.try_into().map_err(|_| BadStamp)?, offset.try_into().map_err(|_| BadStamp)?);
+                let copied =
+                    (minute.try_into().map_err(|_| BadStamp)?, offset.try_into().map_err(|_| BadStamp)?);
                 self.minute = Some((copied.0, copied.1, base));
                 base
             }
@@ -214,8 +217,15 @@
         assert_eq!(at(&mut r, "10/Oct/2000:13:55:36 -0700"), Ok(971_211_336));
         assert_eq!(at(&mut r, "10/Oct/2000:13:55:59 -0700"), Ok(971_211_359));
         assert_eq!(at(&mut r, "10/Oct/2000:13:55:36 +0130"), Ok(971_211_336 - 30_600));
-        for bad in ["", "10/Oct/2000:13:55:36", "10/Okt/2000:13:55:36 -0700", "31/Feb/2000:13:55:36 -0700",
-                    "10/Oct/2000:13:55:61 -0700", "10/Oct/2000:24:55:36 -0700", "10/Oct/1970:13:55:36 -0700"] {
+        for bad in [
+            "",
+            "10/Oct/2000:13:55:36",
+            "10/Okt/2000:13:55:36 -0700",
+            "31/Feb/2000:13:55:36 -0700",
+            "10/Oct/2000:13:55:61 -0700",
+            "10/Oct/2000:24:55:36 -0700",
+            "10/Oct/1970:13:55:36 -0700",
+        ] {
             assert_eq!(at(&mut r, bad), Err(BadStamp), "{bad}");
         }
     }
@@ -229,7 +239,11 @@
         assert_eq!(read(&Form::Seconds, "1700000000.125"), Ok((second + 125_000, 1_000)));
         assert_eq!(read(&Form::Millis, "1700000000125"), Ok((second + 125_000, 1_000)));
         assert_eq!(read(&Form::Iso, "2023-11-14T22:13:20.5Z"), Ok((second + 500_000, 100_000)));
-        assert_eq!(read(&Form::Iso, "2023-11-14T22:13:20"), Ok((second, SECOND)), "Lisbon is at UTC in winter");
+        assert_eq!(
+            read(&Form::Iso, "2023-11-14T22:13:20"),
+            Ok((second, SECOND)),
+            "Lisbon is at UTC in winter"
+        );
         let pattern = Form::Pattern("%Y/%m/%d %H:%M:%S%.3f %z".into());
         assert_eq!(read(&pattern, "2023/11/14 23:13:20.125 +0100"), Ok((second + 125_000, 1_000)));
     }
--- a/crates/traffic/src/tally.rs
+++ b/crates/traffic/src/tally.rs
@@ -119,7 +119,8 @@
         self.count += 1;
         if let Some((place, text)) = at.filter(|_| self.examples.len() < EXAMPLES) {
             let text = String::from_utf8_lossy(&text[..text.len().min(SHOWN * 4)]);
-            let text = text.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).take(SHOWN).collect();
+            let text =
+                text.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).take(SHOWN).collect();
             self.examples.push(Example { file: place.file.to_string(), line: place.line, text });
         }
     }
--- a/crates/traffic/tests/formats.rs
+++ b/crates/traffic/tests/formats.rs
@@ -38,13 +38,17 @@
 
 #[test]
 fn common_and_combined_lines() {
-    let line = r#"192.0.2.1 - anna [10/Oct/2026:13:55:36 +0100] "POST /reserve-stock/kit-7 HTTP/1.1" 200 2326"#;
+    let line =
+        r#"192.0.2.1 - anna [10/Oct/2026:13:55:36 +0100] "POST /reserve-stock/kit-7 HTTP/1.1" 200 2326"#;
     let said = "1791636936.000000 | 192.0.2.1 anna | POST /reserve-stock/kit-7 | Some(200) None | ";
     assert_eq!(read("common", line), said);
     let more = r#"192.0.2.1 - anna [10/Oct/2026:13:55:36 +0100] "POST /reserve-stock/kit-7 HTTP/1.1" 200 2326 "-" "a \"b\" c""#;
     assert_eq!(read("combined", more), format!("{said}user-agent=a \"b\" c"));
     assert_eq!(read("combined", line), "Malformed", "the quotes are missing");
-    assert!(read("common", more).starts_with(&said[..60]), "the rest of the line is the count of bytes, which is not used");
+    assert!(
+        read("common", more).starts_with(&said[..60]),
+        "the rest of the line is the count of bytes, which is not used"
+    );
 }
 
 #[test]
@@ -129,13 +133,16 @@
 fn json_lines_by_a_map_of_fields() {
     let fields = r#"{"time":"/ts","time-form":"millis","target":"/req/path","method":"/req/m","status":"/status",
         "took":"/ms","took-unit":"ms","peer":"/ip","headers":{"X-Customer":"/h/0"}}"#;
-    let format = LineFormat::Json(serde_json::from_str(fields).expect("fields"));
+    let format = LineFormat::Json(Box::new(serde_json::from_str(fields).expect("fields")));
     let read = |line: &str| match format.read(line, &mut stamps()) {
         Ok(raw) => short(&raw),
         Err(reason) => format!("{reason:?}"),
     };
     let line = r#"{"ts":1791636936250,"req":{"path":"/a/b","m":"POST"},"status":"200","ms":1.5,"ip":"10.0.0.1","h":["real"]}"#;
-    assert_eq!(read(line), "1791636936.250000 | 10.0.0.1 - | POST /a/b | Some(200) Some(1500) | x-customer=real");
+    assert_eq!(
+        read(line),
+        "1791636936.250000 | 10.0.0.1 - | POST /a/b | Some(200) Some(1500) | x-customer=real"
+    );
     assert_eq!(read(r#"{"req":{"path":"/a"}}"#), "NoTime");
     assert_eq!(read(r#"{"ts":"soon","req":{"path":"/a"}}"#), "BadTime");
     assert_eq!(read(r#"{"ts":1791636936250,"status":700,"req":{"path":"/a"}}"#), "BadStatus");
@@ -177,7 +184,9 @@
         entry(r#","time":5,"response":{"status":9999}"#),
     );
     let said = |status: &str| {
-        Ok(format!("1791636936.250000 | - - | POST https://x.org/a/b?q=1 | {status} | x-customer=real cookie.who=anna"))
+        Ok(format!(
+            "1791636936.250000 | - - | POST https://x.org/a/b?q=1 | {status} | x-customer=real cookie.who=anna"
+        ))
     };
     let wanted = [
         said("Some(200) Some(12500)"),
@@ -208,7 +217,11 @@
         for piece in text.as_bytes().chunks(1000) {
             splitter.push(piece, |piece| match piece {
                 Piece::Entry(text) => {
-                    assert!(har::read(text, &mut stamps()).is_ok(), "{unit}: {:?}", String::from_utf8_lossy(&text[text.len() - 60..]));
+                    assert!(
+                        har::read(text, &mut stamps()).is_ok(),
+                        "{unit}: {:?}",
+                        String::from_utf8_lossy(&text[text.len() - 60..])
+                    );
                     sizes.push(text.len());
                 }
                 Piece::TooLong(_) => panic!("{unit}"),
@@ -217,6 +230,9 @@
         assert!(sizes.len() == 1 && sizes[0] < 10_000, "{unit}: {sizes:?}");
     }
     // Where there is no place to cut, the entry is too long, and the next one is read.
-    let escapes = format!(r#"{{"log":{{"entries":[{{"a":"{}"}},{{"startedDateTime":"x"}}]}}}}"#, body(&"\\\\".repeat(20)));
+    let escapes = format!(
+        r#"{{"log":{{"entries":[{{"a":"{}"}},{{"startedDateTime":"x"}}]}}}}"#,
+        body(&"\\\\".repeat(20))
+    );
     assert_eq!(entries(&escapes, 4096), [Err(Reason::TooLong), Err(Reason::BadTime)]);
 }
--- a/crates/traffic/tests/importing.rs
+++ b/crates/traffic/tests/importing.rs
@@ -15,7 +15,8 @@
     "subject":[{"from":{"segment":1}}],"parish":[{"from":{"header":"X-Customer"}},{"from":"network"}],
     "key":[{"from":{"header":"Idempotency-Key"}}],"id":[{"from":{"header":"X-Trace-Id"}}],
     "retry-mark":[{"from":{"header":"X-Second-Try"}}],"deadline-of":{"reserve-stock":5000},"guess":{"unmarked-too":true}}"#;
-const HEADERS: &str = r#"apache:%h %l %u %t "%r" %>s %b %D "%{X-Trace-Id}i" "%{Idempotency-Key}i" "%{X-Second-Try}i""#;
+const HEADERS: &str =
+    r#"apache:%h %l %u %t "%r" %>s %b %D "%{X-Trace-Id}i" "%{Idempotency-Key}i" "%{X-Second-Try}i""#;
 
 struct Dir(tempfile::TempDir);
 
@@ -33,7 +34,13 @@
 
 fn options(format: Option<&str>) -> Options {
     let format = format.map(|f| Kind::Lines(LineFormat::named(f).expect("a format")));
-    Options { format, mapping: Mapping::read(MAPPING).expect("a mapping"), strict: false, max_bad: 1.0, seed: 1 }
+    Options {
+        format,
+        mapping: Mapping::read(MAPPING).expect("a mapping"),
+        strict: false,
+        max_bad: 1.0,
+        seed: 1,
+    }
 }
 
 fn taken(paths: &[PathBuf], options: &Options) -> Result<(Imported, Vec<Job>), Failed> {
@@ -49,7 +56,11 @@
 }
 
 fn line(second: u32, path: &str, more: &str) -> String {
-    format!("192.0.2.7 - - [10/Oct/2026:13:{:02}:{:02} +0000] \"POST {path} HTTP/1.1\" {more}\n", second / 60, second % 60)
+    format!(
+        "192.0.2.7 - - [10/Oct/2026:13:{:02}:{:02} +0000] \"POST {path} HTTP/1.1\" {more}\n",
+        second / 60,
+        second % 60
+    )
 }
 
 fn rejected(imported: &Imported, reason: Reason) -> u64 {
@@ -78,7 +89,7 @@
         text.extend(bytes);
     }
     let path = dir.file("access.log", &text);
-    let (imported, jobs) = taken(&[path.clone()], &options(Some("common"))).expect("jobs");
+    let (imported, jobs) = taken(std::slice::from_ref(&path), &options(Some("common"))).expect("jobs");
     let of = |reason| rejected(&imported, reason);
     assert_eq!((imported.tally.read, imported.tally.taken), (11, 2));
     let reasons = [
@@ -94,13 +105,22 @@
     ];
     assert_eq!(reasons.map(of), [1; 9], "{:?}", imported.tally);
     let example = &imported.tally.rejected[&Reason::Malformed].examples[0];
-    assert_eq!((example.file.as_str(), example.line, example.text.as_str()), ("access.log", 4, "this is no log line"));
+    assert_eq!(
+        (example.file.as_str(), example.line, example.text.as_str()),
+        ("access.log", 4, "this is no log line")
+    );
     assert_eq!(remarked(&imported, Remark::Latin1), 1);
     assert_eq!(remarked(&imported, Remark::Spread), 2);
-    assert_eq!((&*jobs[0].class, &*jobs[0].parish, jobs[0].subject.as_str()), ("reserve-stock", "real", "kit-1"));
+    assert_eq!(
+        (&*jobs[0].class, &*jobs[0].parish, jobs[0].subject.as_str()),
+        ("reserve-stock", "real", "kit-1")
+    );
     assert_eq!((jobs[0].deadline, jobs[0].status), (Some(5_000_000), 200));
     let strict = Options { strict: true, ..options(Some("common")) };
-    assert!(matches!(taken(&[path.clone()], &strict), Err(Failed::Strict { line: 4, reason: Reason::Malformed, .. })));
+    assert!(matches!(
+        taken(std::slice::from_ref(&path), &strict),
+        Err(Failed::Strict { line: 4, reason: Reason::Malformed, .. })
+    ));
     let share = Options { max_bad: 0.1, ..options(Some("common")) };
     assert!(matches!(taken(&[path], &share), Err(Failed::TooMany(6, 11, _, _))));
 }
@@ -108,7 +128,9 @@
 #[test]
 fn compressed_and_rotated_files_are_told_by_their_content_and_read_in_order() {
     let dir = Dir::new();
-    let lines = |from: u32, to: u32| (from..to).map(|s| line(s, &format!("/reserve/kit-{s}"), "200 5")).collect::<String>();
+    let lines = |from: u32, to: u32| {
+        (from..to).map(|s| line(s, &format!("/reserve/kit-{s}"), "200 5")).collect::<String>()
+    };
     let mut gz = flate2::write::GzEncoder::new(Vec::new(), flate2::Compression::fast());
     gz.write_all(lines(0, 60).as_bytes()).expect("written");
     let gz = gz.finish().expect("gzip");
@@ -123,7 +145,11 @@
     // A file that breaks off in the middle of compressed data gives what came before.
     let half = dir.file("half.gz", &gz[..gz.len() / 2]);
     let (imported, jobs) = taken(&[half], &options(Some("common"))).expect("jobs");
-    assert!(!jobs.is_empty() && jobs.len() < 60 && rejected(&imported, Reason::Truncated) == 1, "{}", jobs.len());
+    assert!(
+        !jobs.is_empty() && jobs.len() < 60 && rejected(&imported, Reason::Truncated) == 1,
+        "{}",
+        jobs.len()
+    );
 }
 
 #[test]
@@ -131,7 +157,7 @@
     let dir = Dir::new();
     let text: String = (0..400).map(|n| line(n / 100, &format!("/reserve/kit-{n}"), "200 5")).collect();
     let path = dir.file("a.log", text.as_bytes());
-    let jobs = taken(&[path.clone()], &options(None)).expect("jobs").1;
+    let jobs = taken(std::slice::from_ref(&path), &options(None)).expect("jobs").1;
     let subjects: Vec<String> = (0..400).map(|n| format!("kit-{n}")).collect();
     assert!(jobs.iter().map(|j| &j.subject).eq(subjects.iter()), "the order stays");
     let begin = jobs[0].at / 1_000_000;
@@ -141,7 +167,11 @@
     let parts: Vec<i64> = jobs.iter().map(|j| j.at % 1_000_000).collect();
     let mean = parts.iter().sum::<i64>() / 400;
     assert!((400_000..600_000).contains(&mean), "{mean}");
-    assert_eq!(jobs, taken(&[path.clone()], &options(None)).expect("jobs").1, "the same seed, the same draws");
+    assert_eq!(
+        jobs,
+        taken(std::slice::from_ref(&path), &options(None)).expect("jobs").1,
+        "the same seed, the same draws"
+    );
     let other = Options { seed: 2, ..options(None) };
     assert_ne!(jobs, taken(&[path], &other).expect("jobs").1);
 }
@@ -154,7 +184,10 @@
     let (imported, jobs) = taken(&[dir.file("a.log", text.as_bytes())], &options(None)).expect("jobs");
     let seconds: Vec<String> = jobs.iter().map(|j| j.subject.replace("kit-", "")).collect();
     assert_eq!(seconds, ["20", "21", "199", "200", "201", "3500"]);
-    assert_eq!([Remark::ClockBack, Remark::Reordered, Remark::Gap].map(|r| remarked(&imported, r)), [1, 1, 1]);
+    assert_eq!(
+        [Remark::ClockBack, Remark::Reordered, Remark::Gap].map(|r| remarked(&imported, r)),
+        [1, 1, 1]
+    );
 }
 
 #[test]
@@ -178,7 +211,8 @@
         at(50, "/reserve/kit-5", 200, 1000, "e2", "-", "-"), // too late for a guess
         at(60, "/reserve/kit-6", 200, 1000, "f1", "-", "1"), // its first try is lost
     ];
-    let (imported, jobs) = taken(&[dir.file("a.log", text.concat().as_bytes())], &options(Some(HEADERS))).expect("jobs");
+    let (imported, jobs) =
+        taken(&[dir.file("a.log", text.concat().as_bytes())], &options(Some(HEADERS))).expect("jobs");
     let found: Vec<(String, Vec<How>)> =
         jobs.iter().map(|j| (j.subject.clone(), j.tries.iter().map(|a| a.how).collect())).collect();
     let wanted = [
@@ -209,7 +243,8 @@
     };
     let order = [30, 10, 20, 50, 40];
     let entries: Vec<String> = order.iter().map(|s| entry(*s, if *s == 20 { 0 } else { 200 })).collect();
-    let text = format!(r#"{{"log":{{"version":"1.2","entries":[{},{}"#, entries.join(","), &entry(59, 200)[..40]);
+    let text =
+        format!(r#"{{"log":{{"version":"1.2","entries":[{},{}"#, entries.join(","), &entry(59, 200)[..40]);
     let (imported, jobs) = taken(&[dir.file("x.har", text.as_bytes())], &options(None)).expect("jobs");
     let subjects: Vec<&str> = jobs.iter().map(|j| j.subject.as_str()).collect();
     assert_eq!(subjects, ["kit-10", "kit-20", "kit-30", "kit-40", "kit-50"]);
@@ -226,11 +261,14 @@
     let fields = r#""json":{"time":"/t","target":"/p","method":"/m"}"#;
     let mapping = MAPPING.replacen("\"version\":1,", &format!("\"version\":1,{fields},"), 1);
     let times = ["00:59:59", "01:30:00", "01:59:59", "01:00:00", "01:30:00", "02:00:00"];
-    let text: String =
-        times.iter().map(|t| format!("{{\"t\":\"2026-10-25T{t}\",\"p\":\"/reserve/a\",\"m\":\"POST\"}}\n")).collect();
+    let text: String = times
+        .iter()
+        .map(|t| format!("{{\"t\":\"2026-10-25T{t}\",\"p\":\"/reserve/a\",\"m\":\"POST\"}}\n"))
+        .collect();
     let options = Options { mapping: Mapping::read(&mapping).expect("a mapping"), ..options(None) };
     let (imported, jobs) = taken(&[dir.file("a.json", text.as_bytes())], &options).expect("jobs");
-    let minutes: Vec<i64> = jobs.windows(2).map(|w| (w[1].at / 1_000_000 + 1) / 60 - (w[0].at / 1_000_000 + 1) / 60).collect();
+    let minutes: Vec<i64> =
+        jobs.windows(2).map(|w| (w[1].at / 1_000_000 + 1) / 60 - (w[0].at / 1_000_000 + 1) / 60).collect();
     assert_eq!(minutes.iter().sum::<i64>(), 120, "two hours pass between 00:59:59 and 02:00:00: {minutes:?}");
     assert!(minutes.iter().all(|m| *m >= 0));
     assert_eq!(remarked(&imported, Remark::Dst), 4);
@@ -241,8 +279,10 @@
     let error = |text: &str| Mapping::read(text).expect_err("an error").to_string();
     let e = error(r#"{"version":1,"clas":[],"class":[{"from":"network"}]}"#);
     assert!(e.contains("clas"), "{e}");
-    let e = error(r#"{"version":1,"zone":"Braga","trusted":["10.0.0.1/8"],"networks":{"a":["1.2.3.0/24"],"b":["1.2.3.0/24"]},
-        "class":[{"from":{"path":"("}}],"parish":[{"from":"network"}],"id-kept":true}"#);
+    let e = error(
+        r#"{"version":1,"zone":"Braga","trusted":["10.0.0.1/8"],"networks":{"a":["1.2.3.0/24"],"b":["1.2.3.0/24"]},
+        "class":[{"from":{"path":"("}}],"parish":[{"from":"network"}],"id-kept":true}"#,
+    );
     for part in ["/zone", "/trusted/0", "/networks/b/0", "named both", "/class/0", "/id-kept"] {
         assert!(e.contains(part), "{part}: {e}");
     }
@@ -251,3 +291,20 @@
     assert!(error(r#"{"version":1,"class":[{"from":"network"}]}"#).contains("no 'networks'"));
     assert!(error("{").contains("no JSON"));
 }
+
+/// Guards against one file's lines being put before the other's in each second, which made bursts that never were.
+#[test]
+fn lines_of_two_files_in_one_second_are_not_put_one_after_the_other() {
+    let dir = Dir::new();
+    let lines =
+        |name: &str| (0..200).map(|n| line(5, &format!("/reserve/{name}-{n}"), "200 5")).collect::<String>();
+    let paths = [dir.file("a.log", lines("a").as_bytes()), dir.file("b.log", lines("b").as_bytes())];
+    let jobs = taken(&paths, &options(None)).expect("jobs").1;
+    for name in ["a-", "b-"] {
+        let of: Vec<i64> =
+            jobs.iter().filter(|j| j.subject.starts_with(name)).map(|j| j.at % 1_000_000).collect();
+        assert_eq!(of.len(), 200);
+        let mean = of.iter().sum::<i64>() / 200;
+        assert!((400_000..600_000).contains(&mean), "{name} {mean}");
+    }
+}
--- /dev/null
+++ b/fuzz/fuzz_targets/json.rs
@@ -0,0 +1,26 @@
+//! JSON lines: no panic.
+#![no_main]
+use indigofold_traffic::line::json::{Fields, TimeForm, Unit};
+use indigofold_traffic::stamp::Reader;
+use libfuzzer_sys::fuzz_target;
+
+fuzz_target!(|line: &str| {
+    let at = |p: &str| Some(p.to_string());
+    for time_form in [TimeForm::Iso, TimeForm::Clf, TimeForm::Seconds, TimeForm::Millis, TimeForm::Micros] {
+        let fields = Fields {
+            time: "/t".into(),
+            time_form,
+            time_is_end: true,
+            target: "/p".into(),
+            method: at("/m"),
+            status: at("/s"),
+            took: at("/d"),
+            took_unit: Unit::Ms,
+            peer: at("/a"),
+            user: at("/u"),
+            received: at("/b"),
+            headers: [("x".to_string(), "/h/0".to_string())].into(),
+        };
+        let _ = fields.read(line, &mut Reader::new(jiff::tz::TimeZone::UTC));
+    }
+});
--- /dev/null
+++ b/fuzz/fuzz_targets/mapping.rs
@@ -0,0 +1,8 @@
+//! Mapping files: no panic.
+#![no_main]
+use indigofold_traffic::mapping::Mapping;
+use libfuzzer_sys::fuzz_target;
+
+fuzz_target!(|text: &str| {
+    let _ = Mapping::read(text);
+});
--- /dev/null
+++ b/fuzz/fuzz_targets/recording.rs
@@ -0,0 +1,12 @@
+//! Recordings: no panic, and none is taken for whole that is not.
+#![no_main]
+use indigofold_traffic::recording::Reader;
+use libfuzzer_sys::fuzz_target;
+
+fuzz_target!(|data: &[u8]| {
+    let text = [b"{\"format\":\"indigofold-recording\",\"version\":1}\n", data].concat();
+    if let Ok(mut reader) = Reader::new(&text[..]) {
+        let whole = reader.by_ref().all(|job| job.is_ok());
+        assert_eq!(whole, reader.end.is_some());
+    }
+});
