--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -1,8 +1,8 @@
 //! Recorded traffic: HAR files and access logs become one plain type, [`Job`], and one file format to keep it in.
 //!
-//! The decoding does no I/O: [`line`] and [`har`] turn bytes that somebody else has read into [`raw::Raw`] records,
+//! The decoding does no I/O: [`mod@line`] and [`har`] turn bytes that somebody else has read into [`raw::Raw`] records,
 //! [`mapping`] says what job a record is, [`order`] sorts and spreads, [`fold`] finds the retries of one first try, and
-//! [`ops`] works on what comes out. Files are touched in [`source`], [`order::Spill`] and [`import`] alone.
+//! [`ops`] works on what comes out. Files are touched in [`source`], [`order`] and [`import`] alone.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
