Read the change again: one piece where there were two, nothing done twice, nothing dead

Need: a second reading of the recordings and the laboratory. Written twice, and once now: reading an operator's file against its schema (traffic::document, for mapping and scenario), the uniform draw, job workers' ids, clients' networks, reading a file with its path in the error. Done twice: the import opened and read the head of each file up to three times and worked out its kind twice; every rejection summed all rejections before and after; remarks on spread records were counted one by one; a client's time-up walked all open tries of all clients (each trip knows its own now). The owner of what accepts is one value without mutable names.

--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -2,8 +2,9 @@
 //! of one load meet the same clients.
 
 use crate::scenario::{Clients, Effect, Micros};
+pub use indigofold_traffic::order::unit;
 use rand_pcg::Pcg64Mcg;
-use rand_pcg::rand_core::{Rng, SeedableRng};
+use rand_pcg::rand_core::SeedableRng;
 
 /// What a client was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,11 +23,6 @@
     Pcg64Mcg::seed_from_u64(mixed)
 }
 
-/// A uniform draw from 0 to 1.
-pub fn unit(rng: &mut Pcg64Mcg) -> f64 {
-    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// When a client tries again after an answer to its try of this number (from 0); `None`: it does not. `until`: its time is
 /// up then.
 pub fn again(
--- a/crates/lab/src/export.rs
+++ b/crates/lab/src/export.rs
@@ -69,7 +69,12 @@
 
 /// The address of a parish's client.
 pub fn address(parish: u32, office: u32) -> String {
-    format!("10.{}.{}.{}", 4 + parish % 200, office / 250, 1 + office % 250)
+    format!("10.{}.{}.{}", network(parish), office / 250, 1 + office % 250)
+}
+
+/// The second byte of the addresses of a parish's clients.
+fn network(parish: u32) -> u32 {
+    4 + parish % 200
 }
 
 /// A name for one try of a job: new on every request.
@@ -226,7 +231,7 @@
         .parishes
         .iter()
         .enumerate()
-        .map(|(n, p)| (p.name.clone(), json!([format!("10.{}.0.0/16", 4 + n % 200)])))
+        .map(|(n, p)| (p.name.clone(), json!([format!("10.{}.0.0/16", network(n as u32))])))
         .collect();
     let deadlines: serde_json::Map<_, _> =
         scenario.classes.iter().map(|c| (c.name.clone(), c.deadline_ms.into())).collect();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -286,7 +286,7 @@
         Call::Import(args) => return import_files(args, cli.json),
         Call::Show { recording } => show(recording, cli.json)?,
         Call::Cut { files, from, to } => {
-            let first = open(&files.recording)?.next().transpose()?.ok_or("the recording is empty")?.at;
+            let first = first_time(&files.recording)?;
             let at = |s: f64| first + (s * 1e6) as i64;
             change(files, cli.json, |jobs| Box::new(ops::cut(jobs, at(*from), at(*to))))?;
         }
@@ -305,14 +305,14 @@
             if !(*times > 0.0 && *times <= 1_000.0) {
                 return Err("--times must be over 0 and up to 1000".into());
             }
-            let first = open(&files.recording)?.next().transpose()?.ok_or("the recording is empty")?.at;
+            let first = first_time(&files.recording)?;
             let us = |s: f64| (s * 1e6) as i64;
             let from = first + us(*at);
             let factor = Factor::Jump { from, to: from + us(*long), edge: us(*edge), times: *times };
             change(files, cli.json, |jobs| Box::new(Scaled::new(jobs, factor, 100_000, *seed)))?;
         }
         Call::Pseudonymise { files, secret, parishes } => {
-            let secret = std::fs::read_to_string(secret).map_err(|e| format!("{}: {e}", secret.display()))?;
+            let secret = text_of(secret)?;
             if secret.trim().len() < 16 {
                 return Err("the secret is too short: 16 characters or more are wanted".into());
             }
@@ -394,6 +394,15 @@
     Ok(Reader::new(from).map_err(|e| format!("{}: {e}", path.display()))?)
 }
 
+fn text_of(path: &Path) -> Result<String, Bad> {
+    Ok(std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?)
+}
+
+/// When a recording's first job was sent.
+fn first_time(path: &Path) -> Result<i64, Bad> {
+    Ok(open(path)?.next().transpose()?.ok_or("the recording is empty")?.at)
+}
+
 /// A file that appears under its name once it is whole.
 fn create(path: &Path) -> Result<(Box<dyn Write>, PathBuf), Bad> {
     let part = path.with_extension(format!("part-{}", std::process::id()));
@@ -407,8 +416,7 @@
 }
 
 fn import_files(args: &Import, json: bool) -> Result<ExitCode, Bad> {
-    let text =
-        std::fs::read_to_string(&args.mapping).map_err(|e| format!("{}: {e}", args.mapping.display()))?;
+    let text = text_of(&args.mapping)?;
     let mapping = Mapping::read(&text).map_err(|e| format!("{}:\n{e}", args.mapping.display()))?;
     let format = match args.format.as_deref() {
         None => None,
@@ -573,12 +581,12 @@
 }
 
 fn read_scenario(path: &Path) -> Result<Scenario, Bad> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let text = text_of(path)?;
     Ok(scenario::read(&text).map_err(|e| format!("{}:\n{e}", path.display()))?)
 }
 
 fn read_run(path: &Path) -> Result<Run, Bad> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let text = text_of(path)?;
     Ok(serde_json::from_str(&text).map_err(|e| format!("{}: this is no result: {e}", path.display()))?)
 }
 
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,6 +1,7 @@
 //! The scenario file: schedulers, job workers, clients, load, and what goes wrong.
 
 use indigofold::config::Site;
+use indigofold_traffic::document;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -407,7 +408,7 @@
 
 /// The published schema of the scenario file.
 pub fn schema() -> serde_json::Value {
-    schemars::schema_for!(Scenario).to_value()
+    document::schema::<Scenario>()
 }
 
 /// Reads a scenario: against its schema first, so that all that is wrong is told at once.
@@ -415,26 +416,11 @@
 /// # Errors
 /// Each thing that is wrong, with its place.
 pub fn read(text: &str) -> Result<Scenario, String> {
-    let value: serde_json::Value =
-        serde_json::from_str(text).map_err(|e| format!("the scenario is no JSON: {e}"))?;
-    let schema = schema();
-    let validator = jsonschema::validator_for(&schema).map_err(|e| e.to_string())?;
-    let wrong: Vec<String> = validator
-        .iter_errors(&value)
-        .map(|e| format!("at {}: {e}", place(&e.instance_path().to_string())))
-        .collect();
-    if !wrong.is_empty() {
-        return Err(wrong.join("\n"));
-    }
-    let scenario: Scenario = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    let scenario: Scenario = document::read("scenario", text).map_err(|wrong| wrong.join("\n"))?;
     let wrong = scenario.wrong();
     if wrong.is_empty() { Ok(scenario) } else { Err(wrong.join("\n")) }
 }
 
-fn place(path: &str) -> &str {
-    if path.is_empty() { "the top" } else { path }
-}
-
 impl Scenario {
     /// What no schema can say.
     fn wrong(&self) -> Vec<String> {
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -32,7 +32,7 @@
 
 /// A job worker's name.
 pub fn name(worker: u32) -> String {
-    format!("s-{:08x}", worker.wrapping_mul(0x9e37_79b1) ^ 0x5f)
+    format!("s-{:08x}", crate::worker::id(worker))
 }
 
 impl List {
--- a/crates/lab/src/virt.rs
+++ b/crates/lab/src/virt.rs
@@ -6,7 +6,7 @@
 use crate::load::Arrival;
 use crate::scenario::{Micros, Scenario, What};
 use crate::service::{Counted, End, Outcome, Service};
-use crate::worker::{self, Offer, Ticket, Worker};
+use crate::worker::{self, Offer, Ticket, Worker, id};
 use indigofold::api::{Entry, Load, Request, Scope, Status, WorkerId, WorkerState};
 use indigofold::core::engine::Engine;
 use indigofold::core::figures::Figures;
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -94,7 +95,7 @@
     Gone(u32, JobId),
     ProbeAt(u32, u32),
     Probed(u32, u32, bool),
-    Lists(u32, u8),
+    Lists(u32),
     Watch(u32),
     Notice(u32, u8, Micros),
     Trouble(u32),
@@ -163,8 +164,8 @@
     arrival: Arrival,
     over: bool,
     until: Micros,
-    tried: u32, // tries sent
-    open: u32,  // tries without an answer
+    open: u32,                 // tries without an answer, and retries that are still to be sent
+    out: SmallVec<[JobId; 2]>, // tries at schedulers
     served: Option<Micros>,
     last: Option<Said>,
     live: bool,
@@ -176,7 +177,6 @@
     tried: u32,
     scheduler: u32,
     came: Micros,
-    attempts: u32,
     done: bool, // answered or gone, as the scheduler knows
 }
 
@@ -222,11 +222,6 @@
     happened: Vec<worker::Event>,
 }
 
-/// Job workers' ids as the module sees them: any numbers will do, as long as all schedulers use the same.
-fn id(worker: u32) -> WorkerId {
-    worker.wrapping_mul(0x9e37_79b1) ^ 0x5f
-}
-
 impl<'a> Ground<'a> {
     /// A ground before the first arrival.
     ///
@@ -359,7 +354,16 @@
             _ => Vec::new(),
         };
         let at = arrival.at;
-        let trip = Trip { arrival, over, until, tried: 0, open: 0, served: None, last: None, live: true };
+        let trip = Trip {
+            arrival,
+            over,
+            until,
+            open: 0,
+            out: SmallVec::new(),
+            served: None,
+            last: None,
+            live: true,
+        };
         let n = match self.free_trips.pop() {
             Some(n) => {
                 self.trips[n as usize] = trip;
@@ -380,7 +384,6 @@
     /// A client sends a try.
     fn send(&mut self, n: u32, tried: u32) {
         let trip = &mut self.trips[n as usize];
-        trip.tried += 1;
         trip.open += 1;
         if tried > 0 {
             let at = trip.arrival.at;
@@ -393,7 +396,8 @@
         let job = self.next_job;
         self.next_job += 1;
         let come = self.now + self.delay(self.scenario.network.client_ms);
-        self.tries.insert(job, Try { trip: n, tried, scheduler, came: come, attempts: 0, done: false });
+        self.trips[n as usize].out.push(job);
+        self.tries.insert(job, Try { trip: n, tried, scheduler, came: come, done: false });
         self.at(come, Ev::Job(scheduler, job));
         if tried == 0 {
             self.at(until, Ev::TimeUp(n, number as u32));
@@ -430,16 +434,10 @@
                 Act::Ask(Ask::Watch(on)) => {
                     self.schedulers[s as usize].watching = on;
                     if on {
-                        let call = self.scenario.discovery.call_ms as f64;
-                        let at = self.now + self.delay(call.max(0.01));
-                        self.at(at, Ev::Lists(s, 0));
+                        self.call_discovery(s);
                     }
                 }
-                Act::Ask(Ask::Whole) => {
-                    let call = self.scenario.discovery.call_ms as f64;
-                    let at = self.now + self.delay(call.max(0.01));
-                    self.at(at, Ev::Lists(s, 0));
-                }
+                Act::Ask(Ask::Whole) => self.call_discovery(s),
                 Act::Answer(job, answer) => self.answered(job, answer),
                 Act::Note(text) => {
                     let plain: String = text.chars().filter(|c| !c.is_ascii_digit()).collect();
@@ -458,11 +456,17 @@
         }
     }
 
+    /// A scheduler asks for the whole list, as a watch does when it begins.
+    fn call_discovery(&mut self, s: u32) {
+        let call = self.scenario.discovery.call_ms as f64;
+        let at = self.now + self.delay(call.max(0.01));
+        self.at(at, Ev::Lists(s));
+    }
+
     fn claim(&mut self, s: u32, claim: Claim) {
         let Some(w) = self.numbers.get(&claim.machine).copied() else { return };
         let (job, attempt) = (claim.id.job, claim.id.attempt);
-        let Some(t) = self.tries.get_mut(&job) else { return };
-        t.attempts += 1;
+        let Some(t) = self.tries.get(&job) else { return };
         let arrival = &self.trips[t.trip as usize].arrival;
         let (work, slots) = (arrival.work, arrival.slots);
         let ticket = self.next_ticket;
@@ -662,7 +666,7 @@
                 let status = if good { Status::Ok } else { Status::Timeout };
                 self.tell(s, Told::Probed(id(w), status, good.then_some(load)));
             }
-            Ev::Lists(s, _) => {
+            Ev::Lists(s) => {
                 let entries: Vec<Entry> = (0..self.workers.len() as u32).map(|w| self.entry(w)).collect();
                 for w in 0..self.workers.len() as u32 {
                     self.told_of(s, w);
@@ -752,6 +756,7 @@
         let client = (self.scenario.network.client_ms * 1e3) as Micros;
         let trip = &mut self.trips[n as usize];
         trip.open -= 1;
+        trip.out.retain(|other| *other != job);
         log(Logged {
             arrival: &trip.arrival,
             tried: t.tried,
@@ -795,9 +800,7 @@
 
     /// A client's time is up: it leaves with all its tries.
     fn time_up(&mut self, n: u32, log: &mut impl FnMut(Logged<'_>)) {
-        let mut open: Vec<JobId> = self.tries.iter().filter(|(_, t)| t.trip == n).map(|(j, _)| *j).collect();
-        open.sort_unstable();
-        for job in open {
+        for job in std::mem::take(&mut self.trips[n as usize].out) {
             let Some(t) = self.tries.remove(&job) else { continue };
             let trip = &mut self.trips[n as usize];
             trip.open -= 1;
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -10,6 +10,11 @@
 /// A job at a job worker, by a number that its owner chose.
 pub type Ticket = u64;
 
+/// A job worker's id as schedulers see it: any numbers will do, as long as all use the same.
+pub fn id(worker: u32) -> u32 {
+    worker.wrapping_mul(0x9e37_79b1) ^ 0x5f
+}
+
 /// What a job worker says of a job that was offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
@@ -181,11 +186,6 @@
         self.out.extend(self.queue.drain(..).map(|w| Event::Returned(w.ticket)));
     }
 
-    /// Has it nothing in hand?
-    pub fn idle(&self) -> bool {
-        self.running.is_empty() && self.queue.is_empty()
-    }
-
     /// When it must be stepped next.
     pub fn due(&self) -> Option<Micros> {
         if !self.up {
--- a/crates/traffic/src/fold.rs
+++ b/crates/traffic/src/fold.rs
@@ -122,7 +122,7 @@
         match self.first_try_of(&t, &keys) {
             Some((n, how, sure, learn)) => {
                 if learn {
-                    let wait = t.job.at - self.open[(n - self.first) as usize].ended;
+                    let wait = t.job.at - self.open[self.index(n)].ended;
                     self.waits.learn(wait);
                 }
                 tally.folded += 1;
@@ -131,7 +131,7 @@
             None => {
                 tally.taken += 1;
                 if t.marked {
-                    tally.remark_only(Remark::Orphan);
+                    tally.remark_only(Remark::Orphan, 1);
                 }
                 self.begin(t, keys);
             }
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Where an open first try stands.
+    fn index(&self, number: u64) -> usize {
+        (number - self.first) as usize
+    }
+
     fn begin(&mut self, t: Try, keys: [Option<u64>; 4]) {
         let number = self.first + self.open.len() as u64;
         for (by, key) in self.by.iter_mut().zip(keys) {
@@ -169,14 +174,13 @@
         }
         let (ended, end) = Self::end(t.job.at, t.job.took, t.job.deadline);
         let served = done(t.job.status);
-        let keyed = keys[0].is_some() || keys[1].is_some();
-        let closes = end + self.stays(served, keyed);
+        let closes = end + self.stays(served, &keys);
         self.open.push_back(Open { job: t.job, ended, end, within: t.within, served, closes, keys });
     }
 
     /// How long after its end a job may still get a retry.
-    fn stays(&self, served: bool, keyed: bool) -> Micros {
-        match (keyed, served) {
+    fn stays(&self, served: bool, keys: &[Option<u64>; 4]) -> Micros {
+        match (keys[0].or(keys[1]).is_some(), served) {
             (true, _) => KEYED,
             // Its answer may have been logged as sent and not have come.
             (false, true) => 0,
@@ -186,10 +190,10 @@
     }
 
     fn join(&mut self, number: u64, t: &Try, how: How, sure: f32) {
-        let n = (number - self.first) as usize;
+        let n = self.index(number);
         let (ended, end) = Self::end(t.job.at, t.job.took, t.job.deadline.or(self.open[n].job.deadline));
         let served = done(t.job.status);
-        let stays = self.stays(served, self.open[n].keys[0].is_some() || self.open[n].keys[1].is_some());
+        let stays = self.stays(served, &self.open[n].keys);
         let open = &mut self.open[n];
         let (at, status, took) = (t.job.at, t.job.status, t.job.took);
         open.job.tries.push(Again { at, status, took, how, sure });
@@ -197,15 +201,14 @@
         (open.served, open.closes) = (served, end + stays);
     }
 
-    /// The job that a try is a retry of.
-    /// By what, how sure that is, and whether the wait before it is one to learn from.
+    /// The job that a try is a retry of, by what, how sure that is, and whether the wait before it is one to learn from.
     fn first_try_of(&self, t: &Try, keys: &[Option<u64>; 4]) -> Option<(u64, How, f32, bool)> {
         let at = t.job.at;
         let all = |n: usize| {
             let list = keys[n].and_then(|key| self.by[n].get(&key));
             list.into_iter().flatten().rev().copied()
         };
-        let open = |number: u64| &self.open[(number - self.first) as usize];
+        let open = |number: u64| &self.open[self.index(number)];
         let more = |o: &Open| (o.job.tries.len() as u32) + 1 < self.rules.tries;
         // The same key or id: whatever became of the tries before.
         for n in [0, 1] {
--- a/crates/traffic/src/har.rs
+++ b/crates/traffic/src/har.rs
@@ -100,11 +100,6 @@
         }
     }
 
-    /// Did the document end where the array did, or behind it?
-    pub fn whole(&self) -> bool {
-        self.place == Place::After
-    }
-
     fn before(&mut self, byte: u8) {
         if self.quoted {
             match byte {
--- a/crates/traffic/src/import.rs
+++ b/crates/traffic/src/import.rs
@@ -108,9 +108,8 @@
 
 impl Intake<'_> {
     fn reject(&mut self, reason: Reason, place: Place<'_>, text: &[u8]) {
-        let before = self.tally.bad();
         self.tally.reject(reason, place, text);
-        if self.options.strict && self.tally.bad() > before && self.wrong.is_none() {
+        if self.options.strict && reason.is_bad() && self.wrong.is_none() {
             let example = self.tally.rejected[&reason].examples.last();
             let text = example.map(|e| e.text.clone()).unwrap_or_default();
             self.wrong = Some(Failed::Strict { file: place.file.into(), line: place.line, reason, text });
@@ -154,7 +153,7 @@
                 self.latest = Some(at); // from here on the new time counts
             }
             (Some(latest), _) if at > latest + GAP => self.tally.remark(Remark::Gap, place, text),
-            (_, Some(before)) if at < before => self.tally.remark_only(Remark::Reordered),
+            (_, Some(before)) if at < before => self.tally.remark_only(Remark::Reordered, 1),
             _ => {}
         }
         self.latest = Some(self.latest.map_or(at, |l| l.max(at)));
@@ -264,14 +263,16 @@
         Ok(())
     }
 
-    fn har(&mut self, from: &mut dyn BufRead, name: &str, file: u32) -> io::Result<Result<(), String>> {
+    fn har(
+        &mut self, from: &mut dyn BufRead, name: &str, file: u32, io: &dyn Fn(io::Error) -> Failed,
+    ) -> Result<(), Failed> {
         let mut stamps = Reader::new(self.options.mapping.zone.clone());
         let (mut splitter, mut entry, mut failed) = (Splitter::default(), 0, None);
         loop {
             let bytes = match from.fill_buf() {
                 Ok(bytes) => bytes,
                 Err(e) if broken_off(&e) => break,
-                Err(e) => return Err(e),
+                Err(e) => return Err(io(e)),
             };
             let used = bytes.len();
             if used == 0 {
@@ -290,21 +291,21 @@
             });
             from.consume(used);
             if let Some(e) = failed {
-                return Err(e);
+                return Err(io(e));
             }
             if self.wrong.is_some() {
-                return Ok(Ok(()));
+                return Ok(());
             }
         }
         match splitter.finish() {
-            Err(why) => return Ok(Err(why.into())),
+            Err(why) => return Err(Failed::Form(name.into(), why.into())),
             Ok(Some(text)) => {
                 let text = text.to_vec();
                 self.reject(Reason::Truncated, Place { file: name, line: entry + 1 }, &text);
             }
             Ok(None) => {}
         }
-        Ok(Ok(()))
+        Ok(())
     }
 
     /// A recording is read again as the tries that it was made of.
@@ -368,24 +369,19 @@
     };
     let mut files = Vec::new();
     for path in paths {
-        files.push((first_time(path, options)?, path));
+        files.push(probed(path, options)?);
     }
-    files.sort();
+    files.sort_by(|a, b| (a.first, a.path).cmp(&(b.first, b.path)));
     let mut made_of = Vec::new();
-    for (n, (_, path)) in files.into_iter().enumerate() {
+    for (n, Probed { path, kind, .. }) in files.into_iter().enumerate() {
         let name =
             path.file_name().map_or_else(|| path.display().to_string(), |n| n.to_string_lossy().into_owned());
         let io = |e| Failed::File(path.display().to_string(), e);
         let mut from = source::open(path, read.clone()).map_err(io)?;
         (intake.latest, intake.before) = (None, None);
-        match kind(path, options)? {
+        match kind {
             Kind::Lines(format) => intake.lines(&format, &mut *from, &name, n as u32).map_err(io)?,
-            Kind::Har => {
-                intake
-                    .har(&mut *from, &name, n as u32)
-                    .map_err(io)?
-                    .map_err(|why| Failed::Form(name.clone(), why))?;
-            }
+            Kind::Har => intake.har(&mut *from, &name, n as u32, &io)?,
             Kind::Recording => intake.recording(&mut *from, &name)?,
         }
         if let Some(wrong) = intake.wrong.take() {
@@ -418,9 +414,7 @@
     if let Some(e) = failed {
         return Err(io(e));
     }
-    for _ in 0..tries.spread {
-        tally.remark_only(Remark::Spread);
-    }
+    tally.remark_only(Remark::Spread, tries.spread);
     if tally.taken == 0 {
         return Err(Failed::Nothing(tally.read, Box::new(tally)));
     }
@@ -445,20 +439,30 @@
     }
 }
 
-fn kind(path: &Path, options: &Options) -> Result<Kind, Failed> {
-    match &options.format {
-        Some(kind) => Ok(kind.clone()),
-        None => detect(&head(path)?, options.mapping.file.json.as_ref())
-            .map_err(|why| Failed::Form(path.display().to_string(), why)),
-    }
+/// A file of which the beginning was read.
+struct Probed<'a> {
+    path: &'a Path,
+    kind: Kind,
+    /// The first time that can be read in it: rotated files are read in the order of these.
+    first: Micros,
 }
 
-/// The first time that can be read in a file: rotated files are read in the order of these.
-fn first_time(path: &Path, options: &Options) -> Result<Micros, Failed> {
-    let Kind::Lines(format) = kind(path, options)? else { return Ok(Micros::MAX) };
-    let head = head(path)?;
-    let mut stamps = Reader::new(options.mapping.zone.clone());
-    let text = String::from_utf8_lossy(&head);
-    let first = text.lines().find_map(|line| format.read(line, &mut stamps).ok()?.stamp);
-    Ok(first.map_or(Micros::MAX, |s| s.at))
+fn probed<'a>(path: &'a Path, options: &Options) -> Result<Probed<'a>, Failed> {
+    let head = match &options.format {
+        Some(Kind::Har | Kind::Recording) => Vec::new(), // nothing that is asked here stands there
+        _ => head(path)?,
+    };
+    let kind = match &options.format {
+        Some(kind) => kind.clone(),
+        None => detect(&head, options.mapping.file.json.as_ref())
+            .map_err(|why| Failed::Form(path.display().to_string(), why))?,
+    };
+    let mut first = Micros::MAX;
+    if let Kind::Lines(format) = &kind {
+        let mut stamps = Reader::new(options.mapping.zone.clone());
+        let text = String::from_utf8_lossy(&head);
+        let stamp = text.lines().find_map(|line| format.read(line, &mut stamps).ok()?.stamp);
+        first = stamp.map_or(first, |s| s.at);
+    }
+    Ok(Probed { path, kind, first })
 }
--- a/crates/traffic/src/job.rs
+++ b/crates/traffic/src/job.rs
@@ -62,13 +62,6 @@
     Guess,
 }
 
-impl Job {
-    /// When the recorded answer had come, or the client stopped waiting; `None` where neither is known.
-    pub fn ended(&self) -> Option<Micros> {
-        self.took.or(self.deadline).map(|took| self.at + took)
-    }
-}
-
 /// Was the job done, by its status?
 pub fn done(status: u16) -> bool {
     (200..400).contains(&status)
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod detect;
+pub mod document;
 pub mod fold;
 pub mod har;
 pub mod import;
--- a/crates/traffic/src/mapping.rs
+++ b/crates/traffic/src/mapping.rs
@@ -1,5 +1,6 @@
 //! What a record means: its class, parish, subject and key, by an operator's file.
 
+use crate::document;
 use crate::job::{Job, Micros, number};
 use crate::line::json::Fields;
 use crate::networks::{Networks, address, client};
@@ -185,7 +186,7 @@
 
 /// The published schema of the mapping file.
 pub fn schema() -> serde_json::Value {
-    schemars::schema_for!(File).to_value()
+    document::schema::<File>()
 }
 
 #[derive(Clone, Debug)]
@@ -268,21 +269,7 @@
     /// # Errors
     /// Each thing that is wrong, with its place.
     pub fn read(text: &str) -> Result<Self, MapError> {
-        let value: serde_json::Value =
-            serde_json::from_str(text).map_err(|e| MapError(vec![format!("the mapping is no JSON: {e}")]))?;
-        let schema = schema();
-        let validator = jsonschema::validator_for(&schema).map_err(|e| MapError(vec![e.to_string()]))?;
-        let wrong: Vec<String> = validator
-            .iter_errors(&value)
-            .map(|e| {
-                let place = e.instance_path().to_string();
-                format!("at {}: {e}", if place.is_empty() { "the top" } else { &place })
-            })
-            .collect();
-        if !wrong.is_empty() {
-            return Err(MapError(wrong));
-        }
-        let file: File = serde_json::from_value(value).map_err(|e| MapError(vec![e.to_string()]))?;
+        let file: File = document::read("mapping", text).map_err(MapError)?;
         Mapping::new(file)
     }
 
--- a/crates/traffic/src/ops.rs
+++ b/crates/traffic/src/ops.rs
@@ -1,6 +1,6 @@
 //! Operations on recordings: all are streams of jobs in, streams of jobs out, in order.
 
-use crate::job::{Job, Micros, done};
+use crate::job::{Job, Micros};
 use crate::order::unit;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -230,8 +230,3 @@
         job
     })
 }
-
-/// Was the job served in the recording, by any of its tries?
-pub fn served(job: &Job) -> bool {
-    done(job.status) || job.tries.iter().any(|a| done(a.status))
-}
--- a/crates/traffic/src/recording.rs
+++ b/crates/traffic/src/recording.rs
@@ -24,7 +24,6 @@
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::io::{self, BufRead, Write};
-use std::sync::Arc;
 
 /// The version that is written.
 pub const VERSION: u32 = 1;
@@ -292,8 +291,3 @@
         job
     }
 }
-
-/// A class or parish, for those who make jobs.
-pub fn name(text: &str) -> Arc<str> {
-    text.into()
-}
--- a/crates/traffic/src/tally.rs
+++ b/crates/traffic/src/tally.rs
@@ -42,6 +42,13 @@
     Duplicate,
 }
 
+impl Reason {
+    /// Could the record not be understood? One that is blank, a comment, read before or no job by the mapping was.
+    pub fn is_bad(self) -> bool {
+        !matches!(self, Reason::Blank | Reason::Comment | Reason::NotAJob | Reason::Duplicate)
+    }
+}
+
 /// What was odd about a record that was taken all the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -115,9 +122,9 @@
 }
 
 impl Count {
-    fn add(&mut self, at: Option<(Place<'_>, &[u8])>) {
+    fn add(&mut self, place: Place<'_>, text: &[u8]) {
         self.count += 1;
-        if let Some((place, text)) = at.filter(|_| self.examples.len() < EXAMPLES) {
+        if self.examples.len() < EXAMPLES {
             let text = String::from_utf8_lossy(&text[..text.len().min(SHOWN * 4)]);
             let text =
                 text.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).take(SHOWN).collect();
@@ -130,7 +137,7 @@
     /// A record was rejected.
     pub fn reject(&mut self, reason: Reason, place: Place<'_>, text: &[u8]) {
         self.read += 1;
-        self.rejected.entry(reason).or_default().add(Some((place, text)));
+        self.rejected.entry(reason).or_default().add(place, text);
     }
 
     /// A record goes on; it is taken or folded later.
@@ -140,12 +147,14 @@
 
     /// Something was odd about a record.
     pub fn remark(&mut self, remark: Remark, place: Place<'_>, text: &[u8]) {
-        self.remarks.entry(remark).or_default().add(Some((place, text)));
+        self.remarks.entry(remark).or_default().add(place, text);
     }
 
-    /// The same, where the record's text is gone.
-    pub fn remark_only(&mut self, remark: Remark) {
-        self.remarks.entry(remark).or_default().add(None);
+    /// The same of so many records, whose texts are gone.
+    pub fn remark_only(&mut self, remark: Remark, count: u64) {
+        if count > 0 {
+            self.remarks.entry(remark).or_default().count += count;
+        }
     }
 
     /// Records rejected for any reason.
@@ -153,32 +162,13 @@
         self.rejected.values().map(|c| c.count).sum()
     }
 
-    /// Records that could not be understood: rejected, but neither blank nor a comment, and not because the mapping
-    /// says that they are no jobs.
+    /// Records that could not be understood.
     pub fn bad(&self) -> u64 {
-        let meant = [Reason::Blank, Reason::Comment, Reason::NotAJob, Reason::Duplicate];
-        self.rejected.iter().filter(|(r, _)| !meant.contains(r)).map(|(_, c)| c.count).sum()
+        self.rejected.iter().filter(|(r, _)| r.is_bad()).map(|(_, c)| c.count).sum()
     }
 
     /// Does every record read stand somewhere?
     pub fn adds_up(&self) -> bool {
         self.read == self.taken + self.folded + self.rejected()
     }
-
-    /// Adds another tally to this one.
-    pub fn merge(&mut self, other: &Tally) {
-        self.read += other.read;
-        self.taken += other.taken;
-        self.folded += other.folded;
-        fn all<K: Ord + Copy>(to: &mut BTreeMap<K, Count>, from: &BTreeMap<K, Count>) {
-            for (k, c) in from {
-                let own = to.entry(*k).or_default();
-                own.count += c.count;
-                let room = EXAMPLES.saturating_sub(own.examples.len());
-                own.examples.extend(c.examples.iter().take(room).cloned());
-            }
-        }
-        all(&mut self.rejected, &other.rejected);
-        all(&mut self.remarks, &other.remarks);
-    }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -111,18 +111,17 @@
     let network = net.clone();
     let accept = Box::new(move || accepts.iter().map(|accept| accept(&network)).collect());
     // What accepts ends with its owner: each owner lives as long as this function.
-    let (mut _handover, mut _accepting) = (None, Vec::new());
-    match front {
+    let _accepting: (Option<Rc<Handover>>, Vec<Task<()>>) = match front {
         Some(front) => {
             let (limits, accepting) = ((sockets, memory), RefCell::default());
             let [answering, closing] = Default::default();
             let handover = Handover { front, path, limits, listeners, accept, accepting, answering, closing };
             let handover = Rc::new(handover);
             net.start(handover.clone().serve(old));
-            _handover = Some(handover);
+            (Some(handover), Vec::new())
         }
-        None => _accepting = accept(),
-    }
+        None => (None, accept()),
+    };
 
     signals.next().await;
     let jobs = || open.iter().map(|jobs| jobs()).sum::<usize>();
