Remarks of an import speak only of records that went on

Cause: the check that a Latin-1 line had gone on compared a count that every record raises, and could not fail; and the mark of a local time that comes twice was left standing by a rejected record for the next one that was taken. Taking a record says whether it went on now, and the mark is asked of each record. The new test fails without the change (a rejected Latin-1 line was remarked) and passes with it; the other tests of the import are as they were.

--- a/crates/traffic/src/import.rs
+++ b/crates/traffic/src/import.rs
@@ -116,16 +116,19 @@
         }
     }
 
+    /// Takes a record that was read, or was not. `true`: it goes on.
     fn take(
         &mut self, raw: Result<Raw<'_>, Reason>, file: u32, place: Place<'_>, text: &[u8],
         stamps: &mut Reader,
-    ) -> io::Result<()> {
+    ) -> io::Result<bool> {
+        // Asked of each record, so that none answers for one that was rejected before it.
+        let dst = stamps.was_dst();
         let meant = raw.and_then(|raw| self.options.mapping.meaning(&raw, &mut self.names));
         let meant = match meant {
             Ok(meant) => meant,
             Err(reason) => {
                 self.reject(reason, place, text);
-                return Ok(());
+                return Ok(false);
             }
         };
         let mut hash = FxHasher::default();
@@ -138,12 +141,12 @@
         let ided = meant.id != 0;
         if (ided || self.files > 1) && self.known.seen(hash.finish(), file, ided) {
             self.reject(Reason::Duplicate, place, text);
-            return Ok(());
+            return Ok(false);
         }
         for remark in &meant.remarks {
             self.tally.remark(*remark, place, text);
         }
-        if stamps.was_dst() {
+        if dst {
             self.tally.remark(Remark::Dst, place, text);
         }
         let at = meant.job.at;
@@ -161,7 +164,8 @@
         self.tally.pass();
         self.seq += 1;
         let (job, within, marked) = (meant.job, meant.within, meant.marked);
-        self.sorter.push(Try { job, within, seq: self.seq, id: meant.id, marked, file })
+        self.sorter.push(Try { job, within, seq: self.seq, id: meant.id, marked, file })?;
+        Ok(true)
     }
 
     fn lines(
@@ -254,10 +258,7 @@
             true => Reason::Truncated,
             false => reason,
         });
-        let good = raw.is_ok();
-        let before = self.tally.read;
-        self.take(raw, file, place, bytes, stamps)?;
-        if good && text.len() != bytes.len() && self.tally.read > before {
+        if self.take(raw, file, place, bytes, stamps)? && text.len() != bytes.len() {
             self.tally.remark(Remark::Latin1, place, bytes);
         }
         Ok(())
--- a/crates/traffic/tests/importing.rs
+++ b/crates/traffic/tests/importing.rs
@@ -308,3 +308,27 @@
         assert!((400_000..600_000).contains(&mean), "{name} {mean}");
     }
 }
+
+/// Guards against remarks on records that were rejected, and on the record behind one.
+#[test]
+fn remarks_speak_of_records_that_went_on() {
+    let dir = Dir::new();
+    let latin = [
+        b"192.0.2.7 - S\xe3o [10/Oct/2026:13:00:07 +0000] \"GET /reserve/kit-4 HTTP/1.1\" 200 5\n",
+        line(8, "/reserve/kit-5", "200 5").as_bytes(),
+    ]
+    .concat();
+    let (imported, _) = taken(&[dir.file("a.log", &latin)], &options(Some("common"))).expect("jobs");
+    assert_eq!((remarked(&imported, Remark::Latin1), rejected(&imported, Reason::NotAJob)), (0, 1));
+    let fields = r#""json":{"time":"/t","target":"/p","method":"/m"}"#;
+    let mapping = MAPPING.replacen("\"version\":1,", &format!("\"version\":1,{fields},"), 1);
+    let text = concat!(
+        r#"{"t":"2026-10-25T01:30:00","p":"/reserve/a","m":"GET"}"#,
+        "\n",
+        r#"{"t":"2026-10-25T03:30:00","p":"/reserve/a","m":"POST"}"#,
+        "\n"
+    );
+    let options = Options { mapping: Mapping::read(&mapping).expect("a mapping"), ..options(None) };
+    let (imported, jobs) = taken(&[dir.file("a.json", text.as_bytes())], &options).expect("jobs");
+    assert_eq!((jobs.len(), remarked(&imported, Remark::Dst)), (1, 0));
+}
