A watch of the list goes on at once, however many schedulers there are

A trace of each call for the list showed that scheduler n7 asked at 5.1 s, 28.9 s and 43.3 s only: its watch was put off by 16.0 s and 14.3 s after an answer. Over the fleet a change at 9.17 s was heard between 9.2 s and 29 s.

At fault: `spread` (src/front/platform/machines.rs) put off every call by up to 200 ms for each scheduler, also those with which a watch goes on. PROTOCOL lets a watch go on only if the next call comes within 200 ms of the answer; what changes later counts as told. Beyond 50 schedulers the first call came later than `rules.askWithin` (10 s) as well.

Checked: what a call costs discovery. With watches that go on within 100 ms, a change reached all 100 schedulers within 50 ms of the first (calls of 92 schedulers answered 5 ms apart or less); calls that begin a watch take 67 ms each. So only those need spreading out. Ruled out: sends to machines by tasks still dialling when the list changed (none of the late sends had been handed out before the answer).

Changed: a watch that goes on is put off by 100 ms at most; one that begins by half of `askWithin` at most, times up to four after failures (which count four times as long).

--- a/src/front/platform/machines.rs
+++ b/src/front/platform/machines.rs
@@ -25,10 +25,15 @@
 /// With so many schedulers, calls are spread out: as they start together, fail together and hear of a change together,
 /// they would call together, and most would be turned away, again and again ...
 const MANY: u64 = 8;
-/// ... over so long for each scheduler.
+/// ... over so long for each scheduler where a watch begins, which costs discovery most ...
 const SPREAD_EACH: Duration = Duration::from_millis(200);
+/// ... but no longer than this part of the time within which the list must be asked for, the rest being for the call ...
+const SPREAD_MOST: f64 = 0.5;
 /// ... and so many times as long at most, as calls fail: discovery still works through those that it has turned away.
 const FAILED: u32 = 4;
+/// A watch goes on only if the next call comes within 200 ms of the answer: what changes later counts as told all the
+/// same, and is not. However many they are, the calls of a watch that goes on are put off for no longer than this.
+const GO_ON: Duration = Duration::from_millis(100);
 /// How long a call for changes may take beyond its wait ...
 const BEYOND: Duration = Duration::from_millis(1_500);
 /// ... and one for the whole list. Discovery itself gives up on a call in less.
@@ -56,9 +61,23 @@
     Told(Result<Word, RecvError>),
 }
 
-/// Over how long calls are spread out.
-fn spread(schedulers: u64, failed: u32) -> Duration {
-    SPREAD_EACH * if schedulers < MANY { 0 } else { schedulers as u32 * failed }
+/// A call that begins a watch, or one with which a watch goes on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Begins,
+    GoesOn,
+}
+
+/// Over how long calls are spread out, given how many call, how often they failed and how often they must be made.
+fn spread(step: Step, schedulers: u64, failed: u32, ask_within: Duration) -> Duration {
+    match step {
+        _ if schedulers < MANY => Duration::ZERO,
+        Step::GoesOn => GO_ON,
+        Step::Begins => {
+            let each = SPREAD_EACH.saturating_mul(u32::try_from(schedulers).unwrap_or(u32::MAX));
+            each.min(ask_within.mul_f64(SPREAD_MOST)).saturating_mul(failed)
+        }
+    }
 }
 
 /// The way to a discovery, and the version of the list that it told last.
@@ -98,8 +117,9 @@
     }
 
     /// How long the next call is put off: at random, so that all come one after another.
-    fn put_off(&mut self) -> Duration {
-        let spread = spread(self.schedulers(), self.failed);
+    fn put_off(&mut self, step: Step) -> Duration {
+        let ask_within = Duration::from_micros(self.front.site.borrow().settings.rules.ask_within);
+        let spread = spread(step, self.schedulers(), self.failed, ask_within);
         Duration::from_micros(self.rng.next_u64() % spread.as_micros().max(1) as u64)
     }
 
@@ -144,7 +164,7 @@
             self.call = None;
             let line = self.tell(line, answer).await;
             if self.watching {
-                self.call = Some(Box::pin(line.call(Some(self.wait()), self.put_off())));
+                self.call = Some(Box::pin(line.call(Some(self.wait()), self.put_off(Step::GoesOn))));
             } else {
                 self.idle = Some(line);
             }
@@ -172,7 +192,7 @@
             }
             let line = self.idle.take().unwrap_or_else(|| self.line(self.discovery));
             let wait = (many && line.seq > 0 && self.watching).then(|| self.wait());
-            self.call = Some(Box::pin(line.call(wait, self.put_off())));
+            self.call = Some(Box::pin(line.call(wait, self.put_off(Step::Begins))));
         }
     }
 
@@ -185,7 +205,7 @@
             _ => {}
         }
         let mut line = self.line(to);
-        let mut put_off = self.put_off();
+        let mut put_off = self.put_off(Step::Begins);
         let call = async move {
             loop {
                 let (back, answer) = line.call(None, put_off).await;
@@ -301,14 +321,30 @@
 mod tests {
     use super::*;
 
-    /// Guards against a fleet that keeps discovery down by calling together (a call costs it 0.11 to 0.15 s), and against
-    /// calls put off where there are few schedulers: a watch that goes on within 200 ms is not begun anew.
+    /// Guards against a fleet that keeps discovery down by calling together, and against calls put off where there are few
+    /// schedulers.
     #[test]
-    fn many_schedulers_spread_their_calls_out() {
-        assert_eq!((spread(3, 1), spread(7, FAILED)), (Duration::ZERO, Duration::ZERO));
-        for many in [8, 20, 48] {
-            let a_second = |failed| many as f64 / spread(many, failed).as_secs_f64();
-            assert!(a_second(1) <= 5.1 && a_second(FAILED) <= 1.3, "{many} schedulers");
+    fn many_schedulers_spread_out_the_calls_that_begin_a_watch() {
+        let within = Duration::from_secs(10);
+        assert_eq!(spread(Step::Begins, 3, 1, within), Duration::ZERO);
+        assert_eq!(spread(Step::Begins, 7, FAILED, within), Duration::ZERO);
+        for many in [8, 20, 48, 100, 1000, u64::MAX] {
+            let [first, failed] = [1, FAILED].map(|failed| spread(Step::Begins, many, failed, within));
+            assert!(first >= (SPREAD_EACH * 8).min(within / 2), "{many} schedulers");
+            // A call counts as made in time within `ask_within`, four times that after a failed one.
+            assert!(first <= within / 2 && failed <= 2 * within, "{many} schedulers");
+        }
+    }
+
+    /// Guards against a watch that ends unnoticed: at 100 schedulers its next call came up to 20 s after an answer.
+    #[test]
+    fn a_watch_goes_on_within_200_ms_however_many_schedulers_there_are() {
+        for many in [1, 8, 100, 1000, u64::MAX] {
+            for failed in [1, FAILED] {
+                assert!(
+                    spread(Step::GoesOn, many, failed, Duration::from_secs(10)) < Duration::from_millis(150)
+                );
+            }
         }
     }
 }
