--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,7 +28,7 @@
 const TELL_MOST: usize = 51; // workers in a message
 const PROBE_AGE: Time = 1_500_000; // news this old is worth a probe, where jobs run long sooner than this
 const PROBE_WAIT: f64 = 0.1; // part of the aim that a request waits for the answers
-const LATE_MARGIN: f64 = 1.5; // mean run times that must fit before the aim
+const LATE_MARGIN: f64 = 1.5; // mean run times that must fit before the aim, or the deadline
 const NEAR_LOAD: (f64, f64) = (0.4, 0.7); // part of near workers own traffic may fill; load of zones at first
 const LATE_STEP: f64 = 0.1; // step of the shares of late starts at home and away
 const LATE_PRICE: f64 = 2.0; // late starts that are as bad as a crossing at its price
@@ -692,19 +692,18 @@
         }
     }
 
-    /// From this time on no rule allows one more attempt; held longer, the request could not be served.
+    /// From this time on no rule allows one more attempt, or it would hardly be done by the deadline.
     fn sendable_until(&self, open: &Open) -> Time {
+        let runs = LATE_MARGIN * self.work(open.class, open.estimate);
+        let last = open.deadline.saturating_sub((runs as Time).min(self.classes[open.class].longest / 2));
+        let most = open.attempts.min(self.settings.limits.attempts as usize);
         let ran = open.tries.iter().find(|t| !t.never_ran);
-        let until = |end: Time| end.saturating_sub(self.tick()).min(open.deadline);
+        let until = |end: Time| end.saturating_sub(self.tick()).min(last);
         match (ran, self.settings.classes[open.class].effect) {
-            _ if open.closed
-                || open.tries.len() >= open.attempts.min(self.settings.limits.attempts as usize) =>
-            {
-                0
-            }
+            _ if open.closed || open.tries.len() >= most => 0,
             (Some(_), Effect::Unsafe) => 0,
             (Some(first), Effect::Keyed { ttl, .. }) => until(first.sent.saturating_add(ttl)),
-            _ => open.deadline,
+            _ => last,
         }
     }
 
