--- a/tests/module.rs
+++ b/tests/module.rs
@@ -435,6 +435,28 @@
     }
 }
 
+/// When worker 3 was sent jobs, with one of the class asked for at each step; each ends at once with this status.
+fn sends_to_third(s: &mut Stage, (class, ends): (ClassId, Status), step: Time, until: Time) -> Vec<Time> {
+    let mut sends = Vec::new();
+    while s.now < until {
+        let mut said = s.pass(step);
+        s.ask(class);
+        said.extend(s.out.clone());
+        for action in said {
+            if let Action::Send { request, worker: 3, .. } = action {
+                sends.push(s.now);
+                s.end(request, 0, ends);
+            }
+        }
+    }
+    sends
+}
+
+/// Share of its capacity that a worker has at least, so long after its start.
+fn least_warmth(rules: &Rules, age: Time) -> f64 {
+    rules.cold_from + (1.0 - rules.cold_from) * age as f64 / rules.warm_after as f64
+}
+
 #[test]
 fn a_cold_worker_gets_at_most_this_dispatchers_part_of_its_budget() {
     let mut settings = settings();
@@ -447,23 +469,11 @@
     // Worker 3 has just started and is the only one left; every job it gets is turned away unseen.
     let ready_at = s.now;
     s.list(Scope::Full, &[Entry { ready_at, ..entry(3, 0) }]);
-    let mut sends: Vec<Time> = Vec::new();
-    while s.now < ready_at + rules.warm_after {
-        let mut said = s.pass(7 * MS);
-        s.ask(0);
-        said.extend(s.out.clone());
-        for action in said {
-            if let Action::Send { request, worker: 3, .. } = action {
-                sends.push(s.now);
-                s.end(request, 0, Status::Full);
-            }
-        }
-    }
+    let sends = sends_to_third(&mut s, (0, Status::Full), 7 * MS, ready_at + rules.warm_after);
     assert!(sends.len() > 3, "a cold worker still gets some work");
     for t in &sends {
         let recent = sends.iter().filter(|u| **u <= *t && **u + rules.tip_window > *t).count() as f64;
-        let warmth =
-            rules.cold_from + (1.0 - rules.cold_from) * (*t - ready_at) as f64 / rules.warm_after as f64;
+        let warmth = least_warmth(&rules, *t - ready_at);
         // Its slots were never seen, so it is taken to have as many as its kind has shown: one.
         let budget = rules.tip_multiple * warmth * rules.tip_window as f64 / 3.0;
         assert!(recent * 100_000.0 <= budget, "{recent} jobs in a window at warmth {warmth}");
@@ -953,24 +963,11 @@
         }
         (s.now, ready_at) = (110 * SEC, 110 * SEC);
         s.list(Scope::Full, &[Entry { ready_at, ..entry(3, 0) }]);
-        for _ in 0..4 * SEC / step {
-            let (id, to) = s.ask(2);
-            if to == Some(3) {
-                sends.push(s.now);
-                s.end(id, 0, Status::Cancelled); // it gives its place back at once, so that only the budget limits
-            }
-            for action in s.pass(step) {
-                if let Action::Send { request, worker: 3, .. } = action {
-                    sends.push(s.now);
-                    s.end(request, 0, Status::Cancelled);
-                }
-            }
-        }
+        // Each gives its place back at once, so that only the budget limits.
+        sends.extend(sends_to_third(&mut s, (2, Status::Cancelled), step, ready_at + 4 * SEC));
     }
-    let budget = |at: Time| {
-        let age = (at - ready_at) as f64 / rules.warm_after as f64;
-        7.0 * rules.tip_multiple * (rules.cold_from + (1.0 - rules.cold_from) * age) * rules.tip_window as f64
-    };
+    let budget =
+        |at: Time| 7.0 * rules.tip_multiple * least_warmth(&rules, at - ready_at) * rules.tip_window as f64;
     for n in 0..4 * SEC / step {
         let at = ready_at + n * step;
         let sent = sends.iter().filter(|t| **t <= at && **t + rules.tip_window > at).count() as f64;
