Jobs about the same go first to one worker, by what fetches are seen to take

The module never saw what a job is about (src/wire.rs and submitters.rs dropped the subject).

Change: the subject reaches the module; such a job draws its kind with a number made of the subject (weighted rendezvous, so that kind k still has probability p_k over many subjects) and samples the d workers first in the subject's own order, the same at every scheduler. A worker that is not the first counts for more load by what a fetch takes, measured from the first share done of jobs that went elsewhere, and a job may queue at the first for as long. Where fetches are known to cost nothing, subjects are passed over. Run times are learned without the fetch. Problem (1) and the run time estimators moved out of the policy files unchanged (src/solve.rs, src/runs.rs).

--- a/crates/lab/src/virt.rs
+++ b/crates/lab/src/virt.rs
@@ -584,6 +584,7 @@
                     estimate: None,
                     slots: f64::from(a.slots),
                     memory: 0.0,
+                    subject: None,
                 };
                 self.checker.see(Seen::Taken { job, class: a.class, at: now, until });
                 self.tell(s, Told::Job(request, until, Reply::Floor));
--- a/examples/in_process.rs
+++ b/examples/in_process.rs
@@ -105,8 +105,16 @@
         ready_at: 0,
     };
     host.tell(Event::List { scope: Scope::Full, entries: vec![worker(1), worker(2)] });
-    let request =
-        |id| Request { id, class: 0, tenant: 0, left: 5_000_000, estimate: None, slots: 1.0, memory: 0.0 };
+    let request = |id| Request {
+        id,
+        class: 0,
+        tenant: 0,
+        left: 5_000_000,
+        estimate: None,
+        slots: 1.0,
+        memory: 0.0,
+        subject: None,
+    };
     let outcome = |request, attempt, status| {
         let closed = status == Status::Ok;
         Event::Outcome { request, attempt, status, closed, load: None }
--- a/src/api.rs
+++ b/src/api.rs
@@ -318,6 +318,8 @@
     pub slots: f64,
     /// Memory it takes while it runs.
     pub memory: f64,
+    /// What it is about, where it says so: requests with equal ones need the same thing, which workers keep for a while.
+    pub subject: Option<u64>,
 }
 
 /// Something that happened.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,10 @@
 //! now and then from problem (1), samples d ready workers of it and goes to the one with the fewest slots in
 //! flight. Around it stand the guards that the paper does without; `docs/design.md` has their conditions.
 
+use crate::affinity::{self, Fetches};
 use crate::api::*;
+use crate::runs::{self, KEEP, Speed, Sum, Work};
+pub use crate::solve::solve;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -14,9 +17,6 @@
 const RATE_MEMORY: f64 = 5e6; // memory of the arrival rate
 const TENANT_KEEP: f64 = 0.98; // weight that tenants' shares of the arrivals keep at each new one
 const CROWDING: f64 = 0.7; // mean arrivals at a dispatcher over the most that it may get in its place
-const KEEP: f64 = 0.99; // weight that old run times keep at each new one
-const PRIOR: f64 = 5.0; // run times that a kind's neutral prior counts for
-const LOAD_RANGE: (f64, f64) = (0.02, 0.98); // not solved outside: at the ends every answer is the same
 const NEWS_FRESH: Time = 2_000_000; // news of others' slots older than this says nothing
 const REPORT_AGE: f64 = 3e5; // about how old the news in a report is
 const QUICK_FIRST: f64 = 2e4; // time from send to start on a free slot before any is known
@@ -44,9 +44,16 @@
 const COLD_JOBS: f64 = 4.0; // mean jobs that a dispatcher's part of it pays for in a window; one may be saved
 const ASK: (Time, Time) = (500_000, 4_000_000); // first and longest wait between two calls for the list
 /// Groups of workers in order (near and far in the own zone, then elsewhere), and whether they are far. The
-/// first four tiers are for a request that looks at home first.
-const TIERS: [(&[usize], bool); 6] =
-    [(&[0], false), (&[1], true), (&[2], false), (&[3], true), (&[0, 2], false), (&[1, 3], true)];
+/// first four tiers are for a request that looks at home first, the last for one that says what it is about.
+const TIERS: [(&[usize], bool); 7] = [
+    (&[0], false),
+    (&[1], true),
+    (&[2], false),
+    (&[3], true),
+    (&[0, 2], false),
+    (&[1, 3], true),
+    (&[0, 1, 2, 3], false),
+];
 
 mod health; // judges workers by what comes back, and finds attempts that hang
 mod kept; // compares what is kept from event to event with a fresh count, in debug builds
@@ -76,28 +83,28 @@
 
 #[derive(Clone, Default)]
 struct Kind {
-    slots: f64,          // most own slots seen running at once on one worker, or as reported
-    reported: bool,      // reports have told them: a job whose end is told late seems to run on
-    log_run: (f64, f64), // weight and sum of log run times against the class mean
-    speed: f64,          // ... and the speed against all kinds that follows
+    slots: f64,     // most own slots seen running at once on one worker, or as reported
+    reported: bool, // reports have told them: a job whose end is told late seems to run on
+    run: Speed,
 }
 
 #[derive(Clone, Default)]
 struct ClassStat {
-    log_run: (f64, f64), // weight and sum of log run times at mean speed, less the log of the estimate
-    work: (f64, f64),    // sums of run times at mean speed and of their estimates (1 where there are none)
-    longest: Time,       // that a client gave a try
+    run: Work,
+    longest: Time, // that a client gave a try
 }
 
 #[derive(Default)]
 struct Try {
     worker: usize,
     sent: Time,
-    unused: Time,          // how long a connection to the worker had been idle
-    started: Option<Time>, // where it is not told: when it was sent, if no other job of ours was there
-    sign: (Time, f64),     // its last one and the share done by then
-    silent: bool,          // no sign came when it was due: its slots are taken for free
-    unheard: bool,         // the worker has not said in time that it took it
+    unused: Time,              // how long a connection to the worker had been idle
+    started: Option<Time>,     // where it is not told: when it was sent, if no other job of ours was there
+    sign: (Time, f64),         // its last one and the share done by then
+    told: Option<(Time, f64)>, // the first share done that was told
+    away: bool,                // not sent to the worker where its like goes first
+    silent: bool,              // no sign came when it was due: its slots are taken for free
+    unheard: bool,             // the worker has not said in time that it took it
     done: bool,
     never_ran: bool,
 }
@@ -108,8 +115,9 @@
     late_from: Time, // started after this, it would likely end after its aim
     deadline: Time,
     estimate: Option<Time>,
-    slots: f64, // slots, or memory where that is more: a worker has about one unit for each slot
-    attempts: usize, // it may have at most
+    subject: Option<u64>, // what it is about
+    slots: f64,           // slots, or memory where that is more: a worker has about one unit for each slot
+    attempts: usize,      // it may have at most
     over: bool,
     closed: bool,
     held: Option<usize>, // in this queue
@@ -137,7 +145,8 @@
     named: BTreeMap<u32, Vec<usize>>, // those each peer named
     waiting: usize,          // own attempts whose start has not been told
     window: f64,             // ... and how many may wait in workers' queues at once
-    run: (f64, f64),         // weight and sum of run times at mean speed, over all classes
+    run: Sum,                // weight and sum of run times at mean speed, over all classes
+    fetches: Fetches,        // what jobs sent away from their like cost
     tenant_share: Vec<f64>,  // of the arrivals
     rate: f64,               // arrivals a second
     work_rate: (f64, f64, Time), // work arriving a microsecond, that of unbound classes, and when updated
@@ -157,7 +166,7 @@
 
 impl ClassStat {
     fn of(class: &Class) -> Self {
-        ClassStat { work: (class.aim.max(1) as f64, 1.0), ..Default::default() }
+        ClassStat { run: Work::of(class.aim), longest: 0 }
     }
 }
 
@@ -282,7 +291,8 @@
             arrived.saturating_add(aim).saturating_add_signed(((stretch - LATE_MARGIN) * work) as i64);
         self.taken.extend(self.settings.rules.resends.map(|_| now));
         let attempts = self.settings.limits.attempts as usize;
-        let open = Open { class, late_from, deadline, estimate, slots, attempts, over, ..Open::default() };
+        let (subject, of) = (r.subject, Open::default());
+        let open = Open { class, late_from, deadline, estimate, subject, slots, attempts, over, ..of };
         self.open.insert(r.id, open);
         // While attempts are turned away, a job displaces others (Erlang's formula): refused if worth less.
         let [value, mean] = [usize::from(over) * 2, 0].map(|q| work * self.density(class * 4 + q));
@@ -336,6 +346,7 @@
     fn sign(&mut self, now: Time, id: RequestId, attempt: Attempt, done: f64) {
         let Some(t) = self.open.get_mut(&id).and_then(|o| o.tries.get_mut(attempt as usize)) else { return };
         t.sign = (now, done);
+        t.told = t.told.or(Some((now, done)).filter(|_| done > 0.0));
         let at = self.open.get(&id).map(|o| self.overdue_at(&o.tries[attempt as usize]));
         self.due.extend(at.map(|at| (at, id)));
     }
@@ -362,6 +373,10 @@
         let uncounted = if status == Status::Moot { self.resent.binary_search(&t.sent).ok() } else { None };
         uncounted.filter(|_| attempt > 0).map(|n| self.resent.remove(n));
         let (i, from, unused, class, estimate) = (t.worker, t.started, t.unused, open.class, open.estimate);
+        let asks = from.filter(|_| open.subject.is_some());
+        let fetched = asks.and_then(|from| affinity::fetch_time(from, t.told, now));
+        let away = fetched.filter(|_| t.away && status == Status::Ok);
+        away.into_iter().for_each(|took| self.fetches.sent_away(took));
         let slots = if t.silent { 0.0 } else { open.slots };
         self.leave(now, i, (id, attempt), slots);
         self.workers[i].idle.push(now);
@@ -373,7 +388,10 @@
             self.judge(now, i, status); // silence has been judged when it was overdue
         }
         if let (Status::Ok, Some(from)) = (status, from) {
-            self.learn_run(i, class, estimate, now.saturating_sub(from));
+            let run = now.saturating_sub(from).saturating_sub(fetched.unwrap_or(0.0) as Time);
+            let kind = self.workers[i].kind;
+            let (kind, class) = (&mut self.kinds[kind].run, &mut self.classes[class].run);
+            runs::learn(kind, class, &mut self.run, estimate, run);
         }
         Some(i)
     }
@@ -396,12 +414,15 @@
         let may = |o: &&Open| now < self.sendable_until(o) && (now >= o.wait_until || self.probes_out == 0);
         let open = self.open.get(&id).filter(may)?;
         let work = self.work(open.class, open.estimate);
-        let free = |i: &usize| self.usable(now, *i, open, work) && !self.crowded(now, &self.workers[*i]);
+        let free = |i: &usize| self.usable(now, *i, open, work) && !self.crowded(now, &self.workers[*i], 0.0);
         let mut candidates: Vec<usize> = open.sample.iter().copied().filter(free).collect();
         if candidates.is_empty() {
             candidates = self.sample(now, id);
         }
-        let load = |i: &usize| self.load(now, &self.workers[*i]);
+        let first = self.open.get(&id).and_then(|open| self.first(open));
+        let fetch =
+            |i: &usize| if first.is_none_or(|f| f == *i) { 0.0 } else { self.fetch(&self.workers[*i]) };
+        let load = |i: &usize| self.load(now, &self.workers[*i]) + fetch(i);
         candidates.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)))
     }
 
@@ -411,8 +432,11 @@
         let stay = unit(&mut rng) < self.stay;
         let Some(open) = self.open.get(&id) else { return found };
         let (work, bound) = (self.work(open.class, open.estimate), self.settings.classes[open.class].kind);
-        let tiers = if stay { &TIERS[..4] } else { &TIERS[4..] };
-        for (crowded, tier) in [false, true].into_iter().flat_map(|c| tiers.iter().map(move |t| (c, t))) {
+        let (about, first) = (self.about(open), self.first(open));
+        let tiers = if about.is_some() { 6..7 } else { [4..6, 0..4][usize::from(stay)].clone() };
+        for (crowded, tier) in
+            [false, true].into_iter().flat_map(|c| TIERS[tiers.clone()].iter().map(move |t| (c, t)))
+        {
             if !found.is_empty() || !self.may_wait(crowded || tier.1) {
                 continue;
             }
@@ -423,17 +447,25 @@
             while found.is_empty() && !kinds.is_empty() {
                 // Kinds that the solution would not use come once the others are taken, by capacity.
                 let solved = |k: &usize| self.draw.get(*k).copied().unwrap_or(0.0);
-                let capacity = |k: &Kind| k.slots.max(1.0) * k.speed * 1e-12;
+                let capacity = |k: &Kind| k.slots.max(1.0) * k.run.speed * 1e-12;
                 let weight = |k: &usize| solved(k) + size(*k) as f64 * capacity(&self.kinds[*k]);
                 let mut u = unit(&mut rng) * kinds.iter().map(weight).sum::<f64>();
-                let hit = kinds.iter().position(|k| (u -= weight(k), u < 0.0).1).unwrap_or(0);
-                let kind = kinds.swap_remove(hit);
+                let hit = match about {
+                    Some(s) => affinity::draw(s, kinds.iter().map(|k| (*k as u64, weight(k)))),
+                    None => kinds.iter().position(|k| (u -= weight(k), u < 0.0).1),
+                };
+                let kind = kinds.swap_remove(hit.unwrap_or(0));
                 // SQ(d): d of them without replacement; those that don't suit are passed over as drawn.
+                // Requests about the same draw the same ones.
                 let mut pool: Vec<usize> = tier.0.iter().flat_map(|g| group(g, kind)).copied().collect();
+                let rank = |i: &usize, s: u64| affinity::rank(s, self.workers[*i].listed.worker);
+                about.into_iter().for_each(|s| pool.sort_by(|a, b| rank(a, s).total_cmp(&rank(b, s))));
                 while found.len() < D && !pool.is_empty() {
-                    let i = pool.swap_remove((unit(&mut rng) * pool.len() as f64) as usize);
+                    let any = (unit(&mut rng) * pool.len() as f64) as usize;
+                    let i = if about.is_some() { pool.remove(0) } else { pool.swap_remove(any) };
                     let w = &self.workers[i];
-                    let takes = if crowded { w.unstarted.is_empty() } else { !self.crowded(now, w) };
+                    let more = if first == Some(i) { self.fetch(w) * self.slots(w) } else { 0.0 };
+                    let takes = if crowded { w.unstarted.is_empty() } else { !self.crowded(now, w, more) };
                     if takes && self.usable(now, i, open, work) {
                         found.push(i);
                     }
@@ -444,6 +476,26 @@
         found
     }
 
+    /// What the request is about, unless it is known that workers keep nothing of that.
+    fn about(&self, open: &Open) -> Option<u64> {
+        open.subject.filter(|_| !self.fetches.none(self.run.1 / self.run.0.max(1.0)))
+    }
+
+    /// The worker where requests about the same go first: of the kind that their common draw by p_k gives.
+    fn first(&self, open: &Open) -> Option<usize> {
+        let (s, bound) = (self.about(open)?, self.settings.classes[open.class].kind);
+        let weight = |k: usize| if bound.is_none_or(|b| b as usize == k) { self.draw[k] } else { 0.0 };
+        let kind = affinity::draw(s, (0..self.draw.len()).map(|k| (k as u64, weight(k))))?;
+        let rank = |i: &usize| affinity::rank(s, self.workers[*i].listed.worker);
+        let of_kind = self.groups.iter().skip(kind).step_by(self.kinds.len()).flatten().copied();
+        of_kind.min_by(|a, b| rank(a).total_cmp(&rank(b)))
+    }
+
+    /// Time to fetch what a worker lacks, in jobs that one of its slots would do meanwhile.
+    fn fetch(&self, w: &Worker) -> f64 {
+        self.fetches.cost() * self.kinds[w.kind].run.speed * self.run.0 / self.run.1.max(1.0)
+    }
+
     /// May one more own job wait? A worker that looks free does so to many dispatchers at once.
     fn may_wait(&self, unlikely: bool) -> bool {
         let looks_free = 2.0 * self.window + 2.0 + WAIT_LOAD * self.work_rate.0;
@@ -453,7 +505,7 @@
     /// Is there a worker that may take some held request? While there is none, no request is looked at.
     fn room(&self, now: Time) -> bool {
         let queue = self.may_wait(true);
-        let free = |w: &Worker| !self.crowded(now, w) || (queue && w.unstarted.is_empty());
+        let free = |w: &Worker| !self.crowded(now, w, 0.0) || (queue && w.unstarted.is_empty());
         let takes = |i: &usize| now >= self.workers[*i].aside_until && free(&self.workers[*i]);
         let near = |n: usize| n / self.kinds.len() % 2 == 0;
         self.groups.iter().enumerate().any(|(n, list)| (queue || near(n)) && list.iter().any(takes))
@@ -472,9 +524,10 @@
     }
 
     /// No slot is expected to be free: all known ones are taken, or an own job waits there.
-    fn crowded(&self, now: Time, w: &Worker) -> bool {
+    fn crowded(&self, now: Time, w: &Worker, more: f64) -> bool {
         let waits = w.unstarted.first().map_or(0.0, |u| now.saturating_sub(u.0) as f64);
-        w.overdue(waits, self.settings.granularity) || w.own + self.others(now, w) + 0.5 > self.slots(w)
+        w.overdue(waits, self.settings.granularity)
+            || w.own + self.others(now, w) + 0.5 > self.slots(w) + more
     }
 
     fn slots(&self, w: &Worker) -> f64 {
@@ -482,7 +535,7 @@
     }
 
     fn capacity(&self, w: &Worker) -> f64 {
-        self.slots(w) * self.kinds[w.kind].speed
+        self.slots(w) * self.kinds[w.kind].run.speed
     }
 
     fn home(&self, w: &Worker) -> bool {
@@ -531,7 +584,7 @@
 
     fn solve_draw(&mut self, now: Time) {
         self.pick_near(now);
-        let speeds: Vec<f64> = self.kinds.iter().map(|k| k.speed).collect();
+        let speeds: Vec<f64> = self.kinds.iter().map(|k| k.run.speed).collect();
         let ready = |w: &&Worker| w.active && w.aside_until <= now && w.failure <= SUSPECT;
         let (ready, mut share) = (self.workers.iter().filter(ready), vec![0.0; speeds.len()]);
         ready.for_each(|w| share[w.kind] += self.slots(w) * self.warmth(now, w));
@@ -541,26 +594,7 @@
     }
 
     fn work(&self, class: usize, estimate: Option<Time>) -> f64 {
-        let stat = &self.classes[class];
-        match estimate {
-            Some(e) if stat.log_run.0 == 0.0 => e as f64,
-            e => e.unwrap_or(1) as f64 * stat.work.0 / stat.work.1,
-        }
-    }
-
-    fn learn_run(&mut self, i: usize, class: usize, estimate: Option<Time>, run: Time) {
-        let (kind, base) = (self.workers[i].kind, estimate.map_or(1.0, |e| e as f64));
-        let (speed, stat) = (self.kinds[kind].speed, &mut self.classes[class]);
-        let (log, at_mean_speed) = ((run.max(1) as f64 / base).ln(), run as f64 * speed);
-        let known = (stat.work, stat.log_run.1 / stat.log_run.0);
-        let (old, mean) = if stat.log_run.0 == 0.0 { ((0.0, 0.0), log + speed.ln()) } else { known };
-        stat.work = (old.0 * KEEP + at_mean_speed, old.1 * KEEP + base);
-        let kind = &mut self.kinds[kind];
-        let keep = |old: &mut (f64, f64), value| *old = (old.0 * KEEP + 1.0, old.1 * KEEP + value);
-        keep(&mut stat.log_run, log + speed.ln());
-        keep(&mut self.run, at_mean_speed);
-        keep(&mut kind.log_run, log - mean);
-        kind.speed = (-kind.log_run.1 / (kind.log_run.0 + PRIOR)).exp();
+        self.classes[class].run.mean(estimate)
     }
 
     /// Counts an arrival. Returns whether it is to be taken as beyond its tenant's share.
@@ -763,6 +797,7 @@
         if !allowed {
             return false;
         }
+        let away = self.first(open).is_some_and(|first| first != i);
         let w = &mut self.workers[i];
         let Some(open) = self.open.get_mut(&id) else { return false };
         w.allowance = (left, now);
@@ -783,7 +818,7 @@
         w.own += open.slots;
         self.busy.insert(i);
         open.held = None;
-        open.tries.push(Try { worker: i, sent: now, unused, started, ..Try::default() });
+        open.tries.push(Try { worker: i, sent: now, unused, started, away, ..Try::default() });
         out.push(Action::Send { request: id, worker: w.listed.worker, timeout: 0 });
         if self.settings.classes[open.class].late_worth <= 0.0 && self.settings.tells_start {
             self.due.insert((open.late_from + 1, id));
@@ -889,7 +924,7 @@
 
     fn learn_entry(&mut self, now: Time, e: Entry) {
         let kind = (e.kind as usize).min(KINDS_MOST);
-        self.kinds.resize(self.kinds.len().max(kind + 1), Kind { speed: 1.0, ..Kind::default() });
+        self.kinds.resize(self.kinds.len().max(kind + 1), Kind::default());
         let next = self.workers.len();
         let i = *self.index.entry(e.worker).or_insert(next);
         if i == next {
@@ -923,48 +958,3 @@
 fn fresh(now: Time, since: Time) -> f64 {
     (1.0 - now.saturating_sub(since) as f64 / NEWS_FRESH as f64).max(0.0)
 }
-
-/// p_k of problem (1): minimise the sum of gamma_k g(rho_k), g(rho) the sum over i of rho^((d^i-1)/(d-1)),
-/// under sum of gamma_k mu_k rho_k = lambda. `share` and `speed` are gamma and mu on any scale, `load` is
-/// lambda over all that can be done. A kind without share gets 0; all 0 if none has any.
-pub fn solve(share: &[f64], speed: &[f64], load: f64, d: u32) -> Vec<f64> {
-    let capacity: f64 = share.iter().zip(speed).map(|(g, m)| g * m).sum();
-    if !(capacity > 0.0 && capacity.is_finite()) {
-        return vec![0.0; share.len()];
-    }
-    let total: f64 = share.iter().sum();
-    let mu: Vec<f64> = speed.iter().map(|m| m * total / capacity).collect();
-    let load = if load.is_finite() { load.clamp(LOAD_RANGE.0, LOAD_RANGE.1) } else { LOAD_RANGE.1 };
-    // At the optimum g'(rho_k) = theta mu_k: bisect the logarithm of theta.
-    let flow = |log: f64| -> Vec<f64> {
-        // The rho with g'(rho) = slope; 0 below the slope at 0, which is 1.
-        let slopes = mu.iter().map(|m| log.exp() * m);
-        let rho =
-            slopes.map(|at| if at > 1.0 { bisect((0.0, 1.0), 26, |r| slope_at(r, d, at) < at) } else { 0.0 });
-        share.iter().zip(&mu).zip(rho).map(|((share, mu), rho)| share / total * mu * rho).collect()
-    };
-    let flow = flow(bisect((-30.0, 60.0), 36, |log| flow(log).iter().sum::<f64>() < load));
-    let sum = flow.iter().sum::<f64>();
-    flow.iter().map(|f| if sum > 0.0 { f / sum } else { 0.0 }).collect()
-}
-
-fn bisect((mut low, mut high): (f64, f64), steps: usize, below: impl Fn(f64) -> bool) -> f64 {
-    for _ in 0..steps {
-        let middle = 0.5 * (low + high);
-        *(if below(middle) { &mut low } else { &mut high }) = middle;
-    }
-    0.5 * (low + high)
-}
-
-/// g'(rho), or anything at least `enough` once it is known to reach that.
-fn slope_at(rho: f64, d: u32, enough: f64) -> f64 {
-    let (mut exponent, mut power, mut sum) = (1.0f64, 1.0f64, 0.0);
-    loop {
-        sum += exponent * power; // power is rho^(exponent - 1)
-        if sum >= enough || power < 1e-13 || exponent > 1e12 {
-            return sum;
-        }
-        power = (power * rho).powi(d as i32);
-        exponent = exponent * f64::from(d) + 1.0;
-    }
-}
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -291,7 +291,8 @@
     fn job(book: &mut Book, floor: &Noted) -> Receiver<Answer> {
         let (to, from) = bounded(1);
         let (left, slots, memory) = (1_000_000, 1.0, 0.0);
-        let request = Request { id: 1, class: 0, tenant: 0, left, estimate: None, slots, memory };
+        let (estimate, subject) = (None, None);
+        let request = Request { id: 1, class: 0, tenant: 0, left, estimate, slots, memory, subject };
         book.told(0, Told::Job(request, 1_000_000, Reply::To(to)), floor);
         from
     }
--- a/src/front/faktory/serve.rs
+++ b/src/front/faktory/serve.rs
@@ -273,6 +273,7 @@
             estimate: None,
             slots: custom.and_then(|c| c.slots).unwrap_or(1.0),
             memory: 0.0,
+            subject: None,
         })
     }
 
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -2,6 +2,7 @@
 //! whoever asks whether the program is ready.
 
 use super::Platform;
+use crate::affinity;
 use crate::api::{ClassId, Effect, Request, Time};
 use crate::config::{News, Site};
 use crate::core::figures::End;
@@ -234,13 +235,15 @@
         site.classes.find(name).inspect(|dropped| front.figures.count(*dropped, End::Failed));
         return Ok(Wish::Bad(404, "no such class of jobs\n"));
     };
-    let job = job_of_class(front, &site, class, (head, body));
+    // What the job is about; a path without a further part does not say.
+    let subject = path.trim_start_matches('/').rsplit_once('/').and_then(|(_, last)| affinity::subject(last));
+    let job = job_of_class(front, &site, (class, subject), (head, body));
     job.inspect_err(|_| front.figures.count(class, End::Failed))
 }
 
 /// The job of a class; or why it is none.
 fn job_of_class(
-    front: &Platform, site: &Site, class: ClassId, (head, body): (&Head<'_>, &[u8]),
+    front: &Platform, site: &Site, (class, subject): (ClassId, Option<u64>), (head, body): (&Head<'_>, &[u8]),
 ) -> Result<Wish, &'static str> {
     let settings = &site.settings.classes[class as usize];
     let trace = head.header("X-Trace-Id").filter(|t| !t.is_empty()).ok_or("X-Trace-Id is missing\n")?;
@@ -268,6 +271,7 @@
         estimate: None,
         slots: 1.0,
         memory: 0.0,
+        subject,
     };
     for (name, value) in head.header("X-Props").unwrap_or("").split(',').filter_map(|p| p.split_once('=')) {
         let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod affinity;
 pub mod api;
 pub mod choice;
 pub mod config;
@@ -16,4 +17,6 @@
 pub mod front;
 pub mod handover;
 pub mod net;
+pub mod runs;
+pub mod solve;
 pub mod wire;
--- /dev/null
+++ b/src/runs.rs
@@ -0,0 +1,65 @@
+//! Estimators of run times: how long the jobs of a class run, and how fast the workers of a kind are. Nothing here
+//! decides; the decision module asks.
+
+use crate::api::Time;
+
+/// Weight that old run times keep at each new one.
+pub const KEEP: f64 = 0.99;
+/// Run times that a kind's neutral prior counts for.
+const PRIOR: f64 = 5.0;
+
+/// Weight and sum of what was measured, older values counting for less.
+pub type Sum = (f64, f64);
+
+fn keep(old: &mut Sum, value: f64) {
+    *old = (old.0 * KEEP + 1.0, old.1 * KEEP + value);
+}
+
+/// How fast the workers of a kind are.
+#[derive(Clone, Debug)]
+pub struct Speed {
+    log: Sum, // log run times against the class's mean
+    /// ... and the speed against all kinds that follows.
+    pub speed: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Speed { log: (0.0, 0.0), speed: 1.0 }
+    }
+}
+
+/// How long the jobs of a class run.
+#[derive(Clone, Debug, Default)]
+pub struct Work {
+    log: Sum,  // log run times at mean speed, less the log of the estimate
+    work: Sum, // sums of run times at mean speed and of their estimates (1 where there are none)
+}
+
+impl Work {
+    /// Until a run time is known, a job is taken to be so long.
+    pub fn of(run: Time) -> Self {
+        Work { work: (run.max(1) as f64, 1.0), ..Default::default() }
+    }
+
+    /// Mean run time at mean speed, of a job with this estimate of its own.
+    pub fn mean(&self, estimate: Option<Time>) -> f64 {
+        match estimate {
+            Some(e) if self.log.0 == 0.0 => e as f64,
+            e => e.unwrap_or(1) as f64 * self.work.0 / self.work.1,
+        }
+    }
+}
+
+/// A job of this class ran for so long on a worker of this kind; `all` sums up run times at mean speed.
+pub fn learn(kind: &mut Speed, class: &mut Work, all: &mut Sum, estimate: Option<Time>, run: Time) {
+    let (speed, base) = (kind.speed, estimate.map_or(1.0, |e| e as f64));
+    let (log, at_mean_speed) = ((run.max(1) as f64 / base).ln(), run as f64 * speed);
+    let known = (class.work, class.log.1 / class.log.0);
+    let (old, mean) = if class.log.0 == 0.0 { ((0.0, 0.0), log + speed.ln()) } else { known };
+    class.work = (old.0 * KEEP + at_mean_speed, old.1 * KEEP + base);
+    keep(&mut class.log, log + speed.ln());
+    keep(all, at_mean_speed);
+    keep(&mut kind.log, log - mean);
+    kind.speed = (-kind.log.1 / (kind.log.0 + PRIOR)).exp();
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -399,6 +399,7 @@
                     estimate: f.integer("estimate")?.map(|v| v.max(0) as Time),
                     slots: f.number("needs")?.unwrap_or(1.0),
                     memory: f.number("mem")?.unwrap_or(0.0),
+                    subject: f.text("subject").and_then(crate::affinity::subject),
                 };
                 if self.ids.contains_key(word) {
                     return Ok(None);
--- /dev/null
+++ b/tests/affinity.rs
@@ -0,0 +1,174 @@
+//! Jobs that say what they are about: where they go, what it may cost to send them elsewhere, and that nothing of
+//! it happens where workers keep nothing.
+
+mod common;
+
+use common::*;
+use indigofold::affinity::{draw, fetch_time, rank, subject};
+use indigofold::api::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const FETCH: Time = 400 * MS;
+
+fn about(id: RequestId, subject: u64) -> Event {
+    Event::Request(Request { subject: Some(subject), ..request(id, 0) })
+}
+
+fn workers(kinds: u32, each: u32) -> Vec<Entry> {
+    (0..kinds * each).map(|n| entry(100 + 7 * n, n % kinds)).collect()
+}
+
+fn stage(workers: &[Entry]) -> Stage {
+    Stage::new(Settings { dispatchers: 1, progress: SEC, ..settings() }, workers)
+}
+
+const RUN: Time = 1_200 * MS;
+
+/// Lets a started job fetch for so long and run, with its share done told every second, and end.
+fn finish(s: &mut Stage, id: RequestId, fetch: Time) {
+    let mut at = 0;
+    while at + SEC < fetch + RUN {
+        (at, _) = (at + SEC, s.pass(SEC));
+        let done = at.saturating_sub(fetch) as f64 / RUN as f64;
+        s.event(Event::Progress { request: id, attempt: 0, done });
+    }
+    s.pass(fetch + RUN - at);
+    s.end(id, 0, Status::Ok);
+}
+
+/// Serves one job; a worker that lacks what it is about fetches it first. Returns the worker.
+fn serve(
+    s: &mut Stage, id: RequestId, of: u64, keeps: &mut BTreeSet<(WorkerId, u64)>, fetch: Time,
+) -> WorkerId {
+    s.event(about(id, of));
+    let worker = s.sent(id).expect("a worker is free");
+    s.start(id, 0);
+    let fetch = if keeps.insert((worker, of)) { fetch } else { 0 };
+    finish(s, id, fetch);
+    worker
+}
+
+/// Jobs in work, so that the next ones about the same find their first worker taken.
+fn hold(s: &mut Stage, ids: std::ops::Range<RequestId>, of: u64) -> Vec<Option<WorkerId>> {
+    let mut sent = Vec::new();
+    for id in ids {
+        s.event(about(id, of));
+        sent.push(s.sent(id));
+        s.start(id, 0);
+    }
+    sent
+}
+
+#[test]
+fn over_many_subjects_a_place_is_drawn_by_its_weight_and_a_change_moves_only_its_own() {
+    let places = |w: [f64; 3]| (0..3u64).zip(w);
+    let draws: Vec<usize> = (0..20_000).filter_map(|s| draw(s, places([0.5, 0.3, 0.2]))).collect();
+    for (place, part) in [0.5, 0.3, 0.2].into_iter().enumerate() {
+        let drawn = draws.iter().filter(|d| **d == place).count() as f64 / 20_000.0;
+        assert!((drawn - part).abs() < 0.02, "{place}: {drawn}");
+    }
+    let more = (0..20_000).filter_map(|s| draw(s, places([0.5, 0.6, 0.2])));
+    assert!(draws.iter().zip(more).all(|(old, new)| *old == new || new == 1));
+    assert!((0..1_000).all(|s| draw(s, places([0.0, 1.0, 0.0])) == Some(1)));
+    assert_eq!(draw(7, std::iter::empty()), None);
+}
+
+#[test]
+fn a_subject_is_any_text_but_none() {
+    assert_eq!(subject(""), None);
+    let long = "x".repeat(8 * 1024);
+    let odd = "%00\u{7f}\u{e9}/~";
+    let all: BTreeSet<_> = ["a", "b", "A", "0", long.as_str(), odd].iter().map(|t| subject(t)).collect();
+    assert!(all.len() == 6 && !all.contains(&None));
+    assert_eq!(subject(odd), subject(odd));
+}
+
+#[test]
+fn the_first_share_done_tells_how_long_the_fetch_took() {
+    // Started at 2 s, 0.5 s to fetch, then 2 s of even running: at 3 s a quarter is done.
+    assert_eq!(fetch_time(2 * SEC, Some((3 * SEC, 0.25)), 4_500 * MS), Some(500_000.0));
+    assert_eq!(fetch_time(2 * SEC, Some((3 * SEC, 0.5)), 4 * SEC), Some(0.0));
+    // Nothing told, told before the start, or at the end: it says nothing.
+    for told in [None, Some((SEC, 0.2)), Some((4 * SEC, 0.9))] {
+        assert_eq!(fetch_time(2 * SEC, told, 4 * SEC), None);
+    }
+    // A share that says all is done long before the end.
+    assert_eq!(fetch_time(2 * SEC, Some((3 * SEC, 1.0)), 4 * SEC), Some(0.0));
+}
+
+/// Guards against jobs about the same being spread over all workers, each of which then fetches the same (0.24 of
+/// them on one worker on the second site, where a fetch takes half of a mean run).
+#[test]
+fn jobs_about_the_same_go_to_one_worker_and_every_dispatcher_takes_the_same() {
+    let (list, mut first) = (workers(2, 4), BTreeMap::new());
+    for me in 0..2 {
+        let settings = Settings { me, progress: SEC, ..settings() };
+        let (mut s, mut keeps) = (Stage::new(settings, &list), BTreeSet::new());
+        for id in 1..=120 {
+            let (of, worker) = (id % 12, serve(&mut s, id, id % 12, &mut keeps, FETCH));
+            if id > 60 {
+                first.entry(of).or_insert_with(BTreeSet::new).insert(worker);
+            }
+        }
+        assert!(keeps.len() <= 30, "dispatcher {me}: {} fetches", keeps.len());
+    }
+    let shared = first.values().filter(|w| w.len() == 1).count();
+    assert!(shared >= 9, "{first:?}");
+    assert!(first.values().flatten().collect::<BTreeSet<_>>().len() >= 4, "{first:?}");
+}
+
+#[test]
+fn a_subject_that_draws_much_spreads_over_others_and_all_of_them_are_used_in_the_end() {
+    let mut s = stage(&workers(1, 6));
+    let sent = hold(&mut s, 1..13, 5);
+    let used: BTreeSet<_> = sent.iter().flatten().collect();
+    assert_eq!(used.len(), 6, "{sent:?}");
+}
+
+/// Guards against a fetch elsewhere where the wait would be shorter: fetches then fill the slots, and the store.
+#[test]
+fn a_job_waits_for_its_first_worker_where_that_is_shorter_than_a_fetch() {
+    for (fetch, waits) in [(2 * RUN, true), (RUN / 8, false)] {
+        let mut s = stage(&workers(1, 4));
+        for id in 0..10 {
+            // The first worker has one, so the next goes elsewhere and shows what that takes.
+            hold(&mut s, 100 + id..101 + id, 1);
+            hold(&mut s, 200 + id..201 + id, 1);
+            finish(&mut s, 200 + id, fetch);
+            s.end(100 + id, 0, Status::Ok);
+        }
+        let sent = hold(&mut s, 1_000..1_002, 1);
+        assert_eq!(sent[0] == sent[1], waits, "a fetch of {fetch} us: {sent:?}");
+    }
+}
+
+/// Where workers keep nothing, what jobs are about must not matter: one subject's jobs spread as any others.
+#[test]
+fn subjects_are_passed_over_once_fetches_are_known_to_cost_nothing() {
+    let (mut s, mut keeps) = (stage(&workers(1, 8)), BTreeSet::new());
+    let mut used = BTreeSet::new();
+    for id in 1..=60 {
+        s.event(about(10_000 + id, 3));
+        s.start(10_000 + id, 0);
+        let worker = serve(&mut s, id, 3, &mut keeps, 0);
+        s.end(10_000 + id, 0, Status::Ok);
+        if id > 40 {
+            used.insert(worker);
+        }
+    }
+    assert!(used.len() >= 5, "{used:?}");
+}
+
+/// Within a kind, the order is a subject's own: with one worker gone only what went first there moves.
+#[test]
+fn a_worker_that_leaves_moves_only_what_went_first_there() {
+    let ids: Vec<WorkerId> = (0..10).map(|n| 1_000 + 13 * n).collect();
+    let first = |s: u64, without: Option<WorkerId>| {
+        let there = ids.iter().copied().filter(|id| Some(*id) != without);
+        there.min_by(|a, b| rank(s, *a).total_cmp(&rank(s, *b)))
+    };
+    let gone = ids[4];
+    let moved = (0..2_000).filter(|s| first(*s, None) != first(*s, Some(gone))).count();
+    let had = (0..2_000).filter(|s| first(*s, None) == Some(gone)).count();
+    assert!(moved == had && (150..=250).contains(&had), "{moved} {had}");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -73,7 +73,16 @@
 }
 
 pub fn request(id: RequestId, class: ClassId) -> Request {
-    Request { id, class, tenant: u32::MAX, left: 6 * SEC, estimate: None, slots: 1.0, memory: 0.0 }
+    Request {
+        id,
+        class,
+        tenant: u32::MAX,
+        left: 6 * SEC,
+        estimate: None,
+        slots: 1.0,
+        memory: 0.0,
+        subject: None,
+    }
 }
 
 /// A dispatcher, its clock, the actions of the last event and the timer that it waits for.
