Jobs that wait for long at a worker move to one that looks free

A waiting job stayed where it was until its deadline (health.rs looked only at attempts that had started, or that the worker had not taken).

Change: where no second copy may go beside and attempts can be given up, a job that has waited for two fetches and 0.1 s is given up if another worker looks free; its end sends the next attempt, and one attempt is kept for a failure. Taking other settings (retune.rs) decides nothing and moved out of the policy files.

--- a/src/api.rs
+++ b/src/api.rs
@@ -129,6 +129,13 @@
     pub dial_timeout: Time,
 }
 
+impl Limits {
+    /// Where no copy may go beside, giving an attempt up is the only way to move a job.
+    pub fn moves(&self) -> bool {
+        self.cancel && !self.duplicates
+    }
+}
+
 /// Prices: points of the result (as a fraction) for each unit.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Charges {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,6 +39,8 @@
 const ASIDE: (f64, f64) = (2e5, 6e6); // set aside: this over the square of the share of answers, at most
 const ASIDE_FULL: f64 = 2e6; // set aside when full: a mean run time, at most this
 const IDLE: (f64, f64) = (0.5, 1.02); // part of an idle time that broke that is trusted; growth a solution
+const MOVE_FETCHES: f64 = 2.0; // a job that waits at a worker for so many fetches ...
+const MOVE_WAIT: Time = 100_000; // ... and this long moves to one that looks free
 const COLD_USE: f64 = 0.6; // part of a cold worker's budget used; with what is saved up, 0.75 in any window
 const COLD_JOBS: f64 = 4.0; // mean jobs that a dispatcher's part of it pays for in a window; one may be saved
 const ASK: (Time, Time) = (500_000, 4_000_000); // first and longest wait between two calls for the list
@@ -57,6 +59,7 @@
 mod health; // judges workers by what comes back, and finds attempts that hang
 #[path = "kept.rs"]
 mod kept; // compares what is kept from event to event with a fresh count, in debug builds
+#[path = "retune.rs"]
 mod retune; // takes other settings
 
 type Sent = (RequestId, Attempt);
@@ -825,6 +828,9 @@
         open.held = None;
         open.tries.push(Try { worker: i, sent: now, unused, started, away, ..Try::default() });
         out.push(Action::Send { request: id, worker: w.listed.worker, timeout: 0 });
+        if self.settings.tells_start && self.settings.limits.moves() {
+            self.due.insert((now + (MOVE_FETCHES * self.fetches.cost()) as Time + MOVE_WAIT, id));
+        }
         if self.settings.classes[open.class].late_worth <= 0.0 && self.settings.tells_start {
             self.due.insert((open.late_from + 1, id));
         }
--- a/src/choice/health.rs
+++ b/src/choice/health.rs
@@ -57,6 +57,22 @@
         }
     }
 
+    /// A job that has waited long at a worker moves to one that looks free; one attempt is kept for failures.
+    fn move_on(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let long = |t: &&Try| !t.done && !t.silent && t.started.is_none() && now >= t.sent + MOVE_WAIT;
+        let Some(from) = open.tries.last().filter(long).map(|t| t.worker) else { return };
+        let (n, most) = (open.tries.len(), open.attempts.min(self.settings.limits.attempts as usize));
+        if n + 1 < most && self.settings.classes[open.class].effect != Effect::Unsafe {
+            let sample = self.sample(now, id);
+            if sample.iter().any(|i| *i != from && !self.crowded(now, &self.workers[*i], 0.0)) {
+                out.push(Action::Cancel { request: id, attempt: n as Attempt - 1 });
+            } else {
+                self.due.insert((now + 5 * self.tick(), id));
+            }
+        }
+    }
+
     /// When the next share done of a job is overdue; where none are told, a long job looks the same.
     pub(super) fn overdue_at(&self, t: &Try) -> Time {
         let every = if t.sign.1 > 0.0 { OVERDUE.0 } else { OVERDUE.1 } * self.settings.progress as f64;
@@ -76,7 +92,7 @@
             let (i, waited) = (t.worker, now - t.sent.max(t.sign.0));
             self.leave(now, i, (id, n as Attempt), slots);
             let w = &mut self.workers[i];
-            if !self.settings.limits.duplicates {
+            if self.settings.limits.moves() {
                 // Given up, it will not tell when the worker is back: no new try sooner than it took to notice.
                 w.silences += u32::from(now >= w.aside_until);
                 let aside = waited.saturating_mul(w.silences.into()).min(ASIDE.1 as Time);
@@ -88,6 +104,9 @@
                 out.push(Action::Cancel { request: id, attempt: n as Attempt }); // its end sends the next
             }
         }
+        if again && self.settings.limits.moves() {
+            self.move_on(now, id, out);
+        }
         let silent = self.open.get(&id).is_some_and(|o| o.tries.iter().all(|t| t.done || t.silent));
         if silent && again && self.settings.limits.duplicates && !self.place(now, id, out) {
             self.due.insert((now + 5 * self.tick(), id));
