Read the change again: one hash, one sum, one condition where there were twins

Cause: read over, the change had written again what the project had: affinity::subject repeated config::hash (FNV-1a), Fetches repeated the fading sum of runs.rs, and pass_over_silent spelled out what Limits::moves says two lines on. place_held skipped its first round by starting the count of misses at its bound, and choose looked the request up a second time.

Behaviour as it was; the tests keep their assertions (one import moved).

--- a/src/affinity.rs
+++ b/src/affinity.rs
@@ -3,6 +3,7 @@
 //! decision module asks.
 
 use crate::api::{Time, WorkerId};
+use crate::runs::{self, Sum};
 
 /// Weight that older measurements keep at each new one: some fifty count.
 const KEEP: f64 = 0.98;
@@ -11,13 +12,6 @@
 /// Measurements that must agree before fetches are taken to cost nothing.
 const SURE: f64 = 10.0;
 
-/// The number that stands for what a job says it is about, whatever its length and bytes (FNV-1a); nothing: `None`.
-/// Two that share a number share an order of workers, no more.
-pub fn subject(text: &str) -> Option<u64> {
-    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    (!text.is_empty()).then(|| text.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
-}
-
 /// A number in (0, 1) for a pair, evenly spread: the same for every dispatcher that asks (splitmix64's finish).
 pub fn hash(subject: u64, with: u64) -> f64 {
     let mut z = subject ^ with.wrapping_add(1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
@@ -65,13 +59,13 @@
 /// What sending a job away from where its like goes first has cost of late.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Fetches {
-    away: (f64, f64), // weight and sum of what jobs sent elsewhere took to fetch
+    away: Sum, // weight and sum of what jobs sent elsewhere took to fetch
 }
 
 impl Fetches {
     /// A job sent elsewhere than to the first worker of its subject took this long to fetch what it needs.
     pub fn sent_away(&mut self, took: f64) {
-        self.away = (self.away.0 * KEEP + 1.0, self.away.1 * KEEP + took);
+        runs::add(&mut self.away, KEEP, took);
     }
 
     /// Mean time that a job sent elsewhere takes to fetch; 0 while nothing is known.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -420,14 +420,13 @@
     fn choose(&mut self, now: Time, id: RequestId) -> Option<usize> {
         let may = |o: &&Open| now < self.sendable_until(o) && (now >= o.wait_until || self.probes_out == 0);
         let open = self.open.get(&id).filter(may)?;
-        let work = self.work(open.class, open.estimate);
+        let (work, keyed) = (self.work(open.class, open.estimate), self.about(open).is_some());
         let free = |i: &usize| self.usable(now, *i, open, work) && !self.crowded(now, &self.workers[*i], 0.0);
         let mut candidates: Vec<usize> = open.sample.iter().copied().filter(free).collect();
         if candidates.is_empty() {
             candidates = self.sample(now, id);
         }
         // Those about the same are in their own order: the first that takes it.
-        let keyed = self.open.get(&id).is_some_and(|open| self.about(open).is_some());
         let load = |i: &usize| if keyed { 0.0 } else { self.load(now, &self.workers[*i]) };
         candidates.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)))
     }
@@ -877,10 +876,10 @@
         }
         order.sort_by(|a, b| self.density(*b).total_cmp(&self.density(*a)));
         // First what finds a slot where its like goes, then any.
-        let fetched = self.fetches.cost() > 0.0;
-        for (first, q) in [true, false].into_iter().flat_map(|f| order.iter().map(move |q| (f, *q))) {
+        let rounds: &[bool] = if self.fetches.cost() > 0.0 { &[true, false] } else { &[false] };
+        for (first, q) in rounds.iter().flat_map(|first| order.iter().map(|q| (*first, *q))) {
             // A request that only few workers may get must not keep those behind it waiting.
-            let (mut n, mut misses) = (self.held[q].len(), if first && !fetched { FIRSTS_MOST } else { 0 });
+            let (mut n, mut misses) = (self.held[q].len(), 0);
             while n > 0 && misses < if first { FIRSTS_MOST } else { MISSES_MOST } {
                 n -= 1;
                 let id = self.held[q][n];
--- a/src/choice/health.rs
+++ b/src/choice/health.rs
@@ -100,7 +100,7 @@
             }
             self.judge(now, i, Status::Timeout);
             self.open.get_mut(&id).into_iter().for_each(|o| o.tries[n].silent = true);
-            if again && !self.settings.limits.duplicates && self.settings.limits.cancel {
+            if again && self.settings.limits.moves() {
                 out.push(Action::Cancel { request: id, attempt: n as Attempt }); // its end sends the next
             }
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -670,6 +670,12 @@
     }
 }
 
+/// The number that stands for what a job says it is about, whatever its length and bytes; nothing: `None`. Two that
+/// share a number share an order of workers, no more.
+pub fn subject(text: &str) -> Option<u64> {
+    (!text.is_empty()).then(|| hash(text))
+}
+
 /// A number for a name that is the same in every scheduler (FNV-1a).
 pub fn hash(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -2,9 +2,8 @@
 //! whoever asks whether the program is ready.
 
 use super::Platform;
-use crate::affinity;
 use crate::api::{ClassId, Effect, Request, Time};
-use crate::config::{News, Site};
+use crate::config::{self, News, Site};
 use crate::core::figures::End;
 use crate::core::{Answer, Reply, Told};
 use crate::net::buffer::Buffer;
@@ -236,7 +235,7 @@
         return Ok(Wish::Bad(404, "no such class of jobs\n"));
     };
     // What the job is about; a path without a further part does not say.
-    let subject = path.trim_start_matches('/').rsplit_once('/').and_then(|(_, last)| affinity::subject(last));
+    let subject = path.trim_start_matches('/').rsplit_once('/').and_then(|(_, last)| config::subject(last));
     let job = job_of_class(front, &site, (class, subject), (head, body));
     job.inspect_err(|_| front.figures.count(class, End::Failed))
 }
--- a/src/runs.rs
+++ b/src/runs.rs
@@ -19,8 +19,9 @@
 /// Weight and sum of what was measured, older values counting for less.
 pub type Sum = (f64, f64);
 
-fn keep(old: &mut Sum, value: f64) {
-    *old = (old.0 * KEEP + 1.0, old.1 * KEEP + value);
+/// Adds a value; what is older keeps this weight.
+pub fn add(to: &mut Sum, keep: f64, value: f64) {
+    *to = (to.0 * keep + 1.0, to.1 * keep + value);
 }
 
 /// How fast the workers of a kind are.
@@ -66,8 +67,8 @@
     let known = (class.work, class.log.1 / class.log.0);
     let (old, mean) = if class.log.0 == 0.0 { ((0.0, 0.0), log + speed.ln()) } else { known };
     class.work = (old.0 * KEEP + at_mean_speed, old.1 * KEEP + base);
-    keep(&mut class.log, log + speed.ln());
-    keep(all, at_mean_speed);
-    keep(&mut kind.log, log - mean);
+    add(&mut class.log, KEEP, log + speed.ln());
+    add(all, KEEP, at_mean_speed);
+    add(&mut kind.log, KEEP, log - mean);
     kind.speed = (-kind.log.1 / (kind.log.0 + PRIOR)).exp();
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,7 +5,7 @@
 //! of each kind with a note ([`Session::take_notes`]); a known message that is malformed is a [`WireError`].
 
 use crate::api::*;
-use crate::config::Site;
+use crate::config::{self, Site};
 use crate::core::engine::Module;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -399,7 +399,7 @@
                     estimate: f.integer("estimate")?.map(|v| v.max(0) as Time),
                     slots: f.number("needs")?.unwrap_or(1.0),
                     memory: f.number("mem")?.unwrap_or(0.0),
-                    subject: f.text("subject").and_then(crate::affinity::subject),
+                    subject: f.text("subject").and_then(config::subject),
                 };
                 if self.ids.contains_key(word) {
                     return Ok(None);
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -4,8 +4,9 @@
 mod common;
 
 use common::*;
-use indigofold::affinity::{Steady, draw, fetch_time, rank, subject};
+use indigofold::affinity::{Steady, draw, fetch_time, rank};
 use indigofold::api::*;
+use indigofold::config::subject;
 use std::collections::{BTreeMap, BTreeSet};
 
 const FETCH: Time = 400 * MS;
