--- a/src/affinity.rs
+++ b/src/affinity.rs
@@ -4,6 +4,7 @@
 
 use crate::api::{Time, WorkerId};
 use crate::runs::{self, Sum};
+use serde::{Deserialize, Serialize};
 
 /// Weight that older measurements keep at each new one: some fifty count.
 const KEEP: f64 = 0.98;
@@ -57,7 +58,7 @@
 }
 
 /// What sending a job away from where its like goes first has cost of late.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fetches {
     away: Sum, // weight and sum of what jobs sent elsewhere took to fetch
 }
@@ -73,6 +74,11 @@
         self.away.1 / self.away.0.max(1.0)
     }
 
+    /// The same cost with this part of the weight.
+    pub fn faded(self, keep: f64) -> Self {
+        Fetches { away: (self.away.0 * keep, self.away.1 * keep) }
+    }
+
     /// It is known that jobs of this mean run need nothing that workers keep.
     pub fn none(&self, run: f64) -> bool {
         self.away.0 >= SURE && self.cost() < NOISE * run
--- a/src/api.rs
+++ b/src/api.rs
@@ -5,6 +5,9 @@
 //! workers, requests) are integer ids chosen by the caller; the module attaches no meaning to their values.
 //! Times and durations are whole microseconds.
 
+use crate::carried::Carried;
+use crate::learned::Learned;
+
 /// A point in time, or a duration, in microseconds.
 pub type Time = u64;
 /// A worker. The id is kept when the worker's process restarts.
@@ -401,6 +404,11 @@
     /// Other settings from now on. Ids keep their meaning; classes and tenants may be added at the end. An open
     /// request keeps the class that it came with.
     Settings(Box<Settings>),
+    /// What another one has learned that did this one's work until now; under this one's ids.
+    Learned(Box<Learned<u32>>),
+    /// A request goes on here that another one has begun, with what its attempts have done; under this one's ids. The
+    /// dispatcher owes it its one final answer, and hears of what is still out.
+    Adopted(RequestId, Box<Carried<u32>>),
     /// A message from another dispatcher.
     Peer {
         /// The sender's number.
--- a/src/arrivals.rs
+++ b/src/arrivals.rs
@@ -44,6 +44,23 @@
         self.tenants.get_mut(tenant as usize).into_iter().for_each(|share| *share += 1.0 - TENANT_KEEP);
     }
 
+    /// Work arriving a microsecond, that of it which any kind may do, and requests a second, as of now.
+    pub fn rates(&self, now: Time) -> (f64, f64, f64) {
+        let fade = (-(now.saturating_sub(self.since) as f64) / MEMORY).exp();
+        (self.work * fade, self.unbound * fade, self.per_s * fade)
+    }
+
+    /// Goes on from rates that another has counted, of which this part still holds.
+    pub fn resume(&mut self, now: Time, (work, unbound, per_s): (f64, f64, f64), keep: f64) {
+        (self.work, self.unbound, self.per_s) = (work * keep, unbound * keep, per_s * keep);
+        self.since = self.since.max(now);
+    }
+
+    /// Takes this for a tenant's share; one that the settings do not name has none.
+    pub fn set_share(&mut self, tenant: TenantId, share: f64) {
+        self.tenants.get_mut(tenant as usize).into_iter().for_each(|known| *known = share);
+    }
+
     /// A tenant's share of the arrivals; `None` for one that the settings do not name.
     pub fn share(&self, tenant: TenantId) -> Option<f64> {
         self.tenants.get(tenant as usize).copied()
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -59,6 +59,8 @@
 mod health; // judges workers by what comes back, and finds attempts that hang
 #[path = "kept.rs"]
 mod kept; // compares what is kept from event to event with a fresh count, in debug builds
+#[path = "recall.rs"]
+mod recall; // tells what was learned, and takes in what another one has
 #[path = "retune.rs"]
 mod retune; // takes other settings
 
@@ -258,6 +260,8 @@
                 }
             }
             Event::Settings(settings) => self.retune(*settings),
+            Event::Learned(other) => self.take_in(now, *other),
+            Event::Adopted(id, job) => self.adopt(now, id, *job, out),
             Event::Peer { from, held } => return self.hear(now, from, &held),
             Event::Progress { request, attempt, done } => return self.sign(now, request, attempt, done),
             Event::Timer(_) => return,
@@ -266,13 +270,6 @@
         debug_assert!(self.kept_right(), "what is kept must agree with a fresh count");
     }
 
-    /// Machines that the list holds, and how many of them get nothing now, or only a try, after failures.
-    pub fn pool(&self, now: Time) -> (u64, u64) {
-        let listed = self.workers.iter().filter(|w| w.listed.state != WorkerState::Left);
-        let avoided = |w: &&Worker| w.active && (now < w.aside_until || w.failure > SUSPECT);
-        (listed.clone().count() as u64, listed.filter(avoided).count() as u64)
-    }
-
     fn tick(&self) -> Time {
         (self.settings.granularity * TICK.0).max(TICK.1)
     }
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -3,6 +3,7 @@
 use super::figures::{End, Figures, add};
 use super::{Answer, Ask, Claim, ClaimId, Floor, JobId, Reply, Told};
 use crate::api::{Action, ClassId, Event, Scope, Status, Time, WorkerId};
+use crate::carried;
 use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -124,10 +125,35 @@
             }
             Told::List(scope, entries) => self.events.push(Event::List { scope, entries }),
             Told::Settings(settings) => self.events.push(Event::Settings(settings)),
+            Told::Learned(other) => self.events.push(Event::Learned(other)),
+            Told::Adopted(id, job, until, reply) => {
+                self.due.insert((until, id));
+                let held = |t: &carried::Try<WorkerId>| Held { machine: t.worker, out: !t.done };
+                let (class, claims) = (job.class, job.tries.iter().map(held).collect());
+                self.jobs.insert(id, Job { class, answer: Some(reply), until, claims });
+                add(&self.figures.open, 1);
+                self.events.push(Event::Adopted(id, job));
+            }
+            Told::Recall(..) | Told::Release(..) => {} // the engine's: the module must be asked
             Told::Probed(worker, status, load) => self.events.push(Event::Probed { worker, status, load }),
         }
     }
 
+    /// Gives away an open job, if its answer is still owed: its last moment, and where its answer would have gone.
+    pub fn release(&mut self, id: JobId) -> Option<(Time, Reply)> {
+        let reply = self.jobs.get_mut(&id)?.answer.take()?;
+        let job = self.jobs.remove(&id)?;
+        self.due.remove(&(job.until, id));
+        self.due.remove(&(job.until + GRACE, id));
+        self.figures.open.set(self.figures.open.get() - 1);
+        Some((job.until, reply))
+    }
+
+    /// Is this job's answer owed yet?
+    pub fn owes(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.answer.is_some())
+    }
+
     /// Ends what is out at its last moment. What is still unanswered a little later fails, whatever the
     /// module thinks of it.
     pub fn expire(&mut self, now: Time, floor: &dyn Floor) {
--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -5,9 +5,11 @@
 
 use super::book::Book;
 use super::figures::Figures;
-use super::{Floor, Settings, Told};
+use super::{Floor, JobId, Recall, Released, Settings, Told};
 use crate::api::{self, Action, Event, Time};
+use crate::carried::Carried;
 use crate::choice::Dispatcher;
+use crate::learned::Learned;
 use std::collections::BTreeSet;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
@@ -27,6 +29,20 @@
         guarded(|| dispatcher.handle(now, event, actions))
     }
 
+    /// What it has learned.
+    pub fn learned(&self, now: Time, how: Recall) -> Learned<u32> {
+        match how {
+            Recall::All => self.0.learned(now),
+            Recall::AllButHeld => Learned { held: Vec::new(), ..self.0.learned(now) },
+            Recall::Held => Learned { at: now, held: self.0.held_slots(), ..Learned::default() },
+        }
+    }
+
+    /// Gives away a request.
+    pub fn release(&mut self, now: Time, id: JobId) -> Option<Carried<u32>> {
+        self.0.release(now, id)
+    }
+
     /// Machines in the list, and how many of them it avoids.
     pub fn pool(&self, now: Time) -> (u64, u64) {
         self.0.pool(now)
@@ -69,12 +85,25 @@
 
     /// Takes what a front tells. It is acted on by the next step; only what needs no decision happens at once.
     pub fn told(&mut self, now: Time, told: Told, floor: &dyn Floor) {
-        if let Told::Settings(settings) = &told {
-            self.gap = settings.granularity;
+        match &told {
+            Told::Settings(settings) => self.gap = settings.granularity,
+            Told::Release(job, to) => _ = to.try_send(self.release(now, *job)),
+            Told::Recall(to, how) => _ = to.try_send(self.module.learned(now, *how)),
+            _ => {}
         }
         self.book.told(now, told, floor);
     }
 
+    /// Gives away an open job, if the module has heard of all that has happened.
+    fn release(&mut self, now: Time, id: JobId) -> Option<Released> {
+        if self.book.has_events() || !self.book.owes(id) {
+            return None;
+        }
+        let job = self.module.release(now, id)?;
+        let (until, reply) = self.book.release(id)?;
+        Some(Released { job, until, reply })
+    }
+
     /// When it must be stepped next, if nothing else is told before; perhaps in the past.
     pub fn due(&self) -> Option<Time> {
         let timer = self.timers.first().map(|t| t.0.max(self.gate));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,8 @@
 pub mod figures;
 
 use crate::api::{Entry, Load, Request, RequestId, Scope, Status, Time, WorkerId};
+use crate::carried::Carried;
+use crate::learned::Learned;
 use async_channel::Sender;
 
 /// A job's number, unique over the program's life.
@@ -73,10 +75,41 @@
     List(Scope, Vec<Entry>),
     /// Other settings of the module from now on.
     Settings(Box<crate::api::Settings>),
+    /// What another process of this scheduler has learned, under this one's ids.
+    Learned(Box<Learned<u32>>),
+    /// An open job is asked for, to be given away: it is forgotten here. `None` where it cannot go now: something has
+    /// happened that the module has not heard of yet, or nothing more is owed.
+    Release(JobId, Sender<Option<Released>>),
+    /// A job goes on here that another process has begun; the submitter waits for it until this time.
+    Adopted(JobId, Box<Carried<u32>>, Time, Reply),
+    /// What was learned here is asked for: all of it, or only the slots held.
+    Recall(Sender<Learned<u32>>, Recall),
     /// What a probe brought.
     Probed(WorkerId, Status, Option<Load>),
 }
 
+/// An open job that is given away.
+#[derive(Debug)]
+pub struct Released {
+    /// What the module knows of it.
+    pub job: Carried<u32>,
+    /// Until when it must be answered.
+    pub until: Time,
+    /// Where its answer would have gone.
+    pub reply: Reply,
+}
+
+/// How much is asked for of what was learned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recall {
+    /// All of it.
+    All,
+    /// All but the slots held: the jobs that hold them are about to go over themselves.
+    AllButHeld,
+    /// Only the slots that are held at machines now.
+    Held,
+}
+
 /// What the core asks of the machine list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ask {
--- a/src/front/platform/kin.rs
+++ b/src/front/platform/kin.rs
@@ -1,11 +1,14 @@
 //! The other process of this scheduler, while one replaces the other: its open ids, and what it is told.
 
 use super::Platform;
-use crate::config::News;
-use crate::core::Told;
+use crate::config::{Names, News};
+use crate::core::{Recall, Told};
+use crate::learned::Learned;
+use crate::net::log;
 use async_channel::{Receiver, Sender, bounded};
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
+use std::net::TcpStream;
 use std::rc::Rc;
 
 /// Words that may wait for the other process.
@@ -21,6 +24,10 @@
     News(Vec<u8>),
     /// This process takes submitters now.
     Serves,
+    /// What this process has learned, as written.
+    Learned(Vec<u8>),
+    /// A job goes over, with its submitter's connection.
+    Moved(Vec<u8>, TcpStream),
 }
 
 /// The other process, as this one sees it.
@@ -60,20 +67,84 @@
     /// Takes a piece of news. Job workers reach whichever process accepts: what is not open here may be open in the
     /// other one, and goes there, though never back to where it came from.
     pub async fn news(&self, text: &[u8], news: News, from: Option<&Rc<Kin>>) {
+        if self.waits(&news.id, text) {
+            return;
+        }
         let open = self.traces.borrow().contains_key(&news.id);
-        let told: Option<Told> = self.hear(news);
+        let told: Option<Told> = self.hear(&news);
         if let Some(told) = told {
             let _ = self.core.send(told).await;
         }
         if !open {
             let others: Vec<Rc<Kin>> = self.kin.borrow().clone();
-            for kin in others.iter().filter(|kin| from.is_none_or(|from| !Rc::ptr_eq(from, kin))) {
+            // A job that has gone over was not open there yet when the other process heard of it.
+            let back = self.has_moved(&news.id);
+            for kin in others.iter().filter(|kin| back || from.is_none_or(|from| !Rc::ptr_eq(from, kin))) {
                 let _ = kin.words.send(Word::News(text.to_vec())).await;
             }
         }
     }
 }
 
+impl Platform {
+    /// Tells the other process what was learned here.
+    pub async fn tell_learned(&self, kin: &Kin, how: Recall) {
+        let (to, from) = bounded(1);
+        let _ = self.core.send(Told::Recall(to, how)).await;
+        let Ok(learned) = from.recv().await else { return };
+        let mut named = self.named(learned);
+        let form = named.write().or_else(|| {
+            // Too many machines: what is known of kinds, classes and the whole is worth more.
+            named.workers.clear();
+            named.write()
+        });
+        if let Some(form) = form {
+            let _ = kin.words.send(Word::Learned(form)).await;
+        }
+    }
+
+    /// Takes in what the other process has learned; a text that cannot be read changes nothing.
+    pub async fn take_learned(&self, form: &[u8]) {
+        match Learned::read(form) {
+            Err(why) => log(format_args!("handover: what the other process has learned is not taken: {why}")),
+            Ok(learned) => {
+                let of = self.numbered(learned);
+                if of.pace.is_some() {
+                    let (kinds, classes, machines) = (of.kinds.len(), of.classes.len(), of.workers.len());
+                    log(format_args!(
+                        "handover: takes over what was learned kinds={kinds} classes={classes} machines={machines}"
+                    ));
+                }
+                let _ = self.core.send(Told::Learned(Box::new(of))).await;
+            }
+        }
+    }
+
+    /// The same under names that mean the same in every process.
+    fn named(&self, learned: Learned<u32>) -> Learned<String> {
+        let (site, names) = (self.site.borrow(), self.names.borrow());
+        let hosts: HashMap<u32, &String> = names.iter().map(|(host, id)| (*id, host)).collect();
+        let name = |names: &Names, id: &u32| names.all().nth(*id as usize).map(str::to_string);
+        learned.renamed(
+            |kind| name(&site.kinds, kind),
+            |class| name(&site.classes, class),
+            |tenant| name(&site.tenants, tenant),
+            |worker| hosts.get(worker).map(|host| (*host).clone()),
+        )
+    }
+
+    /// The same under this process's numbers; what it has no name for is left out.
+    fn numbered(&self, learned: Learned<String>) -> Learned<u32> {
+        let (site, names) = (self.site.borrow(), self.names.borrow());
+        learned.renamed(
+            |kind| site.kinds.find(kind),
+            |class| site.class(class),
+            |tenant| site.tenants.find(tenant),
+            |worker| names.get(worker).copied(),
+        )
+    }
+}
+
 impl Kin {
     fn tell(&self, word: Word) {
         // One that does not read what is open here cannot be relied on: the link ends.
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod kin;
 pub mod machines;
+pub mod moving;
 pub mod submitters;
 pub mod workers;
 
@@ -22,7 +23,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use workers::{Order, Peer};
+use workers::{Order, Peer, Stage};
 
 /// Orders that may wait for a machine; more are turned down unsent.
 const MAILBOX: usize = 512;
@@ -37,8 +38,8 @@
     pub body: usize,
     /// What a job worker made for it.
     pub result: RefCell<Option<Vec<u8>>>,
-    /// Its claims: where they went.
-    claims: RefCell<Vec<WorkerId>>,
+    /// Its claims: where they went, and how far they have come.
+    claims: RefCell<Vec<(WorkerId, Rc<Cell<Stage>>)>>,
 }
 
 /// All that the parts of this front share.
@@ -63,6 +64,7 @@
     machines: RefCell<HashMap<WorkerId, Sender<Order>>>,
     names: RefCell<HashMap<String, WorkerId>>,
     kin: RefCell<Vec<Rc<Kin>>>,
+    moving: moving::Moving,
     list: Sender<machines::Word>,
 }
 
@@ -86,6 +88,7 @@
             machines: RefCell::default(),
             names: RefCell::default(),
             kin: RefCell::default(),
+            moving: moving::Moving::default(),
             list,
         })
     }
@@ -199,11 +202,11 @@
 
     /// Takes a piece of news. What concerns no open claim (a job answered long ago, a claim of this
     /// scheduler's former life) has no effect.
-    fn hear(&self, news: News) -> Option<Told> {
+    fn hear(&self, news: &News) -> Option<Told> {
         let job = *self.traces.borrow().get(&news.id)?;
         let machine = *self.names.borrow().get(&news.from)?;
         let parcel = self.parcel(job)?;
-        let attempt = parcel.claims.borrow().iter().rposition(|m| *m == machine)? as u32;
+        let attempt = parcel.claims.borrow().iter().rposition(|m| m.0 == machine)? as u32;
         let claim = ClaimId { job, attempt };
         let load = || news.load.as_ref().map(|l| self.site.borrow().load_value(l));
         Some(match news.state.as_str() {
@@ -225,6 +228,12 @@
         })
     }
 
+    fn forget_claims(&self, job: JobId, parcel: &Parcel) {
+        for (n, (machine, _)) in parcel.claims.borrow().iter().enumerate() {
+            self.order(*machine, Order::Forget(ClaimId { job, attempt: n as u32 }));
+        }
+    }
+
     fn order(&self, machine: WorkerId, order: Order) -> bool {
         self.machines.borrow().get(&machine).is_some_and(|m| m.try_send(order).is_ok())
     }
@@ -233,8 +242,9 @@
 impl Floor for Platform {
     fn claim(&self, claim: Claim) -> bool {
         let Some(parcel) = self.parcel(claim.id.job) else { return false };
-        parcel.claims.borrow_mut().push(claim.machine);
-        self.order(claim.machine, Order::Claim(claim, parcel))
+        let stage = Rc::new(Cell::new(Stage::Unsent));
+        parcel.claims.borrow_mut().push((claim.machine, stage.clone()));
+        self.order(claim.machine, Order::Claim(claim, parcel, stage))
     }
 
     fn give_up(&self, claim: ClaimId, machine: WorkerId) -> bool {
@@ -258,9 +268,7 @@
         if let Some(parcel) = self.parcels.borrow_mut().remove(&job) {
             self.traces.borrow_mut().remove(&parcel.trace);
             self.tell_kin(|| kin::Word::Closed(parcel.trace.clone()));
-            for (n, machine) in parcel.claims.borrow().iter().enumerate() {
-                self.order(*machine, Order::Forget(ClaimId { job, attempt: n as u32 }));
-            }
+            self.forget_claims(job, &parcel);
         }
     }
 
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -1,19 +1,20 @@
 //! One actor for each accepted connection: submitters with their jobs, job workers with their news, and
 //! whoever asks whether the program is ready.
 
-use super::Platform;
+use super::moving::Moved;
+use super::{Parcel, Platform};
 use crate::api::{ClassId, Effect, Request, Time};
 use crate::config::{self, News, Site};
 use crate::core::figures::End;
-use crate::core::{Answer, Reply, Told};
+use crate::core::{Answer, JobId, Reply, Told};
 use crate::net::buffer::Buffer;
 use crate::net::http::{self, Bad, Frame, Head, Kind, Progress};
 use crate::net::set::Rank;
-use crate::net::{Link, Reason, STALLED, WHOLE, within};
-use async_channel::bounded;
+use crate::net::{Link, Reason, STALLED, WHOLE, log, within};
+use async_channel::{Receiver, bounded};
 use async_io::Async;
 use futures_lite::FutureExt;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Display;
 use std::io::Write;
 use std::net::TcpListener;
@@ -41,19 +42,62 @@
     Bad(u16, &'static str),
 }
 
-/// What is told of a connection when it ends.
+/// What is told of a connection when it ends, or goes on elsewhere.
 #[derive(Default)]
-struct Served {
-    messages: Cell<u64>,
+pub(super) struct Served {
+    /// Messages read.
+    pub messages: Cell<u64>,
     status: Cell<u16>,
+    /// The job that goes over to another process with the connection, and what has been read behind it.
+    pub moved: RefCell<Option<Moved>>,
+    rest: RefCell<Vec<u8>>,
 }
 
 /// Serves one connection to its end.
 async fn serve(front: Rc<Platform>, link: Link) {
     let served = Served::default();
-    let reason = talk(&front, &link, &served).await;
+    let reason = talk(&front, &link, &served, None).await;
+    leave(&front, link, &served, reason).await;
+}
+
+/// Ends a connection, or lets it go on in the process that takes over.
+pub(super) async fn leave(front: &Rc<Platform>, link: Link, served: &Served, reason: Reason) {
     let (messages, status) = (served.messages.get(), served.status.get());
-    link.end("submitter", reason, format_args!("messages={messages} status={status}"));
+    let moved = served.moved.take().filter(|_| reason == Reason::HandedOn);
+    let Some(moved) = moved else {
+        return link.end("submitter", reason, format_args!("messages={messages} status={status}"));
+    };
+    let (peer, code) = (link.peer(), reason.code());
+    log(format_args!("conn side=submitter peer={peer} reason={code} messages={messages} status={status}"));
+    front.hand_over(moved, &served.rest.take(), link).await;
+}
+
+/// A job that goes on here: its number, its message, and where its answer comes.
+pub(super) type GoesOn = (JobId, Rc<Parcel>, Receiver<Answer>);
+
+/// Serves a connection whose job another process has taken; without one, the job cannot go on and has failed.
+pub(super) async fn go_on(
+    front: &Rc<Platform>, link: &Link, served: &Served, job: Option<GoesOn>, (keep, rest): (bool, &[u8]),
+) -> Reason {
+    let mut kept = Some(front.net.pool.take()).filter(|_| !rest.is_empty());
+    kept.iter_mut().for_each(|buffer| _ = buffer.write_all(rest));
+    let message = match job {
+        None => Ok((500, String::new(), b"the job's class is gone\n".to_vec())),
+        Some((id, parcel, from)) => {
+            answered(front, link, &mut kept, (id, &parcel, from), (keep, served)).await
+        }
+    };
+    let (status, more, result) = match message {
+        Ok(message) => message,
+        Err(reason) => return reason,
+    };
+    served.status.set(status);
+    let keep = keep && !front.life.sends_away();
+    match answer(front, link, status, &more, &result, keep).await {
+        Err(reason) => reason,
+        Ok(()) if keep => talk(front, link, served, Some(kept.filter(|b| !b.filled().is_empty()))).await,
+        Ok(()) => Reason::Done,
+    }
 }
 
 /// Waits for something to read. A connection that has never sent a message has until its time is up.
@@ -77,9 +121,11 @@
     })
 }
 
-async fn talk(front: &Rc<Platform>, link: &Link, served: &Served) -> Reason {
-    let (mut kept, mut since, mut by) = (None::<Buffer>, front.clock.now(), Instant::now() + WHOLE);
-    let (accepted, mut submitter) = (Instant::now(), false);
+/// Serves messages; `goes_on`: a submitter's connection that was served before, and what has been read of the next.
+async fn talk(front: &Rc<Platform>, link: &Link, served: &Served, goes_on: Option<Option<Buffer>>) -> Reason {
+    let (mut since, mut by) = (front.clock.now(), Instant::now() + WHOLE);
+    let (accepted, mut submitter) = (Instant::now(), goes_on.is_some());
+    let mut kept = goes_on.flatten();
     let answer = async |status: u16, more: &str, body: &[u8], keep: bool| {
         served.status.set(status);
         answer(front, link, status, more, body, keep).await
@@ -147,10 +193,14 @@
             Wish::Job { request, trace, text, body } => {
                 front.life.last_job.set(front.clock.now());
                 // The submitter's time runs from when it began to send.
-                let until = front.life.bound(since + request.left);
+                let until = since + request.left;
+                // Where it can go over to another process, it need not end with this one.
+                let until = if front.moves() { until } else { front.life.bound(until) };
                 kept = Some(buffer).filter(|b| !b.filled().is_empty());
                 let (status, more, result) =
-                    match job(front, link, &mut kept, (request, until), (&trace, text, body)).await {
+                    match job(front, link, &mut kept, (request, until), (&trace, text, body), (keep, served))
+                        .await
+                    {
                         Ok(answer) => answer,
                         Err(reason) => return reason,
                     };
@@ -307,7 +357,7 @@
 /// Hands a job to the core and waits for its answer, or for the submitter to leave.
 async fn job(
     front: &Rc<Platform>, link: &Link, rest: &mut Option<Buffer>, (mut request, until): (Request, Time),
-    (trace, text, body): (&str, Buffer, usize),
+    (trace, text, body): (&str, Buffer, usize), so_far: (bool, &Served),
 ) -> Result<Message, Reason> {
     let Some((id, parcel)) = front.take_in(trace, text, body) else {
         front.figures.count(request.class, End::Failed);
@@ -318,14 +368,32 @@
     if front.core.send(Told::Job(request, until, Reply::To(to))).await.is_err() {
         return Ok((500, String::new(), Vec::new()));
     }
+    answered(front, link, rest, (id, &parcel, from), so_far).await
+}
+
+/// Waits for a job's answer, for the submitter to leave, or for the job to go over to another process.
+async fn answered(
+    front: &Rc<Platform>, link: &Link, rest: &mut Option<Buffer>,
+    (id, parcel, from): (JobId, &Parcel, Receiver<Answer>), (keep, served): (bool, &Served),
+) -> Result<Message, Reason> {
     let answered = async { Ok(from.recv().await.unwrap_or(Answer::Failed)) };
-    match answered.or(async { Err(link.left(rest, &front.net.pool).await) }).await {
+    let left = async { Err(link.left(rest, &front.net.pool).await) };
+    let moved = async {
+        front.released(id, parcel, keep, served).await;
+        Err(Reason::HandedOn)
+    };
+    match moved.or(answered).or(left).await {
         Ok(Answer::Served) => Ok((200, String::new(), parcel.result.borrow_mut().take().unwrap_or_default())),
         Ok(Answer::Requeue(0)) => Ok((503, String::new(), Vec::new())),
         Ok(Answer::Requeue(after)) => {
             Ok((503, format!("Retry-After: {:.3}\r\n", after as f64 / 1e6), Vec::new()))
         }
         Ok(Answer::Failed) => Ok((500, String::new(), Vec::new())),
+        Err(Reason::HandedOn) => {
+            let read = rest.take();
+            served.rest.replace(read.map_or_else(Vec::new, |buffer| buffer.filled().to_vec()));
+            Err(Reason::HandedOn)
+        }
         Err(reason) => {
             let _ = front.core.send(Told::Gone(id)).await;
             Err(reason)
--- a/src/front/platform/workers.rs
+++ b/src/front/platform/workers.rs
@@ -37,7 +37,9 @@
     /// This is its address from now on.
     Address(SocketAddr),
     /// Carry a claim to it.
-    Claim(Claim, Rc<Parcel>),
+    Claim(Claim, Rc<Parcel>, Rc<Cell<Stage>>),
+    /// A claim of this id is there that another process has carried: the machine has taken it.
+    Taken(ClaimId, String),
     /// Stop waiting for a claim.
     GiveUp(ClaimId),
     /// A claim will not be named again.
@@ -49,14 +51,16 @@
 }
 
 /// How far a claim has come.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
     /// Its last byte has not gone out.
     Unsent,
     /// It has.
     Sent,
     /// The machine has taken it.
     Taken,
+    /// It has ended before that, or was given up.
+    Ended,
 }
 
 struct Out {
@@ -273,7 +277,11 @@
                         self.hang_up();
                     }
                 }
-                Order::Claim(claim, parcel) => self.claim(claim, parcel),
+                Order::Claim(claim, parcel, stage) => self.claim(claim, parcel, stage),
+                Order::Taken(id, trace) => {
+                    let stage = Rc::new(Cell::new(Stage::Taken));
+                    self.out.borrow_mut().insert(id, Out { stage, trace, task: None });
+                }
                 Order::GiveUp(id) => {
                     let Some(out) = self.out.borrow_mut().remove(&id) else { continue };
                     // Before the machine has taken it, closing the connection says so.
@@ -281,6 +289,7 @@
                         let wires = self.wires.clone();
                         self.wires.front.net.start(async move { wires.delete(out.trace).await });
                     }
+                    out.stage.set(Stage::Ended);
                     drop(out.task);
                 }
                 Order::Forget(id) => {
@@ -304,8 +313,7 @@
         }
     }
 
-    fn claim(&self, claim: Claim, parcel: Rc<Parcel>) {
-        let stage = Rc::new(Cell::new(Stage::Unsent));
+    fn claim(&self, claim: Claim, parcel: Rc<Parcel>, stage: Rc<Cell<Stage>>) {
         let trace = parcel.trace.clone();
         let (wires, out, at) = (self.wires.clone(), self.out.clone(), stage.clone());
         let task = async move {
@@ -313,6 +321,7 @@
             if let Some((status, load)) = ended {
                 let gone = out.borrow_mut().remove(&claim.id);
                 let _ = wires.front.core.send(Told::Ended(claim.id, status, load)).await;
+                at.set(Stage::Ended);
                 drop(gone);
             }
         };
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -4,22 +4,24 @@
 //! A word on the link is a byte that names it, the length of what follows (four bytes, the least first), and that.
 
 use crate::config::{self, News};
+use crate::core::Recall;
 use crate::front::platform::Platform;
 use crate::front::platform::kin::{Kin, Word};
 use crate::net::{Reason, log, within};
 use async_channel::Receiver;
 use async_executor::Task;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncWriteExt, FutureExt};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
 };
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::net::TcpListener;
-use std::os::fd::AsFd;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -37,6 +39,11 @@
 const ALL: Duration = Duration::from_millis(2_500);
 /// Descriptors that the old process may take beyond those it has.
 const STILL: usize = 32;
+/// What a new process says that can take in what was learned, and open jobs. A program from before that says nothing, and would take
+/// the word for an id.
+const LEARNS: &[u8] = b"learns moves";
+/// How often the two tell each other which slots their jobs hold at machines: news of them lasts two seconds.
+const HELD: Duration = Duration::from_millis(500);
 /// How often that is looked at, and whether there is a machine list.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -62,7 +69,7 @@
 pub async fn ask(path: &Path) -> Option<Inherited> {
     let asked = async {
         let link = Async::<UnixStream>::connect(path).await.map_err(|_| Reason::Refused)?;
-        (&link).write_all(&word(b'H', &[])).await.map_err(|_| Reason::Broke)?;
+        (&link).write_all(&word(b'H', LEARNS)).await.map_err(|_| Reason::Broke)?;
         receive(link).await.map_err(|_| Reason::Broke)
     };
     within(ANSWER, Reason::Unanswered, asked).await.ok()
@@ -104,15 +111,54 @@
     word
 }
 
-async fn read(mut link: &Async<UnixStream>) -> io::Result<(u8, Vec<u8>)> {
+/// Sends a word with a submitter's connection, which comes with its first byte.
+async fn send_with(mut link: &Async<UnixStream>, word: &[u8], stream: TcpStream) -> io::Result<()> {
+    let fds = [stream.as_fd()];
+    let sent = link.write_with(|link| {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        control.push(SendAncillaryMessage::ScmRights(&fds));
+        Ok(sendmsg(link, &[IoSlice::new(word)], &mut control, SendFlags::NOSIGNAL)?)
+    });
+    let sent = sent.await?;
+    link.write_all(&word[sent..]).await
+}
+
+/// Fills the buffer; connections that come along stand in the order of their words.
+async fn fill(
+    link: &Async<UnixStream>, buffer: &mut [u8], streams: &mut VecDeque<OwnedFd>,
+) -> io::Result<()> {
+    let mut filled = 0;
+    while filled < buffer.len() {
+        let count = link.read_with(|link| {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let into = &mut [IoSliceMut::new(&mut buffer[filled..])];
+            let count = recvmsg(link, into, &mut control, RecvFlags::CMSG_CLOEXEC)?.bytes;
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(rights) = message {
+                    streams.extend(rights);
+                }
+            }
+            Ok(count)
+        });
+        match count.await? {
+            0 => return Err(ErrorKind::UnexpectedEof.into()),
+            count => filled += count,
+        }
+    }
+    Ok(())
+}
+
+async fn read(link: &Async<UnixStream>, streams: &mut VecDeque<OwnedFd>) -> io::Result<(u8, Vec<u8>)> {
     let mut head = [0; 5];
-    link.read_exact(&mut head).await?;
+    fill(link, &mut head, streams).await?;
     let length = u32::from_le_bytes([head[1], head[2], head[3], head[4]]) as usize;
     if length > WORD {
         return Err(ErrorKind::InvalidData.into());
     }
     let mut text = vec![0; length];
-    link.read_exact(&mut text).await?;
+    fill(link, &mut text, streams).await?;
     Ok((head[0], text))
 }
 
@@ -146,7 +192,8 @@
         let (kin, words) = self.front.join();
         let (whole, old) = (self.clone(), kin.clone());
         self.front.net.start(async move {
-            whole.link(&link, &old, words).await;
+            // The old one's first word of what was learned shows that it knows such words.
+            whole.link(&link, &old, words, false).await;
             whole.front.part(&old);
             log("handover: the old process has ended");
             whole.front.net.keep_within(whole.limits.0, whole.limits.1);
@@ -198,9 +245,10 @@
 
     /// A new process has called: passes the listeners on, and stands by until it serves or ends.
     async fn replaced(self: Rc<Self>, link: Async<UnixStream>) {
-        let hello = async { read(&link).await.map_err(|_| Reason::Broke) };
+        let hello = async { read(&link, &mut VecDeque::new()).await.map_err(|_| Reason::Broke) };
         let hello = within(ANSWER, Reason::Unanswered, hello).await;
-        if !hello.is_ok_and(|(name, _)| name == b'H') || self.front.life.handed.get() {
+        let Ok((b'H', says)) = hello else { return };
+        if self.front.life.handed.get() {
             return;
         }
         // Both together stay within the limits; this one keeps what it has, and a few for what it still tries.
@@ -223,8 +271,13 @@
         log("handover: a new process has the listeners");
         net.keep_within(mine, self.limits.1 / 2);
         let (kin, words) = self.front.join();
-        self.link(&link, &kin, words).await;
+        let learns = says == LEARNS;
+        if learns {
+            self.front.tell_learned(&kin, Recall::All).await;
+        }
+        self.link(&link, &kin, words, learns).await;
         self.front.part(&kin);
+        self.front.move_no_more();
         net.keep_within(self.limits.0, self.limits.1);
         log("handover: the new process has ended");
         if life.handed.replace(false) && !life.stopping.get() {
@@ -255,8 +308,17 @@
         self.closing.replace(Some(closing));
     }
 
-    /// Carries words both ways until the link ends.
-    async fn link(&self, link: &Async<UnixStream>, kin: &Rc<Kin>, words: Receiver<Word>) {
+    /// Carries words both ways until the link ends. `learns`: the other side is known to take in what was learned.
+    async fn link(&self, link: &Async<UnixStream>, kin: &Rc<Kin>, words: Receiver<Word>, learns: bool) {
+        let learns = Cell::new(learns);
+        let tell = async {
+            loop {
+                Timer::after(HELD).await;
+                if learns.get() {
+                    self.front.tell_learned(kin, Recall::Held).await;
+                }
+            }
+        };
         let out = async {
             while let Ok(told) = words.recv().await {
                 let text = match told {
@@ -264,14 +326,20 @@
                     Word::Closed(id) => word(b'-', id.as_bytes()),
                     Word::News(text) => word(b'N', &text),
                     Word::Serves => word(b'S', &[]),
+                    Word::Learned(form) => word(b'K', &form),
+                    Word::Moved(form, stream) => {
+                        send_with(link, &word(b'M', &form), stream).await?;
+                        continue;
+                    }
                 };
                 (&mut &*link).write_all(&text).await?;
             }
             io::Result::Ok(())
         };
         let in_ = async {
+            let mut streams = VecDeque::new();
             loop {
-                let (name, mut text) = read(link).await?;
+                let (name, mut text) = read(link, &mut streams).await?;
                 match name {
                     b'N' => {
                         let whole = text.clone();
@@ -279,15 +347,34 @@
                             self.front.news(&whole, news, Some(kin)).await;
                         }
                     }
-                    b'S' => self.hand_on(),
-                    _ => {
+                    b'S' => {
+                        self.hand_on();
+                        if learns.get() {
+                            self.front.tell_learned(kin, Recall::AllButHeld).await;
+                            self.front.move_to(kin);
+                        }
+                    }
+                    b'M' => {
+                        let stream = streams.pop_front().ok_or(ErrorKind::InvalidData)?;
+                        self.front.adopt(&text, TcpStream::from(stream)).await;
+                    }
+                    b'K' => {
+                        learns.set(true);
+                        self.front.take_learned(&text).await;
+                    }
+                    b'+' | b'-' => {
                         let id = String::from_utf8(text).map_err(|_| ErrorKind::InvalidData)?;
                         let mut ids = kin.ids.borrow_mut();
                         let _ = if name == b'+' { ids.insert(id) } else { ids.remove(&id) };
                     }
+                    _ => {} // a later program's word
                 }
             }
         };
-        let _ = out.or(in_).await;
+        let _ = out.or(in_).or(tell).await;
+        words.close();
+        while let Ok(word) = words.try_recv() {
+            self.front.take_back(word).await;
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,12 +11,14 @@
 pub mod affinity;
 pub mod api;
 pub mod arrivals;
+pub mod carried;
 pub mod choice;
 pub mod config;
 pub mod core;
 pub mod door;
 pub mod front;
 pub mod handover;
+pub mod learned;
 pub mod net;
 pub mod runs;
 pub mod solve;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -241,6 +241,8 @@
     NoRoom,
     /// The password or the first message was wrong.
     Rejected,
+    /// It goes on in the process that takes over.
+    HandedOn,
 }
 
 impl Reason {
@@ -265,6 +267,7 @@
             Reason::DialTimeout => "dial-timeout",
             Reason::NoRoom => "no-room",
             Reason::Rejected => "rejected",
+            Reason::HandedOn => "handed-on",
         }
     }
 }
@@ -363,6 +366,11 @@
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
     }
 
+    /// The stream, to be passed on: the connection stays, and its place in the set is given back with the second.
+    pub fn into_stream(self) -> Option<(TcpStream, Seat)> {
+        Some((self.stream.into_inner().ok()?, self._seat))
+    }
+
     /// Leaves the line of a connection that has ended.
     pub fn end(self, side: &str, reason: Reason, about: impl Display) {
         log(format_args!("conn side={side} peer={} reason={} {about}", self.peer(), reason.code()));
--- a/src/net/set.rs
+++ b/src/net/set.rs
@@ -87,6 +87,11 @@
         self.limit.set(descriptors.saturating_sub(KEPT_BACK).max(16));
     }
 
+    /// So many descriptors more, or fewer, are the process's: connections have gone from one process to another.
+    pub fn resize(&self, by: isize) {
+        self.limit.set(self.limit.get().saturating_add_signed(by));
+    }
+
     /// Descriptors in use, with those kept back.
     pub fn descriptors(&self) -> usize {
         self.open.get() + KEPT_BACK
--- a/src/runs.rs
+++ b/src/runs.rs
@@ -2,6 +2,7 @@
 //! news of slots held tells something. Nothing here decides; the decision module asks.
 
 use crate::api::Time;
+use serde::{Deserialize, Serialize};
 
 /// Weight that old run times keep at each new one.
 pub const KEEP: f64 = 0.99;
@@ -25,7 +26,7 @@
 }
 
 /// How fast the workers of a kind are.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Speed {
     log: Sum, // log run times against the class's mean
     /// ... and the speed against all kinds that follows.
@@ -39,13 +40,36 @@
 }
 
 /// How long the jobs of a class run.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Work {
     log: Sum,  // log run times at mean speed, less the log of the estimate
     work: Sum, // sums of run times at mean speed and of their estimates (1 where there are none)
 }
 
+impl Speed {
+    /// Run times that it rests on.
+    pub fn weight(&self) -> f64 {
+        self.log.0
+    }
+
+    /// The same speed with this part of the weight.
+    pub fn faded(self, keep: f64) -> Self {
+        Speed { log: (self.log.0 * keep, self.log.1 * keep), ..self }
+    }
+}
+
 impl Work {
+    /// Run times that it rests on.
+    pub fn weight(&self) -> f64 {
+        self.log.0
+    }
+
+    /// The same run times with this part of the weight.
+    pub fn faded(self, keep: f64) -> Self {
+        let less = |sum: Sum| (sum.0 * keep, sum.1 * keep);
+        Work { log: less(self.log), work: less(self.work) }
+    }
+
     /// Until a run time is known, a job is taken to be so long.
     pub fn of(run: Time) -> Self {
         Work { work: (run.max(1) as f64, 1.0), ..Default::default() }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -23,7 +23,7 @@
 //!     edit OLD => NEW              changes a text in the configuration file
 //!     broken OLD => NEW            the same, but the next such line starts from the file as it was before
 //!     hup / term / exit [old]      sends SIGHUP / SIGTERM / waits for the program to end well
-//!     kill                         kills the program, and goes on with the old one
+//!     kill [old]                   kills the program, and goes on with the old one; or kills that one
 //!     was TEXT                     waits until the old program's log has a line with the text
 //!     runs JOB N                   job workers (names that begin with w) were handed the job N times in all
 //!
@@ -283,9 +283,12 @@
                 self.spawn(&self.front.clone(), "", false);
             }
             ("kill", _) => {
-                let program = self.named("");
+                let program = self.named(rest);
                 program.child.kill().and_then(|()| program.child.wait()).expect("an end");
-                self.program = self.old.take();
+                let old = self.old.take();
+                if rest != "old" {
+                    self.program = old;
+                }
             }
             ("stale", _) => {
                 let hash = indigofold::config::hash("127.0.0.1:0");
--- /dev/null
+++ b/tests/handing.rs
@@ -0,0 +1,305 @@
+//! Replacements of many schedulers in virtual time: each has an engine that is replaced, again and again, while its jobs
+//! are open, with workers that fail, lose jobs and fall silent. What must hold always is checked over all of them.
+
+use indigofold::api::*;
+use indigofold::core::engine::Engine;
+use indigofold::core::{Answer, Ask, Claim, ClaimId, Floor, JobId, Recall, Reply, Settings, Told};
+use proptest::prelude::*;
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+mod common;
+
+const MS: Time = 1_000;
+const SEC: Time = 1_000_000;
+const WORKERS: u32 = 12;
+
+/// What a job has been through, whichever process had it.
+#[derive(Default)]
+struct Seen {
+    class: ClassId,
+    until: Time,
+    answers: Vec<(Time, Answer)>,
+    /// Claims out now, by worker; and those that may have run.
+    out: Vec<WorkerId>,
+    may_have_run: u32,
+    claims: u32,
+    /// Its number in the process that has it.
+    id: JobId,
+    moves: u32,
+}
+
+/// The world of one scheduler: its jobs, and what happens to their claims.
+#[derive(Default)]
+struct World {
+    jobs: BTreeMap<u64, Seen>, // by the submitter's id
+    of: BTreeMap<JobId, u64>,
+    happens: BTreeMap<(Time, u64), (u64, u32, Status, WorkerId)>, // a claim's end
+    starts: BTreeMap<(Time, u64), (u64, u32)>,
+    now: Time,
+    next: u64,
+    faults: Vec<String>,
+    duplicates: bool,
+}
+
+struct Ground {
+    world: RefCell<World>,
+    rng: RefCell<Pcg64Mcg>,
+}
+
+impl Ground {
+    fn random(&self, most: u64) -> u64 {
+        self.rng.borrow_mut().next_u64() % most
+    }
+}
+
+impl Floor for Ground {
+    fn claim(&self, claim: Claim) -> bool {
+        let (fate, takes, wait) = (self.random(100), 20 + self.random(400), 1 + self.random(150));
+        let mut world = self.world.borrow_mut();
+        let (now, two) = (world.now, world.duplicates);
+        let trace = world.of[&claim.id.job];
+        world.next += 1;
+        let next = world.next;
+        let mut faults = Vec::new();
+        let job = world.jobs.get_mut(&trace).expect("a job");
+        if !job.out.is_empty() && !two {
+            faults.push(format!("job {trace}: two claims at once"));
+        }
+        if job.out.contains(&claim.machine) {
+            faults.push(format!("job {trace}: twice at worker {}", claim.machine));
+        }
+        if claim.id.attempt != job.claims {
+            faults.push(format!("job {trace}: claim {} after {}", claim.id.attempt, job.claims));
+        }
+        if job.claims >= 4 || (job.class == 2 && job.may_have_run > 0) || !job.answers.is_empty() {
+            faults.push(format!("job {trace}, class {}: claim {} must not be", job.class, job.claims));
+        }
+        job.claims += 1;
+        if fate >= 97 {
+            world.faults.extend(faults);
+            return false; // nobody takes the order
+        }
+        job.out.push(claim.machine);
+        job.may_have_run += 1;
+        let end = now + (wait + takes) * MS;
+        let (at, status) = match fate {
+            0..75 => (end, Some(Status::Ok)),
+            75..80 => (now + wait * MS, Some(Status::Full)),
+            80..85 => (end, Some(Status::Error)),
+            85..90 => (end, Some(Status::Reset)),
+            90..93 => (now + wait * MS, Some(Status::ConnectFailed)),
+            _ => (now, None), // silent
+        };
+        if matches!(status, Some(Status::Full | Status::ConnectFailed)) {
+            job.may_have_run -= 1;
+        }
+        let attempt = claim.id.attempt;
+        if matches!(status, Some(Status::Ok | Status::Error | Status::Reset)) {
+            world.starts.insert((now + wait * MS, next), (trace, attempt));
+        }
+        if let Some(status) = status {
+            world.happens.insert((at, next), (trace, attempt, status, claim.machine));
+        }
+        world.faults.extend(faults);
+        true
+    }
+
+    fn give_up(&self, claim: ClaimId, machine: WorkerId) -> bool {
+        let mut world = self.world.borrow_mut();
+        let trace = world.of[&claim.job];
+        world.jobs.get_mut(&trace).expect("a job").out.retain(|w| *w != machine);
+        world.happens.retain(|_, (t, attempt, _, _)| (*t, *attempt) != (trace, claim.attempt));
+        world.starts.retain(|_, (t, attempt)| (*t, *attempt) != (trace, claim.attempt));
+        false
+    }
+
+    fn probe(&self, _: WorkerId) -> bool {
+        false
+    }
+    fn hang_up(&self, _: WorkerId) {}
+    fn ask(&self, _: Ask) -> bool {
+        true
+    }
+    fn answer(&self, job: JobId, answer: Answer) {
+        let mut world = self.world.borrow_mut();
+        let (now, trace) = (world.now, world.of[&job]);
+        world.jobs.get_mut(&trace).expect("a job").answers.push((now, answer));
+    }
+    fn forget(&self, _: JobId) {}
+    fn note(&self, _: &str) {}
+}
+
+fn engine(settings: &indigofold::api::Settings, now: Time, seed: u64) -> Engine {
+    Engine::new(Settings { module: settings.clone(), seed, early: 40 * MS }, now, Rc::default())
+}
+
+fn list(now: Time) -> Told {
+    let entries = (0..WORKERS).map(|n| Entry {
+        zone: n % 2,
+        cell: n % 4,
+        // Some have just started, whenever one asks.
+        ready_at: if n % 5 == 0 { now - SEC } else { 0 },
+        ..common::entry(n, n % 3)
+    });
+    Told::List(Scope::Full, entries.collect())
+}
+
+/// Plays one scheduler for some seconds, replaced so many times; returns its world and how many jobs went over.
+fn play(seed: u64, duplicates: bool, replacements: u64) -> (World, u32) {
+    let mut settings = common::settings();
+    settings.dispatchers = 300;
+    settings.limits.duplicates = duplicates;
+    settings.progress = 200 * MS;
+    let ground = Ground {
+        world: RefCell::new(World { duplicates, ..World::default() }),
+        rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+    };
+    let (begin, end, last) = (100 * SEC, 106 * SEC, 113 * SEC);
+    let mut now = begin;
+    let mut engine_now = engine(&settings, now, seed);
+    engine_now.told(now, list(now), &ground);
+    let (mut next_job, mut arrival, mut trace, mut moved) = (1u64, begin, 0u64, 0u32);
+    let mut replaced = 0;
+    while now < last {
+        ground.world.borrow_mut().now = now;
+        while arrival <= now && arrival < end {
+            let (class, left) = (ground.random(4) as u32, (1 + ground.random(5)) * SEC);
+            let request = Request { left, ..common::request(next_job, class) };
+            let seen = Seen { class, until: now + left, id: next_job, ..Seen::default() };
+            trace += 1;
+            ground.world.borrow_mut().jobs.insert(trace, seen);
+            ground.world.borrow_mut().of.insert(next_job, trace);
+            engine_now.told(now, Told::Job(request, now + left, Reply::Floor), &ground);
+            (next_job, arrival) = (next_job + 1, arrival + (1 + ground.random(60)) * MS);
+        }
+        let starts: Vec<_> = {
+            let mut world = ground.world.borrow_mut();
+            let later = world.starts.split_off(&(now + 1, 0));
+            std::mem::replace(&mut world.starts, later).into_values().collect()
+        };
+        for (trace, attempt) in starts {
+            let job = ground.world.borrow().jobs[&trace].id;
+            engine_now.told(now, Told::Started(ClaimId { job, attempt }), &ground);
+        }
+        let ends: Vec<_> = {
+            let mut world = ground.world.borrow_mut();
+            let later = world.happens.split_off(&(now + 1, 0));
+            std::mem::replace(&mut world.happens, later).into_values().collect()
+        };
+        for (trace, attempt, status, worker) in ends {
+            let job = {
+                let mut world = ground.world.borrow_mut();
+                let job = world.jobs.get_mut(&trace).expect("a job");
+                job.out.retain(|w| *w != worker);
+                job.id
+            };
+            engine_now.told(now, Told::Ended(ClaimId { job, attempt }, status, None), &ground);
+        }
+        engine_now.step(now, &ground);
+        // The next process: it takes in what was learned, and every open job that can go now; the rest go later.
+        if replaced < replacements && now >= begin + (replaced + 1) * (end - begin) / (replacements + 1) {
+            replaced += 1;
+            let mut new = engine(&settings, now, seed ^ replaced);
+            new.told(now, list(now), &ground);
+            let (to, from) = async_channel::bounded(1);
+            engine_now.told(now, Told::Recall(to, Recall::AllButHeld), &ground);
+            new.told(now, Told::Learned(Box::new(from.try_recv().expect("at once"))), &ground);
+            let open: Vec<(u64, JobId)> = {
+                let world = ground.world.borrow();
+                world.jobs.iter().filter(|j| j.1.answers.is_empty()).map(|j| (*j.0, j.1.id)).collect()
+            };
+            // Those go that the module has heard all of; the rest a moment later, as the front tries again.
+            let mut stay = open;
+            for _ in 0..10 {
+                now += 2 * MS;
+                ground.world.borrow_mut().now = now;
+                engine_now.step(now, &ground);
+                stay.retain(|(trace, id)| {
+                    let (to, from) = async_channel::bounded(1);
+                    engine_now.told(now, Told::Release(*id, to), &ground);
+                    let Some(released) = from.try_recv().expect("at once") else { return true };
+                    {
+                        let mut world = ground.world.borrow_mut();
+                        let job = world.jobs.get_mut(trace).expect("a job");
+                        (job.id, job.moves) = (next_job, job.moves + 1);
+                        world.of.insert(next_job, *trace);
+                    }
+                    let job = Box::new(released.job);
+                    new.told(now, Told::Adopted(next_job, job, released.until, Reply::Floor), &ground);
+                    (next_job, moved) = (next_job + 1, moved + 1);
+                    false
+                });
+            }
+            assert_eq!(engine_now.jobs(), 0, "the old process has nothing left to answer");
+            engine_now = new;
+        }
+        now += 2 * MS;
+    }
+    assert_eq!(engine_now.jobs(), 0, "all is answered");
+    (ground.world.into_inner(), moved)
+}
+
+fn check(world: &World) -> Result<(), String> {
+    if let Some(fault) = world.faults.first() {
+        return Err(fault.clone());
+    }
+    for (trace, job) in &world.jobs {
+        let [(at, answer)] = job.answers[..] else {
+            return Err(format!("job {trace}: {} answers after {} moves", job.answers.len(), job.moves));
+        };
+        if at > job.until + 20 * MS {
+            return Err(format!("job {trace}: answered {} us late", at - job.until));
+        }
+        if matches!(answer, Answer::Requeue(_)) && job.class == 2 && job.may_have_run > 0 {
+            return Err(format!("job {trace}: refused, though it may have run"));
+        }
+    }
+    Ok(())
+}
+
+/// 300 schedulers, each replaced three times in six seconds of traffic: no job without its one answer in time, none
+/// repeated against its class, none out twice, whichever process it was in.
+#[test]
+fn three_hundred_schedulers_are_replaced_and_no_job_notices() {
+    let (mut jobs, mut moved, mut twice) = (0, 0, 0);
+    for seed in 0..300 {
+        let (world, went) = play(seed, seed % 2 == 0, 3);
+        check(&world).unwrap_or_else(|fault| panic!("scheduler {seed}: {fault}"));
+        (jobs, moved) = (jobs + world.jobs.len(), moved + went);
+        twice += world.jobs.values().filter(|j| j.moves > 1).count();
+    }
+    assert!(
+        jobs > 40_000 && moved > 3_000 && twice > 100,
+        "{jobs} jobs, {moved} moves, {twice} more than once"
+    );
+}
+
+/// Being replaced must not cost service: of the same jobs about as many are served as without.
+#[test]
+fn as_many_jobs_are_served_with_replacements_as_without() {
+    let served = |replacements: u64| {
+        let of = |seed: u64| {
+            let (world, _) = play(seed, true, replacements);
+            let served = |j: &&Seen| matches!(j.answers[..], [(_, Answer::Served)]);
+            (world.jobs.values().filter(served).count(), world.jobs.len())
+        };
+        (1000..1040).map(of).fold((0, 0), |sum, n| (sum.0 + n.0, sum.1 + n.1))
+    };
+    let ((with, all), (without, of)) = (served(4), served(0));
+    let (with, without) = (with as f64 / all as f64, without as f64 / of as f64);
+    assert!(with > without - 0.01, "served {with:.3} with replacements, {without:.3} without");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+    /// Any number of replacements, at any distance.
+    #[test]
+    fn any_replacements_keep_the_promises(seed in any::<u64>(), duplicates: bool, replacements in 1u64..60) {
+        let (world, _) = play(seed, duplicates, replacements);
+        prop_assert_eq!(check(&world), Ok(()));
+    }
+}
