A job whose class has other rules by now stays as the process is replaced

Dispatcher::release (src/recall.rs) took a request out of its table before it looked for the id of its class. A job that came before SIGHUP changed its class's rules stands at an old place of the tables, which has no id: it was dropped and not given away, and the book failed it at its last moment.

An attempt is one type for the table and for the way (carried::Try), in place of two that were copied field by field.

Result. a_job_whose_rules_have_changed_since_stays fails without it (the job is unknown afterwards).

--- a/src/carried.rs
+++ b/src/carried.rs
@@ -29,44 +29,56 @@
 }
 
 /// One attempt.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Try<N> {
     /// Its worker.
     pub worker: N,
     /// When it was sent.
     pub sent: Time,
-    /// When its job began.
+    /// How long a connection to the worker had been idle then.
+    pub unused: Time,
+    /// When its job began. Where that is not told: when it was sent, if no other job of ours was there.
     pub started: Option<Time>,
     /// Its last sign, and the share done by then.
     pub sign: (Time, f64),
     /// The first share done that was told.
     pub told: Option<(Time, f64)>,
-    /// It did not go where its like goes first.
+    /// It did not go to the worker where its like goes first.
     pub away: bool,
-    /// No sign came when it was due.
+    /// No sign came when it was due: its slots are taken for free.
     pub silent: bool,
+    /// The worker has not said in time that it took it.
+    pub unheard: bool,
     /// It has ended.
     pub done: bool,
     /// ... and never ran.
     pub never_ran: bool,
 }
 
+impl<N> Try<N> {
+    /// The same at a worker by another name.
+    pub fn at<M>(self, name: impl FnOnce(N) -> M) -> Try<M> {
+        Try {
+            worker: name(self.worker),
+            sent: self.sent,
+            unused: self.unused,
+            started: self.started,
+            sign: self.sign,
+            told: self.told,
+            away: self.away,
+            silent: self.silent,
+            unheard: self.unheard,
+            done: self.done,
+            never_ran: self.never_ran,
+        }
+    }
+}
+
 impl<N> Carried<N> {
     /// The same under other names. `None`: its class has none there. A worker without one gets what `worker` makes up.
     pub fn renamed<M>(
         self, class: impl FnOnce(&N) -> Option<M>, mut worker: impl FnMut(&N) -> M,
     ) -> Option<Carried<M>> {
-        let renamed = |t: Try<N>| Try {
-            worker: worker(&t.worker),
-            sent: t.sent,
-            started: t.started,
-            sign: t.sign,
-            told: t.told,
-            away: t.away,
-            silent: t.silent,
-            done: t.done,
-            never_ran: t.never_ran,
-        };
         Some(Carried {
             class: class(&self.class)?,
             late_from: self.late_from,
@@ -76,7 +88,7 @@
             slots: self.slots,
             attempts: self.attempts,
             over: self.over,
-            tries: self.tries.into_iter().map(renamed).collect(),
+            tries: self.tries.into_iter().map(|t| t.at(|n| worker(&n))).collect(),
         })
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 use crate::affinity::{self, Fetches, Steady};
 use crate::api::*;
 use crate::arrivals::Arrivals;
+use crate::carried;
 use crate::runs::{self, KEEP, Speed, Sum, Work, fresh};
 pub use crate::solve::solve;
 use rand_core::{Rng, SeedableRng};
@@ -100,20 +101,7 @@
     longest: Time, // that a client gave a try
 }
 
-#[derive(Default)]
-struct Try {
-    worker: usize,
-    sent: Time,
-    unused: Time,              // how long a connection to the worker had been idle
-    started: Option<Time>,     // where it is not told: when it was sent, if no other job of ours was there
-    sign: (Time, f64),         // its last one and the share done by then
-    told: Option<(Time, f64)>, // the first share done that was told
-    away: bool,                // not sent to the worker where its like goes first
-    silent: bool,              // no sign came when it was due: its slots are taken for free
-    unheard: bool,             // the worker has not said in time that it took it
-    done: bool,
-    never_ran: bool,
-}
+type Try = carried::Try<usize>; // its worker is a place in the table
 
 #[derive(Default)]
 struct Open {
--- a/src/recall.rs
+++ b/src/recall.rs
@@ -3,7 +3,7 @@
 //! cold worker's budget, the list's word that a worker may get work) is neither told nor taken.
 
 use super::*;
-use crate::carried::{self, Carried};
+use crate::carried::Carried;
 use crate::learned::{self, Learned, Pace, aged};
 
 /// Run times, speeds and fetches are those of programs and machines: they are true for minutes.
@@ -71,9 +71,11 @@
     }
 
     /// Gives a request away to the process that takes over, with all that is out: it is not known here any more.
-    /// `None` where there is no such request, or nothing more is owed for it.
+    /// `None` where there is no such request, nothing more is owed for it, or the settings have changed the rules that it
+    /// came with: it stays.
     pub fn release(&mut self, now: Time, id: RequestId) -> Option<Carried<u32>> {
-        self.open.get(&id).filter(|open| !open.closed)?;
+        let rules = self.open.get(&id).filter(|open| !open.closed)?.class;
+        let class = self.class_of.iter().position(|i| *i == rules)? as u32;
         let open = self.open.remove(&id)?;
         self.due.retain(|due| due.1 != id);
         if let Some(q) = open.held {
@@ -82,18 +84,7 @@
         for (n, t) in open.tries.iter().enumerate().filter(|(_, t)| !t.done) {
             self.leave(now, t.worker, (id, n as Attempt), if t.silent { 0.0 } else { open.slots });
         }
-        let class = self.class_of.iter().position(|i| *i == open.class)? as u32;
-        let carried = |t: &Try| carried::Try {
-            worker: self.workers[t.worker].listed.worker,
-            sent: t.sent,
-            started: t.started,
-            sign: t.sign,
-            told: t.told,
-            away: t.away,
-            silent: t.silent,
-            done: t.done,
-            never_ran: t.never_ran,
-        };
+        let worker = |i: usize| self.workers[i].listed.worker;
         Some(Carried {
             class,
             late_from: open.late_from,
@@ -103,7 +94,7 @@
             slots: open.slots,
             attempts: open.attempts,
             over: open.over,
-            tries: open.tries.iter().map(carried).collect(),
+            tries: open.tries.into_iter().map(|t| t.at(worker)).collect(),
         })
     }
 
@@ -123,6 +114,8 @@
                 self.kinds.resize(self.kinds.len().max(1), Kind::default());
                 self.solve_draw(now);
             }
+            open.tries.push(t.at(|_| i));
+            let t = &open.tries[n];
             if !t.done && !t.silent {
                 let w = &mut self.workers[i];
                 w.running(now);
@@ -135,12 +128,8 @@
                     self.due.extend(self.settings.limits.moves().then_some((moves, id)));
                 }
             }
-            let (worker, sent, started, sign, told) = (i, t.sent, t.started, t.sign, t.told);
-            let (away, silent, done, never_ran) = (t.away, t.silent, t.done, t.never_ran);
-            let of = Try::default();
-            open.tries.push(Try { worker, sent, started, sign, told, away, silent, done, never_ran, ..of });
-            if !t.done && started.is_some() {
-                self.due.insert((self.overdue_at(&open.tries[n]), id));
+            if !t.done && t.started.is_some() {
+                self.due.insert((self.overdue_at(t), id));
             }
         }
         if self.settings.classes[class].late_worth <= 0.0 {
--- a/tests/recall.rs
+++ b/tests/recall.rs
@@ -417,3 +417,16 @@
     });
     assert!(again.is_some() && again != first, "beside the silent one: {sent:?}");
 }
+
+/// A job keeps the rules that it came with; another process only knows those of now.
+#[test]
+fn a_job_whose_rules_have_changed_since_stays() {
+    let mut old = Stage::new(settings(), &[entry(1, 0), entry(2, 0)]);
+    let (id, _) = old.ask(2);
+    let mut changed = settings();
+    changed.classes[2].effect = Effect::Safe;
+    old.event(Event::Settings(Box::new(changed)));
+    assert_eq!(old.d.release(old.now, id), None);
+    old.end(id, 0, Status::Error);
+    assert!(old.failed(id) && old.sent(id).is_none(), "it is still known, and never repeated");
+}
