--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`scenario`] says who there is and what happens to them. [`virt`] plays it in virtual time with the scheduler's own
 //! engine and module, [`sockets`] on loopback with the real program as child processes. Both grounds share the job
-//! workers ([`worker`]), the clients ([`client`]), the checkers of the rules ([`check`]) and the figures ([`service`]).
+//! workers ([`worker`], [`store`]), the clients ([`client`]), the checkers of the rules ([`check`]) and the figures ([`service`]).
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -13,9 +13,13 @@
 pub mod export;
 pub mod foldcheck;
 pub mod load;
+pub mod plain;
+pub mod random;
 pub mod report;
 pub mod scenario;
 pub mod service;
 pub mod sockets;
+pub mod store;
+pub mod survey;
 pub mod virt;
 pub mod worker;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,8 @@
 
 #![forbid(unsafe_code)]
 
+mod survey_call;
+
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use indigofold_lab::export::{self, Form, Log};
@@ -160,6 +162,8 @@
         #[arg(long, default_value_t = 5)]
         seeds: u64,
     },
+    /// Draw deployments at random, play the module and plain policies on each, and show where the module loses.
+    Survey(survey_call::Survey),
     /// Print a published schema: of the mapping file or of the scenario file.
     Schema {
         /// Which.
@@ -365,6 +369,7 @@
                 }
             }
         }
+        Call::Survey(args) => survey_call::call(args, cli.json)?,
         Call::Schema { of } => {
             let schema = match of {
                 SchemaOf::Mapping => mapping::schema(),
--- /dev/null
+++ b/crates/lab/src/plain.rs
@@ -0,0 +1,352 @@
+//! Plain schedulers to measure against: one rule for where a job goes, an attempt elsewhere when one fails and the class
+//! allows it, and an answer in time. They guard nothing: not cold job workers, not tenants' shares, not late jobs.
+//!
+//! Definitions: *random*; *round robin*; *least own* (fewest of this scheduler's slots in flight); *two choices* (the fewer
+//! of two drawn); *by key* (consistent hashing with bounded loads, Mirrokni, Thorup and Zadimoghaddam 2018: the first
+//! worker in the subject's order whose own slots are under 1.25 times the mean); *all-knowing* (the worker where the job
+//! would end first, by the true state of all: no real one can).
+
+use crate::random::{draw, unit};
+use crate::scenario::Micros;
+use indigofold::affinity;
+use indigofold::api::{Effect, Entry, Request, Scope, Settings, Status, WorkerId, WorkerState};
+use indigofold::core::{Answer, Claim, ClaimId, Floor, JobId, Told};
+use rand_pcg::Pcg64Mcg;
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Own slots that a worker may hold over the mean, where jobs go by key.
+const BOUND: f64 = 1.25;
+
+/// Which rule.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, clap::ValueEnum,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// The scheduler's own module.
+    Module,
+    /// Any worker.
+    Random,
+    /// One after another.
+    RoundRobin,
+    /// The fewest own slots in flight.
+    LeastOwn,
+    /// The fewer own slots of two drawn.
+    TwoChoices,
+    /// By what the job is about, with a bound.
+    ByKey,
+    /// Where it would end first, by the true state.
+    AllKnowing,
+}
+
+impl Policy {
+    /// All of them, the module first.
+    pub const ALL: [Policy; 7] = [
+        Policy::Module,
+        Policy::Random,
+        Policy::RoundRobin,
+        Policy::LeastOwn,
+        Policy::TwoChoices,
+        Policy::ByKey,
+        Policy::AllKnowing,
+    ];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Policy::Module => "module",
+            Policy::Random => "random",
+            Policy::RoundRobin => "round robin",
+            Policy::LeastOwn => "least own",
+            Policy::TwoChoices => "two choices",
+            Policy::ByKey => "by key",
+            Policy::AllKnowing => "all-knowing",
+        }
+    }
+
+    /// Does it know what no scheduler can?
+    pub fn knows_all(self) -> bool {
+        self == Policy::AllKnowing
+    }
+}
+
+struct Job {
+    request: Request,
+    until: Micros,
+    tries: Vec<(WorkerId, bool)>, // where, and whether it is out
+    may_have_run: bool,
+    first_sent: Micros,
+}
+
+/// One plain scheduler.
+pub struct Plain {
+    policy: Policy,
+    settings: Settings,
+    early: Micros,
+    rng: Pcg64Mcg,
+    list: BTreeMap<WorkerId, Entry>,
+    own: FxHashMap<WorkerId, f64>,
+    jobs: FxHashMap<JobId, Job>,
+    due: BTreeSet<(Micros, JobId)>,
+    turn: usize,
+    /// Where the job that is told next would end first, for who knows all.
+    pub best: Option<WorkerId>,
+}
+
+impl Plain {
+    /// One that goes by this rule; jobs are answered so long before their clients' time is up.
+    pub fn new(policy: Policy, settings: Settings, seed: u64, early: Micros) -> Self {
+        Plain {
+            policy,
+            settings,
+            early,
+            rng: draw(seed, 0, 0x91a1),
+            list: BTreeMap::new(),
+            own: FxHashMap::default(),
+            jobs: FxHashMap::default(),
+            due: BTreeSet::new(),
+            turn: 0,
+            best: None,
+        }
+    }
+
+    /// When it must be stepped next.
+    pub fn due(&self) -> Option<Micros> {
+        self.due.first().map(|d| d.0)
+    }
+
+    /// Takes what it is told, and acts on it at once.
+    pub fn told(&mut self, now: Micros, told: Told, floor: &dyn Floor) {
+        match told {
+            Told::Job(request, until, _) => {
+                let (id, until) = (request.id, until.saturating_sub(self.early).max(now));
+                let job = Job { request, until, tries: Vec::new(), may_have_run: false, first_sent: now };
+                self.jobs.insert(id, job);
+                self.due.insert((until, id));
+                self.place(now, id, floor);
+            }
+            Told::Gone(id) => self.close(id, floor),
+            Told::Ended(claim, status, _) => self.ended(now, claim, status, floor),
+            Told::List(Scope::Failed, _) => {}
+            Told::List(scope, entries) => {
+                if scope != Scope::Delta {
+                    self.list.clear();
+                }
+                self.list.extend(entries.into_iter().map(|e| (e.worker, e)));
+            }
+            _ => {}
+        }
+    }
+
+    /// Does what is due: jobs whose time is up have failed.
+    pub fn step(&mut self, now: Micros, floor: &dyn Floor) {
+        while let Some((_, id)) = self.due.first().copied().filter(|d| d.0 <= now) {
+            self.answer(id, Answer::Failed, floor);
+        }
+    }
+
+    fn ended(&mut self, now: Micros, claim: ClaimId, status: Status, floor: &dyn Floor) {
+        let Some(job) = self.jobs.get_mut(&claim.job) else { return };
+        let Some(t) = job.tries.get_mut(claim.attempt as usize).filter(|t| t.1) else { return };
+        t.1 = false;
+        let (worker, slots) = (t.0, job.request.slots);
+        job.may_have_run |= !matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
+        *self.own.entry(worker).or_default() -= slots;
+        match status {
+            Status::Ok => self.answer(claim.job, Answer::Served, floor),
+            _ => self.place(now, claim.job, floor),
+        }
+    }
+
+    /// Sends the job where the rule says, if its class and the settings allow one more attempt; else answers it.
+    fn place(&mut self, now: Micros, id: JobId, floor: &dyn Floor) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let may_have_run = job.may_have_run;
+        let class = self.settings.classes.get(job.request.class as usize);
+        let effect = class.map_or(Effect::Unsafe, |c| c.effect);
+        let repeats = match effect {
+            Effect::Safe => true,
+            Effect::Keyed { ttl, .. } => !job.may_have_run || now < job.first_sent + ttl,
+            Effect::Unsafe => !job.may_have_run,
+        };
+        let left = job.tries.len() < self.settings.limits.attempts as usize && now < job.until;
+        let to = if repeats && left { self.choose(id) } else { None };
+        let Some(to) = to else {
+            let harmless = !may_have_run || !matches!(effect, Effect::Unsafe);
+            return self.answer(id, if harmless { Answer::Requeue(0) } else { Answer::Failed }, floor);
+        };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.tries.is_empty() {
+            job.first_sent = now;
+        }
+        let attempt = job.tries.len() as u32;
+        job.tries.push((to, true));
+        *self.own.entry(to).or_default() += job.request.slots;
+        floor.claim(Claim { id: ClaimId { job: id, attempt }, machine: to, until: job.until });
+    }
+
+    fn choose(&mut self, id: JobId) -> Option<WorkerId> {
+        let job = self.jobs.get(&id)?;
+        let bound = self.settings.classes.get(job.request.class as usize).and_then(|c| c.kind);
+        let may = |e: &&Entry| {
+            let tried = job.tries.iter().any(|t| t.0 == e.worker);
+            e.state == WorkerState::Active && !tried && bound.is_none_or(|kind| e.kind == kind)
+        };
+        let free: Vec<WorkerId> = self.list.values().filter(may).map(|e| e.worker).collect();
+        if free.is_empty() {
+            return None;
+        }
+        let own = |w: &WorkerId| self.own.get(w).copied().unwrap_or(0.0);
+        let any = |rng: &mut Pcg64Mcg| free[(unit(rng) * free.len() as f64) as usize];
+        Some(match self.policy {
+            Policy::Module | Policy::Random => any(&mut self.rng),
+            Policy::RoundRobin => {
+                self.turn += 1;
+                free[self.turn % free.len()]
+            }
+            Policy::LeastOwn => {
+                // The first after a random place, so that ties do not all fall to one.
+                let from = (unit(&mut self.rng) * free.len() as f64) as usize;
+                let turned = free[from..].iter().chain(&free[..from]);
+                *turned.min_by(|a, b| own(a).total_cmp(&own(b)))?
+            }
+            Policy::TwoChoices => {
+                let (a, b) = (any(&mut self.rng), any(&mut self.rng));
+                if own(&b) < own(&a) { b } else { a }
+            }
+            Policy::ByKey => {
+                let subject = job.request.subject.unwrap_or(id);
+                let most = BOUND * (free.iter().map(own).sum::<f64>() + 1.0) / free.len() as f64;
+                let rank = |w: &WorkerId| affinity::rank(subject, *w);
+                let mut order = free.clone();
+                order.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
+                let fits = order.iter().find(|w| own(w) + 1.0 <= most.ceil());
+                *fits.unwrap_or(&order[0])
+            }
+            Policy::AllKnowing => {
+                self.best.filter(|w| free.contains(w)).unwrap_or_else(|| any(&mut self.rng))
+            }
+        })
+    }
+
+    fn answer(&mut self, id: JobId, answer: Answer, floor: &dyn Floor) {
+        if self.jobs.contains_key(&id) {
+            floor.answer(id, answer);
+        }
+        self.close(id, floor);
+    }
+
+    /// Forgets a job; what is out is given up where that can be said.
+    fn close(&mut self, id: JobId, floor: &dyn Floor) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        self.due.remove(&(job.until, id));
+        for (n, (worker, _)) in job.tries.iter().enumerate().filter(|(_, t)| t.1) {
+            *self.own.entry(*worker).or_default() -= job.request.slots;
+            if self.settings.limits.cancel {
+                floor.give_up(ClaimId { job: id, attempt: n as u32 }, *worker);
+            }
+        }
+        floor.forget(id);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use indigofold::core::{Ask, Reply};
+    use std::cell::RefCell;
+
+    #[derive(Default)]
+    struct Noted(RefCell<Vec<String>>);
+
+    impl Floor for Noted {
+        fn claim(&self, claim: Claim) -> bool {
+            self.0.borrow_mut().push(format!("{}.{} at {}", claim.id.job, claim.id.attempt, claim.machine));
+            true
+        }
+        fn give_up(&self, claim: ClaimId, _: WorkerId) -> bool {
+            self.0.borrow_mut().push(format!("give up {}.{}", claim.job, claim.attempt));
+            false
+        }
+        fn probe(&self, _: WorkerId) -> bool {
+            false
+        }
+        fn hang_up(&self, _: WorkerId) {}
+        fn ask(&self, _: Ask) -> bool {
+            false
+        }
+        fn answer(&self, job: JobId, answer: Answer) {
+            self.0.borrow_mut().push(format!("{job}: {answer:?}"));
+        }
+        fn forget(&self, _: JobId) {}
+        fn note(&self, _: &str) {}
+    }
+
+    fn plain(policy: Policy, effect: Effect, workers: u32) -> (Plain, Noted) {
+        let mut settings = Settings { dispatchers: 1, ..Settings::default() };
+        settings.classes = vec![indigofold::api::Class { effect, ..indigofold::api::Class::UNKNOWN }];
+        (settings.limits.attempts, settings.limits.cancel) = (3, true);
+        let (mut p, floor) = (Plain::new(policy, settings, 1, 0), Noted::default());
+        let active = |worker| Entry { worker, state: WorkerState::Active, ..Entry::default() };
+        p.told(0, Told::List(Scope::Full, (1..=workers).map(active).collect()), &floor);
+        (p, floor)
+    }
+
+    fn job(p: &mut Plain, floor: &Noted, id: JobId, subject: u64) {
+        let (left, slots, memory, estimate) = (1_000, 1.0, 0.0, None);
+        let subject = Some(subject);
+        let request = Request { id, class: 0, tenant: 0, left, estimate, slots, memory, subject };
+        p.told(0, Told::Job(request, 1_000, Reply::Floor), floor);
+    }
+
+    fn end(p: &mut Plain, floor: &Noted, job: JobId, attempt: u32, status: Status) {
+        p.told(10, Told::Ended(ClaimId { job, attempt }, status, None), floor);
+    }
+
+    #[test]
+    fn an_attempt_goes_elsewhere_only_where_the_class_allows() {
+        let (mut p, floor) = plain(Policy::RoundRobin, Effect::Unsafe, 3);
+        job(&mut p, &floor, 1, 0);
+        end(&mut p, &floor, 1, 0, Status::Full);
+        end(&mut p, &floor, 1, 1, Status::Reset);
+        assert_eq!(floor.0.take(), ["1.0 at 2", "1.1 at 1", "1: Failed"]);
+        let (mut p, floor) = plain(Policy::RoundRobin, Effect::Safe, 3);
+        job(&mut p, &floor, 1, 0);
+        (0..3).for_each(|n| end(&mut p, &floor, 1, n, Status::Reset));
+        assert_eq!(
+            floor.0.take().last().map(String::as_str),
+            Some("1: Requeue(0)"),
+            "three attempts are all"
+        );
+        job(&mut p, &floor, 2, 0);
+        floor.0.take();
+        p.step(1_000, &floor);
+        assert_eq!(floor.0.take(), ["2: Failed", "give up 2.0"]);
+        assert!(p.due().is_none());
+    }
+
+    #[test]
+    fn each_rule_goes_by_its_own() {
+        let at = |policy: Policy, subjects: [u64; 6]| {
+            let (mut p, floor) = plain(policy, Effect::Safe, 3);
+            subjects.iter().enumerate().for_each(|(n, s)| job(&mut p, &floor, n as u64, *s));
+            let claims = floor.0.take();
+            claims.iter().map(|c| c.rsplit(' ').next().expect("a number").to_string()).collect::<Vec<_>>()
+        };
+        let count = |of: &[String], w: &str| of.iter().filter(|o| *o == w).count();
+        let least = at(Policy::LeastOwn, [0; 6]);
+        assert!(["1", "2", "3"].iter().all(|w| count(&least, w) == 2), "{least:?}");
+        let keyed = at(Policy::ByKey, [5; 6]);
+        assert!(keyed[0] == keyed[1] || count(&keyed, &keyed[0]) >= 2, "{keyed:?}");
+        assert!(
+            ["1", "2", "3"].iter().all(|w| count(&keyed, w) <= 4),
+            "the bound spreads a hot one: {keyed:?}"
+        );
+        let (mut p, floor) = plain(Policy::AllKnowing, Effect::Safe, 3);
+        p.best = Some(3);
+        job(&mut p, &floor, 1, 0);
+        assert_eq!(floor.0.take(), ["1.0 at 3"]);
+    }
+}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -95,6 +95,14 @@
         What::Pauses { ms, every_ms } => format!("stand still for {ms} ms every {every_ms} ms"),
         What::Crash => "crash, and come back cold".into(),
         What::Drain => "drain, and come back cold".into(),
+        What::Slow { times } => format!("run jobs {times} times as long"),
+        What::HotThings { share, things } => {
+            let percent = share * 100.0;
+            return format!(
+                "from {} s on, for {} s, {things} things draw {percent:.0}% of the jobs",
+                t.at_s, t.for_s
+            );
+        }
     };
     format!("from {} s on, for {} s, job workers {:?} {what}", t.at_s, t.for_s, t.workers)
 }
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -101,7 +101,7 @@
 
 /// One try; `None`: the client's time was up.
 async fn one_try(stage: &Arc<Stage>, pools: &Pools, a: &Arrival, tried: u32, until: Micros) -> Option<Said> {
-    let zone = stage.scenario.home(a);
+    let zone = stage.scenario.home(a.parish, a.number);
     let scheduler = {
         let mut turns = locked(&pools.turn);
         turns[zone as usize] += 1;
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -114,6 +114,11 @@
     let body = list.to_string();
     link.write(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).as_bytes()).await?;
     let at = stage.now();
-    told.into_iter().for_each(|(worker, takes)| stage.see(Seen::Told { scheduler, worker, takes, at }));
+    for (worker, takes) in told {
+        stage.see(Seen::Told { scheduler, worker, takes, at });
+        if takes {
+            stage.see(Seen::Aware { scheduler, worker });
+        }
+    }
     Ok(())
 }
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -85,11 +85,15 @@
 /// Plays arrivals on sockets.
 ///
 /// # Errors
-/// The program does not start, or a stand-in cannot listen.
+/// The program does not start, a stand-in cannot listen, or the scenario wants what only virtual time has.
 pub fn play(
     scenario: &Scenario, seed: u64, retries: Retries, program: &Path,
     arrivals: impl Iterator<Item = Result<Arrival, String>>,
 ) -> Result<Run, String> {
+    let machines = &scenario.machines;
+    if machines.things.is_some() || machines.cancel || !machines.copies {
+        return Err("at /machines: 'things', 'cancel' and 'copies' are played in virtual time only".into());
+    }
     let tasks = Arc::new(Executor::new());
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let threads: Vec<_> = (0..THREADS)
@@ -128,7 +132,7 @@
     }
     let verdict = checker.finish(stage.now());
     let service = std::mem::replace(&mut *locked(&stage.service), Service::new(scenario));
-    Ok(Run { outcome: service.outcome(), verdict, events, notes: Default::default() })
+    Ok(Run { outcome: service.outcome(), verdict, events, ..Run::default() })
 }
 
 async fn on_stage(
@@ -176,6 +180,12 @@
                 Timer::after(Duration::from_micros((every_ms.max(1.0) * 1e3) as u64)).await;
             }
         }
+        What::Slow { times } => {
+            trouble.workers.iter().for_each(|w| fleet.set_pace(*w, 1.0 / times));
+            Timer::at(stage.instant(until)).await;
+            trouble.workers.iter().for_each(|w| fleet.set_pace(*w, 1.0));
+        }
+        What::HotThings { .. } => {} // the load's
         What::Crash | What::Drain => {
             let crash = trouble.what == What::Crash;
             for w in &trouble.workers {
--- a/crates/lab/src/sockets/workers.rs
+++ b/crates/lab/src/sockets/workers.rs
@@ -5,7 +5,7 @@
 use super::{Stage, locked};
 use crate::check::Seen;
 use crate::scenario::Micros;
-use crate::worker::{Event, Offer, Worker};
+use crate::worker::{Event, Job, Offer, Worker};
 use async_channel::{Receiver, Sender, unbounded};
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
@@ -64,7 +64,10 @@
         .map(|n| {
             let kind = &stage.scenario.kinds[stage.scenario.kind_of(n)];
             Machine {
-                worker: Mutex::new(Worker::new(kind, stage.scenario.speed_of(n))),
+                worker: Mutex::new(
+                    Worker::new(kind, stage.scenario.speed_of(n))
+                        .serving(stage.scenario.machines.order, None),
+                ),
                 held: Mutex::default(),
                 wake: async_channel::bounded(1),
                 life: Default::default(),
@@ -194,7 +197,8 @@
         let ticket = self.next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         // Known before it is offered: it may start at once.
         locked(&machine.held).insert(ticket, Held { job, scheduler, total });
-        let offer = locked(&machine.worker).offer(now, ticket, known.work, known.slots);
+        let offer = locked(&machine.worker)
+            .offer(now, Job { ticket, work: known.work, slots: known.slots, ..Job::default() });
         match offer {
             Offer::Taken => {
                 self.stage.see(Seen::Runs { job, worker: w, at: now });
@@ -276,6 +280,12 @@
         let _ = self.machine(w).wake.0.try_send(());
     }
 
+    /// A job worker has this share of its speed from now on.
+    pub fn set_pace(&self, w: u32, pace: f64) {
+        locked(&self.machine(w).worker).set_pace(self.stage.now(), pace);
+        let _ = self.machine(w).wake.0.try_send(());
+    }
+
     /// A job worker drains.
     pub fn drain(&self, w: u32) {
         locked(&self.machine(w).worker).drain();
--- /dev/null
+++ b/crates/lab/src/survey/draw.rs
@@ -0,0 +1,254 @@
+//! Deployments drawn at random from wide ranges. The ranges are the table in `docs/survey.md`; a change of one is a change
+//! of the survey, and [`super::VERSION`] goes up with it.
+
+use crate::random::{between, draw, unit};
+use crate::scenario::{
+    Class, Clients, Discovery, Effect, Jump, Kind, Limits, Load, Machines, Network, Order, Parish, Prices,
+    Rules, Scenario, Spread, Things, Trouble, What,
+};
+use rand_pcg::Pcg64Mcg;
+
+/// First tries that a run holds at the most, about.
+const JOBS: f64 = 6_000.0;
+/// A run is so long at least, and at most.
+const SECONDS: (f64, f64) = (15.0, 30.0);
+
+fn log_between(rng: &mut Pcg64Mcg, low: f64, high: f64) -> f64 {
+    between(rng, low.ln(), high.ln()).exp()
+}
+
+fn whole(rng: &mut Pcg64Mcg, low: u32, high: u32) -> u32 {
+    low + (unit(rng) * f64::from(high - low + 1)) as u32
+}
+
+fn chance(rng: &mut Pcg64Mcg, of: f64) -> bool {
+    unit(rng) < of
+}
+
+/// Shares that sum to 1.
+fn shares(rng: &mut Pcg64Mcg, n: u32) -> Vec<f64> {
+    let drawn: Vec<f64> = (0..n).map(|_| between(rng, 0.15, 1.0)).collect();
+    let sum: f64 = drawn.iter().sum();
+    drawn.into_iter().map(|s| s / sum).collect()
+}
+
+fn class(rng: &mut Pcg64Mcg, n: usize, share: f64) -> Class {
+    let work_ms = log_between(rng, 20.0, 3_000.0);
+    let aim_ms = (work_ms * between(rng, 0.5, 2.5) + between(rng, 30.0, 200.0)) as u64;
+    let stretch = between(rng, 1.0, 3.0);
+    let usual = aim_ms as f64 + stretch * work_ms;
+    let effect = match whole(rng, 0, 3) {
+        0 | 1 => Effect::Safe,
+        2 => Effect::Keyed(log_between(rng, 2_000.0, 20_000.0) as u64),
+        _ => Effect::Unsafe,
+    };
+    Class {
+        name: format!("class-{n}"),
+        share,
+        effect,
+        work_ms,
+        spread: if chance(rng, 0.3) { Spread::Exponential } else { Spread::Lognormal },
+        cv: between(rng, 0.3, 1.6),
+        priority: whole(rng, 0, 1) as i32,
+        slots: if chance(rng, 0.25) { vec![0.8, 0.2] } else { vec![1.0] },
+        aim_ms,
+        stretch,
+        deadline_ms: (usual * between(rng, 1.5, 6.0)).max(400.0) as u64,
+        worth: between(rng, 1.0, 10.0),
+        late_worth: if chance(rng, 0.25) { 0.0 } else { between(rng, 0.1, 0.5) },
+    }
+}
+
+fn kind(rng: &mut Pcg64Mcg, n: usize, count: u32) -> Kind {
+    let (speed, spread) = (between(rng, 0.45, 1.9), between(rng, 0.03, 0.2));
+    Kind {
+        name: format!("kind-{n}"),
+        count,
+        cores: whole(rng, 2, 8),
+        speed: [speed * (1.0 - spread), speed * (1.0 + spread)],
+        queue_per_core: between(rng, 4.0, 20.0),
+        cold_from: between(rng, 0.3, 0.7),
+        warm_s: between(rng, 2.0, 9.0),
+    }
+}
+
+/// So many different job workers of all.
+fn some(rng: &mut Pcg64Mcg, all: u32, share: f64) -> Vec<u32> {
+    let wanted = ((f64::from(all) * share).round() as u32).clamp(1, all);
+    let mut left: Vec<u32> = (0..all).collect();
+    let mut taken: Vec<u32> =
+        (0..wanted).map(|_| left.swap_remove((unit(rng) * left.len() as f64) as usize)).collect();
+    taken.sort_unstable();
+    taken
+}
+
+fn troubles(rng: &mut Pcg64Mcg, workers: u32, seconds: f64) -> Vec<Trouble> {
+    let mut troubles = Vec::new();
+    for _ in 0..whole(rng, 0, 3) {
+        let (at_s, for_s) = (between(rng, 2.0, seconds * 0.6), between(rng, 3.0, seconds * 0.4));
+        let (part, of) = (between(rng, 0.05, 0.25), whole(rng, 0, 5));
+        let picked = some(rng, workers, part);
+        let what = match of {
+            0 => What::Hang,
+            1 => What::Crash,
+            2 => {
+                // A release: most of them, a few at a time.
+                let step = (for_s / 6.0).max(0.5);
+                for n in 0..6u32 {
+                    let workers: Vec<u32> = (0..workers).filter(|w| w % 6 == n).collect();
+                    let at_s = at_s + f64::from(n) * step;
+                    if !workers.is_empty() {
+                        troubles.push(Trouble { at_s, for_s: step, workers, what: What::Drain });
+                    }
+                }
+                continue;
+            }
+            3 => What::Slow { times: between(rng, 2.0, 8.0) },
+            4 => What::HotThings { share: between(rng, 0.06, 0.25), things: whole(rng, 1, 3) },
+            _ => What::Pauses { ms: between(rng, 30.0, 250.0), every_ms: between(rng, 400.0, 3_000.0) },
+        };
+        let workers = if matches!(what, What::HotThings { .. }) { Vec::new() } else { picked };
+        troubles.push(Trouble { at_s, for_s, workers, what });
+    }
+    troubles
+}
+
+/// The deployment of this number.
+pub fn deployment(seed: u64, number: u64) -> Scenario {
+    let rng = &mut draw(seed, number, 0x5e4e);
+    let zones = (0..whole(rng, 1, 3)).map(|n| format!("room-{n}")).collect();
+    let classes = whole(rng, 1, 4);
+    let classes = shares(rng, classes);
+    let classes: Vec<Class> = classes.iter().enumerate().map(|(n, s)| class(rng, n, *s)).collect();
+    let workers = log_between(rng, 4.0, 40.0) as u32;
+    let kinds = whole(rng, 1, workers.min(4));
+    let counts = shares(rng, kinds);
+    let kinds: Vec<Kind> = counts
+        .iter()
+        .enumerate()
+        .map(|(n, s)| kind(rng, n, ((f64::from(workers) * s).round() as u32).max(1)))
+        .collect();
+    let parishes = whole(rng, 1, 5);
+    let parishes = shares(rng, parishes).into_iter().enumerate();
+    let parishes =
+        parishes.map(|(n, share)| Parish { name: format!("office-{n}"), share, usage: 1.0, zone: None });
+    let slots: u32 = kinds.iter().map(|k| k.count * k.cores).sum();
+    let things = chance(rng, 0.5).then(|| Things {
+        kept: whole(rng, 2, 12),
+        fetch: between(rng, 0.1, 0.8),
+        at_once: (f64::from(slots) * between(rng, 0.05, 0.3)).max(1.0),
+    });
+    let (cancel, reports) = (chance(rng, 0.6), chance(rng, 0.5));
+    let order = [Order::InOrder, Order::WhateverFits, Order::Priority][whole(rng, 0, 2) as usize];
+    let machines = Machines { order, cancel, copies: chance(rng, 0.5), reports, things };
+    let mut scenario = Scenario {
+        version: 1,
+        name: format!("survey {seed}, deployment {number}"),
+        start: 1_795_978_800,
+        seed,
+        fleet_seed: number,
+        schedulers: log_between(rng, 2.0, 24.0) as u32,
+        zones,
+        classes,
+        parishes: parishes.collect(),
+        kinds,
+        network: Network { cross_ms: between(rng, 0.5, 4.0), ..Network::default() },
+        clients: Clients {
+            retries: whole(rng, 0, 3),
+            backoff_ms: between(rng, 20.0, 200.0),
+            subjects: log_between(rng, 50.0, 20_000.0) as u32,
+            zipf: between(rng, 0.6, 1.2),
+            ..Clients::default()
+        },
+        machines,
+        discovery: Discovery { notice_ms: between(rng, 300.0, 4_000.0) as u64, ..Discovery::default() },
+        load: Load::default(),
+        troubles: Vec::new(),
+        rules: Rules { attempts: whole(rng, 2, 4), ..Rules::default() },
+        prices: Prices { cross_zone: between(rng, 0.0, 0.03), ..Prices::default() },
+        over_share_worth: 0.2,
+        limits: Limits { tick_ms: between(rng, 1.0, 5.0), ..Limits::default() },
+    };
+    let used = between(rng, 0.35, 0.95);
+    let rate = scenario.capacity() * used;
+    let seconds = (JOBS / rate).clamp(SECONDS.0, SECONDS.1);
+    let jump = Jump {
+        at_s: seconds * 0.5,
+        for_s: seconds * between(rng, 0.1, 0.25),
+        times: between(rng, 1.2, 2.2),
+        edge_s: 0.3,
+    };
+    let jumps = if chance(rng, 0.4) { vec![jump] } else { Vec::new() };
+    scenario.load = Load { seconds, rate, swing: between(rng, 0.0, 0.35), swing_s: seconds / 2.0, jumps };
+    scenario.troubles = troubles(rng, scenario.workers(), seconds);
+    scenario
+}
+
+/// What a deployment is like, in a few words; the survey groups by them.
+pub fn traits(s: &Scenario) -> Vec<String> {
+    let used = s.load.rate / s.capacity();
+    let band = |value: f64, bounds: &[f64], unit: &str| -> String {
+        match bounds.iter().position(|b| value < *b) {
+            Some(0) => format!("{unit} under {}", bounds[0]),
+            Some(n) => format!("{unit} {} to {}", bounds[n - 1], bounds[n]),
+            None => format!("{unit} from {} on", bounds[bounds.len() - 1]),
+        }
+    };
+    let mut traits = vec![
+        band(used, &[0.55, 0.75], "load"),
+        band(f64::from(s.schedulers), &[4.0, 10.0], "schedulers"),
+        band(f64::from(s.workers()), &[8.0, 20.0], "workers"),
+        if s.machines.things.is_some() { "things kept" } else { "nothing kept" }.into(),
+        if s.machines.reports { "load reports" } else { "no load reports" }.into(),
+        if s.machines.copies { "copies allowed" } else { "no copies" }.into(),
+        if s.machines.cancel { "cancel stops" } else { "cancel does not stop" }.into(),
+        match s.machines.order {
+            Order::InOrder => "served in order",
+            Order::WhateverFits => "whatever fits",
+            Order::Priority => "by priority",
+        }
+        .into(),
+    ];
+    let troubles: std::collections::BTreeSet<&str> = s
+        .troubles
+        .iter()
+        .map(|t| match t.what {
+            What::Hang => "hang",
+            What::Pauses { .. } => "pauses",
+            What::Crash => "crash",
+            What::Drain => "release",
+            What::Slow { .. } => "slow",
+            What::HotThings { .. } => "hot things",
+        })
+        .collect();
+    traits.extend(troubles.iter().map(|t| t.to_string()));
+    if troubles.is_empty() {
+        traits.push("no trouble".into());
+    }
+    if !s.load.jumps.is_empty() {
+        traits.push("jump".into());
+    }
+    traits
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_drawn_deployment_is_a_scenario_and_the_same_each_time() {
+        let mut seen = std::collections::BTreeSet::new();
+        for n in 0..300 {
+            let drawn = deployment(7, n);
+            let text = serde_json::to_string(&drawn).expect("JSON");
+            let read = crate::scenario::read(&text).unwrap_or_else(|wrong| panic!("{n}: {wrong}"));
+            assert_eq!(text, serde_json::to_string(&read).expect("JSON"));
+            assert_eq!(text, serde_json::to_string(&deployment(7, n)).expect("JSON"));
+            seen.extend(traits(&drawn));
+        }
+        for word in ["hang", "release", "slow", "hot things", "pauses", "crash", "no trouble", "jump"] {
+            assert!(seen.contains(word), "{word} is never drawn: {seen:?}");
+        }
+        assert!(seen.contains("load under 0.55") && seen.contains("schedulers from 10 on"), "{seen:?}");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/survey/mod.rs
@@ -0,0 +1,311 @@
+//! A survey: deployments drawn at random, the module and plain rules played on the same draws, and where the module loses.
+//!
+//! All policies of one deployment meet the same arrivals, running times, troubles and clients (common random numbers), so
+//! that their differences are not the luck of a draw; what a policy does changes the network's jitter from then on. A
+//! deployment is played several times with other seeds, and the interval of a difference is Student's, over those.
+
+pub mod draw;
+pub mod page;
+
+use crate::load::Made;
+use crate::plain::Policy;
+use crate::virt::{Ground, Retries, Run};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Seek, SeekFrom, Write};
+use std::path::Path;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Of the ranges and the form of the rows: rows of another one are of another survey.
+pub const VERSION: u32 = 1;
+/// Runs of each deployment, at least and at most.
+pub const RUNS: (u32, u32) = (2, 16);
+
+/// Student's 97.5% point for 1 to 15 degrees of freedom.
+const STUDENT: [f64; 15] = [
+    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
+];
+
+/// What is surveyed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// [`VERSION`] of who wrote it.
+    pub version: u32,
+    /// Deployments are drawn from here.
+    pub seed: u64,
+    /// Runs of each.
+    pub runs: u32,
+    /// The policies, the module among them.
+    pub policies: Vec<Policy>,
+}
+
+/// A policy on a deployment.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Played {
+    /// Its service figure in each run.
+    pub figures: Vec<f64>,
+    /// Breaches of rules, over all runs.
+    pub breaches: BTreeMap<String, u64>,
+    /// Shares of jobs in time, late, refused, failed; fetches and attempts per job.
+    pub shares: [f64; 6],
+}
+
+impl Played {
+    /// Its mean figure.
+    pub fn mean(&self) -> f64 {
+        self.figures.iter().sum::<f64>() / self.figures.len().max(1) as f64
+    }
+}
+
+/// A deployment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Its number.
+    pub number: u64,
+    /// What it is like.
+    pub traits: Vec<String>,
+    /// Each policy on it.
+    pub played: BTreeMap<Policy, Played>,
+}
+
+/// The module against the best plain policy that knows no more than it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Against {
+    /// Which.
+    pub best: Policy,
+    /// Module less that one.
+    pub by: f64,
+    /// ... with 95%.
+    pub interval: [f64; 2],
+}
+
+/// Mean and 95% interval of paired differences.
+fn paired(a: &[f64], b: &[f64]) -> (f64, [f64; 2]) {
+    let by: Vec<f64> = a.iter().zip(b).map(|(a, b)| a - b).collect();
+    let n = by.len().max(1) as f64;
+    let mean = by.iter().sum::<f64>() / n;
+    let spread = by.iter().map(|d| (d - mean).powi(2)).sum::<f64>() / (n - 1.0).max(1.0);
+    let student = STUDENT.get(by.len().saturating_sub(2)).copied().unwrap_or(1.96);
+    let half = student * (spread / n).sqrt();
+    (mean, [mean - half, mean + half])
+}
+
+impl Row {
+    /// The module against the best of the others; `None` where one of them was not played.
+    pub fn against(&self) -> Option<Against> {
+        let module = self.played.get(&Policy::Module)?;
+        let plain = self.played.iter().filter(|(p, _)| **p != Policy::Module && !p.knows_all());
+        let (best, of) = plain.max_by(|a, b| a.1.mean().total_cmp(&b.1.mean()))?;
+        let (by, interval) = paired(&module.figures, &of.figures);
+        Some(Against { best: *best, by, interval })
+    }
+}
+
+fn play(scenario: &crate::scenario::Scenario, policy: Policy, seed: u64) -> Result<Run, String> {
+    let ground = Ground::with(scenario, seed, Retries::Model, policy)?;
+    ground.play(Made::new(scenario, seed)?, |_| {}, |_| {})
+}
+
+/// Plays one deployment.
+///
+/// # Errors
+/// What could not be played of it.
+pub fn row(plan: &Plan, number: u64) -> Result<Row, String> {
+    let scenario = draw::deployment(plan.seed, number);
+    let mut played = BTreeMap::new();
+    for policy in &plan.policies {
+        let mut of = Played::default();
+        let mut sums = [0.0; 6];
+        for n in 0..plan.runs {
+            let run = play(&scenario, *policy, plan.seed ^ (number << 8) ^ u64::from(n) << 56)
+                .map_err(|e| format!("deployment {number}, {}: {e}", policy.name()))?;
+            of.figures.push(run.outcome.figure);
+            for (rule, count) in &run.verdict.breaches {
+                *of.breaches.entry(format!("{rule:?}")).or_default() += count;
+            }
+            let jobs = run.outcome.counts[0].max(1) as f64;
+            let parts = run.outcome.ends.map(|e| e as f64 / jobs);
+            let [in_time, late, refused, failed] = parts;
+            let all = [
+                in_time,
+                late,
+                refused,
+                failed,
+                run.fetches as f64 / jobs,
+                run.outcome.counts[2] as f64 / jobs,
+            ];
+            sums.iter_mut().zip(all).for_each(|(s, a)| *s += a / f64::from(plan.runs));
+        }
+        of.shares = sums;
+        played.insert(*policy, of);
+    }
+    Ok(Row { number, traits: draw::traits(&scenario), played })
+}
+
+/// Rows that a file holds already, and the file, at its end. A last line that is not whole is written anew.
+fn resume(path: &Path, plan: &Plan) -> Result<(BTreeMap<u64, Row>, File), String> {
+    let say = |e: std::io::Error| format!("{}: {e}", path.display());
+    let mut file =
+        OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path).map_err(say)?;
+    let (mut rows, mut whole, mut first) = (BTreeMap::new(), 0, true);
+    for line in BufReader::new(&file).split(b'\n') {
+        let line = line.map_err(say)?;
+        if first {
+            first = false;
+            let other: Plan = serde_json::from_slice(&line)
+                .map_err(|_| format!("{}: it is no survey; name another file", path.display()))?;
+            if other != *plan {
+                return Err(format!(
+                    "{}: it holds another survey (seed {}, {} runs, version {}); name another file",
+                    path.display(),
+                    other.seed,
+                    other.runs,
+                    other.version
+                ));
+            }
+        } else {
+            let Ok(row) = serde_json::from_slice::<Row>(&line) else { break };
+            rows.insert(row.number, row);
+        }
+        whole += line.len() as u64 + 1;
+    }
+    if first {
+        let mut line = serde_json::to_vec(plan).map_err(|e| e.to_string())?;
+        line.push(b'\n');
+        file.write_all(&line).map_err(say)?;
+    } else {
+        file.set_len(whole).map_err(say)?;
+        file.seek(SeekFrom::End(0)).map_err(say)?;
+    }
+    Ok((rows, file))
+}
+
+/// Plays the deployments 0 to `count` that the file does not hold yet, on so many threads; each row is written as it is
+/// done. All rows, by number: the same on any number of threads, and however often it was stopped.
+///
+/// # Errors
+/// The file cannot be used, or a deployment not be played.
+pub fn survey(
+    plan: &Plan, count: u64, threads: usize, path: &Path, progress: impl Fn(u64) + Sync,
+) -> Result<Vec<Row>, String> {
+    if !(RUNS.0..=RUNS.1).contains(&plan.runs) {
+        return Err(format!("{} runs given, {} to {} are allowed", plan.runs, RUNS.0, RUNS.1));
+    }
+    if !plan.policies.contains(&Policy::Module) || plan.policies.iter().all(|p| *p == Policy::Module) {
+        return Err("the module and one more policy at least are wanted".into());
+    }
+    let (rows, file) = resume(path, plan)?;
+    let done = AtomicU64::new(rows.len() as u64);
+    let missing: Vec<u64> = (0..count).filter(|n| !rows.contains_key(n)).collect();
+    let (next, found) = (AtomicU64::new(0), Mutex::new((rows, file, None::<String>)));
+    let lock = || found.lock().unwrap_or_else(PoisonError::into_inner);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.clamp(1, 256) {
+            scope.spawn(|| {
+                while let Some(number) = missing.get(next.fetch_add(1, Ordering::Relaxed) as usize) {
+                    let row = row(plan, *number);
+                    let mut found = lock();
+                    let written = row.and_then(|row| {
+                        let mut line = serde_json::to_vec(&row).map_err(|e| e.to_string())?;
+                        line.push(b'\n');
+                        found.1.write_all(&line).map_err(|e| format!("{}: {e}", path.display()))?;
+                        found.0.insert(*number, row);
+                        Ok(())
+                    });
+                    if let Err(why) = written {
+                        found.2.get_or_insert(why);
+                        next.store(u64::MAX / 2, Ordering::Relaxed);
+                        return;
+                    }
+                    drop(found);
+                    progress(done.fetch_add(1, Ordering::Relaxed) + 1);
+                }
+            });
+        }
+    });
+    let (rows, _, error) = found.into_inner().unwrap_or_else(PoisonError::into_inner);
+    match error {
+        Some(why) => Err(why),
+        None => Ok(rows.into_values().filter(|row| row.number < count).collect()),
+    }
+}
+
+/// What a survey comes to.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Deployments.
+    pub count: usize,
+    /// Those on which the module is ahead of every policy that knows no more; and where the interval says so.
+    pub ahead: [usize; 2],
+    /// Those on which it is behind, and where the interval says so.
+    pub behind: [usize; 2],
+    /// Those on which the module broke a rule, and each policy's number.
+    pub broke: BTreeMap<Policy, usize>,
+    /// Mean figures.
+    pub means: BTreeMap<Policy, f64>,
+    /// By what deployments are like: how many, the mean difference, and on how many the module is behind.
+    pub traits: BTreeMap<String, (usize, f64, usize)>,
+    /// Numbers of those on which it loses most, the worst first.
+    pub worst: Vec<u64>,
+}
+
+/// Sums up; `worst`: so many are named.
+pub fn summary(rows: &[Row], worst: usize) -> Summary {
+    let mut s = Summary { count: rows.len(), ..Summary::default() };
+    let mut by: Vec<(f64, u64)> = Vec::new();
+    for row in rows {
+        for (policy, of) in &row.played {
+            *s.broke.entry(*policy).or_default() += usize::from(!of.breaches.is_empty());
+            *s.means.entry(*policy).or_default() += of.mean() / rows.len() as f64;
+        }
+        let Some(against) = row.against() else { continue };
+        s.ahead[0] += usize::from(against.by > 0.0);
+        s.ahead[1] += usize::from(against.interval[0] > 0.0);
+        s.behind[0] += usize::from(against.by < 0.0);
+        s.behind[1] += usize::from(against.interval[1] < 0.0);
+        by.push((against.by, row.number));
+        for name in &row.traits {
+            let of = s.traits.entry(name.clone()).or_default();
+            (of.0, of.1) = (of.0 + 1, of.1 + against.by);
+            of.2 += usize::from(against.by < 0.0);
+        }
+    }
+    s.traits.values_mut().for_each(|of| of.1 /= of.0.max(1) as f64);
+    by.sort_by(|a, b| a.0.total_cmp(&b.0));
+    s.worst = by.iter().take(worst).map(|(_, number)| *number).collect();
+    s
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn row(number: u64, module: [f64; 3], random: [f64; 3], by_key: [f64; 3]) -> Row {
+        let of = |figures: [f64; 3]| Played { figures: figures.to_vec(), ..Played::default() };
+        let played = [(Policy::Module, module), (Policy::Random, random), (Policy::ByKey, by_key)];
+        let knows = (Policy::AllKnowing, of([1.0; 3]));
+        let played = played.into_iter().map(|(p, f)| (p, of(f))).chain([knows]).collect();
+        Row { number, traits: vec!["jump".into()], played }
+    }
+
+    #[test]
+    fn the_module_is_held_against_the_best_that_knows_no_more() {
+        let rows = [
+            row(0, [0.9, 0.8, 0.85], [0.5; 3], [0.7, 0.6, 0.65]),
+            row(1, [0.5, 0.6, 0.7], [0.9, 0.2, 0.4], [0.6, 0.7, 0.8]),
+            row(2, [0.7, 0.2, 0.6], [0.1; 3], [0.5, 0.55, 0.5]),
+        ];
+        let against = rows[1].against().expect("all were played");
+        assert_eq!(against.best, Policy::ByKey);
+        assert!((against.by + 0.1).abs() < 1e-12 && (against.interval[0] + 0.1).abs() < 1e-9);
+        let s = summary(&rows, 2);
+        assert_eq!((s.ahead, s.behind, s.worst), ([1, 1], [2, 1], vec![1, 2]));
+        assert_eq!(s.traits["jump"].0, 3);
+        // By hand: differences 0.2, -0.35, 0.1 have mean -0.0167 and deviation 0.2930; 4.303 / sqrt(3) of that is 0.728.
+        let (mean, [low, high]) = paired(&[0.7, 0.2, 0.6], &[0.5, 0.55, 0.5]);
+        assert!((mean + 1.0 / 60.0).abs() < 1e-9 && (high - low - 2.0 * 0.7279).abs() < 1e-3, "{low} {high}");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/survey/page.rs
@@ -0,0 +1,153 @@
+//! A survey as a page and as text.
+
+use super::{Row, Summary, draw};
+use crate::plain::Policy;
+use minijinja::Environment;
+use plotters::prelude::*;
+use serde_json::json;
+use std::fmt::Write;
+
+const PAGE: &str = include_str!("../survey.html");
+const SIZE: (u32, u32) = (960, 300);
+
+type Bad = Box<dyn std::error::Error>;
+
+/// As text: the summary, what deployments are like, and the worst.
+pub fn text(rows: &[Row], s: &Summary) -> String {
+    let mut out = String::new();
+    let percent = |n: usize| 100.0 * n as f64 / s.count.max(1) as f64;
+    let _ = writeln!(
+        out,
+        "{} deployments: the module is ahead of every policy that knows no more on {} ({:.0}%; for sure {}), behind on {} \
+         (for sure {})",
+        s.count,
+        s.ahead[0],
+        percent(s.ahead[0]),
+        s.ahead[1],
+        s.behind[0],
+        s.behind[1]
+    );
+    let _ = writeln!(out, "\n{:14} {:>8} {:>12}", "policy", "mean", "broke rules");
+    for (policy, mean) in &s.means {
+        let _ = writeln!(out, "{:14} {:8.4} {:12}", policy.name(), mean, s.broke.get(policy).unwrap_or(&0));
+    }
+    let _ = writeln!(out, "\n{:24} {:>6} {:>10} {:>8}", "deployments with", "count", "mean by", "behind");
+    for (name, (count, by, behind)) in &s.traits {
+        let _ = writeln!(out, "{name:24} {count:6} {by:+10.4} {behind:8}");
+    }
+    let _ = writeln!(out, "\nworst:");
+    for row in s.worst.iter().filter_map(|n| rows.iter().find(|r| r.number == *n)) {
+        let Some(a) = row.against() else { continue };
+        let module = &row.played[&Policy::Module];
+        let _ = writeln!(
+            out,
+            "{:5} {:+.4} ({:+.4} to {:+.4}) against {}: module {:.4}; {}",
+            row.number,
+            a.by,
+            a.interval[0],
+            a.interval[1],
+            a.best.name(),
+            module.mean(),
+            row.traits.join(", ")
+        );
+    }
+    out
+}
+
+/// As one self-contained HTML page.
+///
+/// # Errors
+/// A plot cannot be drawn.
+pub fn page(title: &str, rows: &[Row], s: &Summary) -> Result<String, Bad> {
+    let mut sorted: Vec<_> = rows.iter().filter_map(|r| Some((r.number, r.against()?))).collect();
+    sorted.sort_by(|a, b| a.1.by.total_cmp(&b.1.by));
+    let differences = differences(&sorted.iter().map(|(_, a)| (a.by, a.interval)).collect::<Vec<_>>())?;
+    let figure = |r: &Row, of| r.played.get(&of).map(super::Played::mean);
+    let points: Vec<(f64, f64)> = rows
+        .iter()
+        .filter_map(|r| Some((figure(r, Policy::AllKnowing)?, figure(r, Policy::Module)?)))
+        .collect();
+    let scatter = scatter(&points)?;
+    let worst: Vec<_> = s
+        .worst
+        .iter()
+        .filter_map(|n| rows.iter().find(|r| r.number == *n))
+        .map(|r| {
+            let played: Vec<_> = r
+                .played
+                .iter()
+                .map(|(p, of)| json!({"name": p.name(), "mean": of.mean(), "shares": of.shares, "breaches": of.breaches}))
+                .collect();
+            json!({"number": r.number, "traits": r.traits, "against": r.against(), "played": played})
+        })
+        .collect();
+    let means: Vec<_> =
+        s.means.iter().map(|(p, m)| json!({"name": p.name(), "mean": m, "broke": s.broke.get(p)})).collect();
+    let data = json!({"title": title, "summary": s, "means": means, "differences": differences,
+        "scatter": scatter, "worst": worst});
+    let mut env = Environment::new();
+    env.add_template("survey.html", PAGE)?;
+    Ok(env.get_template("survey.html")?.render(minijinja::Value::from(minijinja::value::Serde(data)))?)
+}
+
+/// The scenario file of a deployment, to be played by itself.
+///
+/// # Errors
+/// It cannot be written.
+pub fn scenario(seed: u64, number: u64) -> Result<String, Bad> {
+    Ok(serde_json::to_string_pretty(&draw::deployment(seed, number))?)
+}
+
+/// Differences in order, each with its interval.
+fn differences(of: &[(f64, [f64; 2])]) -> Result<String, Bad> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let most = of.iter().map(|d| d.0.abs()).fold(0.05, f64::max) * 1.2;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(52)
+            .build_cartesian_2d(0.0..of.len().max(1) as f64, -most..most)?;
+        chart
+            .configure_mesh()
+            .x_desc("deployments, in order")
+            .light_line_style(RGBColor(238, 238, 238))
+            .draw()?;
+        let clip = |y: f64| y.clamp(-most, most);
+        chart.draw_series(of.iter().enumerate().map(|(n, (_, [low, high]))| {
+            let x = n as f64 + 0.5;
+            PathElement::new([(x, clip(*low)), (x, clip(*high))], RGBColor(190, 205, 225))
+        }))?;
+        chart.draw_series(of.iter().enumerate().map(|(n, (by, _))| {
+            let colour = if *by < 0.0 { RGBColor(200, 90, 20) } else { RGBColor(31, 90, 150) };
+            Circle::new((n as f64 + 0.5, *by), 2, colour.filled())
+        }))?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+/// The module's figure over that of who knows all.
+fn scatter(points: &[(f64, f64)]) -> Result<String, Bad> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, (420, 420)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(36)
+            .y_label_area_size(52)
+            .build_cartesian_2d(0.0..1.0, 0.0..1.0)?;
+        let light = RGBColor(238, 238, 238);
+        chart.configure_mesh().x_desc("all-knowing").y_desc("module").light_line_style(light).draw()?;
+        chart.draw_series(LineSeries::new([(0.0, 0.0), (1.0, 1.0)], BLACK.mix(0.3)))?;
+        let inside = |v: f64| v.clamp(0.0, 1.0);
+        let dots =
+            points.iter().map(|p| Circle::new((inside(p.0), inside(p.1)), 2, RGBColor(31, 90, 150).filled()));
+        chart.draw_series(dots)?;
+        area.present()?;
+    }
+    Ok(svg)
+}
--- a/crates/lab/tests/cli.rs
+++ b/crates/lab/tests/cli.rs
@@ -93,3 +93,22 @@
     }
     assert!(!dir.path().join("o").exists(), "nothing is left of an import that failed");
 }
+
+#[test]
+fn a_survey_is_played_goes_on_and_says_what_is_wrong() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let at = |name: &str| dir.path().join(name).display().to_string();
+    let (rows, page) = (at("rows.jsonl"), at("page.html"));
+    let call_of = |count: &'static str| ["survey", "--count", count, "--runs", "2", "--policy", "random"];
+    let first = json(&[&call_of("2")[..], &["-o", &rows]].concat());
+    assert_eq!(first["count"], 2);
+    let more = json(&[&call_of("3")[..], &["-o", &rows, "--report", &page]].concat());
+    assert_eq!(more["count"], 3);
+    assert!(std::fs::read_to_string(&page).expect("a page").contains("Survey 1 of 3 deployments"));
+    let drawn = json(&["survey", "--scenario", "2"]);
+    assert_eq!(drawn["name"], "survey 1, deployment 2");
+    let wrong = call(&["survey", "--count", "2", "--seed", "9", "-o", &rows]);
+    let said = String::from_utf8_lossy(&wrong.stderr).into_owned();
+    assert!(wrong.status.code() == Some(1) && said.contains("it holds another survey (seed 1"), "{said}");
+    assert_eq!(call(&["survey", "--count", "0"]).status.code(), Some(2));
+}
