A job whose submitter has just left is not given away

Read again: a submitter may leave between the moment its job is asked for, to be given away, and the core's answer (front/platform/moving.rs, released). The engine then gave the job to nobody: its parcel stayed, its machine was not told, and the old process would have waited for it until it was killed. The list of news that waits kept an entry, too.

The engine gives a job away only while somebody waits for it (one thread: nothing comes between), so that the word that the submitter has left finds it. What waits of its news goes as the job is forgotten.

Result. a_job_that_nobody_waits_for_any_more_is_not_given_away; suites handing and exchanges pass. Read and left: test stand-ins of Floor in plain.rs, book.rs and handing.rs look alike, each notes what its own tests need.

--- a/src/core/engine.rs
+++ b/src/core/engine.rs
@@ -87,7 +87,8 @@
     pub fn told(&mut self, now: Time, told: Told, floor: &dyn Floor) {
         match &told {
             Told::Settings(settings) => self.gap = settings.granularity,
-            Told::Release(job, to) => _ = to.try_send(self.release(now, *job)),
+            // Whoever asked may have turned to something else: then the job is still its submitter's here.
+            Told::Release(job, to) if !to.is_closed() => _ = to.try_send(self.release(now, *job)),
             Told::Recall(to, how) => _ = to.try_send(self.module.learned(now, *how)),
             _ => {}
         }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -267,6 +267,7 @@
     fn forget(&self, job: JobId) {
         if let Some(parcel) = self.parcels.borrow_mut().remove(&job) {
             self.traces.borrow_mut().remove(&parcel.trace);
+            self.waits_no_more(&parcel.trace);
             self.tell_kin(|| kin::Word::Closed(parcel.trace.clone()));
             self.forget_claims(job, &parcel);
         }
--- a/src/front/platform/moving.rs
+++ b/src/front/platform/moving.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// The job has ended here: nothing is kept of it.
+    pub(super) fn waits_no_more(&self, trace: &str) {
+        self.moving.leaving.borrow_mut().remove(trace);
+    }
+
     /// Keeps a piece of news of a job that is about to go over.
     pub(super) fn waits(&self, trace: &str, text: &[u8]) -> bool {
         let mut leaving = self.moving.leaving.borrow_mut();
--- a/tests/handing.rs
+++ b/tests/handing.rs
@@ -294,6 +294,29 @@
     assert!(with > without - 0.01, "served {with:.3} with replacements, {without:.3} without");
 }
 
+/// Guards against a job that nobody has: its submitter left just as it was asked for, to be given away.
+#[test]
+fn a_job_that_nobody_waits_for_any_more_is_not_given_away() {
+    let ground = Ground {
+        world: RefCell::new(World { now: SEC, ..World::default() }),
+        rng: RefCell::new(Pcg64Mcg::seed_from_u64(1)),
+    };
+    let mut engine = engine(&common::settings(), SEC, 1);
+    engine.told(SEC, Told::Job(common::request(1, 0), 6 * SEC, Reply::Floor), &ground);
+    engine.step(SEC, &ground);
+    let ask = |engine: &mut Engine| {
+        let (to, from) = async_channel::bounded(1);
+        engine.told(SEC, Told::Release(1, to), &ground);
+        from.try_recv().expect("at once").is_some()
+    };
+    let (to, from) = async_channel::bounded(1);
+    drop(from);
+    engine.told(SEC, Told::Release(1, to), &ground);
+    assert_eq!(engine.jobs(), 1, "it is still here");
+    assert!(ask(&mut engine));
+    assert_eq!(engine.jobs(), 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
     /// Any number of replacements, at any distance.
