--- a/src/config.rs
+++ b/src/config.rs
@@ -79,6 +79,8 @@
     pub tenants: Names,
     /// Classes that the settings no longer have; they keep their ids.
     pub dropped: Vec<ClassId>,
+    /// Lists are pushed: each scheduler has an agent of its own to ask, and what that has counts as told.
+    pub pushed: bool,
     /// An idle connection to a machine is closed by it after this long.
     pub conn_idle: Time,
     fields: [ReportField; 2],
@@ -164,6 +166,7 @@
             classes: names("profiles", Some("name")),
             tenants: names("customers", Some("name")),
             dropped: Vec::new(),
+            pushed: false,
             conn_idle: env.at("policyLimits").number_or("connIdle", 5e6).max(0.0) as Time,
             fields: [field("reportX0"), field("reportX1")],
         })
@@ -188,7 +191,7 @@
     /// was learned go by them. Names that are new come behind, and a class that is gone keeps its rules.
     pub fn followed_by(&self, new: Site) -> Site {
         let mut site = Site { settings: new.settings.clone(), ..self.clone() };
-        (site.conn_idle, site.fields) = (new.conn_idle, new.fields);
+        (site.conn_idle, site.fields, site.pushed) = (new.conn_idle, new.fields, new.pushed);
         let map = |old: &mut Names, names: &Names| names.all().map(|name| old.id(name)).collect::<Vec<_>>();
         let (zones, kinds) = (map(&mut site.zones, &new.zones), map(&mut site.kinds, &new.kinds));
         let (classes, tenants) = (map(&mut site.classes, &new.classes), map(&mut site.tenants, &new.tenants));
@@ -504,6 +507,8 @@
         let or = |name: &str, value: String| env(name).filter(|v| !v.is_empty()).unwrap_or(value);
         let seed = raw.seed.as_str().map(|s| u64::from_str_radix(s, 16).unwrap_or_else(|_| hash(s)));
         let mut site = Site::from_value(&raw.settings)?.checked()?;
+        // Over this protocol a list always has to be asked for, be it the agent's that it is pushed to.
+        site.pushed = std::mem::take(&mut site.settings.list_pushed);
         let sockets = raw.limits.sockets.unwrap_or(1024);
         // Submitters hold at most a third of the descriptors: a quarter of that is kept free for the next ones.
         site.settings.limits.open = Some(sockets / 4);
--- a/src/front/platform/machines.rs
+++ b/src/front/platform/machines.rs
@@ -17,10 +17,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a call for changes may wait, at least and at most. What discovery has to tell counts as told two seconds
-/// after that, also if its connection has gone silent: short enough that little can be missed. Discovery is one service
-/// for all schedulers and takes one call after another: with many, each calls less often.
-const WAIT_MS: (u64, u64) = (4_000, 30_000);
+/// How long a call for changes may wait, at least and at most. Where the connection has gone silent, what discovery has to
+/// tell counts as told six seconds later, or two after that wait: this side must have noticed and have asked anew by then.
+/// Discovery is one service for all schedulers and takes one call after another: with many, each calls less often, and no
+/// two wait for the same time, so that what falls silent together does not call together.
+const WAIT_MS: (u64, u64) = (3_000, 30_000);
 const WAIT_EACH_MS: u64 = 500;
 /// With so many schedulers, calls are spread out: as they start together, fail together and hear of a change together,
 /// they would call together, and most would be turned away, again and again ...
@@ -36,9 +37,14 @@
 const GO_ON: Duration = Duration::from_millis(100);
 /// Over how long the first call of a process that replaces another is spread out.
 const REPLACES: Duration = Duration::from_millis(500);
-/// How long a call for changes may take beyond its wait ...
-const BEYOND: Duration = Duration::from_millis(1_500);
-/// ... and one for the whole list. Discovery itself gives up on a call in less.
+/// Over how long, with many schedulers, those that have found their watch silent open it anew.
+const SILENT: Duration = Duration::from_millis(300);
+/// Over how long, with many, the first calls to a discovery that takes over are spread out: what it has to tell counts as
+/// told four seconds after the signal.
+const MOVES: Duration = Duration::from_millis(1_500);
+/// How long a call for changes may take beyond its wait, and any call whose answer is due at once ...
+const BEYOND: Duration = Duration::from_millis(1_000);
+/// ... and one for the whole list where nothing is known to have been missed. Discovery itself gives up on a call in less.
 const CALL: Duration = Duration::from_millis(4_000);
 /// ... and how long a dial may take.
 const DIAL: Duration = Duration::from_millis(500);
@@ -65,11 +71,14 @@
     Told(Result<Word, RecvError>),
 }
 
-/// A call that begins a watch, or one with which a watch goes on.
+/// A call that begins a watch, one with which a watch goes on, one after a watch has fallen silent, and one to a discovery
+/// that takes over.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Step {
     Begins,
     GoesOn,
+    Silent,
+    Moves,
 }
 
 /// Over how long calls are spread out, given how many call, how often they failed and how often they must be made.
@@ -77,6 +86,8 @@
     match step {
         _ if schedulers < MANY => Duration::ZERO,
         Step::GoesOn => GO_ON,
+        Step::Silent => SILENT,
+        Step::Moves => MOVES,
         Step::Begins => {
             let each = SPREAD_EACH.saturating_mul(u32::try_from(schedulers).unwrap_or(u32::MAX));
             each.min(ask_within.mul_f64(SPREAD_MOST)).saturating_mul(failed)
@@ -84,12 +95,20 @@
     }
 }
 
+/// How long a call for changes may wait, at least and at most, given how many call.
+fn waits(schedulers: u64) -> (u64, u64) {
+    let most = (WAIT_EACH_MS.saturating_mul(schedulers)).clamp(WAIT_MS.0, WAIT_MS.1);
+    (if schedulers < MANY { most } else { most / 2 }, most)
+}
+
 /// The way to a discovery, and the version of its list that is held, if one is.
 struct Line {
     front: Rc<Platform>,
     discovery: SocketAddr,
     link: Option<Link>,
     seq: Option<u64>,
+    /// Its last answer was older than the version held: it is asked for the whole list, and that counts.
+    older: bool,
 }
 
 /// The list that a scheduler has when it starts.
@@ -109,6 +128,7 @@
     call: Option<Call>,
     moving: Option<(SocketAddr, Call)>,
     watching: bool,
+    anew: bool, // a watch that broke is being opened anew
     replaces: bool,
     failed: u32, // doubled at each failed call in a row, up to `FAILED`
     rng: Pcg64Mcg,
@@ -120,8 +140,18 @@
     pub fn new(front: Rc<Platform>, discovery: SocketAddr, known: Known, seed: u64) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let (idle, call, moving, replaces) = (None, None, None, known.replaces);
-        let mut new =
-            Machines { front, discovery, idle, call, moving, watching: false, replaces, failed: 1, rng };
+        let mut new = Machines {
+            front,
+            discovery,
+            idle,
+            call,
+            moving,
+            watching: false,
+            anew: false,
+            replaces,
+            failed: 1,
+            rng,
+        };
         if new.many() && known.seq.is_some() {
             let mut line = new.line(discovery);
             line.seq = known.seq;
@@ -138,12 +168,43 @@
     }
 
     fn schedulers(&self) -> u64 {
-        self.front.site.borrow().settings.dispatchers.into()
+        let site = self.front.site.borrow();
+        // Where lists are pushed, each scheduler has an agent of its own.
+        if site.pushed { 1 } else { site.settings.dispatchers.into() }
     }
 
     /// How long a call for changes may wait.
-    fn wait(&self) -> u64 {
-        (WAIT_EACH_MS * self.schedulers()).clamp(WAIT_MS.0, WAIT_MS.1)
+    fn wait(&mut self) -> u64 {
+        let (least, most) = waits(self.schedulers());
+        least + self.rng.next_u64() % (most - least + 1)
+    }
+
+    /// The next call of a watch that goes on.
+    fn go_on(&mut self, line: Line) -> Call {
+        let (wait, put_off) = (self.wait(), self.put_off(Step::GoesOn));
+        // What is older than the list held says nothing of what has changed since.
+        let wait = if line.older { None } else { Some(wait) };
+        Box::pin(line.call(wait, put_off, None))
+    }
+
+    /// Opens a watch anew that broke or fell silent, without asking whether and when: what it misses counts as told. Not
+    /// where discovery turns calls down, and not twice in a row: then it is the module that says when. Where lists are
+    /// pushed, what the agent has counts as told at any time, so that it is asked until it answers.
+    fn open_anew(&mut self, mut line: Line, reason: Reason) -> Result<Call, Line> {
+        let (pushed, again) = (self.front.site.borrow().pushed, std::mem::replace(&mut self.anew, true));
+        let down =
+            matches!(reason, Reason::Rejected | Reason::Refused | Reason::DialTimeout | Reason::NoRoom);
+        if !self.watching || (!pushed && (again || down)) {
+            self.anew = false;
+            return Err(line);
+        }
+        log(format_args!("the watch is opened anew reason={}", reason.code()));
+        line.drop_link(reason);
+        let silent = reason == Reason::Unanswered;
+        let put_off = self.put_off(if silent { Step::Silent } else { Step::Begins });
+        let put_off = if again { put_off.max(AGAIN) } else { put_off };
+        let wait = (self.many() && line.seq.is_some()).then_some(AT_ONCE_MS);
+        Ok(Box::pin(line.call(wait, put_off, Some(BEYOND))))
     }
 
     /// How long the next call is put off: at random, so that all come one after another.
@@ -192,12 +253,20 @@
                     self.call = None;
                     continue;
                 }
+                Next::Answer(line, Err(reason)) => match self.open_anew(line, reason) {
+                    Ok(call) => {
+                        self.call = Some(call);
+                        self.usable(false);
+                        continue;
+                    }
+                    Err(line) => (line, Err(reason)),
+                },
                 Next::Answer(line, answer) => (line, answer),
             };
             self.call = None;
             let line = self.tell(line, answer).await;
             if self.watching {
-                self.call = Some(Box::pin(line.call(Some(self.wait()), self.put_off(Step::GoesOn))));
+                self.call = Some(self.go_on(line));
             } else {
                 self.idle = Some(line);
             }
@@ -205,7 +274,7 @@
     }
 
     fn line(&self, discovery: SocketAddr) -> Line {
-        Line { front: self.front.clone(), discovery, link: None, seq: None }
+        Line { front: self.front.clone(), discovery, link: None, seq: None, older: false }
     }
 
     fn ask(&mut self, asked: Ask) {
@@ -225,7 +294,7 @@
             let line = self.idle.take().unwrap_or_else(|| self.line(self.discovery));
             let on = if self.front.ready.get() { self.wait() } else { AT_ONCE_MS };
             let wait = (self.many() && line.seq.is_some() && self.watching).then_some(on);
-            self.call = Some(Box::pin(line.call(wait, self.put_off(Step::Begins))));
+            self.call = Some(Box::pin(line.call(wait, self.put_off(Step::Begins), None)));
         }
     }
 
@@ -238,10 +307,10 @@
             _ => {}
         }
         let mut line = self.line(to);
-        let mut put_off = self.put_off(Step::Begins);
+        let mut put_off = self.put_off(Step::Moves);
         let call = async move {
             loop {
-                let (back, answer) = line.call(None, put_off).await;
+                let (back, answer) = line.call(None, put_off, Some(BEYOND)).await;
                 line = back;
                 let Err(reason) = &answer else { return (line, answer) };
                 log(format_args!("discovery at {to} does not answer yet reason={}", reason.code()));
@@ -254,9 +323,18 @@
 
     /// Tells the core how a call went.
     async fn tell(&mut self, mut line: Line, answer: Result<MachineList, Reason>) -> Line {
+        let older = |list: &MachineList| line.seq.filter(|held| list.seq < *held && !line.older);
         let (scope, entries) = match answer {
+            Ok(list) if let Some(held) = older(&list) => {
+                let got = list.seq;
+                log(format_args!(
+                    "a list of version {got} is not taken, as {held} is held: the whole one is asked for"
+                ));
+                (line.older, self.anew) = (true, false);
+                return line;
+            }
             Ok(list) => {
-                (line.seq, self.failed) = (Some(list.seq), 1);
+                (line.seq, line.older, self.failed, self.anew) = (Some(list.seq), false, 1, false);
                 let scope = if list.whole { Scope::Full } else { Scope::Delta };
                 (scope, self.front.learn(list))
             }
@@ -271,12 +349,15 @@
         if scope != Scope::Delta || !entries.is_empty() {
             let _ = self.front.core.send(Told::List(scope, entries)).await;
         }
-        // Where discovery is down at the start, what was known before is all there is to go by.
-        let usable = scope != Scope::Failed || self.front.knows_machines();
-        if usable && !self.front.ready.replace(true) {
+        self.usable(scope != Scope::Failed);
+        line
+    }
+
+    /// Ready once there is a list. Where discovery is down at the start, what was known before is all there is to go by.
+    fn usable(&self, answered: bool) {
+        if (answered || self.front.knows_machines()) && !self.front.ready.replace(true) {
             log("ready: there is a machine list");
         }
-        line
     }
 }
 
@@ -294,16 +375,19 @@
     }
 
     /// One call.
-    async fn call(mut self, wait: Option<u64>, put_off: Duration) -> (Line, Result<MachineList, Reason>) {
+    async fn call(
+        mut self, wait: Option<u64>, put_off: Duration, limit: Option<Duration>,
+    ) -> (Line, Result<MachineList, Reason>) {
         if !put_off.is_zero() {
             Timer::after(put_off).await;
         }
-        let answer = self.exchange(wait).await;
+        let answer = self.exchange(wait, limit).await;
         (self, answer)
     }
 
-    async fn exchange(&mut self, wait: Option<u64>) -> Result<MachineList, Reason> {
-        let limit = wait.map_or(CALL, |wait| BEYOND + Duration::from_millis(wait));
+    async fn exchange(&mut self, wait: Option<u64>, limit: Option<Duration>) -> Result<MachineList, Reason> {
+        let due = wait.map_or(CALL, |wait| BEYOND + Duration::from_millis(wait));
+        let limit = limit.unwrap_or(due);
         if self.link.as_ref().is_some_and(Link::stale) {
             self.drop_link(Reason::PeerClosed);
         }
@@ -351,33 +435,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a fleet that keeps discovery down by calling together, and against calls put off where there are few
-    /// schedulers.
-    #[test]
-    fn many_schedulers_spread_out_the_calls_that_begin_a_watch() {
-        let within = Duration::from_secs(10);
-        assert_eq!(spread(Step::Begins, 3, 1, within), Duration::ZERO);
-        assert_eq!(spread(Step::Begins, 7, FAILED, within), Duration::ZERO);
-        for many in [8, 20, 48, 100, 1000, u64::MAX] {
-            let [first, failed] = [1, FAILED].map(|failed| spread(Step::Begins, many, failed, within));
-            assert!(first >= SPREAD_EACH * 8, "{many} schedulers");
-            // A call counts as made in time within `ask_within`, four times that after a failed one.
-            assert!(first <= within / 2 && failed <= 2 * within, "{many} schedulers");
-        }
-    }
-
-    /// Guards against a watch that ends unnoticed: at 100 schedulers its next call came up to 20 s after an answer.
-    #[test]
-    fn a_watch_goes_on_within_200_ms_however_many_schedulers_there_are() {
-        for many in [1, 8, 100, 1000, u64::MAX] {
-            for failed in [1, FAILED] {
-                assert!(
-                    spread(Step::GoesOn, many, failed, Duration::from_secs(10)) < Duration::from_millis(150)
-                );
-            }
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/front/platform/machines/tests.rs
@@ -0,0 +1,50 @@
+//! What the calls for the list are put off by, and how long they wait.
+
+use super::*;
+
+/// Guards against a fleet that keeps discovery down by calling together, and against calls put off where there are few
+/// schedulers.
+#[test]
+fn many_schedulers_spread_out_the_calls_that_begin_a_watch() {
+    let within = Duration::from_secs(10);
+    assert_eq!(spread(Step::Begins, 3, 1, within), Duration::ZERO);
+    assert_eq!(spread(Step::Begins, 7, FAILED, within), Duration::ZERO);
+    for many in [8, 20, 48, 100, 1000, u64::MAX] {
+        let [first, failed] = [1, FAILED].map(|failed| spread(Step::Begins, many, failed, within));
+        assert!(first >= SPREAD_EACH * 8, "{many} schedulers");
+        // A call counts as made in time within `ask_within`, four times that after a failed one.
+        assert!(first <= within / 2 && failed <= 2 * within, "{many} schedulers");
+    }
+}
+
+/// Guards against a watch that ends unnoticed: at 100 schedulers its next call came up to 20 s after an answer.
+#[test]
+fn a_watch_goes_on_within_200_ms_however_many_schedulers_there_are() {
+    for many in [1, 8, 100, 1000, u64::MAX] {
+        for failed in [1, FAILED] {
+            assert!(spread(Step::GoesOn, many, failed, Duration::from_secs(10)) < Duration::from_millis(150));
+        }
+    }
+}
+
+/// Guards against a watch that has gone silent and is found out too late: what it misses counts as told six seconds after
+/// that, or two after the wait of its call if that is later, and drained machines must get nothing new by then.
+#[test]
+fn a_silent_watch_is_asked_anew_before_what_it_misses_counts_as_told() {
+    let within = Duration::from_secs(10);
+    for many in [1, 3, 7, 8, 48, 300, 1000, u64::MAX] {
+        let (least, most) = waits(many);
+        for wait in [least, most] {
+            let wait = Duration::from_millis(wait);
+            // It fell silent right after its call came, which is the worst for this side.
+            let told = Duration::from_secs(6).max(wait + Duration::from_secs(2));
+            let asked = wait + BEYOND + spread(Step::Silent, many, FAILED, within) + DIAL;
+            assert!(asked + Duration::from_millis(200) <= told, "{many} schedulers, {wait:?}");
+        }
+        // Those that fell silent together, having called together, find out one after another.
+        assert!(many < MANY || least * 2 <= most + 1, "{many} schedulers");
+    }
+    // A discovery that takes over is asked, once more after a first silence, within the four seconds that it has.
+    let moved = spread(Step::Moves, 300, FAILED, within) + AGAIN + (BEYOND + DIAL) * 2;
+    assert!(moved <= Duration::from_secs(5), "{moved:?}");
+}
