Unknown words and numbers out of range in the settings are errors; a check without a case is out

Cause: config.rs took an effect that it did not know for 'unsafe', a group for 'cell', a discovery for 'on_request', a source for none, and negative times for 0, without a word; a file with a slip in it replaced what ran. The laboratory wrote such a word itself ('none' for 'off').

Mutations (each mend of taken out, its exchange played): half messages, settling and one try to give up fail as they should. Two did not: given_up_unheard now also sees that nobody has dialled the second machine (line "quiet"); the check for a submitter that left unread is taken out again, as its exchange passes without it: leaving is heard of before a claim goes out, and goes_out asks.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -683,7 +683,7 @@
                 "drainGrace": self.rules.drain_grace_ms * 1000, "overloadFor": self.rules.tip_window_ms * 1000,
                 "tipMultiple": self.rules.tip_multiple, "warmAfter": us(self.rules.warm_after_s * 1e3)},
             "telemetry": {"names": if self.machines.reports { vec!["queue", "inflight", "x0"] } else { vec![] },
-                "source": if self.machines.reports { "on_probe" } else { "none" }},
+                "source": if self.machines.reports { "on_probe" } else { "off" }},
         })
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
+use std::ops::{Bound, RangeBounds};
 
 /// What was expected and not found.
 pub type Parse<T> = Result<T, String>;
@@ -120,7 +121,32 @@
     }
 
     fn time(self, key: &str) -> Parse<Time> {
-        self.need(key).map(|v| v.max(0.0) as Time)
+        self.within(key, 0.0..).map(|v| v as Time)
+    }
+
+    /// A number that must be there and within bounds.
+    fn within(self, key: &str, bounds: impl RangeBounds<f64>) -> Parse<f64> {
+        let number = self.need(key)?;
+        if bounds.contains(&number) {
+            return Ok(number);
+        }
+        let end = |bound: Bound<&f64>| match bound {
+            Bound::Included(at) => Some(format!("{at}")),
+            Bound::Excluded(at) => Some(format!("{at} (itself not allowed)")),
+            Bound::Unbounded => None,
+        };
+        let from = end(bounds.start_bound()).map_or(String::new(), |at| format!(" from {at}"));
+        let to = end(bounds.end_bound()).map_or(" up".into(), |at| format!(" to {at}"));
+        Err(format!("setting '{key}' must be a number{from}{to}, got {number}"))
+    }
+
+    /// One of some words, or none where it is absent.
+    fn word<T: Copy>(self, key: &str, words: &[(&str, T)]) -> Parse<Option<T>> {
+        let Some(value) = self.at(key).0 else { return Ok(None) };
+        let found = words.iter().find(|(word, _)| value.as_str() == Some(word)).map(|(_, meant)| *meant);
+        let all = || words.iter().map(|(word, _)| format!("'{word}'")).collect::<Vec<_>>().join(", ");
+        let shown: String = value.encode().chars().take(40).collect();
+        found.map(Some).ok_or_else(|| format!("setting '{key}' must be one of {}, got {shown}", all()))
     }
 
     fn number_or(self, key: &str, or: f64) -> f64 {
@@ -243,22 +269,20 @@
     let (rules, limits, prices, domain) =
         (env.at("rules"), env.at("policyLimits"), env.at("charges"), env.at("domain"));
     let mut classes = Vec::new();
-    for (i, c) in env.at("profiles").list().enumerate() {
-        let effect = match c.at("effect").text() {
-            Some("safe") => Effect::Safe,
-            Some("keyed") => {
-                let group = match c.at("group").text() {
-                    Some("all") => Group::All,
-                    Some("zone") => Group::Zone,
-                    _ => Group::Cell,
-                };
+    let class = |i: usize, c: Json<'_>| -> Parse<Class> {
+        let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+        let effect = match c.word("effect", &[("safe", 0), ("keyed", 1), ("unsafe", 2)])? {
+            Some(0) => Effect::Safe,
+            Some(1) => {
+                let group = c.word("group", &groups)?.ok_or("setting 'group' is missing")?;
                 Effect::Keyed { group, ttl: c.time("keyTtl")? }
             }
-            _ => Effect::Unsafe,
+            Some(_) => Effect::Unsafe,
+            None => return Err("setting 'effect' is missing".into()),
         };
         let stretch = domain.at("classStretch").item(i).number().or(c.at("aimStretch").number());
         let kind = domain.at("classKind").item(i).number();
-        classes.push(Class {
+        Ok(Class {
             kind: kind.filter(|k| *k >= 0.0).map(|k| k as KindId),
             aim: c.time("aim")?,
             stretch: stretch.unwrap_or(0.0),
@@ -267,31 +291,32 @@
             worth: c.number_or("worth", 1.0),
             late_worth: c.number_or("lateWorth", 0.0),
             priority: domain.at("classPriority").item(i).number().unwrap_or(0.0) as i32,
-        });
+        })
+    };
+    for (i, c) in env.at("profiles").list().enumerate() {
+        let name = c.at("name").text().unwrap_or("");
+        classes.push(class(i, c).map_err(|why| format!("profiles[{i}] {name:?}: {why}"))?);
     }
+    let sources = [("inline", Reports::WithOutcomes), ("on_probe", Reports::OnProbe), ("off", Reports::Off)];
     let tenants = env.at("customers").list().map(|t| Tenant {
         quota_per_s: t.number_or("quotaPerS", 0.0),
         fraction: t.number_or("fraction", 0.0),
     });
     Ok(Settings {
-        dispatchers: env.need("balancers")?.max(1.0) as u32,
-        me: env.need("me")?.max(0.0) as u32,
+        dispatchers: env.within("balancers", 1.0..)? as u32,
+        me: env.within("me", 0.0..)? as u32,
         zone,
         granularity: env.number_or("granularity", 1000.0).max(1.0) as Time,
         classes,
         tenants: tenants.collect(),
-        list_pushed: env.at("discovery").text() == Some("pushed"),
+        list_pushed: env.word("discovery", &[("pushed", true), ("on_request", false)])?.unwrap_or(false),
         tells_start: domain.at("tellsStart").flag(),
         progress: domain.number_or("progress", 0.0).max(0.0) as Time,
-        reports: match env.at("telemetry").at("source").text() {
-            Some("inline") => Reports::WithOutcomes,
-            Some("on_probe") => Reports::OnProbe,
-            _ => Reports::Off,
-        },
-        worth_by_work: env.at("worthBy").text() == Some("work"),
+        reports: env.at("telemetry").word("source", &sources)?.unwrap_or(Reports::Off),
+        worth_by_work: env.word("worthBy", &[("request", false), ("work", true)])?.unwrap_or(false),
         over_share_worth: env.number_or("overShareWorth", 1.0),
         limits: Limits {
-            attempts: limits.need("attemptsCap")?.max(0.0) as u32,
+            attempts: limits.within("attemptsCap", 0.0..)? as u32,
             open: None,
             cancel: limits.at("cancel").flag(),
             duplicates: limits.at("mayDuplicate").flag(),
@@ -312,10 +337,10 @@
         rules: Rules {
             answer_slack: rules.time("answerSlack")?,
             ask_within: rules.time("askWithin")?,
-            cold_from: rules.need("coldFrom")?,
+            cold_from: rules.within("coldFrom", 0.0..=1.0)?,
             warm_after: rules.time("warmAfter")?,
             drain_grace: rules.time("drainGrace")?,
-            tip_multiple: rules.need("tipMultiple")?,
+            tip_multiple: rules.within("tipMultiple", 0.0..)?,
             tip_window: rules.time("overloadFor")?,
             resends: resend_budget(rules)?,
             let_go_in: rules.optional("letGoIn")?.map(|v| v as Time),
--- a/src/front/platform/submitters.rs
+++ b/src/front/platform/submitters.rs
@@ -5,7 +5,7 @@
 use super::{Parcel, Platform};
 use crate::api::{ClassId, Effect, Request, Time};
 use crate::config::{self, News, Site};
-use crate::core::figures::{End, add};
+use crate::core::figures::End;
 use crate::core::{Answer, JobId, Reply, Told};
 use crate::net::buffer::Buffer;
 use crate::net::http::{self, Bad, Frame, Head, Kind, Progress};
@@ -365,11 +365,6 @@
     front: &Rc<Platform>, link: &Link, rest: &mut Option<Buffer>, (mut request, until): (Request, Time),
     (trace, text, body): (&str, Buffer, usize), so_far: (bool, &Served),
 ) -> Result<Message, Reason> {
-    // Read late, the submitter may be gone already; its leaving would be heard of only once the job is decided.
-    if rest.is_none() && link.closed() {
-        add(&front.figures.gone, 1);
-        return Err(Reason::PeerLeft);
-    }
     let (to, from) = bounded(1);
     let Some((id, parcel)) = front.take_in(trace, (text, body), to.downgrade()) else {
         front.figures.count(request.class, End::Failed);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -10,6 +10,7 @@
 //!     stale                        leaves a socket file in the program's $TMPDIR where nobody answers
 //!     NAME dial [door|faktory]     connects to the program, to its operators' door, or to its Faktory front beside
 //!     NAME full                    a listener takes no connection more until it is `open`: one that dials it hears nothing
+//!     NAME quiet                   nobody waits to be accepted by the listener
 //!     NAME dialled                 waits until somebody dials the listener and hears nothing
 //!     NAME open                    connections to the listener come up from now on, late
 //!     NAME accept LISTENER         takes a connection that the program has made
@@ -379,6 +380,13 @@
                 let filler = TcpStream::connect(listener.local_addr().expect("an address"));
                 self.fillers.insert(name.into(), filler.expect("a place in the queue"));
             }
+            (_, "quiet") => {
+                let listener = &self.listeners[name];
+                listener.set_nonblocking(true).expect("a listener");
+                let came = listener.accept().map_err(|e| e.kind());
+                listener.set_nonblocking(false).expect("a listener");
+                assert_eq!(came.err(), Some(std::io::ErrorKind::WouldBlock), "somebody has dialled {name}");
+            }
             (_, "dialled") => {
                 let port = self.listeners[name].local_addr().expect("an address").port();
                 let (to, until) = (format!(":{port:04X} 02 "), Instant::now() + LIMIT);
