A claim that its machine may have taken without our knowing is given up by word, too

A claim whose 202 was lost is unheard, its connection is closed, and that counted as given up; a machine that has answered takes no close for that (workers.rs, claim()). The word goes out now, on a fresh connection, and another claim of the job follows only once it is heard. Where nobody waits for the job any more, closing is all, as before.

--- a/src/front/platform/workers.rs
+++ b/src/front/platform/workers.rs
@@ -414,8 +414,7 @@
 
     /// Gives up a claim that the machine has taken, and tells the core when it has heard of that. Until then another claim
     /// of the job could get to its machine sooner. Where nobody waits for the job any more one try is enough.
-    async fn delete(&self, claim: ClaimId, parcel: &Parcel) {
-        let mut fresh = false;
+    async fn delete(&self, claim: ClaimId, parcel: &Parcel, mut fresh: bool) {
         while !self.deleted(&parcel.trace, fresh).await && parcel.is_owed() {
             fresh = true;
             Timer::after(AGAIN).await;
@@ -471,7 +470,7 @@
                             let (wires, attempt) = (self.wires.clone(), out.attempt);
                             attempt.give_up();
                             self.wires.front.net.start(async move {
-                                wires.delete(id, &parcel).await;
+                                wires.delete(id, &parcel, false).await;
                                 attempt.stage.set(Stage::Ended);
                             });
                         }
@@ -509,11 +508,16 @@
             let ended = wires.claim(claim, &parcel, &at).await;
             if let Some((status, load)) = ended {
                 let gone = out.borrow_mut().remove(&claim.id);
-                let _ = wires.front.core.send(Told::Ended(claim.id, status, load)).await;
+                if status == Status::Cancelled && parcel.is_owed() {
+                    // Its 202 may have been lost: then closing the connection says nothing, and another claim is to follow.
+                    wires.delete(claim.id, &parcel, true).await;
+                } else {
+                    let _ = wires.front.core.send(Told::Ended(claim.id, status, load)).await;
+                }
                 at.stage.set(Stage::Ended);
                 drop(gone);
             } else if at.given_up.get() {
-                wires.delete(claim.id, &parcel).await; // it was taken in that very moment
+                wires.delete(claim.id, &parcel, false).await; // it was taken in that very moment
                 at.stage.set(Stage::Ended);
             }
         };
