A call's limit, a settled connection and a value in an error are each worked out in one place

Cause, seen on reading the change again: machines.rs chose wait and limit together in three places, though the limit follows from the wait (only a discovery that takes over has its own); workers.rs read the head of each kept answer a second time to see whether it was a refusal, on the path of every claim; config.rs carried a bound that no setting uses, and cut a value to 40 characters in two places.

Change: due(wait) in machines.rs; talk returns how long the connection rests; Json::within takes least and most, Json::shown cuts. Messages, bounds and tests are as they were.

--- a/src/config.rs
+++ b/src/config.rs
@@ -4,7 +4,6 @@
 use serde::Deserialize;
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
-use std::ops::{Bound, RangeBounds};
 
 /// What was expected and not found.
 pub type Parse<T> = Result<T, String>;
@@ -121,23 +120,20 @@
     }
 
     fn time(self, key: &str) -> Parse<Time> {
-        self.within(key, 0.0..).map(|v| v as Time)
+        self.within(key, 0.0, f64::INFINITY).map(|v| v as Time)
     }
 
     /// A number that must be there and within bounds.
-    fn within(self, key: &str, bounds: impl RangeBounds<f64>) -> Parse<f64> {
+    fn within(self, key: &str, least: f64, most: f64) -> Parse<f64> {
         let number = self.need(key)?;
-        if bounds.contains(&number) {
-            return Ok(number);
-        }
-        let end = |bound: Bound<&f64>| match bound {
-            Bound::Included(at) => Some(format!("{at}")),
-            Bound::Excluded(at) => Some(format!("{at} (itself not allowed)")),
-            Bound::Unbounded => None,
-        };
-        let from = end(bounds.start_bound()).map_or(String::new(), |at| format!(" from {at}"));
-        let to = end(bounds.end_bound()).map_or(" up".into(), |at| format!(" to {at}"));
-        Err(format!("setting '{key}' must be a number{from}{to}, got {number}"))
+        let to = if most.is_finite() { format!("to {most}") } else { "up".into() };
+        let bad = || format!("setting '{key}' must be a number from {least} {to}, got {number}");
+        Some(number).filter(|n| (least..=most).contains(n)).ok_or_else(bad)
+    }
+
+    /// A value as an error names it.
+    fn shown(value: &OwnedValue) -> String {
+        value.encode().chars().take(40).collect()
     }
 
     /// One of some words, or none where it is absent.
@@ -145,7 +141,7 @@
         let Some(value) = self.at(key).0 else { return Ok(None) };
         let found = words.iter().find(|(word, _)| value.as_str() == Some(word)).map(|(_, meant)| *meant);
         let all = || words.iter().map(|(word, _)| format!("'{word}'")).collect::<Vec<_>>().join(", ");
-        let shown: String = value.encode().chars().take(40).collect();
+        let shown = Self::shown(value);
         found.map(Some).ok_or_else(|| format!("setting '{key}' must be one of {}, got {shown}", all()))
     }
 
@@ -157,7 +153,7 @@
     fn optional(self, key: &str) -> Parse<Option<f64>> {
         let Some(value) = self.at(key).0 else { return Ok(None) };
         let number = Json(Some(value)).number().filter(|v| *v >= 0.0);
-        let shown: String = value.encode().chars().take(40).collect();
+        let shown = Self::shown(value);
         let bad = || format!("setting 'rules.{key}' must be a number from 0 up, got '{shown}'");
         number.map(Some).ok_or_else(bad)
     }
@@ -303,8 +299,8 @@
         fraction: t.number_or("fraction", 0.0),
     });
     Ok(Settings {
-        dispatchers: env.within("balancers", 1.0..)? as u32,
-        me: env.within("me", 0.0..)? as u32,
+        dispatchers: env.within("balancers", 1.0, f64::INFINITY)? as u32,
+        me: env.within("me", 0.0, f64::INFINITY)? as u32,
         zone,
         granularity: env.number_or("granularity", 1000.0).max(1.0) as Time,
         classes,
@@ -316,7 +312,7 @@
         worth_by_work: env.word("worthBy", &[("request", false), ("work", true)])?.unwrap_or(false),
         over_share_worth: env.number_or("overShareWorth", 1.0),
         limits: Limits {
-            attempts: limits.within("attemptsCap", 0.0..)? as u32,
+            attempts: limits.within("attemptsCap", 0.0, f64::INFINITY)? as u32,
             open: None,
             cancel: limits.at("cancel").flag(),
             duplicates: limits.at("mayDuplicate").flag(),
@@ -337,10 +333,10 @@
         rules: Rules {
             answer_slack: rules.time("answerSlack")?,
             ask_within: rules.time("askWithin")?,
-            cold_from: rules.within("coldFrom", 0.0..=1.0)?,
+            cold_from: rules.within("coldFrom", 0.0, 1.0)?,
             warm_after: rules.time("warmAfter")?,
             drain_grace: rules.time("drainGrace")?,
-            tip_multiple: rules.within("tipMultiple", 0.0..)?,
+            tip_multiple: rules.within("tipMultiple", 0.0, f64::INFINITY)?,
             tip_window: rules.time("overloadFor")?,
             resends: resend_budget(rules)?,
             let_go_in: rules.optional("letGoIn")?.map(|v| v as Time),
--- a/src/front/platform/machines.rs
+++ b/src/front/platform/machines.rs
@@ -106,6 +106,11 @@
     (most / 2, most)
 }
 
+/// How long a call may take that waits so long, or asks for the whole list.
+fn due(wait: Option<u64>) -> Duration {
+    wait.filter(|wait| *wait != AT_ONCE_MS).map_or(CALL, |wait| BEYOND + Duration::from_millis(wait))
+}
+
 /// The way to a discovery, and the version of its list that is held, if one is.
 struct Line {
     front: Rc<Platform>,
@@ -186,11 +191,8 @@
     fn go_on(&mut self, line: Line) -> Call {
         let (wait, put_off) = (self.wait(), self.put_off(Step::GoesOn));
         // What is older than the list held says nothing of what has changed since.
-        let (wait, limit) = match line.older {
-            true => (None, CALL),
-            false => (Some(wait), BEYOND + Duration::from_millis(wait)),
-        };
-        Box::pin(line.call(wait, put_off, limit))
+        let wait = (!line.older).then_some(wait);
+        Box::pin(line.call(wait, put_off, due(wait)))
     }
 
     /// Opens a watch anew that broke or fell silent, without asking whether and when: what it misses counts as told. Not
@@ -210,7 +212,7 @@
         let put_off = self.put_off(if silent { Step::Silent } else { Step::Begins });
         let put_off = if again { put_off.max(AGAIN) } else { put_off };
         let wait = line.seq.map(|_| AT_ONCE_MS);
-        Ok(Box::pin(line.call(wait, put_off, CALL)))
+        Ok(Box::pin(line.call(wait, put_off, due(wait))))
     }
 
     /// How long the next call is put off: at random, so that all come one after another.
@@ -300,15 +302,9 @@
             let line = self.idle.take().unwrap_or_else(|| self.line(self.discovery));
             // Where discovery has many to serve, each begins with the call that waits: one call less.
             let waits = self.many() && self.front.ready.get();
-            let (on, limit) = match if waits { self.wait() } else { AT_ONCE_MS } {
-                AT_ONCE_MS => (AT_ONCE_MS, CALL),
-                on => (on, BEYOND + Duration::from_millis(on)),
-            };
-            let (wait, limit) = match line.seq.filter(|_| self.watching) {
-                Some(_) => (Some(on), limit),
-                None => (None, CALL),
-            };
-            self.call = Some(Box::pin(line.call(wait, self.put_off(Step::Begins), limit)));
+            let on = if waits { self.wait() } else { AT_ONCE_MS };
+            let wait = (line.seq.is_some() && self.watching).then_some(on);
+            self.call = Some(Box::pin(line.call(wait, self.put_off(Step::Begins), due(wait))));
         }
     }
 
--- a/src/front/platform/workers.rs
+++ b/src/front/platform/workers.rs
@@ -233,10 +233,10 @@
     }
 
     /// Sends a message and reads the answer's head and body, both left in the buffer. What the answer says is told as
-    /// soon as its head is there: its body may be cut off, or never end.
+    /// soon as its head is there: its body may be cut off, or never end. Returned with how long the connection then rests.
     async fn talk(
         &self, link: &Link, buffer: &mut Buffer, (sent, said): (impl Fn(), impl Fn(&Head<'_>)),
-    ) -> Result<http::Frame, Reason> {
+    ) -> Result<(http::Frame, Duration), Reason> {
         let (mut gone_out, mut by, mut failed) = (0, None, false);
         let write = link.write(buffer.filled(), &mut gone_out).await;
         if gone_out == buffer.filled().len() {
@@ -273,7 +273,7 @@
                 if status >= 200 {
                     // Doubled, it would come some milliseconds later and be taken for the answer to the next request.
                     frame.keep &= !failed;
-                    return Ok(frame);
+                    return Ok((frame, if status >= 300 { SETTLED } else { Duration::ZERO }));
                 }
                 buffer.consume(frame.total); // an interim answer
             }
@@ -301,14 +301,11 @@
         let Some(link) = &hold.link else { return Err(Reason::Broke) };
         let talk = self.talk(link, buffer, told).await;
         match &talk {
-            Ok(frame) if frame.keep && frame.total == buffer.filled().len() => {
-                let refused = http::answer_head(buffer, |head| head.status >= 300).unwrap_or(true);
-                hold.keep(if refused { SETTLED } else { Duration::ZERO })
-            }
+            Ok((frame, after)) if frame.keep && frame.total == buffer.filled().len() => hold.keep(*after),
             Ok(_) => hold.end(Reason::Done),
             Err(reason) => hold.end(*reason),
         }
-        talk
+        talk.map(|(frame, _)| frame)
     }
 
     /// The one check right before the first byte of a claim: is it still to go, and here? A decision waits in the
