--- /dev/null
+++ b/crates/lab/src/worker/tests.rs
@@ -0,0 +1,134 @@
+use super::*;
+
+fn kind() -> Kind {
+    Kind {
+        name: "k".into(),
+        count: 1,
+        cores: 2,
+        speed: [1.0, 1.0],
+        queue_per_core: 2.0,
+        cold_from: 0.25,
+        warm_s: 8.0,
+    }
+}
+
+fn job(ticket: Ticket, work: Micros, slots: u32) -> Job {
+    Job { ticket, work, slots, ..Job::default() }
+}
+
+fn events(w: &mut Worker, now: Micros) -> Vec<Event> {
+    let mut out = Vec::new();
+    w.step(now);
+    w.take(&mut out);
+    out
+}
+
+#[test]
+fn the_head_of_the_queue_waits_until_it_fits() {
+    let mut w = Worker::new(&kind(), 1.0);
+    assert_eq!(w.offer(0, job(1, 100, 1)), Offer::Taken);
+    assert_eq!(w.offer(0, job(2, 100, 2)), Offer::Taken);
+    assert_eq!(w.offer(0, job(3, 100, 1)), Offer::Taken);
+    assert_eq!(events(&mut w, 0), [Event::Started(1)], "a slot stays free behind the large job");
+    assert_eq!(w.due(), Some(100));
+    assert_eq!(events(&mut w, 100), [Event::Done(1), Event::Started(2)]);
+    assert_eq!(events(&mut w, 200), [Event::Done(2), Event::Started(3)]);
+    (0..4).for_each(|n| assert_eq!(w.offer(200, job(10 + n, 100, 2)), Offer::Taken));
+    assert_eq!(w.offer(200, job(20, 100, 1)), Offer::Full);
+    w.drain();
+    assert_eq!(w.offer(200, job(21, 100, 1)), Offer::Full);
+    assert_eq!(events(&mut w, 200).len(), 4, "what waits is handed back");
+    w.crash();
+    assert_eq!(events(&mut w, 250), [Event::Lost(3)]);
+    assert!(!w.up() && w.due().is_none());
+}
+
+#[test]
+fn standing_still_puts_off_what_runs_once() {
+    let mut w = Worker::new(&kind(), 2.0);
+    w.offer(0, job(1, 200, 1));
+    w.stand_still(50, 150);
+    w.stand_still(60, 140);
+    w.offer(70, job(2, 200, 1));
+    assert!(w.still(149));
+    assert_eq!(events(&mut w, 149), [Event::Started(1)], "the second waits for the end of the pause");
+    assert_eq!(w.due(), Some(150));
+    assert_eq!(events(&mut w, 150), [Event::Started(2)]);
+    assert_eq!(events(&mut w, 200), [Event::Done(1)]);
+    assert_eq!(events(&mut w, 250), [Event::Done(2)]);
+}
+
+#[test]
+fn a_new_process_is_cold_and_warms_with_time_and_work() {
+    let mut w = Worker::new(&kind(), 1.0);
+    assert_eq!(w.warmth(0), 1.0);
+    w.start_again(1_000_000);
+    assert_eq!(w.warmth(1_000_000), 0.25);
+    w.offer(1_000_000, job(1, 1_000_000, 1));
+    assert_eq!(w.due(), Some(2_000_000), "a note on its progress comes first");
+    assert!(events(&mut w, 2_000_000).contains(&Event::Progress(1, 250)));
+    assert_eq!(w.warmth(5_000_000), 0.625);
+    assert_eq!(w.warmth(9_000_000), 1.0);
+    (3..6).for_each(|n| assert_eq!(events(&mut w, n * 1_000_000 + 1).len(), 1));
+    assert!(w.warmth(3_000_000) > 0.6, "the work done counts too");
+}
+
+#[test]
+fn each_order_starts_its_own_job_next() {
+    let started = |order: Order| {
+        let mut w = Worker::new(&kind(), 1.0).serving(order, None);
+        w.offer(0, job(1, 100, 1));
+        w.offer(0, job(2, 100, 2));
+        w.offer(0, job(3, 100, 1));
+        w.offer(0, Job { priority: 1, ..job(4, 100, 1) });
+        let mut seen = Vec::new();
+        for now in [0, 100, 200, 300] {
+            let began = events(&mut w, now).into_iter();
+            seen.extend(began.filter_map(|e| if let Event::Started(t) = e { Some(t) } else { None }));
+        }
+        seen
+    };
+    assert_eq!(started(Order::InOrder), [1, 2, 3, 4]);
+    assert_eq!(started(Order::WhateverFits), [1, 3, 2, 4]);
+    assert_eq!(started(Order::Priority), [1, 4, 2, 3]);
+}
+
+#[test]
+fn what_is_given_up_stops_and_makes_room() {
+    let mut w = Worker::new(&kind(), 1.0);
+    (1..=3).for_each(|n| _ = w.offer(0, job(n, 1000, 1)));
+    events(&mut w, 0);
+    w.give_up(100, 1);
+    assert_eq!(events(&mut w, 100), [Event::Started(3)]);
+    w.give_up(200, 9);
+    assert_eq!(events(&mut w, 1000), [Event::Done(2)]);
+    assert_eq!(events(&mut w, 1100), [Event::Done(3)], "and never 1");
+}
+
+#[test]
+fn a_change_of_pace_holds_for_what_runs() {
+    let mut w = Worker::new(&kind(), 2.0);
+    w.offer(0, job(1, 4_000_000, 1));
+    w.set_pace(1_000_000, 0.25);
+    assert_eq!(events(&mut w, 1_000_000), [Event::Started(1), Event::Progress(1, 500)]);
+    w.set_pace(3_000_000, 1.0);
+    assert_eq!(w.capacity(3_000_000), 4.0);
+    assert!(events(&mut w, 3_499_999).contains(&Event::Progress(1, 1000)));
+    assert_eq!(events(&mut w, 3_500_000), [Event::Done(1)]);
+}
+
+#[test]
+fn a_fetch_holds_the_slot_and_no_share_is_done_meanwhile() {
+    let store = std::sync::Arc::new(std::sync::Mutex::new(crate::store::Store::new(9.0)));
+    let mut w = Worker::new(&kind(), 1.0).serving(Order::InOrder, Some(Shelf::new(store, 4)));
+    let about = |ticket, thing| Job { thing: Some((thing, 500_000)), ..job(ticket, 1_000_000, 1) };
+    let ends = |w: &Worker, of: &Job| w.would_end(0, of);
+    assert_eq!(ends(&w, &about(9, 7)), Some(1_500_000.0));
+    w.offer(0, about(1, 7));
+    assert_eq!(ends(&w, &about(9, 7)), Some(1_000_000.0));
+    assert_eq!(events(&mut w, 0), [Event::Started(1)]);
+    assert_eq!(events(&mut w, 1_000_000), [Event::Progress(1, 500)]);
+    assert_eq!(events(&mut w, 1_500_000), [Event::Done(1)]);
+    w.offer(2_000_000, about(2, 7));
+    assert_eq!(w.due(), Some(3_000_000), "it is there");
+}
