A chain that lost a member before it took over a view goes on with another

Cause: reconfiguration.rs let a member join the chain only while the view was installed, and a chain of the least length never drops a member. So a view of the shortest chain whose member lost its disk (or was replaced) before it had taken over the view's first state never came together: the head kept its lease and wrote nothing ever again. Ruled out: elections (a head acts all along), the transfer (the third member had the head's rows, its mark was of the view).

Change: while the view is not installed and a member holds the chain up, voters that have the head's rows take its place in the same plan. A chain that would be too short keeps some of those that hold it up.

--- a/crates/replication/src/replica/reconfiguration.rs
+++ b/crates/replication/src/replica/reconfiguration.rs
@@ -86,7 +86,8 @@
         let silence = |voter: &Member| tenure.peers.get(voter).map_or(0, |p| p.silent_ms(self.now_ms));
         let lost = voters.iter().copied().max_by_key(silence).filter(|&v| v != self.durable.member);
         let is_newcomer = |member: &Member| !voters.contains(member);
-        let ready = |peer: &Peer| self.is_caught_up(tenure, peer) && !peer.health.leaving;
+        let may_rejoin = |peer: &Peer| self.now_ms >= peer.rejoin_ms;
+        let ready = |peer: &Peer| self.is_caught_up(tenure, peer) && may_rejoin(peer) && !peer.health.leaving;
         let newcomer = tenure.peers.iter().find(|(member, peer)| is_newcomer(member) && ready(peer));
         if let Some((&new, _)) = newcomer {
             let wiped = voters.iter().copied().find(|voter| voter.internal == new.internal);
@@ -104,35 +105,45 @@
         self.settings.seeds.len().max(2 * self.settings.tolerated_losses + 1)
     }
 
-    /// Whether a member outside the chain could go on as a part of it.
+    /// Whether a member outside the chain has the head's rows, and could go on as a part of the chain.
     fn is_caught_up(&self, tenure: &Tenure, peer: &Peer) -> bool {
         let mark = peer.health.mark;
         mark.view == tenure.view.number
             && mark.seq + REJOIN_LAG >= self.durable.mark.seq
             && peer.health.store_age_ms < REJOIN_STORE_AGE_MS
             && peer.silent_ms(self.now_ms) < SILENT_MEMBER_MS / 2
-            && self.now_ms >= peer.rejoin_ms
     }
 
     /// The present chain without those that hold it up, and with those that have caught up.
     fn planned_chain(&self, tenure: &Tenure, voters: &[Member]) -> Vec<Member> {
         let least = self.chain_min(voters.len());
-        let mut chain: Vec<Member> =
+        let present: Vec<Member> =
             tenure.view.chain.iter().copied().filter(|member| voters.contains(member)).collect();
-        for member in tenure.view.chain.iter().rev() {
-            if chain.len() > least && self.holds_up(tenure, *member) {
-                chain.retain(|other| other != member);
-            }
+        let (mut leaving, kept): (Vec<Member>, Vec<Member>) =
+            present.into_iter().partition(|&member| self.holds_up(tenure, member));
+        let mut chain = kept;
+        chain.extend(self.joining(tenure, voters, !leaving.is_empty()));
+        // A chain that would be too short keeps some of those that hold it up.
+        while chain.len() < least && !leaving.is_empty() {
+            chain.push(leaving.remove(0));
+        }
+        chain
+    }
+
+    /// Voters outside the chain that are taken into it. While the chain has not taken over the view's first state, only
+    /// to replace one that holds it up (`needed`): such a chain may never come together otherwise.
+    fn joining(&self, tenure: &Tenure, voters: &[Member], needed: bool) -> Vec<Member> {
+        let installing = !tenure.is_installed;
+        if installing && !needed {
+            return Vec::new();
         }
-        // One that is left out now has been in the chain: it joins again later, when its time of exclusion is over.
         let joins = |voter: &Member| {
             let peer = tenure.peers.get(voter).filter(|peer| !peer.health.leaving);
-            let caught_up = peer.is_some_and(|peer| self.is_caught_up(tenure, peer));
-            tenure.is_installed && caught_up && !tenure.view.chain.contains(voter)
+            let may_rejoin = |peer: &Peer| installing || self.now_ms >= peer.rejoin_ms;
+            peer.is_some_and(|peer| self.is_caught_up(tenure, peer) && may_rejoin(peer))
         };
-        let new: Vec<Member> = voters.iter().copied().filter(|v| !chain.contains(v) && joins(v)).collect();
-        chain.extend(new);
-        chain
+        // One that is left out now has been in the chain: it joins again later, when its time of exclusion is over.
+        voters.iter().copied().filter(|v| !tenure.view.chain.contains(v) && joins(v)).collect()
     }
 
     /// A member of the chain that is silent, about to stop, or slower than the others.
--- a/crates/replication/tests/simulation/node.rs
+++ b/crates/replication/tests/simulation/node.rs
@@ -14,10 +14,23 @@
     Read { read: u64, since: u64 },
 }
 
+/// Whether a machine is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Not yet.
+    Spare,
+    /// It will be installed soon.
+    Coming,
+    Present,
+    /// Removed for good.
+    Gone,
+}
+
 /// A machine.
 #[derive(Debug)]
 pub struct Node {
     pub index: usize,
+    pub place: Place,
     pub replica: Option<Replica>,
     pub disk: Disk,
     /// Rises with each start of the process; events of earlier lives are dropped.
@@ -53,6 +66,7 @@
     pub fn new(index: usize, clock_offset_ms: u64, clock_rate_permille: u64) -> Node {
         Node {
             index,
+            place: Place::Present,
             replica: None,
             disk: Disk::default(),
             life: 0,
--- a/crates/replication/tests/simulation/scenarios.rs
+++ b/crates/replication/tests/simulation/scenarios.rs
@@ -318,3 +318,35 @@
         assert_ne!(world.acting(), Some(head), "seed {seed}");
     }
 }
+
+/// Runs until the head has had a new view agreed.
+fn run_until_next_view(world: &mut World, head: usize, former: u64) {
+    let agreed = |world: &World| {
+        let view = world.nodes[head].replica.as_ref().and_then(|replica| replica.accepted_view());
+        view.is_some_and(|(view, agreed)| agreed && view.number > former)
+    };
+    let until_ms = world.now_ms + 3_000;
+    while !agreed(world) && world.now_ms < until_ms {
+        world.run(world.now_ms + 1, EVERY_MS);
+    }
+}
+
+/// A view is agreed by two of three while the third is cut off; then the second loses its disk before it has taken over
+/// the view, and the third is back. The head has a majority, and goes on with the third.
+#[test]
+fn a_chain_that_lost_a_member_before_it_took_over_goes_on_with_another() {
+    for seed in 0..SEEDS {
+        let mut world = started(seed, 3);
+        let head = head(&world);
+        let (lost, third) = ((head + 1) % 3, (head + 2) % 3);
+        let former = world.nodes[head].replica.as_ref().map_or(0, |replica| replica.view());
+        [head, lost].into_iter().for_each(|other| world.cut_both(other, third));
+        world.stop(head);
+        world.start(head, false);
+        run_until_next_view(&mut world, head, former);
+        world.wipe(lost);
+        world.cut.clear();
+        let gap_ms = longest_gap_ms(&mut world, 10_000);
+        assert!(gap_ms <= 3_000, "seed {seed}: no write for {gap_ms} ms\n{}", world.describe());
+    }
+}
--- a/crates/replication/tests/simulation/world.rs
+++ b/crates/replication/tests/simulation/world.rs
@@ -1,6 +1,6 @@
 //! A cluster under simulated time, with checks at each step.
 
-use super::node::{DiskTask, Flight, Node, index_of};
+use super::node::{DiskTask, Flight, Node, Place, index_of};
 use indigofold_replication::{Envelope, Input, Member, Output, RowChange, StoreRequest, message};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -12,6 +12,9 @@
 /// Time that a reading takes.
 const READ_MS: u64 = 1;
 
+/// How many machines a settings file names.
+const SEEDS: usize = 3;
+
 /// Writes that were submitted before are on all disks after so long.
 const SETTLE_MS: u64 = 100;
 
@@ -30,6 +33,8 @@
     /// Directed links that lose everything.
     pub cut: BTreeSet<(usize, usize)>,
     pub loss_percent: u64,
+    /// Part of the messages that arrive twice.
+    pub repeat_percent: u64,
     pub delay_spread_ms: u64,
     pub random: Pcg64Mcg,
     pub committed: BTreeMap<u64, (Vec<u8>, Vec<u8>)>,
@@ -58,6 +63,7 @@
             seeds: (0..seeds).collect(),
             cut: BTreeSet::new(),
             loss_percent: 0,
+            repeat_percent: 0,
             delay_spread_ms: 3,
             random,
             committed: BTreeMap::new(),
@@ -75,6 +81,48 @@
         }
     }
 
+    /// Machines that have been installed and not been removed.
+    pub fn present(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|&node| self.is_present(node)).collect()
+    }
+
+    pub fn is_present(&self, node: usize) -> bool {
+        self.nodes[node].place == Place::Present
+    }
+
+    /// The machines from `first` on are not there yet.
+    pub fn keep_spare(&mut self, first: usize) {
+        self.nodes[first..].iter_mut().for_each(|node| node.place = Place::Spare);
+    }
+
+    /// A machine that has not been there yet.
+    pub fn next_spare(&mut self) -> Option<usize> {
+        let spare = self.nodes.iter().position(|node| node.place == Place::Spare)?;
+        self.nodes[spare].place = Place::Coming;
+        Some(spare)
+    }
+
+    /// A new machine starts for the first time, beside those that are there.
+    pub fn install(&mut self, node: usize) {
+        self.note(&format!("install {node}"));
+        self.nodes[node].place = Place::Present;
+        self.name_seeds();
+        self.start(node, false);
+    }
+
+    /// A machine goes for good, with its disk.
+    pub fn remove(&mut self, node: usize) {
+        self.note(&format!("remove {node}"));
+        self.wipe(node);
+        self.nodes[node].place = Place::Gone;
+        self.name_seeds();
+    }
+
+    /// Those that start from now on are told of three machines that are there.
+    fn name_seeds(&mut self) {
+        self.seeds = self.present().into_iter().take(SEEDS).collect();
+    }
+
     pub fn below(&mut self, bound: u64) -> u64 {
         self.random.next_u64() % bound.max(1)
     }
@@ -88,7 +136,7 @@
     }
 
     pub fn start_all(&mut self) {
-        for node in 0..self.nodes.len() {
+        for node in self.present() {
             self.start(node, true);
         }
     }
@@ -318,8 +366,12 @@
         if to >= self.nodes.len() || self.cut.contains(&(from, to)) || self.below(100) < self.loss_percent {
             return;
         }
-        let delay_ms = 1 + self.below(self.delay_spread_ms);
-        self.schedule(self.now_ms + delay_ms, Event::Deliver(Box::new(Flight { to, envelope })));
+        let copies = if self.repeat_percent > 0 && self.below(100) < self.repeat_percent { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay_ms = 1 + self.below(self.delay_spread_ms);
+            let flight = Flight { to, envelope: envelope.clone() };
+            self.schedule(self.now_ms + delay_ms, Event::Deliver(Box::new(flight)));
+        }
     }
 
     /// All that was committed is on the disk of `node`.
