The former voters decide too until the whole chain has taken a view over

With the head and the leaver down, the others could have elected a head without what was committed. Ruled out: views with the same voters, where any majority meets the former chain.

Change: a view is established once its whole chain has its first state. The head then makes `previous_voters` equal to `voters` and tells it with its heartbeats; until then majorities of both are needed for promises and acceptance, and the voters do not change again. The wire and the file keep their forms; `agreed` no longer decides anything in an election.

--- a/crates/replication/src/replica/candidacy.rs
+++ b/crates/replication/src/replica/candidacy.rs
@@ -36,8 +36,8 @@
     pub phase: Phase,
     /// Number of the next view, once canvassing is over.
     pub number: u64,
-    /// Highest view that the candidate knows to have been accepted, and whether it is known to hold.
-    pub known: (View, bool),
+    /// Highest view that the candidate knows to have been accepted.
+    pub known: View,
     /// Highest number that anybody has promised.
     pub promised: u64,
     /// Voters asked in this phase.
@@ -54,14 +54,10 @@
 }
 
 impl Candidacy {
-    /// Voters whose majorities are needed: those of the known view and, unless it is known to hold, of the one before.
-    pub fn electorates(&self) -> Vec<&[Member]> {
-        let (view, holds) = &self.known;
-        let mut electorates = vec![view.voters.as_slice()];
-        if !holds {
-            electorates.push(&view.previous_voters);
-        }
-        electorates
+    /// Voters whose majorities are needed: those of the known view and, unless it is known to be established, of the one
+    /// before. Until then what was committed before may be on disks of the former voters only.
+    pub fn electorates(&self) -> [&[Member]; 2] {
+        [&self.known.voters, &self.known.previous_voters]
     }
 
     /// All voters that are to be asked.
@@ -70,11 +66,10 @@
     }
 
     /// Takes note of a view that another voter has accepted.
-    pub fn learn(&mut self, view: View, holds: bool) {
-        if view.number > self.known.0.number {
-            self.known = (view, holds);
-        } else if view.number == self.known.0.number {
-            self.known.1 |= holds;
+    pub fn learn(&mut self, view: View) {
+        let newer = view.number > self.known.number;
+        if newer || (view.number == self.known.number && view.is_established()) {
+            self.known = view;
         }
     }
 
--- a/crates/replication/src/replica/chain.rs
+++ b/crates/replication/src/replica/chain.rs
@@ -133,12 +133,30 @@
         let own = self.durable.member;
         let Some(tenure) = &mut self.tenure else { return };
         let Some(stored) = tenure.stored_by_all(own) else { return };
-        tenure.is_installed = true;
+        let newly_installed = !std::mem::replace(&mut tenure.is_installed, true);
         let committed = take_committed(tenure, stored);
         self.outputs.extend(committed.into_iter().map(|ticket| Output::Committed { ticket }));
+        if newly_installed {
+            self.establish_view();
+        }
         self.tell_installed();
     }
 
+    /// The whole chain has the view's first state: its voters decide alone from now on, and are told so.
+    fn establish_view(&mut self) {
+        let Some(tenure) = self.tenure.as_mut().filter(|tenure| !tenure.view.is_established()) else {
+            return;
+        };
+        tenure.view = tenure.view.clone().established();
+        if let Some(view) = self.durable.view.as_mut().filter(|view| view.number == tenure.view.number) {
+            view.clone_from(&tenure.view);
+            self.stores.want();
+        }
+        if self.candidacy.is_none() {
+            self.send_heartbeats();
+        }
+    }
+
     /// Tells the driver of a view that the whole chain has taken over; of the first one once the lease holds.
     fn tell_installed(&mut self) {
         let own = self.durable.member;
--- a/crates/replication/src/replica/election.rs
+++ b/crates/replication/src/replica/election.rs
@@ -73,7 +73,7 @@
         Some(Candidacy {
             phase,
             number: 0,
-            known: (self.durable.view.clone()?, self.durable.agreed),
+            known: self.durable.view.clone()?,
             promised: self.durable.promised,
             asked: BTreeSet::from([self.durable.member]),
             agreed: BTreeSet::new(),
@@ -102,15 +102,15 @@
     }
 
     pub(super) fn on_canvass_reply(
-        &mut self, from: Member, round: u64, support: bool, promised: u64, view: Option<(View, bool)>,
+        &mut self, from: Member, round: u64, support: bool, promised: u64, view: Option<View>,
     ) {
         let Some(candidacy) = &mut self.candidacy else { return };
         if candidacy.phase != (Phase::Canvass { round }) {
             return;
         }
         candidacy.promised = candidacy.promised.max(promised);
-        if let Some((view, holds)) = view {
-            candidacy.learn(view, holds);
+        if let Some(view) = view {
+            candidacy.learn(view);
         }
         if support {
             self.count_canvass(from);
@@ -130,9 +130,9 @@
         if !candidacy.has_majority(&candidacy.agreed) {
             return;
         }
-        let number = candidacy.promised.max(candidacy.known.0.number) + 1;
+        let number = candidacy.promised.max(candidacy.known.number) + 1;
         let known = candidacy.known.clone();
-        if known.0.voters.contains(&self.durable.member) {
+        if known.voters.contains(&self.durable.member) {
             self.prepare(number, Some(known), None);
         } else {
             self.fail_candidacy();
@@ -140,7 +140,7 @@
     }
 
     /// Asks for promises; `plan` is what a head wants to change.
-    pub(super) fn prepare(&mut self, number: u64, known: Option<(View, bool)>, plan: Option<Plan>) {
+    pub(super) fn prepare(&mut self, number: u64, known: Option<View>, plan: Option<Plan>) {
         let deadline_ms = self.now_ms + PHASE_MS;
         let Some(mut candidacy) = self.new_candidacy(Phase::Prepare, deadline_ms, plan) else { return };
         candidacy.number = number;
@@ -153,20 +153,18 @@
     }
 
     pub(super) fn on_own_promise(&mut self, number: u64) {
-        let view = self.durable.view.clone().map(|view| (view, self.durable.agreed));
-        self.on_promise(self.durable.member, number, view, self.durable.mark, false);
+        self.on_promise(self.durable.member, number, self.durable.view.clone(), self.durable.mark, false);
     }
 
     pub(super) fn on_promise(
-        &mut self, from: Member, number: u64, view: Option<(View, bool)>, mark: Mark, leaving: bool,
+        &mut self, from: Member, number: u64, view: Option<View>, mark: Mark, leaving: bool,
     ) {
         let Some(candidacy) = self.candidacy.as_mut().filter(|c| c.number == number) else { return };
         if candidacy.phase != Phase::Prepare {
             return;
         }
-        if let Some((view, holds)) = view {
-            let installed = mark.view == view.number;
-            candidacy.learn(view, holds || installed);
+        if let Some(view) = view {
+            candidacy.learn(view);
         }
         candidacy.agreed.insert(from);
         candidacy.promises.insert(from, Promised { mark, leaving });
@@ -230,8 +228,10 @@
 
     /// The view to propose; `None` where no chain comes together.
     fn next_view(&self, candidacy: &Candidacy, base: Mark) -> Option<View> {
-        let (known, holds) = &candidacy.known;
-        let plan = candidacy.plan.as_ref().filter(|_| *holds);
+        let known = &candidacy.known;
+        // Voters change only on top of an established view.
+        let fits = |plan: &&Plan| known.is_established() || plan.voters == known.voters;
+        let plan = candidacy.plan.as_ref().filter(fits);
         let voters = plan.map_or(&known.voters, |plan| &plan.voters);
         let chain = match plan {
             Some(plan) => planned_chain(plan, candidacy, known),
@@ -239,11 +239,10 @@
         };
         let enough = chain.len() >= self.chain_min(voters.len());
         let leads = chain.first() == Some(&self.durable.member) && voters.contains(&self.durable.member);
-        let previous_voters = if *holds { &known.voters } else { &known.previous_voters };
         (enough && leads).then(|| View {
             number: candidacy.number,
             voters: voters.clone(),
-            previous_voters: previous_voters.clone(),
+            previous_voters: known.previous_voters.clone(),
             chain,
             base,
         })
--- a/crates/replication/src/replica/head.rs
+++ b/crates/replication/src/replica/head.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    fn send_heartbeats(&mut self) {
+    pub(super) fn send_heartbeats(&mut self) {
         let own = self.durable.member;
         let Some(tenure) = &mut self.tenure else { return };
         tenure.heartbeat_ms = self.now_ms + HEARTBEAT_MS;
--- a/crates/replication/src/replica/lease.rs
+++ b/crates/replication/src/replica/lease.rs
@@ -36,8 +36,13 @@
 
     /// Takes over a view that is known to hold and that another member leads.
     pub(super) fn follow(&mut self, view: &View) {
-        let known = self.durable.view.as_ref().is_some_and(|v| v.number == view.number);
-        if known && self.durable.agreed && self.durable.promised == view.number {
+        let known = self.durable.view.as_ref().filter(|v| v.number == view.number);
+        let is_followed = self.durable.agreed && self.durable.promised == view.number;
+        if let Some(known) = known.filter(|_| is_followed) {
+            if view.is_established() && !known.is_established() {
+                self.durable.view = Some(view.clone());
+                self.stores.want();
+            }
             return;
         }
         self.withdraw();
--- a/crates/replication/src/replica/mod.rs
+++ b/crates/replication/src/replica/mod.rs
@@ -178,12 +178,12 @@
             Message::Announce { address } => self.on_announce(from, address),
             Message::Addresses { addresses } => addresses.into_iter().for_each(|a| self.learn_address(a)),
             Message::Canvass { round, mark, headed } => self.on_canvass(from, round, mark, headed),
-            Message::CanvassReply { round, support, promised, view, agreed } => {
-                self.on_canvass_reply(from, round, support, promised, view.map(|v| (v, agreed)));
+            Message::CanvassReply { round, support, promised, view, agreed: _ } => {
+                self.on_canvass_reply(from, round, support, promised, view);
             }
             Message::Prepare { number, headed } => self.on_prepare(from, number, headed),
-            Message::Promise { number, view, agreed, mark, leaving } => {
-                self.on_promise(from, number, view.map(|v| (v, agreed)), mark, leaving);
+            Message::Promise { number, view, agreed: _, mark, leaving } => {
+                self.on_promise(from, number, view, mark, leaving);
             }
             Message::Refuse { number, promised } => self.on_refuse(from, number, promised),
             Message::Accept { view } => self.on_accept(from, view),
--- a/crates/replication/src/types.rs
+++ b/crates/replication/src/types.rs
@@ -41,7 +41,8 @@
     pub number: u64,
     /// Members whose majorities agree on views and grant leases.
     pub voters: Vec<Member>,
-    /// Voters of the last agreed view before it, whose majority has to accept it too.
+    /// Voters of the last established view before it: a majority of them has to promise and accept too, until the whole
+    /// chain has taken this view's first state over. From then on these are `voters`.
     pub previous_voters: Vec<Member>,
     /// Members that store each write, the head first; at least a majority of the voters.
     pub chain: Vec<Member>,
@@ -65,6 +66,18 @@
         }
     }
 
+    /// The whole chain has taken over its first state (or the voters are those of the view before): its own voters
+    /// decide alone.
+    pub fn is_established(&self) -> bool {
+        self.voters == self.previous_voters
+    }
+
+    /// The view once the whole chain has taken over its first state.
+    pub fn established(mut self) -> View {
+        self.previous_voters.clone_from(&self.voters);
+        self
+    }
+
     /// Its head.
     pub fn head(&self) -> Option<Member> {
         self.chain.first().copied()
