An odd number of members vote, the others copy and take a silent voter's place

Four voters bear no more losses than three, and a cut into two halves leaves neither half a majority: no writes for the whole cut.

--- a/crates/replication/src/replica/reconfiguration.rs
+++ b/crates/replication/src/replica/reconfiguration.rs
@@ -5,8 +5,8 @@
 use super::candidacy::Plan;
 use super::tenure::{Peer, Tenure};
 use crate::timing::{
-    INSTALL_MS, RECONFIGURE_MS, REJOIN_LAG, REJOIN_STORE_AGE_MS, REMOVE_AFTER_MS, REPLACE_AFTER_MS,
-    SILENT_MEMBER_MS, SLOW_MEMBER_MS, VOTERS_MAX,
+    INSTALL_MS, RECONFIGURE_MS, REJOIN_LAG, REJOIN_STORE_AGE_MS, REMOVE_AFTER_MS, REMOVE_LONE_AFTER_MS,
+    REPLACE_AFTER_MS, SILENT_MEMBER_MS, SLOW_MEMBER_MS, VOTERS_MAX,
 };
 use crate::types::Member;
 
@@ -78,27 +78,70 @@
         voters
     }
 
+    /// The next step towards an odd number of voters, all of them in touch. An even number bears no more losses than the
+    /// odd one below it, and a cut into two halves leaves neither half a majority.
     fn voter_change(&self, tenure: &Tenure) -> Option<VoterChange> {
         if !tenure.is_installed {
             return None;
         }
+        let newcomers = self.ready_newcomers(tenure);
+        let replacement = newcomers.iter().find_map(|&new| {
+            let old = wiped_voter(tenure, new)?;
+            Some(VoterChange::Replace { old, new })
+        });
+        let replace_silent = || {
+            let old = self.silent_voters(tenure, REPLACE_AFTER_MS).first().copied()?;
+            Some(VoterChange::Replace { old, new: newcomers.first().copied()? })
+        };
+        let members = tenure.view.voters.len() + newcomers.len();
+        let add = || {
+            let is_wanted = tenure.view.voters.len() < self.voters_aimed_at(members);
+            newcomers.first().copied().filter(|_| is_wanted).map(VoterChange::Add)
+        };
+        let remove = || self.surplus_voter(tenure).map(VoterChange::Remove);
+        replacement.or_else(replace_silent).or_else(add).or_else(remove)
+    }
+
+    /// Members that are no voters, and could be.
+    fn ready_newcomers(&self, tenure: &Tenure) -> Vec<Member> {
+        let is_ready = |peer: &Peer| {
+            self.is_caught_up(tenure, peer) && self.now_ms >= peer.rejoin_ms && !peer.health.leaving
+        };
+        let newcomers = tenure.peers.iter().filter(|(member, _)| !tenure.view.voters.contains(member));
+        newcomers.filter(|(_, peer)| is_ready(peer)).map(|(&member, _)| member).collect()
+    }
+
+    /// Voters that have not been heard for `for_ms`, the most silent first.
+    fn silent_voters(&self, tenure: &Tenure, for_ms: u64) -> Vec<Member> {
+        let own = self.durable.member;
+        let silence = |voter: Member| tenure.peers.get(&voter).map_or(0, |p| p.silent_ms(self.now_ms));
+        let others = tenure.view.voters.iter().copied().filter(|&voter| voter != own);
+        let mut silent: Vec<Member> = others.filter(|&voter| silence(voter) >= for_ms).collect();
+        silent.sort_by_key(|&voter| std::cmp::Reverse(silence(voter)));
+        silent
+    }
+
+    /// A voter beyond those wanted: a silent one (later if an even number would be left for it alone), and of an even
+    /// number one that is not in the chain, or the last of the chain.
+    fn surplus_voter(&self, tenure: &Tenure) -> Option<Member> {
         let voters = &tenure.view.voters;
-        let silence = |voter: &Member| tenure.peers.get(voter).map_or(0, |p| p.silent_ms(self.now_ms));
-        let lost = voters.iter().copied().max_by_key(silence).filter(|&v| v != self.durable.member);
-        let is_newcomer = |member: &Member| !voters.contains(member);
-        let may_rejoin = |peer: &Peer| self.now_ms >= peer.rejoin_ms;
-        let ready = |peer: &Peer| self.is_caught_up(tenure, peer) && may_rejoin(peer) && !peer.health.leaving;
-        let newcomer = tenure.peers.iter().find(|(member, peer)| is_newcomer(member) && ready(peer));
-        if let Some((&new, _)) = newcomer {
-            let wiped = voters.iter().copied().find(|voter| voter.internal == new.internal);
-            let replaced = wiped.or(lost.filter(|voter| silence(voter) >= REPLACE_AFTER_MS));
-            return match replaced {
-                Some(old) => Some(VoterChange::Replace { old, new }),
-                None => (voters.len() < VOTERS_MAX).then_some(VoterChange::Add(new)),
-            };
+        if voters.len() <= self.voters_wanted() {
+            return None;
+        }
+        let silent = self.silent_voters(tenure, REMOVE_AFTER_MS);
+        if voters.len().is_multiple_of(2) {
+            let outside = voters.iter().copied().find(|voter| !tenure.view.chain.contains(voter));
+            return silent.first().copied().or(outside).or(tenure.view.chain.last().copied());
         }
-        let surplus = voters.len() > self.voters_wanted();
-        lost.filter(|voter| surplus && silence(voter) >= REMOVE_AFTER_MS).map(VoterChange::Remove)
+        let lone = self.silent_voters(tenure, REMOVE_LONE_AFTER_MS);
+        let several = silent.first().filter(|_| silent.len() > 1);
+        several.or(lone.first()).copied()
+    }
+
+    /// How many voters there should be among so many members.
+    fn voters_aimed_at(&self, members: usize) -> usize {
+        let odd = if members.is_multiple_of(2) { members.saturating_sub(1) } else { members };
+        odd.max(self.voters_wanted()).min(VOTERS_MAX)
     }
 
     fn voters_wanted(&self) -> usize {
@@ -170,3 +213,8 @@
         tenure.is_installed && late && have >= self.chain_min(tenure.view.voters.len())
     }
 }
+
+/// The voter that had the address of `new`, and has lost its disk.
+fn wiped_voter(tenure: &Tenure, new: Member) -> Option<Member> {
+    tenure.view.voters.iter().copied().find(|voter| voter.internal == new.internal)
+}
--- a/crates/replication/src/timing.rs
+++ b/crates/replication/src/timing.rs
@@ -20,6 +20,8 @@
 pub const REPLACE_AFTER_MS: u64 = 1_000;
 /// A voter that has been silent for so long is removed while there are more voters than wanted.
 pub const REMOVE_AFTER_MS: u64 = 2_000;
+/// The same for the only silent one of an odd number of voters: without it an even number is left.
+pub const REMOVE_LONE_AFTER_MS: u64 = 8_000;
 /// A newcomer that has been silent for so long is forgotten.
 pub const FORGET_NEWCOMER_MS: u64 = 10_000;
 /// Most voters.
