A worker that sends DELETE without having drained is left its runs until they end

Ruled out: workers that drained before, which end with their DELETE.

Change: such a life is told to the head as draining with no time left; what the worker has not listed is withdrawn, nothing more is started, its heartbeats are answered on. It is gone once its runs have ended and the head has the ends, or once its holds have lapsed.

Tests: two in companion_holds.rs, for a worker that goes on sending heartbeats and one that falls silent; both fail before (`gone` in the first report).

--- a/crates/data-plane/src/companion/life.rs
+++ b/crates/data-plane/src/companion/life.rs
@@ -37,6 +37,8 @@
     pub returned: bool,
     /// It has been silent until all its holds lapsed.
     pub lapsed: bool,
+    /// It has sent `DELETE` without having drained first, and serves on for a while.
+    pub leaving: bool,
     /// Its runs.
     pub runs: RunTable,
     /// Ends up to this number are on the head's disk.
@@ -61,6 +63,7 @@
             standing: Standing::Untold,
             returned: false,
             lapsed: false,
+            leaving: false,
             runs: RunTable::default(),
             last_seen: None,
             lists_revision: 0,
@@ -78,8 +81,27 @@
         self.newest_seq.is_some_and(|newest| seq_no <= newest)
     }
 
+    /// It has announced its end.
+    pub fn is_draining(&self) -> bool {
+        self.newest.state == WorkerState::Draining
+    }
+
+    /// It has sent `DELETE`: from now on it is told as one that drains and has no time left.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        drain_at_once(&mut self.newest);
+    }
+
+    /// Nothing is at work or ordered, and the head has heard of all ends.
+    pub fn is_done(&self) -> bool {
+        self.runs.is_empty() && self.finished.is_empty()
+    }
+
     /// Reads a heartbeat.
     pub fn heard(&mut self, now_ms: u64, mut beat: Heartbeat) -> Changes {
+        if self.leaving {
+            drain_at_once(&mut beat);
+        }
         let running = running_runs(std::mem::take(&mut beat.running));
         let finished = self.unacknowledged(std::mem::take(&mut beat.finished));
         let not_started = self.runs.heard(beat.seq_no, &running, &finished);
@@ -151,6 +173,11 @@
     }
 }
 
+fn drain_at_once(beat: &mut Heartbeat) {
+    beat.state = WorkerState::Draining;
+    beat.remaining_ms = Some(0);
+}
+
 /// Runs at work as the heartbeat lists them. A name that is no task's was never ordered by this system.
 fn running_runs(listed: Vec<Running>) -> Vec<RunningRun> {
     let runs = listed.into_iter().filter_map(|item| {
--- a/crates/data-plane/src/companion/mod.rs
+++ b/crates/data-plane/src/companion/mod.rs
@@ -115,15 +115,23 @@
         self.urgent |= changes.urgent || life.runs.in_flight() != in_flight;
         self.give_back(changes.not_started);
         Self::push_all(&mut self.not_started, &out.not_started);
+        self.end_if_left();
         BeatOutcome::Answered(self.reply(now_ms, hold_ms, last_seen, idle, out))
     }
 
-    /// `DELETE /instances/ID`.
+    /// `DELETE /instances/ID`. A worker that was draining ends now. One that was not serves on for a while: what runs
+    /// there is not over before the worker has listed its end, or its holds have lapsed.
     pub fn delete(&mut self, id: &str) {
-        if self.life.as_ref().is_some_and(|life| life.id == id) {
-            self.events.push(CompanionEvent::Left(id.to_owned()));
+        let Some(life) = self.life.as_mut().filter(|life| life.id == id && !life.leaving) else { return };
+        self.events.push(CompanionEvent::Left(id.to_owned()));
+        let withdrawn = life.runs.withdraw_all();
+        if life.is_draining() || life.runs.is_empty() {
             self.end_life();
+        } else {
+            life.leave();
+            self.urgent = true;
         }
+        self.give_back(withdrawn);
     }
 
     /// What the head tells.
@@ -268,6 +276,13 @@
         self.urgent = true;
     }
 
+    /// A worker that has sent `DELETE` and has nothing at work any more, whose ends the head has all heard of, is gone.
+    fn end_if_left(&mut self) {
+        if self.life.as_ref().is_some_and(|life| life.leaving && life.is_done()) {
+            self.end_life();
+        }
+    }
+
     fn end_life(&mut self) {
         if let Some(life) = self.life.take() {
             self.retire(life.id);
--- a/crates/data-plane/tests/companion_holds.rs
+++ b/crates/data-plane/tests/companion_holds.rs
@@ -7,7 +7,7 @@
     BUSY_BEAT_MS, BeatOutcome, Companion, IDLE_BEAT_MS, ORDERED_LATELY_MS, lapsed_at_ms,
 };
 use indigofold_protocol::internal::{CompanionOrders, HOLD_AUTHORITY_MS, HOLD_MS};
-use indigofold_protocol::worker::RunEnd;
+use indigofold_protocol::worker::{RunEnd, WorkerState};
 
 /// Long enough for every hold to lapse.
 const SILENCE_MS: u64 = HOLD_MS + 1_500;
@@ -122,6 +122,49 @@
     assert_eq!((report.gone, report.instance), (vec![WORKER.to_owned()], None));
 }
 
+/// A worker that sends `DELETE` without having drained serves on: what runs there must not run elsewhere meanwhile.
+#[test]
+fn a_worker_that_leaves_unannounced_is_gone_once_its_runs_have_ended() {
+    let mut bench = Bench::settled();
+    bench.order_start(&[start(run(1), 100), start(run(2), 100)]);
+    let reply = bench.beat();
+    bench.obey(&reply);
+    bench.beat();
+    bench.companion.delete(WORKER);
+    let report = bench.report_and_echo();
+    let instance = report.instance.expect("it still has runs");
+    assert!(report.gone.is_empty(), "its runs may be at work");
+    assert_eq!((instance.state, instance.remaining_ms), (WorkerState::Draining, Some(0)));
+    bench.order_start(&[start(run(3), 100)]);
+    bench.order_stop(&[run(1), run(2)]);
+    let reply = bench.beat();
+    assert_eq!((reply.start.len(), reply.stop.len()), (0, 2));
+    bench.obey(&reply);
+    bench.beat();
+    let report = bench.report_and_echo();
+    assert_eq!(report.instance.expect("its ends are not acknowledged").finished.len(), 2);
+    bench.orders(CompanionOrders { last_seen: Some(2), ..bench.no_orders() });
+    bench.beat();
+    assert_eq!(bench.report_now().gone, [WORKER]);
+}
+
+#[test]
+fn a_worker_that_leaves_unannounced_and_falls_silent_is_gone_once_its_holds_have_lapsed() {
+    let mut bench = Bench::settled();
+    bench.order_start(&[start(run(1), 100)]);
+    let reply = bench.beat();
+    bench.obey(&reply);
+    bench.beat();
+    let beat_ms = bench.now_ms;
+    bench.companion.delete(WORKER);
+    bench.now_ms = lapsed_at_ms(beat_ms, HOLD_MS) - 1;
+    let report = bench.companion.tick(bench.now_ms).expect("due");
+    assert!(report.gone.is_empty() && report.instance.is_some());
+    bench.pass(1);
+    bench.companion.tick(bench.now_ms);
+    assert_eq!(bench.report_now().gone, [WORKER]);
+}
+
 #[test]
 fn a_silent_worker_is_gone_once_its_holds_have_lapsed() {
     let mut bench = Bench::settled();
