Rows and the record carry checksums; a background scrub; damage makes a disk empty

A head whose rows could not be read tried again for ever with its lease held. And a member whose database was set aside came back as a voter of the first view if its settings still said `bootstrap`, although it had forgotten what it had promised.

Change: form 2 of the database: each row has a CRC over key, value and sequence number, the record one behind it; databases of form 1 get theirs when they are opened. Every reading compares. The database is opened only if all rows and SQLite's own integrity check agree. What is found while a member runs ends the process (crash only): the next start sets the database aside and comes back as a member without a disk, which gets all rows from the others before it votes.

--- a/crates/control-plane/src/driver.rs
+++ b/crates/control-plane/src/driver.rs
@@ -161,6 +161,7 @@
             Output::Storage(request) => {
                 self.requests.send(request).map_err(|_| DriverError::StorageGone)?;
             }
+            Output::Damaged { reason } => return Err(DriverError::Damaged { reason }),
         }
         Ok(())
     }
--- a/crates/control-plane/src/driver/error.rs
+++ b/crates/control-plane/src/driver/error.rs
@@ -25,6 +25,12 @@
     /// The storage thread has ended.
     #[snafu(display("the storage thread has ended"))]
     StorageGone,
+    /// The database has been found damaged.
+    #[snafu(display("{reason}; it is set aside at the next start, and the rows come from other members"))]
+    Damaged {
+        /// What was found.
+        reason: String,
+    },
     /// A socket or signal cannot be used.
     #[snafu(display("{source}"))]
     Net {
--- a/crates/control-plane/src/driver/start.rs
+++ b/crates/control-plane/src/driver/start.rs
@@ -36,6 +36,9 @@
     if let Some(aside) = &opened.set_aside {
         log::error!("the database is set aside as {}: {}", aside.path.display(), aside.reason);
     }
+    if opened.has_forgotten && settings.bootstrap {
+        log::warn!("`bootstrap` is passed over: a database was set aside here, so this is no first start");
+    }
     let state = if opened.durable.is_some() { "the disk holds a state" } else { "the disk is empty" };
     log::info!("{state}; bootstrap is {}", settings.bootstrap);
     let (requests, mut answers) = storage_thread::start(opened.storage).context(StorageThreadSnafu)?;
@@ -46,7 +49,10 @@
         }
     });
     let clocks = Clocks { steady_ms: steady_ms(), wall_ms: wall_ms() };
-    Ok((Node::new(node_settings(settings)?, opened.durable, clocks), requests))
+    let mut node_settings = node_settings(settings)?;
+    // A member that has forgotten what it had promised must not vote as one that never promised anything.
+    node_settings.bootstrap &= !opened.has_forgotten;
+    Ok((Node::new(node_settings, opened.durable, clocks), requests))
 }
 
 /// Opens the database; a disk that refuses is tried again, as its trouble may pass.
--- a/crates/control-plane/src/node.rs
+++ b/crates/control-plane/src/node.rs
@@ -5,8 +5,11 @@
 mod connections;
 mod home;
 mod inspect;
+mod scrub;
 mod welcome;
 
+pub use scrub::SCRUB_INTERVAL_MS;
+
 use crate::config_authority::CallId;
 use crate::head::{Clocks, Head};
 use crate::operator::{OperatorAnswer, OperatorCall};
@@ -110,6 +113,12 @@
     },
     /// Ask the storage thread.
     Storage(StorageRequest),
+    /// The database is damaged: the process has to end. It sets the database aside when it starts again, and is a member
+    /// without a disk.
+    Damaged {
+        /// What was found.
+        reason: String,
+    },
 }
 
 /// What this member is to the schedulers.
@@ -137,6 +146,7 @@
     welcome: Welcome,
     welcome_due_ms: u64,
     storage_failing: bool,
+    scrub: scrub::Scrub,
     inspections: inspect::Inspections,
     outputs: Vec<Output>,
 }
@@ -165,6 +175,7 @@
             welcome,
             welcome_due_ms: 0,
             storage_failing: false,
+            scrub: scrub::Scrub::new(clocks.steady_ms),
             inspections: inspect::Inspections::default(),
             outputs: Vec::new(),
             settings,
@@ -199,6 +210,7 @@
         if matches!(self.home, Home::Loading { retry_ms, .. } if retry_ms <= clocks.steady_ms) {
             self.load_rows(clocks);
         }
+        self.run_scrub(clocks.steady_ms);
         let dials = self.peers.take_due(clocks.steady_ms);
         self.outputs.extend(dials.into_iter().map(|address| Output::Dial { address }));
     }
@@ -211,7 +223,8 @@
         };
         let timers =
             [self.replica.next_timer_ms(), self.scheduler_timer_ms(clocks), self.peers.next_due_ms()];
-        timers.into_iter().fold(loading, u64::min)
+        let timers = timers.into_iter().chain([self.scrub.due_ms()]);
+        timers.fold(loading, u64::min)
     }
 
     /// What is to be done for all inputs since the last call. `now_ms` is a reading taken just before: what only an
--- a/crates/control-plane/src/node/home.rs
+++ b/crates/control-plane/src/node/home.rs
@@ -28,7 +28,12 @@
 
     /// The storage thread has done something.
     pub(super) fn stored(&mut self, clocks: Clocks, answer: StorageAnswer) {
+        if let Some(error) = answer.damage() {
+            self.outputs.push(Output::Damaged { reason: error.to_string() });
+            return;
+        }
         match answer {
+            StorageAnswer::Scrub { result } => self.scrubbed(clocks, result),
             StorageAnswer::Store { store, result: Ok(()) } => {
                 if std::mem::take(&mut self.storage_failing) {
                     log::info!("the disk takes writes again");
--- a/crates/control-plane/src/storage_thread.rs
+++ b/crates/control-plane/src/storage_thread.rs
@@ -39,6 +39,13 @@
         /// Number of the view.
         view: u64,
     },
+    /// Compare some rows with their checksums.
+    Scrub {
+        /// The rows after this key.
+        after: Vec<u8>,
+        /// How many.
+        count: usize,
+    },
     /// Read all rows for a survey.
     Survey {
         /// Its number.
@@ -72,6 +79,11 @@
         /// The rows.
         result: Result<Vec<KeyValue>, StorageError>,
     },
+    /// Rows have been compared with their checksums.
+    Scrub {
+        /// The last key, `None` at the end of the table.
+        result: Result<Option<Vec<u8>>, StorageError>,
+    },
     /// What all rows tell.
     Survey {
         /// Number of the survey.
@@ -81,6 +93,20 @@
     },
 }
 
+impl StorageAnswer {
+    /// What this tells of damage to the database, found while it was in use.
+    pub fn damage(&self) -> Option<&StorageError> {
+        let error = match self {
+            StorageAnswer::Store { result, .. } => result.as_ref().err(),
+            StorageAnswer::Read { result, .. } => result.as_ref().err(),
+            StorageAnswer::Load { result, .. } => result.as_ref().err(),
+            StorageAnswer::Scrub { result } => result.as_ref().err(),
+            StorageAnswer::Survey { result, .. } => result.as_ref().err(),
+        };
+        error.filter(|error| error.shows_damage())
+    }
+}
+
 /// The thread cannot be started.
 #[derive(Debug, Snafu)]
 #[snafu(display("the storage thread cannot be started: {source}"))]
@@ -118,6 +144,9 @@
             StorageAnswer::Read { read, result: storage.rows_since(since, bytes_max) }
         }
         StorageRequest::Load { view } => StorageAnswer::Load { view, result: all_rows(storage) },
+        StorageRequest::Scrub { after, count } => {
+            StorageAnswer::Scrub { result: storage.scrub(&after, count) }
+        }
         StorageRequest::Survey { survey, job } => {
             StorageAnswer::Survey { survey, result: survey_rows(storage, job) }
         }
--- a/crates/control-plane/tests/cluster/main.rs
+++ b/crates/control-plane/tests/cluster/main.rs
@@ -65,6 +65,31 @@
     assert_eq!(world.ask(head, OperatorCall::Read), config());
 }
 
+/// A row has changed on the disk of a member: it sets its database aside, and is a member again once it has all rows from
+/// the others. Then they die, and it leads with what it got.
+#[test]
+fn a_member_whose_disk_has_changed_a_row_gets_it_from_the_others() {
+    let mut world = World::start(3);
+    let head = world.run_to_head();
+    assert_eq!(world.ask(head, order("0", CONFIG)), taken());
+    let (damaged, third) = ((head + 1) % 3, (head + 2) % 3);
+    world.run_until(|world| world.node(damaged).is_needed() && world.node(third).is_needed());
+    world.kill(damaged);
+    world.flip_bit(damaged, "version");
+    world.restart(damaged);
+    world.run_until(|world| world.node(damaged).is_needed());
+    world.kill(head);
+    let successor = world.run_to_head();
+    assert_eq!(world.ask(successor, OperatorCall::Read), config());
+    if successor != damaged {
+        world.restart(head);
+        world.run_until(|world| world.node(head).is_needed());
+        world.kill(successor);
+        let last = world.run_to_head();
+        assert_eq!(world.ask(last, OperatorCall::Read), config());
+    }
+}
+
 #[test]
 fn a_head_that_steps_down_is_followed_at_once() {
     let mut world = World::start(3);
--- a/crates/control-plane/tests/cluster/world.rs
+++ b/crates/control-plane/tests/cluster/world.rs
@@ -78,10 +78,21 @@
     /// Starts a member with what its disk has kept.
     pub fn restart(&mut self, member: usize) {
         let opened = Storage::open(self.directories[member].path()).expect("a database");
-        let node = Node::new(self.settings(member), opened.durable, self.clocks());
+        let mut settings = self.settings(member);
+        settings.bootstrap &= !opened.has_forgotten;
+        let node = Node::new(settings, opened.durable, self.clocks());
         self.members[member] = Some(Member { node, storage: opened.storage });
     }
 
+    /// Changes a bit in the database of a member that is down, where it holds `text`.
+    pub fn flip_bit(&self, member: usize, text: &str) {
+        let path = self.directories[member].path().join("control.sqlite");
+        let mut bytes = std::fs::read(&path).expect("a database");
+        let at = bytes.windows(text.len()).rposition(|window| window == text.as_bytes());
+        bytes[at.expect("the database holds the text")] ^= 1;
+        std::fs::write(&path, bytes).expect("written");
+    }
+
     /// Ends a member as a kill does; its connections end.
     pub fn kill(&mut self, member: usize) {
         self.members[member] = None;
@@ -206,6 +217,7 @@
                 Output::Dial { address } => self.dial(member, address),
                 Output::Answer { call, answer } => drop(self.answers.insert(call, answer)),
                 Output::Storage(request) => self.events.push_back(Event::Store(member, request)),
+                Output::Damaged { reason } => panic!("the disk of member {member}: {reason}"),
             }
         }
     }
--- a/crates/control-plane/tests/node.rs
+++ b/crates/control-plane/tests/node.rs
@@ -2,7 +2,7 @@
 
 use indigofold_control_plane::config_authority::{Answer, Order, OrderKind};
 use indigofold_control_plane::head::Clocks;
-use indigofold_control_plane::node::{Input, Node, NodeSettings, Output};
+use indigofold_control_plane::node::{Input, Node, NodeSettings, Output, SCRUB_INTERVAL_MS};
 use indigofold_control_plane::operator::{OperatorAnswer, OperatorCall};
 use indigofold_control_plane::sessions::ConnectionId;
 use indigofold_control_plane::storage_thread::{StorageAnswer, StorageRequest, carry_out};
@@ -11,7 +11,7 @@
     ClientCall, ClientOperation, ClientOutcome, Frame, Hello, MemberAddress, ProcessKind, Welcome,
 };
 use indigofold_protocol::task::JobId;
-use indigofold_replication::{Durable, Storage};
+use indigofold_replication::{Durable, Storage, StorageError};
 use indigofold_scheduler::Bounds;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -258,6 +258,27 @@
     assert!(!answers.iter().any(|(_, answer)| *answer == taken()), "{answers:?}");
 }
 
+#[test]
+fn the_rows_on_disk_are_scrubbed_and_damage_ends_the_process() {
+    let directory = TempDir::new().expect("a folder");
+    let mut bench = Bench::acting(directory.path());
+    bench.order(1, 0, CONFIG);
+    bench.settle();
+    bench.now_ms += SCRUB_INTERVAL_MS;
+    bench.node.tick(bench.clocks());
+    bench.finish();
+    let scrub = bench.stored.iter().find(|answer| matches!(answer, StorageAnswer::Scrub { .. }));
+    let is_whole = |answer: &StorageAnswer| matches!(answer, StorageAnswer::Scrub { result: Ok(None) });
+    assert!(scrub.is_some_and(is_whole), "{scrub:?}");
+    let error = StorageError::DamagedRow { path: directory.path().into(), key: "config".to_owned() };
+    bench.input(Input::Storage(StorageAnswer::Scrub { result: Err(error) }));
+    let told = bench
+        .outputs
+        .iter()
+        .any(|output| matches!(output, Output::Damaged { reason } if reason.contains("config")));
+    assert!(told, "{:?}", bench.outputs.last());
+}
+
 #[test]
 fn a_second_hello_ends_the_connection() {
     let directory = TempDir::new().expect("a folder");
--- a/crates/replication/src/storage/error.rs
+++ b/crates/replication/src/storage/error.rs
@@ -24,6 +24,20 @@
         /// What SQLite's check has found.
         finding: String,
     },
+    /// A row is not as it was written.
+    #[snafu(display("the database {} is damaged: the row `{key}` does not agree with its checksum", path.display()))]
+    DamagedRow {
+        /// Its file.
+        path: PathBuf,
+        /// Key of the row.
+        key: String,
+    },
+    /// The member's record is not as it was written.
+    #[snafu(display("the database {} is damaged: the member's record does not agree with its checksum", path.display()))]
+    DamagedRecord {
+        /// Its file.
+        path: PathBuf,
+    },
     /// A later release of this program has written it.
     #[snafu(display("the database {} has form {found}; this program knows forms up to {known}", path.display()))]
     NewerForm {
@@ -57,18 +71,30 @@
     pub(super) fn is_damage(&self) -> bool {
         match self {
             StorageError::Database { source, .. } => is_damage_code(source),
-            StorageError::Damaged { .. } | StorageError::NewerForm { .. } | StorageError::Record { .. } => {
-                true
-            }
             StorageError::Files { .. } => false,
+            _ => true,
+        }
+    }
+
+    /// The database is shown to be damaged while it is in use. What a disk in trouble answers is no proof.
+    pub fn shows_damage(&self) -> bool {
+        match self {
+            StorageError::DamagedRow { .. } => true,
+            StorageError::Database { source, .. } => match source {
+                rusqlite::Error::InvalidColumnType(..) => true,
+                other => other.sqlite_error_code().is_some_and(|code| DAMAGE_CODES.contains(&code)),
+            },
+            _ => false,
         }
     }
 }
 
+/// SQLite's answers that speak of the database itself.
+const DAMAGE_CODES: [ErrorCode; 2] = [ErrorCode::DatabaseCorrupt, ErrorCode::NotADatabase];
+
 fn is_damage_code(error: &rusqlite::Error) -> bool {
-    let codes = [ErrorCode::DatabaseCorrupt, ErrorCode::NotADatabase, ErrorCode::Unknown];
     match error.sqlite_error_code() {
-        Some(code) => codes.contains(&code),
+        Some(code) => DAMAGE_CODES.contains(&code) || code == ErrorCode::Unknown,
         None => true,
     }
 }
--- a/crates/replication/src/storage/schema.rs
+++ b/crates/replication/src/storage/schema.rs
@@ -1,9 +1,10 @@
 //! The database's files and tables, and how they are opened.
 
-use super::error::{DatabaseSnafu, FilesSnafu, RecordSnafu, StorageError};
+use super::error::{DamagedRecordSnafu, DatabaseSnafu, FilesSnafu, RecordSnafu, StorageError};
+use super::{checksum, rows};
 use crate::durable::Durable;
 use rusqlite::{Connection, OptionalExtension, params};
-use snafu::{ResultExt, ensure};
+use snafu::{OptionExt, ResultExt, ensure};
 use std::fs::{self, File};
 use std::path::{Path, PathBuf};
 
@@ -12,7 +13,9 @@
 /// What SQLite adds to the names of its other files.
 const SIDE_FILES: [&str; 3] = ["-wal", "-shm", "-journal"];
 /// Form of the tables; SQLite's `user_version`. 0 is a database without tables.
-const FORM: u32 = 1;
+const FORM: u32 = 2;
+/// The form without checksums.
+const FORM_WITHOUT_CHECKSUMS: u32 = 1;
 /// Databases set aside are numbered up to here; the last one is replaced.
 const SET_ASIDE_MAX: u32 = 8;
 
@@ -29,10 +32,11 @@
 
 const TABLES: &str = "
     BEGIN IMMEDIATE;
-    CREATE TABLE rows (key BLOB PRIMARY KEY NOT NULL, value BLOB, seq INTEGER NOT NULL) WITHOUT ROWID;
+    CREATE TABLE rows (key BLOB PRIMARY KEY NOT NULL, value BLOB, seq INTEGER NOT NULL, crc INTEGER NOT NULL)
+        WITHOUT ROWID;
     CREATE INDEX rows_by_seq ON rows (seq);
     CREATE TABLE meta (name TEXT PRIMARY KEY NOT NULL, value BLOB NOT NULL) WITHOUT ROWID;
-    PRAGMA user_version = 1;
+    PRAGMA user_version = 2;
     COMMIT;
 ";
 
@@ -50,7 +54,7 @@
 /// Opens the database and reads its record; makes the tables where there are none.
 pub(super) fn load(dir: &Path, path: &Path) -> Result<Loaded, StorageError> {
     fs::create_dir_all(dir).context(FilesSnafu { path: dir })?;
-    let connection = Connection::open(path).context(DatabaseSnafu { path })?;
+    let mut connection = Connection::open(path).context(DatabaseSnafu { path })?;
     connection.execute_batch(SETTINGS).context(DatabaseSnafu { path })?;
     let form = read_form(&connection).context(DatabaseSnafu { path })?;
     ensure!(form <= FORM, super::error::NewerFormSnafu { path, found: form, known: FORM });
@@ -59,6 +63,10 @@
         sync_folder(dir)?;
     } else {
         check(&connection, path)?;
+        if form == FORM_WITHOUT_CHECKSUMS {
+            add_checksums(&mut connection).context(DatabaseSnafu { path })?;
+        }
+        rows::check_all(&connection, path)?;
     }
     let durable = read_record(&connection, path)?;
     Ok(Loaded { connection, durable })
@@ -70,7 +78,7 @@
 
 fn check(connection: &Connection, path: &Path) -> Result<(), StorageError> {
     let finding: String = connection
-        .query_row("PRAGMA quick_check(1)", [], |row| row.get(0))
+        .query_row("PRAGMA integrity_check(1)", [], |row| row.get(0))
         .context(DatabaseSnafu { path })?;
     ensure!(finding == "ok", super::error::DamagedSnafu { path, finding });
     Ok(())
@@ -81,17 +89,37 @@
         .query_row("SELECT value FROM meta WHERE name = 'record'", [], |row| row.get(0))
         .optional()
         .context(DatabaseSnafu { path })?;
-    bytes.map(|bytes| postcard::from_bytes(&bytes).context(RecordSnafu { path })).transpose()
+    bytes.map(|bytes| decode_record(&bytes, path)).transpose()
+}
+
+fn decode_record(sealed: &[u8], path: &Path) -> Result<Durable, StorageError> {
+    let record = checksum::open_record(sealed).context(DamagedRecordSnafu { path })?;
+    postcard::from_bytes(record).context(RecordSnafu { path })
+}
+
+/// Brings a database of the form before to the present one.
+fn add_checksums(connection: &mut Connection) -> rusqlite::Result<()> {
+    let transaction = connection.transaction()?;
+    transaction.execute_batch("ALTER TABLE rows ADD COLUMN crc INTEGER NOT NULL DEFAULT 0")?;
+    rows::write_checksums(&transaction)?;
+    let record: Option<Vec<u8>> = transaction
+        .query_row("SELECT value FROM meta WHERE name = 'record'", [], |row| row.get(0))
+        .optional()?;
+    if let Some(record) = record {
+        write_record(&transaction, record)?;
+    }
+    transaction.pragma_update(None, "user_version", FORM)?;
+    transaction.commit()
 }
 
 /// Replaces the record.
-pub(super) fn write_record(connection: &Connection, record: &[u8]) -> rusqlite::Result<()> {
+pub(super) fn write_record(connection: &Connection, record: Vec<u8>) -> rusqlite::Result<()> {
     connection
         .prepare_cached(
             "INSERT INTO meta (name, value) VALUES ('record', ?1)
              ON CONFLICT (name) DO UPDATE SET value = excluded.value",
         )?
-        .execute(params![record])?;
+        .execute(params![checksum::seal_record(record)])?;
     Ok(())
 }
 
@@ -113,6 +141,11 @@
     Ok(aside)
 }
 
+/// A database of this folder has been set aside before.
+pub(super) fn has_set_aside(path: &Path) -> bool {
+    (1..=SET_ASIDE_MAX).any(|number| aside_path(path, number).exists())
+}
+
 fn aside_path(path: &Path, number: u32) -> PathBuf {
     with_suffix(path, &format!(".bad-{number}"))
 }
--- /dev/null
+++ b/crates/replication/tests/crash_points.rs
@@ -0,0 +1,304 @@
+//! Losses of power at each sync of the database: of what was written since the one before, each sector is there, missing
+//! or torn. And bits that change on disk, in every kind of page.
+
+use indigofold_replication::{
+    Batch, Durable, Mark, Member, RowChange, Storage, StoreOperation, StoreRequest, View, ViewStart,
+};
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::Arc;
+use tempfile::TempDir;
+
+const DATABASE: &str = "control.sqlite";
+const LOG: &str = "control.sqlite-wal";
+/// A disk writes sectors of this size as a whole or not at all; a torn one has a part of it.
+const SECTOR: usize = 512;
+/// Bytes of the log's header, which SQLite syncs before it writes frames behind it.
+const LOG_HEADER: usize = 32;
+const KEYS: u64 = 24;
+const VALUE_BYTES: usize = 9_000;
+/// Enough writes for the log to be copied into the database and begun anew several times.
+const WRITES: u64 = 700;
+/// Power is lost so often within each write.
+const LOSSES_A_WRITE: usize = 2;
+
+type Table = BTreeMap<Vec<u8>, Vec<u8>>;
+
+/// Both files as they are on disk after a sync.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Image {
+    database: Vec<u8>,
+    log: Vec<u8>,
+}
+
+impl Image {
+    fn of(dir: &Path) -> Image {
+        let read = |name: &str| fs::read(dir.join(name)).unwrap_or_default();
+        Image { database: read(DATABASE), log: read(LOG) }
+    }
+
+    fn write(&self, dir: &Path) {
+        fs::write(dir.join(DATABASE), &self.database).expect("written");
+        if !self.log.is_empty() {
+            fs::write(dir.join(LOG), &self.log).expect("written");
+        }
+    }
+}
+
+fn record(seq: u64) -> Durable {
+    let internal = SocketAddr::from((Ipv4Addr::LOCALHOST, 7380));
+    Durable {
+        member: Member { internal, disk: 7 },
+        promised: 3,
+        view: Some(View::first(&[internal])),
+        agreed: true,
+        mark: Mark { view: 3, seq },
+        history: vec![ViewStart { view: 3, seq: 0 }],
+        trimmed: 0,
+        addresses: Vec::new(),
+    }
+}
+
+/// The write of this number: three rows, some of them deleted at times.
+fn write(seq: u64) -> StoreRequest {
+    let change = |offset: u64| {
+        let key = format!("row-{}", (seq * 5 + offset) % KEYS).into_bytes();
+        let value = vec![(seq % 251) as u8; VALUE_BYTES / (1 + offset as usize)];
+        RowChange { key, value: (!(seq + offset).is_multiple_of(7)).then_some(value) }
+    };
+    let batch = Batch { seq, changes: (0..3).map(change).collect() };
+    StoreRequest { durable: record(seq), operations: vec![StoreOperation::Write(Arc::new(batch))] }
+}
+
+fn table(storage: &Storage) -> Table {
+    let mut table = Table::new();
+    storage
+        .all_rows(|key, value| {
+            table.insert(key.to_vec(), value.to_vec());
+        })
+        .expect("the rows can be read");
+    table
+}
+
+/// The rows as a transfer to another member reads them.
+fn transfer(storage: &Storage) -> Table {
+    let rows = storage.rows_since(0, usize::MAX).expect("the rows can be read").rows;
+    rows.into_iter().filter_map(|row| Some((row.key, row.value?))).collect()
+}
+
+/// `before` with a random part of what differs in `after`, sector by sector, from byte `from` to byte `until`.
+fn partly(random: &mut Pcg64Mcg, before: &[u8], after: &[u8], from: usize, until: usize) -> Vec<u8> {
+    let chance = random.next_u64() % 101;
+    let mut bytes = before.to_vec();
+    let mut at = from;
+    while at < until {
+        let end = (at / SECTOR + 1) * SECTOR;
+        let end = end.min(until);
+        let differs = before.get(at..end) != after.get(at..end);
+        if differs && random.next_u64() % 100 < chance {
+            let torn = random.next_u64().is_multiple_of(8);
+            let end = if torn { at + random.next_u64() as usize % (end - at) } else { end };
+            if bytes.len() < end {
+                bytes.resize(end, 0);
+            }
+            bytes[at..end].copy_from_slice(&after[at..end]);
+        }
+        at = (at / SECTOR + 1) * SECTOR;
+    }
+    bytes
+}
+
+/// What may be on disk when power is lost on the way from one synced state to the next. SQLite syncs a new header of the
+/// log, then the frames; then it copies the log into the database.
+fn lost_power(random: &mut Pcg64Mcg, before: &Image, after: &Image) -> Image {
+    let new_header = before.log.get(..LOG_HEADER) != after.log.get(..LOG_HEADER);
+    let copied = before.database != after.database;
+    let stage = random.next_u64() % 4;
+    if copied && stage == 0 {
+        let until = after.database.len();
+        let database = partly(random, &before.database, &after.database, 0, until);
+        return Image { database, log: after.log.clone() };
+    }
+    if new_header && stage == 1 {
+        let log = partly(random, &before.log, &after.log, 0, LOG_HEADER);
+        return Image { database: before.database.clone(), log };
+    }
+    let mut log = before.log.clone();
+    if log.len() < LOG_HEADER {
+        log.resize(LOG_HEADER, 0);
+    }
+    log[..LOG_HEADER].copy_from_slice(&after.log[..LOG_HEADER]);
+    let log = partly(random, &log, &after.log, LOG_HEADER, after.log.len());
+    Image { database: before.database.clone(), log }
+}
+
+/// All that was synced before is there; of the write under way all or nothing.
+fn check_image(image: &Image, seq: u64, before: &Table, after: &Table) {
+    let dir = TempDir::new().expect("a folder");
+    image.write(dir.path());
+    let opened = Storage::open(dir.path()).expect("the database can be opened");
+    assert!(opened.set_aside.is_none(), "write {seq}: {:?}", opened.set_aside);
+    let found = opened.durable.expect("the record is there").mark.seq;
+    let expected = match found {
+        found if found == seq => after,
+        found if found + 1 == seq => before,
+        _ => panic!("after a loss of power within write {seq} the state of write {found} is there"),
+    };
+    assert!(table(&opened.storage) == *expected, "write {seq}: the rows of write {found} are not whole");
+}
+
+#[rstest]
+fn a_loss_of_power_at_any_point_leaves_a_whole_number_of_writes(#[values(0, 1, 2, 3)] part: u64) {
+    let mut random = Pcg64Mcg::seed_from_u64(part);
+    let dir = TempDir::new().expect("a folder");
+    let mut storage = Storage::open(dir.path()).expect("opened").storage;
+    storage.apply(&write(1)).expect("stored");
+    let (mut before, mut rows_before) = (Image::of(dir.path()), table(&storage));
+    let (mut points, mut copies) = (0, 0);
+    for seq in 2..=WRITES {
+        storage.apply(&write(seq)).expect("stored");
+        let (after, rows_after) = (Image::of(dir.path()), table(&storage));
+        let copied = before.database != after.database;
+        copies += u64::from(copied);
+        // Writes that copy the log or begin it anew are few: power is lost in them more often.
+        let is_special = copied || before.log.get(..LOG_HEADER) != after.log.get(..LOG_HEADER);
+        let losses = if is_special { 20 * LOSSES_A_WRITE } else { LOSSES_A_WRITE };
+        if is_special || seq % 4 == part {
+            for _ in 0..losses {
+                check_image(&lost_power(&mut random, &before, &after), seq, &rows_before, &rows_after);
+                points += 1;
+            }
+        }
+        (before, rows_before) = (after, rows_after);
+    }
+    println!("{points} losses of power, {copies} copies of the log into the database");
+    assert!(points >= 350 && copies >= 2, "{points} points, {copies} copies");
+}
+
+/// Power is lost while the database is being made: the member is as empty as before.
+#[test]
+fn a_loss_of_power_while_the_database_is_made_leaves_an_empty_member() {
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let dir = TempDir::new().expect("a folder");
+    let storage = Storage::open(dir.path()).expect("opened").storage;
+    let made = Image::of(dir.path());
+    drop(storage);
+    for _ in 0..200 {
+        let database = partly(&mut random, &[], &made.database, 0, made.database.len());
+        let log = partly(&mut random, &[], &made.log, 0, made.log.len());
+        let dir = TempDir::new().expect("a folder");
+        Image { database, log }.write(dir.path());
+        let opened = Storage::open(dir.path()).expect("a member with half a database starts empty");
+        assert_eq!(opened.durable, None);
+        assert!(table(&opened.storage).is_empty());
+    }
+}
+
+/// A bit that has changed on disk is found when the database is opened, or has changed nothing.
+#[rstest]
+fn a_flipped_bit_is_found_or_changes_nothing(#[values(0, 1, 2, 3)] part: usize) {
+    let dir = TempDir::new().expect("a folder");
+    let mut storage = Storage::open(dir.path()).expect("opened").storage;
+    let small = |seq: u64| {
+        let mut request = write(seq);
+        let StoreOperation::Write(batch) = &request.operations[0] else { return request };
+        let shorten = |change: &RowChange| RowChange {
+            value: change.value.as_ref().map(|value| value[..40 + value.len() / 40].to_vec()),
+            ..change.clone()
+        };
+        let changes = batch.changes.iter().map(shorten).collect();
+        request.operations = vec![StoreOperation::Write(Arc::new(Batch { seq, changes }))];
+        request
+    };
+    (1..=60).for_each(|seq| storage.apply(&small(seq)).expect("stored"));
+    let rows = table(&storage);
+    drop(storage);
+    let bytes = fs::read(dir.path().join(DATABASE)).expect("read");
+    let (mut found, mut tried) = (0, 0);
+    for at in (part..bytes.len()).step_by(4 * 13) {
+        let mut damaged = bytes.clone();
+        damaged[at] ^= 1 << (at % 8);
+        let dir = TempDir::new().expect("a folder");
+        Image { database: damaged, log: Vec::new() }.write(dir.path());
+        let opened = Storage::open(dir.path()).expect("a damaged database is no failure");
+        tried += 1;
+        if opened.set_aside.is_some() {
+            found += 1;
+            assert_eq!(opened.durable, None);
+        } else if opened.durable.is_some() {
+            assert!(table(&opened.storage) == rows, "byte {at}: rows have changed unnoticed");
+            assert!(transfer(&opened.storage) == rows, "byte {at}: a transfer has changed unnoticed");
+            assert_eq!(opened.durable, Some(record(60)), "byte {at}: the record has changed unnoticed");
+        }
+    }
+    println!("{tried} bits, {found} found");
+    assert!(found * 5 > tried, "{found} of {tried}");
+}
+
+/// An entry of the index that does not lead to its row any more: a transfer would leave the row out.
+#[test]
+fn the_scrub_finds_a_row_that_a_transfer_would_leave_out() {
+    let dir = TempDir::new().expect("a folder");
+    let mut storage = Storage::open(dir.path()).expect("opened").storage;
+    for seq in 1..=6_000_u64 {
+        let key = format!("row-{seq:>6}-{}", "x".repeat(200)).into_bytes();
+        let batch = Batch { seq, changes: vec![RowChange { key, value: Some(vec![1]) }] };
+        let operations = vec![StoreOperation::Write(Arc::new(batch))];
+        storage.apply(&StoreRequest { durable: record(seq), operations }).expect("stored");
+    }
+    drop(storage);
+    let storage = Storage::open(dir.path()).expect("opened").storage;
+    let path = dir.path().join(DATABASE);
+    let mut bytes = fs::read(&path).expect("read");
+    let text = b"row-  3000-";
+    let found: Vec<usize> =
+        (0..bytes.len() - text.len()).filter(|&at| bytes[at..].starts_with(text)).collect();
+    assert!(found.len() >= 2, "the row and its entry in the index");
+    // In the index the key follows the sequence number, whose last byte stands just before it.
+    let entry = found.into_iter().find(|&at| bytes[at - 2..at] == 3_000_u16.to_be_bytes());
+    bytes[entry.expect("the entry") - 1] ^= 1;
+    fs::write(&path, bytes).expect("written");
+    let mut after = Some(Vec::new());
+    let mut result = Ok(None);
+    while let (Some(key), Ok(_)) = (&after, &result) {
+        result = storage.scrub(key, 500);
+        after = result.as_ref().ok().and_then(Clone::clone);
+    }
+    let error = result.expect_err("the index has changed");
+    assert!(error.shows_damage(), "{error}");
+}
+
+/// The same while the database is in use: no reading hands out a changed row, and the scrub finds it.
+#[test]
+fn a_row_that_changes_on_disk_is_not_read_and_the_scrub_finds_it() {
+    let dir = TempDir::new().expect("a folder");
+    let mut storage = Storage::open(dir.path()).expect("opened").storage;
+    for seq in 1..=400_u64 {
+        let value = format!("value {seq:>6} ").repeat(300).into_bytes();
+        let changes = vec![RowChange { key: format!("row-{seq:>6}").into_bytes(), value: Some(value) }];
+        let operations = vec![StoreOperation::Write(Arc::new(Batch { seq, changes }))];
+        storage.apply(&StoreRequest { durable: record(seq), operations }).expect("stored");
+    }
+    drop(storage);
+    let storage = Storage::open(dir.path()).expect("opened").storage;
+    let path = dir.path().join(DATABASE);
+    let mut bytes = fs::read(&path).expect("read");
+    let text = b"value     17 ";
+    let at = bytes.windows(text.len()).position(|window| window == text).expect("it is in the file");
+    bytes[at] ^= 4;
+    fs::write(&path, bytes).expect("written");
+    let whole = |result: Result<(), indigofold_replication::StorageError>| {
+        let error = result.expect_err("the row has changed");
+        assert!(error.shows_damage() && error.to_string().contains("row-    17"), "{error}");
+    };
+    whole(storage.all_rows(|key, _| assert_ne!(key, b"row-    17")));
+    whole(storage.rows_since(0, usize::MAX).map(drop));
+    whole(storage.scrub(b"", 100).map(drop));
+    let rest = storage.scrub(b"row-    17", 100).expect("the rows after it are as they were");
+    assert_eq!(rest, Some(b"row-   117".to_vec()));
+}
