An order that may have been taken and forgotten is left unclear, not refused

Cause: 2,000 orders are remembered (config_authority.rs, ORDERS_KEPT); one taken before that came again and was answered 412, which the operator takes for a refusal, although it had been in force.

Change: once orders have been forgotten, one that builds on a version older than the oldest remembered and is not among them is answered 503 with what is remembered.

--- a/crates/control-plane/src/config_authority.rs
+++ b/crates/control-plane/src/config_authority.rs
@@ -2,7 +2,8 @@
 //!
 //! Orders are decided one at a time, in the order they came in: while one is being written the others wait. So an
 //! order never meets a version that may still be lost, and the same order sent again waits for the write of the first.
-//! An order that was taken is remembered by its digest and acknowledged anew whatever the version has become.
+//! An order that was taken is remembered by its digest and acknowledged anew whatever the version has become. One that may
+//! have been forgotten is never refused: it is left without a clear answer.
 
 use indigofold_protocol::config::Config;
 use indigofold_protocol::config_check::{CheckedConfig, ConfigError, parse_config, parse_if_match};
@@ -72,6 +73,11 @@
     },
     /// 503: it is not known whether the order is taken.
     Unclear,
+    /// 503: orders on so old a version are no longer remembered, so that this one may have been taken.
+    Forgotten {
+        /// Orders that became this version or a later one are remembered.
+        remembered_from: u64,
+    },
 }
 
 /// A change of one row.
@@ -218,6 +224,9 @@
         if let Some(version) = self.taken_as(&digest) {
             return Err(Answer::Taken { version });
         }
+        if let Some(remembered_from) = self.forgotten_before().filter(|&oldest| builds_on < oldest) {
+            return Err(Answer::Forgotten { remembered_from });
+        }
         let current = self.version();
         if builds_on != current {
             return Err(Answer::OtherVersion { current });
@@ -227,6 +236,14 @@
         Ok((digest, next.into()))
     }
 
+    /// The oldest version whose order is remembered, once older ones may have been forgotten.
+    fn forgotten_before(&self) -> Option<u64> {
+        self.orders
+            .first_key_value()
+            .filter(|_| self.orders.len() >= ORDERS_KEPT)
+            .map(|(version, _)| *version)
+    }
+
     /// The version that an order with this digest was taken as.
     fn taken_as(&self, digest: &str) -> Option<u64> {
         self.orders.iter().find(|(_, taken)| *taken == digest).map(|(version, _)| *version)
--- a/crates/control-plane/src/node/calls.rs
+++ b/crates/control-plane/src/node/calls.rs
@@ -132,5 +132,8 @@
         Answer::Invalid { reason } => log::info!("an order is refused as invalid: {reason}"),
         Answer::OtherVersion { current } => log::info!("an order is refused: version {current} is current"),
         Answer::Unclear => log::info!("an order is left unclear: this member is no longer the head"),
+        Answer::Forgotten { remembered_from } => {
+            log::info!("an order is left unclear: it may have been taken before version {remembered_from}");
+        }
     }
 }
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -61,6 +61,13 @@
         OperatorAnswer::Order(Answer::Unclear) => {
             problem(503, "the order may or may not be taken; send it again")
         }
+        OperatorAnswer::Order(Answer::Forgotten { remembered_from }) => problem(
+            503,
+            &format!(
+                "the order may have been taken: only those that became version {remembered_from} or a later one are \
+                 remembered; read the configuration"
+            ),
+        ),
         OperatorAnswer::Config(text) => HttpResponse::json(200, text),
         OperatorAnswer::NoConfig => problem(503, "there is no configuration yet"),
         OperatorAnswer::AskHead(control) => {
