A model of views, chain, replacement and lost disks, searched by a model checker

stateright goes breadth first through an abstract model of the protocol: promises, acceptance by both electorates, establishment, writes down the chain, transfers, crashes, unsynced writes, lost disks, replacement by a member that lacks writes; every message late, repeated or lost. Invariants: a view is led once; what is committed does not change; one head acts and has all that was committed.

--- /dev/null
+++ b/crates/replication/tests/model.rs
@@ -0,0 +1,99 @@
+//! A model of views, promises, chain, replacement and lost disks, searched through by a model checker.
+//!
+//! `MODEL_STATES=N cargo test -p indigofold-replication --profile lab --test model -- --nocapture` goes through N states
+//! of each case instead of the few that fit into every run.
+
+#[path = "model/rules.rs"]
+mod rules;
+#[path = "model/state.rs"]
+mod state;
+
+use rstest::rstest;
+use rules::{ACTING, Fault, INVARIANT, PROGRESS, Protocol};
+use stateright::{Checker, Model};
+use std::time::Instant;
+
+/// States that are searched through in every run of the tests.
+const STATES: usize = 300_000;
+/// So many may be searched through until a planted fault is found.
+const FAULT_STATES: usize = 30_000_000;
+const THREADS: usize = 4;
+
+fn bound() -> usize {
+    std::env::var("MODEL_STATES").ok().and_then(|text| text.parse().ok()).unwrap_or(STATES)
+}
+
+/// `crashes` and `disks_lost` bound how often members lose what is not on disk, and their disks; members that only do
+/// nothing for any time are part of every case.
+fn protocol(voters: u8, last_view: u8, crashes: u8, disks_lost: u8) -> Protocol {
+    let fault = Fault::None;
+    Protocol { voters, newcomers: 1, last_view, is_written: true, writes: 2, crashes, disks_lost, fault }
+}
+
+/// The same, where nothing is written but what has been committed at the start.
+fn quiet(voters: u8, last_view: u8, crashes: u8, disks_lost: u8) -> Protocol {
+    Protocol { writes: 1, ..protocol(voters, last_view, crashes, disks_lost) }
+}
+
+/// Searches breadth first; says how far it came. The length of the shortest way to a broken invariant, if there is one.
+fn steps_to_break(name: &str, model: Protocol, states: usize) -> Option<usize> {
+    let started = Instant::now();
+    let checker = model.checker().threads(THREADS).target_state_count(states).spawn_bfs().join();
+    let broken = [INVARIANT, ACTING].into_iter().filter_map(|name| checker.discovery(name));
+    let path = broken.map(|path| path.into_actions()).min_by_key(Vec::len);
+    path.iter().flatten().for_each(|action| println!("    {action:?}"));
+    let steps = path.map(|path| path.len());
+    println!(
+        "{name}: {} states, {} of them different, depth {}, {:.1} s{}{}{}",
+        checker.state_count(),
+        checker.unique_state_count(),
+        checker.max_depth(),
+        started.elapsed().as_secs_f64(),
+        if checker.state_count() < states && steps.is_none() { ", complete" } else { "" },
+        if checker.discovery(PROGRESS).is_some() { ", writes after a change of view" } else { "" },
+        steps.map_or(String::new(), |steps| format!(", broken after {steps} steps")),
+    );
+    steps
+}
+
+#[rstest]
+#[case::one_change(protocol(3, 3, 1, 1))]
+#[case::two_changes(protocol(3, 4, 0, 0))]
+#[case::two_changes_and_a_crash(protocol(3, 4, 1, 0))]
+#[case::two_changes_and_a_lost_disk(protocol(3, 4, 0, 1))]
+#[case::two_quiet_changes(quiet(3, 4, 0, 0))]
+#[case::two_quiet_changes_and_a_lost_disk(quiet(3, 4, 0, 1))]
+#[case::three_quiet_changes(quiet(3, 5, 0, 0))]
+#[case::four_voters(quiet(4, 4, 0, 0))]
+#[case::five_voters(quiet(5, 4, 0, 0))]
+fn the_invariants_hold(#[case] model: Protocol) {
+    let name = format!("{model:?}");
+    assert_eq!(steps_to_break(&name, model, bound()), None);
+}
+
+fn assert_found(fault: Fault, model: Protocol) {
+    let steps = steps_to_break(&format!("{fault:?}"), Protocol { fault, ..model }, FAULT_STATES);
+    assert!(steps.is_some(), "{fault:?} was not found");
+}
+
+/// The invariants notice faults: each of these breaks one.
+#[rstest]
+#[case::established_when_accepted(Fault::EstablishedWhenAccepted, quiet(3, 4, 0, 0))]
+#[case::promise_not_synced(Fault::PromiseNotSynced, protocol(3, 3, 1, 0))]
+#[case::new_voters_only(Fault::NewVotersOnly, quiet(3, 4, 0, 0))]
+fn a_planted_fault_is_found(#[case] fault: Fault, #[case] model: Protocol) {
+    assert_found(fault, model);
+}
+
+/// The same for faults that lie deeper: `cargo test ... --test model -- --ignored`.
+#[rstest]
+#[case::short_chain(Fault::ShortChain, quiet(3, 4, 0, 0))]
+#[case::writes_past_promise(Fault::WritesPastPromise, protocol(3, 4, 0, 0))]
+#[case::counts_unsynced(Fault::CountsUnsynced, protocol(3, 3, 1, 1))]
+#[case::own_rows(Fault::OwnRows, quiet(3, 4, 0, 0))]
+#[case::forgetful_voter(Fault::ForgetfulVoter, protocol(3, 4, 0, 1))]
+#[case::accepts_past_promise(Fault::AcceptsPastPromise, protocol(3, 4, 0, 0))]
+#[ignore = "takes minutes"]
+fn a_planted_fault_deeper_down_is_found(#[case] fault: Fault, #[case] model: Protocol) {
+    assert_found(fault, model);
+}
--- /dev/null
+++ b/crates/replication/tests/model/state.rs
@@ -0,0 +1,138 @@
+//! The state of the model: members with their disks, the views that were ever led, and what was committed.
+
+use std::collections::BTreeMap;
+
+/// A member: one disk at one address. A machine that has lost its disk comes back as another member.
+pub type Id = u8;
+
+/// A set of members, one bit each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Members(pub u8);
+
+impl Members {
+    pub fn of(ids: &[Id]) -> Members {
+        Members(ids.iter().fold(0, |bits, id| bits | 1 << id))
+    }
+
+    pub fn has(self, id: Id) -> bool {
+        self.0 & 1 << id != 0
+    }
+
+    pub fn with(self, id: Id) -> Members {
+        Members(self.0 | 1 << id)
+    }
+
+    pub fn without(self, id: Id) -> Members {
+        Members(self.0 & !(1 << id))
+    }
+
+    pub fn count(self) -> u32 {
+        self.0.count_ones()
+    }
+
+    pub fn iter(self) -> impl Iterator<Item = Id> {
+        (0..8).filter(move |&id| self.has(id))
+    }
+
+    /// All subsets.
+    pub fn subsets(self) -> impl Iterator<Item = Members> {
+        (0..=self.0).filter(move |bits| bits & !self.0 == 0).map(Members)
+    }
+
+    /// A majority of these is in `others`.
+    pub fn majority_in(self, others: Members) -> bool {
+        2 * Members(self.0 & others.0).count() > self.count()
+    }
+}
+
+/// The writes on a disk: of each the number of the view whose head made it. Position and view name a write.
+pub type Log = Vec<u8>;
+
+/// State of a member's rows: the view it has entered, and the writes it has.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Rows {
+    pub view: u8,
+    pub log: Log,
+}
+
+impl Rows {
+    /// As marks are compared in the program: the view first, then the number of writes.
+    pub fn mark(&self) -> (u8, usize) {
+        (self.view, self.log.len())
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct View {
+    pub number: u8,
+    pub head: Id,
+    pub voters: Members,
+    pub previous: Members,
+    pub chain: Members,
+    pub base: (u8, usize),
+}
+
+impl View {
+    pub fn is_established(&self) -> bool {
+        self.voters == self.previous
+    }
+}
+
+/// A view that somebody has led. What its head ever said may arrive late, again and again, or never.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Led {
+    /// As it was accepted.
+    pub view: View,
+    /// Its head has said that it is established.
+    pub is_established: bool,
+    /// Each write that its head has sent down the chain, after those that it had taken over.
+    pub log: Log,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Power {
+    On,
+    Off,
+    /// Its disk is lost, or the machine was taken away.
+    Gone,
+}
+
+/// An attempt to lead the next view.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Candidacy {
+    pub number: u8,
+    pub known: View,
+    pub promises: BTreeMap<Id, Rows>,
+    pub proposed: Option<View>,
+    pub accepted: Members,
+}
+
+/// A head's time at work.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Tenure {
+    pub view: View,
+    pub stored: BTreeMap<Id, usize>,
+    pub is_installed: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Member {
+    pub power: Power,
+    pub promised: u8,
+    pub view: Option<View>,
+    pub rows: Rows,
+    /// The last write is not synced yet (at the head, which passes it on before).
+    pub unsynced: bool,
+    pub candidacy: Option<Candidacy>,
+    pub tenure: Option<Tenure>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    pub members: Vec<Member>,
+    pub led: BTreeMap<u8, Led>,
+    pub committed: Log,
+    pub crashes: u8,
+    pub disks_lost: u8,
+    pub broken: Option<&'static str>,
+}
