--- a/crates/system-tests/src/client.rs
+++ b/crates/system-tests/src/client.rs
@@ -2,7 +2,7 @@
 //! into the record of the [`World`].
 
 use crate::configuration::{HOST, Queue};
-use crate::http::{Answer, Call, HttpError, call_once};
+use crate::http::{Answer, Call, HttpError, call_once, send_part};
 use crate::job::Job;
 use crate::random;
 use crate::wait::TimedOut;
@@ -100,7 +100,7 @@
 
     /// Hands in a job, again with the same id until it is accepted.
     pub fn submit(&self, queue: &Queue, job: &Job) -> Result<Handed, ClientError> {
-        let handed = Handed { id: random::job_id(), queue: queue.clone() };
+        let handed = self.draw(queue);
         self.insist(&format!("job {}", handed.id), || self.hand_in(self.any_edge(), &handed, job))
             .and_then(|answer| expect(answer, Answer::is_success, &format!("job {}", handed.id)))?;
         Ok(handed)
@@ -115,6 +115,23 @@
         result
     }
 
+    /// Sends the first `bytes` bytes of a call to hand in a job, and leaves without waiting for an answer.
+    pub fn hand_in_part(
+        &self, edge: SocketAddr, handed: &Handed, job: &Job, bytes: usize,
+    ) -> Result<(), HttpError> {
+        self.world.job_sent(&handed.id, job, &handed.queue);
+        let body = serde_json::to_vec(job).unwrap_or_default();
+        let call = Call::new("POST", handed.path()).header("Host", HOST).json(body);
+        let sent = send_part(edge, &call, bytes, ANSWER_TIME);
+        self.world.job_answered(&handed.id, None);
+        sent
+    }
+
+    /// A job that nobody has handed in.
+    pub fn draw(&self, queue: &Queue) -> Handed {
+        Handed { id: random::job_id(), queue: queue.clone() }
+    }
+
     /// Asks for a job's state; `None`: it does not exist.
     pub fn state(&self, handed: &Handed) -> Result<Option<JobState>, ClientError> {
         let what = format!("state of {}", handed.id);
--- a/crates/system-tests/src/http.rs
+++ b/crates/system-tests/src/http.rs
@@ -200,6 +200,14 @@
     Connection::open(peer, at_most)?.call(call, at_most)
 }
 
+/// Sends the first `bytes` bytes of a call over a connection of its own, and closes it without reading an answer.
+pub fn send_part(peer: SocketAddr, call: &Call, bytes: usize, at_most: Duration) -> Result<(), HttpError> {
+    let mut connection = Connection::open(peer, at_most)?;
+    let all = call.to_bytes(peer);
+    connection.stream.set_write_timeout(Some(at_most)).context(SendSnafu)?;
+    connection.stream.write_all(&all[..bytes.min(all.len())]).context(SendSnafu)
+}
+
 /// The answer in `bytes`, once it is whole.
 fn parse(bytes: &[u8]) -> Result<Option<Answer>, HttpError> {
     let Some(head_length) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -182,6 +182,11 @@
         Ok(())
     }
 
+    /// The machine joins a system that has started before.
+    pub fn enter_later(&mut self, machine: MachineId) {
+        self.machines[machine.0].settings.bootstrap = false;
+    }
+
     /// Kills a machine's process, and waits until it is gone.
     pub fn kill(&mut self, machine: MachineId) {
         self.machines[machine.0].process.kill();
