Frames from who does not send them, and states never given out, are refused

Cause (read in the source): a member took replication messages from any connection, also before its Hello and from edges and companions; one that could not be read was logged without its sender, and the stream read on. A grant for a view that the head had not led yet, or for a heartbeat it had not sent yet, counted; so did a stored state beyond the head's own.

Change: each kind of frame is read only from the kind of process that sends it; anything else, and a message that cannot be decoded, is logged with what and from whom, and the connection is closed. Grants and stored states outside what the head has given out are passed over.

--- a/crates/control-plane/src/node/connections.rs
+++ b/crates/control-plane/src/node/connections.rs
@@ -6,8 +6,18 @@
 use indigofold_protocol::internal::{Frame, Hello, ProcessKind, Welcome};
 use indigofold_replication::{Input as ReplicaInput, message};
 use indigofold_scheduler::{CallerId, CompanionId, Event};
+use snafu::{OptionExt, Snafu, ensure};
 use std::net::SocketAddr;
 
+/// Why a frame is not read.
+#[derive(Debug, Snafu)]
+enum FrameRefusal {
+    #[snafu(display("a {frame} came before a Hello"))]
+    Ungreeted { frame: &'static str },
+    #[snafu(display("{node_name} is {kind:?}, which sends no {frame}"))]
+    Sender { frame: &'static str, kind: ProcessKind, node_name: String },
+}
+
 impl Node {
     /// This member's own connection to another one has come about: it says who it is and where it is reached.
     pub(super) fn dialled(&mut self, address: SocketAddr, connection: ConnectionId) {
@@ -40,18 +50,50 @@
 
     /// A frame has come in.
     pub(super) fn frame(&mut self, clocks: Clocks, connection: ConnectionId, frame: Frame) {
+        if let Err(refusal) = self.check_sender(connection, &frame) {
+            log::warn!("a frame is refused and its connection closed: {refusal}");
+            return self.drop_connection(clocks, connection);
+        }
         match frame {
             Frame::Hello(hello) => self.greeted(clocks, connection, hello),
             Frame::Welcome(welcome) => self.welcomed(clocks, welcome),
-            Frame::Replication(bytes) => match message::decode(&bytes) {
-                Ok(envelope) => self.replica_input(clocks, ReplicaInput::Message(envelope)),
-                Err(error) => log::warn!("a member has sent what cannot be read: {error}"),
-            },
+            Frame::Replication(bytes) => self.replicated(clocks, connection, &bytes),
             Frame::Call(call) => self.call(clocks, connection, call),
             Frame::Report(report) => self.report(clocks, connection, report),
             Frame::Inspect(call) => self.inspect(clocks, connection, call),
-            Frame::Reply(_) | Frame::Orders(_) | Frame::Inspected(_) => {
-                self.drop_connection(clocks, connection)
+            // Refused above.
+            Frame::Reply(_) | Frame::Orders(_) | Frame::Inspected(_) => {}
+        }
+    }
+
+    /// Whether the peer of this connection may send such a frame.
+    fn check_sender(&self, connection: ConnectionId, frame: &Frame) -> Result<(), FrameRefusal> {
+        let (name, sender) = match frame {
+            Frame::Replication(_) => ("Replication", Some(ProcessKind::Core)),
+            Frame::Call(_) => ("Call", Some(ProcessKind::Edge)),
+            Frame::Report(_) => ("Report", Some(ProcessKind::Companion)),
+            Frame::Reply(_) => ("Reply", None),
+            Frame::Orders(_) => ("Orders", None),
+            Frame::Inspected(_) => ("Inspected", None),
+            Frame::Hello(_) | Frame::Welcome(_) | Frame::Inspect(_) => return Ok(()),
+        };
+        let session = self.sessions.get(connection).context(UngreetedSnafu { frame: name })?;
+        let node_name = || session.node_name.clone();
+        ensure!(
+            sender == Some(session.kind),
+            SenderSnafu { frame: name, kind: session.kind, node_name: node_name() }
+        );
+        Ok(())
+    }
+
+    /// Another member's message. After one that cannot be read the stream is not trusted any more.
+    fn replicated(&mut self, clocks: Clocks, connection: ConnectionId, bytes: &[u8]) {
+        match message::decode(bytes) {
+            Ok(envelope) => self.replica_input(clocks, ReplicaInput::Message(envelope)),
+            Err(error) => {
+                let from = self.sessions.get(connection).map_or("", |session| session.node_name.as_str());
+                log::warn!("a frame is refused and its connection closed: {from}: {error}");
+                self.drop_connection(clocks, connection);
             }
         }
     }
--- a/crates/control-plane/tests/node.rs
+++ b/crates/control-plane/tests/node.rs
@@ -8,11 +8,13 @@
 use indigofold_control_plane::storage_thread::{StorageAnswer, StorageRequest, carry_out};
 use indigofold_protocol::inspection::{InspectionAnswer, InspectionCall, Question};
 use indigofold_protocol::internal::{
-    ClientCall, ClientOperation, ClientOutcome, Frame, Hello, MemberAddress, ProcessKind, Welcome,
+    ClientCall, ClientOperation, ClientOutcome, CompanionOrders, Frame, Hello, MemberAddress, ProcessKind,
+    Welcome,
 };
 use indigofold_protocol::task::JobId;
 use indigofold_replication::{Durable, Storage, StorageError};
 use indigofold_scheduler::Bounds;
+use rstest::rstest;
 use std::net::SocketAddr;
 use std::path::Path;
 use tempfile::TempDir;
@@ -279,6 +281,54 @@
     assert!(told, "{:?}", bench.outputs.last());
 }
 
+/// Frames that their sender does not send, and those that cannot be read: the connection ends, and nothing else happens.
+#[rstest]
+#[case::a_call_before_hello(None, call_frame())]
+#[case::a_call_of_a_companion(Some(ProcessKind::Companion), call_frame())]
+#[case::replication_of_an_edge(Some(ProcessKind::Edge), Frame::Replication(Vec::new()))]
+#[case::a_message_cut_short(Some(ProcessKind::Core), Frame::Replication(vec![1, 2, 3]))]
+#[case::a_message_too_long(Some(ProcessKind::Core), Frame::Replication(vec![0xff; 100_000]))]
+#[case::orders_for_the_head(Some(ProcessKind::Companion), orders_frame())]
+fn a_frame_that_cannot_be_trusted_ends_its_connection(
+    #[case] kind: Option<ProcessKind>, #[case] frame: Frame,
+) {
+    let directory = TempDir::new().expect("a folder");
+    let mut bench = Bench::acting(directory.path());
+    let connection = ConnectionId(400);
+    if let Some(kind) = kind {
+        bench.input(Input::Frame { connection, frame: Frame::Hello(hello(kind)) });
+    }
+    bench.outputs.clear();
+    bench.input(Input::Frame { connection, frame });
+    let is_close = |output: &Output| matches!(output, Output::Close { connection: ConnectionId(400) });
+    assert!(bench.outputs.iter().any(is_close), "{:?}", bench.outputs);
+    let told = bench
+        .outputs
+        .iter()
+        .any(|output| matches!(output, Output::Send { connection: ConnectionId(400), .. }));
+    assert!(!told, "{:?}", bench.outputs);
+    bench.outputs.clear();
+    bench.order(1, 0, CONFIG);
+    bench.settle();
+    assert!(bench.answers().iter().any(|(_, answer)| *answer == taken()), "the member goes on");
+}
+
+fn call_frame() -> Frame {
+    let (host, path) = ("a.example".to_owned(), "/p/1".to_owned());
+    Frame::Call(ClientCall { call: 1, host, path, operation: ClientOperation::Get })
+}
+
+fn orders_frame() -> Frame {
+    Frame::Orders(CompanionOrders {
+        epoch: 99,
+        echo_sent_ms: None,
+        instance: String::new(),
+        start: Vec::new(),
+        stop: Vec::new(),
+        last_seen: None,
+    })
+}
+
 #[test]
 fn a_second_hello_ends_the_connection() {
     let directory = TempDir::new().expect("a folder");
--- a/crates/replication/src/replica/chain.rs
+++ b/crates/replication/src/replica/chain.rs
@@ -120,9 +120,13 @@
     }
 
     pub(super) fn on_member_stored(&mut self, from: Member, mark: Mark) {
-        let now_ms = self.now_ms;
+        let (now_ms, newest) = (self.now_ms, self.durable.mark);
         let Some(tenure) = &mut self.tenure else { return };
         let Some(peer) = tenure.peers.get_mut(&from) else { return };
+        // A state that this head has never given out.
+        if mark > newest {
+            return;
+        }
         peer.heard_ms = now_ms;
         peer.health.mark = peer.health.mark.max(mark);
         self.count_stored();
--- a/crates/replication/src/replica/head.rs
+++ b/crates/replication/src/replica/head.rs
@@ -81,7 +81,8 @@
     pub(super) fn on_grant(&mut self, from: Member, number: u64, sent_ms: u64, health: Health) {
         let now_ms = self.now_ms;
         let Some(tenure) = &mut self.tenure else { return };
-        if number < tenure.first_view {
+        let is_known = (tenure.first_view..=tenure.view.number).contains(&number) && sent_ms <= now_ms;
+        if !is_known {
             return;
         }
         let peer = tenure.peers.entry(from).or_insert_with(|| Peer::new(now_ms));
