A log with a changed bit before its last writes is no torn one: the disk counts as lost

Cause (seen while a test damaged a database: the log had all pages, and healed it): SQLite reads its log up to the first frame that does not agree with its checksum, as after a loss of power. A bit that has changed in the middle takes all later writes away unnoticed, promises and the view among them; the member would vote as one that had forgotten them.

Change: before the database is opened its log is looked through. Each write is synced before the next begins, so that a loss of power leaves frames of one write behind a broken one: whole frames that end two writes behind it prove that the log has changed since, and the database is set aside. In the last two writes it cannot be told from a loss of power.

--- a/crates/replication/src/storage/error.rs
+++ b/crates/replication/src/storage/error.rs
@@ -38,6 +38,12 @@
         /// Its file.
         path: PathBuf,
     },
+    /// Writes in the middle of the log are not as they were written.
+    #[snafu(display("the database {} is damaged: writes in its log do not agree with their checksums", path.display()))]
+    DamagedLog {
+        /// Its file.
+        path: PathBuf,
+    },
     /// A later release of this program has written it.
     #[snafu(display("the database {} has form {found}; this program knows forms up to {known}", path.display()))]
     NewerForm {
--- /dev/null
+++ b/crates/replication/src/storage/log.rs
@@ -0,0 +1,91 @@
+//! The log beside the database (SQLite's WAL), looked through before it is opened. SQLite reads it up to the first frame
+//! that does not agree with its checksum, as after a loss of power; a bit that has changed in the middle would take all
+//! later writes away unnoticed, promises among them.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+
+const HEADER_BYTES: usize = 32;
+const FRAME_HEADER_BYTES: usize = 24;
+/// Offsets in the header of the log.
+const PAGE_SIZE_AT: usize = 8;
+const SALTS_AT: usize = 16;
+const CHECKSUM_AT: usize = 24;
+/// Offsets in the header of a frame.
+const DATABASE_PAGES_AT: usize = 4;
+const FRAME_SALTS_AT: usize = 8;
+const FRAME_CHECKSUM_AT: usize = 16;
+const SALTS_BYTES: usize = 8;
+/// Bytes of a frame's header that its checksum covers.
+const FRAME_CHECKED_BYTES: usize = 8;
+/// Page sizes that SQLite knows.
+const PAGE_SIZES: std::ops::RangeInclusive<usize> = 512..=65_536;
+/// Each write is synced before the next one begins, so that a loss of power leaves frames of one write behind a broken
+/// one. Ends of so many writes behind it prove that the log has changed since.
+const ENDS_THAT_PROVE: usize = 2;
+
+/// Whether writes that were synced cannot be read any more.
+pub(super) fn has_lost_writes(path: &Path) -> io::Result<bool> {
+    match fs::read(path) {
+        Ok(log) => Ok(Log::of(&log).is_some_and(|log| log.has_lost_writes())),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
+/// The log's frames behind its header.
+struct Log<'a> {
+    header: &'a [u8],
+    frames: std::slice::ChunksExact<'a, u8>,
+    is_big_endian: bool,
+}
+
+impl<'a> Log<'a> {
+    /// `None` where there is no whole header: then nothing was written behind it.
+    fn of(bytes: &'a [u8]) -> Option<Log<'a>> {
+        let (header, rest) = bytes.split_at_checked(HEADER_BYTES)?;
+        let page_size = word(header, PAGE_SIZE_AT)? as usize;
+        let is_page_size = PAGE_SIZES.contains(&page_size) && page_size.is_power_of_two();
+        let frames = rest.chunks_exact(FRAME_HEADER_BYTES + page_size);
+        is_page_size.then(|| Log { header, frames, is_big_endian: header[3] & 1 == 1 })
+    }
+
+    fn has_lost_writes(self) -> bool {
+        let salts = &self.header[SALTS_AT..SALTS_AT + SALTS_BYTES];
+        let mut before = (word(self.header, CHECKSUM_AT), word(self.header, CHECKSUM_AT + 4));
+        let (mut is_broken, mut ends) = (false, 0);
+        for frame in self.frames.filter(|frame| frame[FRAME_SALTS_AT..].starts_with(salts)) {
+            // A checksum goes on from that of the frame before, so that a frame can be checked behind a broken one.
+            let checksum = add(before, &frame[..FRAME_CHECKED_BYTES], self.is_big_endian);
+            let checksum = add(checksum, &frame[FRAME_HEADER_BYTES..], self.is_big_endian);
+            before = (word(frame, FRAME_CHECKSUM_AT), word(frame, FRAME_CHECKSUM_AT + 4));
+            let is_whole = checksum == before;
+            let ends_write = word(frame, DATABASE_PAGES_AT) != Some(0);
+            ends += usize::from(is_broken && is_whole && ends_write);
+            is_broken |= !is_whole;
+        }
+        ends >= ENDS_THAT_PROVE
+    }
+}
+
+/// The big-endian number at `at`.
+fn word(bytes: &[u8], at: usize) -> Option<u32> {
+    Some(u32::from_be_bytes(bytes.get(at..)?.first_chunk().copied()?))
+}
+
+/// SQLite's running checksum over pairs of words.
+fn add(sum: (Option<u32>, Option<u32>), bytes: &[u8], is_big_endian: bool) -> (Option<u32>, Option<u32>) {
+    let (Some(mut first), Some(mut second)) = sum else { return sum };
+    let number = |bytes: [u8; 4]| match is_big_endian {
+        true => u32::from_be_bytes(bytes),
+        false => u32::from_le_bytes(bytes),
+    };
+    let (words, _) = bytes.as_chunks::<4>();
+    let (pairs, _) = words.as_chunks::<2>();
+    for [one, other] in pairs {
+        first = first.wrapping_add(number(*one)).wrapping_add(second);
+        second = second.wrapping_add(number(*other)).wrapping_add(first);
+    }
+    (Some(first), Some(second))
+}
--- a/crates/replication/src/storage/mod.rs
+++ b/crates/replication/src/storage/mod.rs
@@ -2,6 +2,7 @@
 
 mod checksum;
 mod error;
+mod log;
 mod rows;
 mod schema;
 
--- a/crates/replication/src/storage/schema.rs
+++ b/crates/replication/src/storage/schema.rs
@@ -1,7 +1,7 @@
 //! The database's files and tables, and how they are opened.
 
 use super::error::{DamagedRecordSnafu, DatabaseSnafu, FilesSnafu, RecordSnafu, StorageError};
-use super::{checksum, rows};
+use super::{checksum, log, rows};
 use crate::durable::Durable;
 use rusqlite::{Connection, OptionalExtension, params};
 use snafu::{OptionExt, ResultExt, ensure};
@@ -11,7 +11,9 @@
 /// The database's file.
 const FILE_NAME: &str = "control.sqlite";
 /// What SQLite adds to the names of its other files.
-const SIDE_FILES: [&str; 3] = ["-wal", "-shm", "-journal"];
+const SIDE_FILES: [&str; 3] = [LOG_SUFFIX, "-shm", "-journal"];
+/// What it adds to the name of the log.
+const LOG_SUFFIX: &str = "-wal";
 /// Form of the tables; SQLite's `user_version`. 0 is a database without tables.
 const FORM: u32 = 2;
 /// The form without checksums.
@@ -54,6 +56,8 @@
 /// Opens the database and reads its record; makes the tables where there are none.
 pub(super) fn load(dir: &Path, path: &Path) -> Result<Loaded, StorageError> {
     fs::create_dir_all(dir).context(FilesSnafu { path: dir })?;
+    let lost = log::has_lost_writes(&with_suffix(path, LOG_SUFFIX)).context(FilesSnafu { path })?;
+    ensure!(!lost, super::error::DamagedLogSnafu { path });
     let mut connection = Connection::open(path).context(DatabaseSnafu { path })?;
     connection.execute_batch(SETTINGS).context(DatabaseSnafu { path })?;
     let form = read_form(&connection).context(DatabaseSnafu { path })?;
--- a/crates/replication/tests/crash_points.rs
+++ b/crates/replication/tests/crash_points.rs
@@ -240,6 +240,33 @@
     assert!(found * 5 > tried, "{found} of {tried}");
 }
 
+/// A bit that has changed in the log, before its last two writes: SQLite would read the log up to there, and all later
+/// writes would be gone. In the last two it cannot be told from a loss of power.
+#[rstest]
+fn a_flipped_bit_in_the_log_takes_no_write_away_unnoticed(#[values(0, 1, 2, 3)] part: usize) {
+    let dir = TempDir::new().expect("a folder");
+    let mut storage = Storage::open(dir.path()).expect("opened").storage;
+    (1..=6).for_each(|seq| storage.apply(&write(seq)).expect("stored"));
+    let until = Image::of(dir.path()).log.len();
+    (7..=8).for_each(|seq| storage.apply(&write(seq)).expect("stored"));
+    let whole = Image::of(dir.path());
+    let mut found = 0;
+    for at in (LOG_HEADER + part..until).step_by(4 * 97) {
+        let mut image = whole.clone();
+        image.log[at] ^= 1 << (at % 8);
+        let dir = TempDir::new().expect("a folder");
+        image.write(dir.path());
+        let opened = Storage::open(dir.path()).expect("a damaged log is no failure");
+        found += usize::from(opened.set_aside.is_some());
+        let seq = opened.durable.map(|durable| durable.mark.seq);
+        assert!(
+            opened.set_aside.is_some() || seq == Some(8),
+            "byte {at}: the state of write {seq:?} is left"
+        );
+    }
+    assert!(found > 100, "{found} bits were found");
+}
+
 /// An entry of the index that does not lead to its row any more: a transfer would leave the row out.
 #[test]
 fn the_scrub_finds_a_row_that_a_transfer_would_leave_out() {
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -16,6 +16,10 @@
 const SEEDS_MAX: usize = 3;
 /// Zones; machines of a class are spread over them in turn.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+/// The files of a core machine's database.
+const DATABASE_FILES: [&str; 2] = ["control.sqlite", "control.sqlite-wal"];
+/// So many of its bytes are overwritten by [`System::damage`].
+const DAMAGED_BYTES: usize = 64;
 /// So many of each process's last lines are printed when a test fails.
 const LINES_SHOWN: usize = 60;
 
@@ -182,6 +186,23 @@
         Ok(())
     }
 
+    /// The machine's settings say again that the whole system starts for the first time.
+    pub fn claim_first_start(&mut self, machine: MachineId) {
+        self.machines[machine.0].settings.bootstrap = true;
+    }
+
+    /// Overwrites the beginning of a core machine's database and of its log.
+    pub fn damage(&self, machine: MachineId) -> Result<(), SystemError> {
+        let Some(folder) = &self.machines[machine.0].settings.data_dir else { return Ok(()) };
+        for name in DATABASE_FILES {
+            let path = folder.join(name);
+            let mut bytes = std::fs::read(&path).context(FilesSnafu { path: &path })?;
+            bytes.iter_mut().take(DAMAGED_BYTES).for_each(|byte| *byte = !*byte);
+            std::fs::write(&path, bytes).context(FilesSnafu { path: &path })?;
+        }
+        Ok(())
+    }
+
     /// The machine joins a system that has started before.
     pub fn enter_later(&mut self, machine: MachineId) {
         self.machines[machine.0].settings.bootstrap = false;
--- a/crates/system-tests/tests/hardening.rs
+++ b/crates/system-tests/tests/hardening.rs
@@ -173,6 +173,34 @@
     panic!("the member never led in {HEADS_MAX} changes of the head");
 }
 
+/// A member has forgotten what it had promised, and its settings still say that the cluster starts for the first time.
+/// It must not vote as a seed that knows of nothing: beside a member that was away it would lead without the newest.
+#[rstest]
+fn a_member_with_a_damaged_database_is_no_seed_again() {
+    let mut cluster = Cluster::start(programs!(), Shape::default());
+    let head = cluster.head();
+    let others: Vec<_> = cluster.system.cores().into_iter().filter(|core| *core != head).collect();
+    let (away, third) = (others[0], others[1]);
+    cluster.system.kill(away);
+    let second = marked(2, "second");
+    assert_eq!(cluster.operator.put(&second, 1).expect("an answer").status, 200);
+    [head, third].into_iter().for_each(|core| cluster.system.kill(core));
+    cluster.system.damage(head).expect("damaged");
+    cluster.system.claim_first_start(head);
+    [head, away].into_iter().for_each(|core| cluster.start_machine(core));
+    let members = [head, away].map(|core| cluster.system.control_plane(core));
+    let until = cluster.world.now() + CATCH_UP;
+    while cluster.world.now() < until {
+        let answers = members.iter().filter_map(|member| cluster.operator.ask(*member, &read_call()).ok());
+        answers.for_each(|answer| assert_ne!(answer.status, 200, "{}", answer.json()));
+    }
+    cluster.start_machine(third);
+    assert_eq!(cluster.operator.read().expect("the configuration"), second.to_json());
+    cluster.configuration = second;
+    cluster.work_for(CATCH_UP);
+    cluster.finish();
+}
+
 /// A client leaves after each part of a call. The job is not there, or runs once; sent again it is one job.
 #[rstest]
 fn a_connection_that_breaks_in_any_phase_of_a_call_makes_no_second_run() {
