--- a/crates/traffic/src/mapping.rs
+++ b/crates/traffic/src/mapping.rs
@@ -1,176 +1,20 @@
 //! What a record means: its class, parish, subject and key, by an operator's file.
 
+mod file;
+mod way;
+
+pub use file::{File, From, Guess, Jobs, Rule, schema};
+
 use crate::document;
 use crate::job::{Job, Micros, number};
-use crate::line::json::Fields;
 use crate::networks::{Networks, address, client};
 use crate::raw::Raw;
 use crate::tally::{Reason, Remark};
 use jiff::tz::TimeZone;
-use regex::Regex;
 use rustc_hash::FxHashMap;
-use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
-use std::collections::BTreeMap;
 use std::sync::Arc;
-
-/// The mapping file.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-pub struct File {
-    /// The form of this file: 1.
-    #[schemars(range(min = 1, max = 1))]
-    pub version: u32,
-    /// The time zone of times without an offset, by its IANA name.
-    #[serde(default = "utc")]
-    pub zone: String,
-    /// Networks of proxies whose X-Forwarded-For is believed.
-    #[serde(default)]
-    pub trusted: Vec<String>,
-    /// Networks by name; the longest prefix counts.
-    #[serde(default)]
-    pub networks: BTreeMap<String, Vec<String>>,
-    /// Where the fields stand in JSON lines.
-    pub json: Option<Fields>,
-    /// Which records are jobs at all; without one, all that come by POST.
-    #[serde(default)]
-    pub jobs: Jobs,
-    /// What names the class. The first rule that yields a name counts.
-    #[schemars(length(min = 1))]
-    pub class: Vec<Rule>,
-    /// What names the parish. None need be found.
-    #[serde(default)]
-    pub parish: Vec<Rule>,
-    /// A record without a parish is rejected.
-    #[serde(default)]
-    pub parish_required: bool,
-    /// What the job is about.
-    #[serde(default)]
-    pub subject: Vec<Rule>,
-    /// The idempotency key.
-    #[serde(default)]
-    pub key: Vec<Rule>,
-    /// A request's id. A record read twice is known by it; where clients keep it, so are retries.
-    #[serde(default)]
-    pub id: Vec<Rule>,
-    /// Clients keep the id over their retries.
-    #[serde(default)]
-    pub id_kept: bool,
-    /// What a client marks its retries with: any value but "", "0" and "false" is a mark.
-    #[serde(default)]
-    pub retry_mark: Vec<Rule>,
-    /// How long the client says that it waits, in milliseconds.
-    #[serde(default)]
-    pub deadline_ms: Vec<Rule>,
-    /// ... where it does not say: by class.
-    #[serde(default)]
-    pub deadline_of: BTreeMap<String, u64>,
-    /// Slots that the job takes.
-    #[serde(default)]
-    pub slots: Vec<Rule>,
-    /// Retries that carry neither mark nor key.
-    #[serde(default)]
-    pub guess: Guess,
-}
-
-fn utc() -> String {
-    "UTC".into()
-}
-
-/// Which records are jobs.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-pub struct Jobs {
-    /// Methods; empty: all.
-    #[serde(default = "post")]
-    pub methods: Vec<String>,
-    /// Beginnings of paths; empty: all.
-    #[serde(default)]
-    pub paths: Vec<String>,
-    /// Beginnings of paths that are none after all.
-    #[serde(default)]
-    pub not_paths: Vec<String>,
-}
-
-fn post() -> Vec<String> {
-    vec!["POST".into()]
-}
-
-impl Default for Jobs {
-    fn default() -> Self {
-        Jobs { methods: post(), paths: Vec::new(), not_paths: Vec::new() }
-    }
-}
-
-/// How retries without mark and key are known: the same client asks for the same after a try that was not served.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-pub struct Guess {
-    /// ... so long after that try's end, in milliseconds. 0: nothing is guessed.
-    #[serde(default = "within")]
-    pub within_ms: u64,
-    /// Tries of one job at the most, the first included.
-    #[serde(default = "tries")]
-    pub tries: u32,
-    /// Where `retry-mark` has rules, what has no mark is taken for no retry. With this, it may be one all the same.
-    #[serde(default)]
-    pub unmarked_too: bool,
-}
-
-fn within() -> u64 {
-    2_500
-}
-
-fn tries() -> u32 {
-    8
-}
-
-impl Default for Guess {
-    fn default() -> Self {
-        Guess { within_ms: within(), tries: tries(), unmarked_too: false }
-    }
-}
-
-/// One way to a value.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-pub struct Rule {
-    /// Where the value is taken from.
-    pub from: From,
-    /// Other names for values. With it, a value that it lacks yields nothing, unless `others` is set.
-    #[serde(default)]
-    pub names: BTreeMap<String, String>,
-    /// With `names`: values that it lacks are taken as they are.
-    #[serde(default)]
-    pub others: bool,
-}
-
-/// Where a value is taken from.
-#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "kebab-case")]
-pub enum From {
-    /// A segment of the path, from 0; from -1 backwards.
-    Segment(i32),
-    /// The first group of a regular expression on the path, or all that it matches.
-    Path(String),
-    /// A parameter of the query.
-    Query(String),
-    /// A header, whose name may be written in any case.
-    Header(String),
-    /// One of the `name=value` pairs in a header, divided by commas: the header, then the name.
-    Pair(String, String),
-    /// A cookie.
-    Cookie(String),
-    /// The authenticated user.
-    User,
-    /// The name of the client's network, among `networks`.
-    Network,
-    /// The client's address.
-    Address,
-    /// Always this.
-    Always(String),
-}
+use way::{Seen, Way, way};
 
 /// An error in a mapping file: where, what, and what is allowed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -184,32 +28,6 @@
 
 impl std::error::Error for MapError {}
 
-/// The published schema of the mapping file.
-pub fn schema() -> serde_json::Value {
-    document::schema::<File>()
-}
-
-#[derive(Clone, Debug)]
-enum Source {
-    Segment(i32),
-    Path(Regex),
-    Query(String),
-    Header(String),
-    Pair(String, String),
-    Cookie(String),
-    User,
-    Network,
-    Address,
-    Always(String),
-}
-
-#[derive(Clone, Debug)]
-struct Way {
-    source: Source,
-    names: FxHashMap<String, String>,
-    others: bool,
-}
-
 /// A mapping, compiled.
 #[derive(Clone, Debug)]
 pub struct Mapping {
@@ -429,73 +247,3 @@
     let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     (mixed ^ (mixed >> 31)).max(1)
 }
-
-fn way(rule: &Rule, no_networks: bool) -> Result<Way, String> {
-    let source = match &rule.from {
-        From::Segment(n) => Source::Segment(*n),
-        From::Path(pattern) => {
-            let regex =
-                Regex::new(pattern).map_err(|e| format!("{pattern:?} is no regular expression: {e}"))?;
-            Source::Path(regex)
-        }
-        From::Query(name) => Source::Query(name.clone()),
-        From::Header(name) => Source::Header(name.to_ascii_lowercase()),
-        From::Pair(header, name) => Source::Pair(header.to_ascii_lowercase(), name.clone()),
-        From::Cookie(name) => Source::Cookie(name.clone()),
-        From::User => Source::User,
-        From::Network if no_networks => return Err("there are no 'networks' to name a client by".into()),
-        From::Network => Source::Network,
-        From::Address => Source::Address,
-        From::Always(text) => Source::Always(text.clone()),
-    };
-    let names = rule.names.iter().map(|(a, b)| (a.clone(), b.clone())).collect();
-    Ok(Way { source, names, others: rule.others })
-}
-
-/// A record, and who sent it.
-struct Seen<'a> {
-    raw: &'a Raw<'a>,
-    path: &'a str,
-    from: Option<std::net::IpAddr>,
-    networks: &'a Networks,
-}
-
-impl<'a> Seen<'a> {
-    fn first(&self, ways: &'a [Way]) -> Option<Cow<'a, str>> {
-        ways.iter().find_map(|way| {
-            let value = self.value(&way.source).filter(|v| !v.is_empty())?;
-            if way.names.is_empty() {
-                return Some(value);
-            }
-            match way.names.get(value.as_ref()) {
-                Some(name) => Some(Cow::Borrowed(name.as_str())),
-                None => way.others.then_some(value),
-            }
-        })
-    }
-
-    fn value(&self, source: &'a Source) -> Option<Cow<'a, str>> {
-        let plain = |text: &'a str| Some(Cow::Borrowed(text));
-        match source {
-            Source::Segment(n) if *n >= 0 => {
-                plain(self.path.trim_start_matches('/').split('/').nth(*n as usize)?)
-            }
-            Source::Segment(n) => plain(self.path.trim_end_matches('/').rsplit('/').nth((-1 - n) as usize)?),
-            Source::Path(regex) => {
-                let found = regex.captures(self.path)?;
-                plain(found.get(1).or(found.get(0))?.as_str())
-            }
-            Source::Query(name) => plain(self.raw.parameter(name)?),
-            Source::Header(name) => plain(self.raw.header(name)?),
-            Source::Pair(header, name) => {
-                let pairs = self.raw.header(header)?.split(',').filter_map(|p| p.split_once('='));
-                plain(pairs.map(|(n, v)| (n.trim(), v.trim())).find(|(n, _)| n == name)?.1)
-            }
-            Source::Cookie(name) => plain(self.raw.cookie(name)?),
-            Source::User => plain(self.raw.user.as_deref()?),
-            Source::Network => plain(self.networks.find(self.from?)?),
-            Source::Address => Some(Cow::Owned(self.from?.to_string())),
-            Source::Always(text) => plain(text),
-        }
-    }
-}
--- /dev/null
+++ b/crates/traffic/src/mapping/way.rs
@@ -0,0 +1,103 @@
+//! Ways from a record to a value: where it is taken from, and how it is named.
+
+use super::file::{From, Rule};
+use crate::networks::Networks;
+use crate::raw::Raw;
+use regex::Regex;
+use rustc_hash::FxHashMap;
+use std::borrow::Cow;
+
+/// Where a value is taken from, compiled.
+#[derive(Clone, Debug)]
+enum Source {
+    Segment(i32),
+    Path(Regex),
+    Query(String),
+    Header(String),
+    Pair(String, String),
+    Cookie(String),
+    User,
+    Network,
+    Address,
+    Always(String),
+}
+
+/// A way to a value.
+#[derive(Clone, Debug)]
+pub(super) struct Way {
+    source: Source,
+    names: FxHashMap<String, String>,
+    others: bool,
+}
+
+/// A rule of the file, compiled; an error says what is wrong with it.
+pub(super) fn way(rule: &Rule, no_networks: bool) -> Result<Way, String> {
+    let source = match &rule.from {
+        From::Segment(n) => Source::Segment(*n),
+        From::Path(pattern) => {
+            let regex =
+                Regex::new(pattern).map_err(|e| format!("{pattern:?} is no regular expression: {e}"))?;
+            Source::Path(regex)
+        }
+        From::Query(name) => Source::Query(name.clone()),
+        From::Header(name) => Source::Header(name.to_ascii_lowercase()),
+        From::Pair(header, name) => Source::Pair(header.to_ascii_lowercase(), name.clone()),
+        From::Cookie(name) => Source::Cookie(name.clone()),
+        From::User => Source::User,
+        From::Network if no_networks => return Err("there are no 'networks' to name a client by".into()),
+        From::Network => Source::Network,
+        From::Address => Source::Address,
+        From::Always(text) => Source::Always(text.clone()),
+    };
+    let names = rule.names.iter().map(|(a, b)| (a.clone(), b.clone())).collect();
+    Ok(Way { source, names, others: rule.others })
+}
+
+/// A record, and who sent it.
+pub(super) struct Seen<'a> {
+    pub raw: &'a Raw<'a>,
+    pub path: &'a str,
+    pub from: Option<std::net::IpAddr>,
+    pub networks: &'a Networks,
+}
+
+impl<'a> Seen<'a> {
+    /// The first value that one of these ways leads to.
+    pub fn first(&self, ways: &'a [Way]) -> Option<Cow<'a, str>> {
+        ways.iter().find_map(|way| {
+            let value = self.value(&way.source).filter(|v| !v.is_empty())?;
+            if way.names.is_empty() {
+                return Some(value);
+            }
+            match way.names.get(value.as_ref()) {
+                Some(name) => Some(Cow::Borrowed(name.as_str())),
+                None => way.others.then_some(value),
+            }
+        })
+    }
+
+    fn value(&self, source: &'a Source) -> Option<Cow<'a, str>> {
+        let plain = |text: &'a str| Some(Cow::Borrowed(text));
+        match source {
+            Source::Segment(n) if *n >= 0 => {
+                plain(self.path.trim_start_matches('/').split('/').nth(*n as usize)?)
+            }
+            Source::Segment(n) => plain(self.path.trim_end_matches('/').rsplit('/').nth((-1 - n) as usize)?),
+            Source::Path(regex) => {
+                let found = regex.captures(self.path)?;
+                plain(found.get(1).or(found.get(0))?.as_str())
+            }
+            Source::Query(name) => plain(self.raw.parameter(name)?),
+            Source::Header(name) => plain(self.raw.header(name)?),
+            Source::Pair(header, name) => {
+                let pairs = self.raw.header(header)?.split(',').filter_map(|p| p.split_once('='));
+                plain(pairs.map(|(n, v)| (n.trim(), v.trim())).find(|(n, _)| n == name)?.1)
+            }
+            Source::Cookie(name) => plain(self.raw.cookie(name)?),
+            Source::User => plain(self.raw.user.as_deref()?),
+            Source::Network => plain(self.networks.find(self.from?)?),
+            Source::Address => Some(Cow::Owned(self.from?.to_string())),
+            Source::Always(text) => plain(text),
+        }
+    }
+}
