--- a/crates/replication/tests/storage.rs
+++ b/crates/replication/tests/storage.rs
@@ -212,3 +212,42 @@
     let error = Storage::open(&path).expect_err("refused");
     assert!(error.to_string().contains("cannot be used"), "{error}");
 }
+
+/// The tables of the form before checksums, with what `filled` writes.
+fn write_without_checksums(dir: &Path) {
+    let connection = rusqlite::Connection::open(dir.join(DATABASE)).expect("opened");
+    connection
+        .execute_batch(
+            "CREATE TABLE rows (key BLOB PRIMARY KEY NOT NULL, value BLOB, seq INTEGER NOT NULL) WITHOUT ROWID;
+             CREATE INDEX rows_by_seq ON rows (seq);
+             CREATE TABLE meta (name TEXT PRIMARY KEY NOT NULL, value BLOB NOT NULL) WITHOUT ROWID;
+             PRAGMA user_version = 1;",
+        )
+        .expect("tables");
+    for seq in 1..=20_i64 {
+        let value = (seq != 5).then_some(b"value".as_slice());
+        let insert = "INSERT INTO rows (key, value, seq) VALUES (?1, ?2, ?3)";
+        connection.execute(insert, (format!("row-{seq}").as_bytes(), value, seq)).expect("a row");
+    }
+    let record = postcard::to_allocvec(&record(20)).expect("a record");
+    connection.execute("INSERT INTO meta (name, value) VALUES ('record', ?1)", [record]).expect("a record");
+}
+
+#[test]
+fn a_database_without_checksums_gets_them_and_keeps_everything() {
+    let dir = TempDir::new().expect("a folder");
+    write_without_checksums(dir.path());
+    for _ in 0..2 {
+        let opened = Storage::open(dir.path()).expect("opened");
+        assert!(opened.set_aside.is_none(), "{:?}", opened.set_aside);
+        assert_eq!(opened.durable, Some(record(20)));
+        let table = table(&opened.storage);
+        assert_eq!((table.len(), table.get("row-5")), (19, None));
+        assert_eq!(
+            opened.storage.rows_since(4, 1_000).expect("read").rows.len(),
+            16,
+            "with the trace of one"
+        );
+        assert_eq!(opened.storage.scrub(b"", 100).expect("whole"), None);
+    }
+}
