--- a/crates/control-plane/src/node.rs
+++ b/crates/control-plane/src/node.rs
@@ -221,10 +221,13 @@
             Home::Loading { retry_ms, .. } => retry_ms,
             _ => u64::MAX,
         };
-        let timers =
-            [self.replica.next_timer_ms(), self.scheduler_timer_ms(clocks), self.peers.next_due_ms()];
-        let timers = timers.into_iter().chain([self.scrub.due_ms()]);
-        timers.fold(loading, u64::min)
+        let timers = [
+            self.replica.next_timer_ms(),
+            self.scheduler_timer_ms(clocks),
+            self.scrub.due_ms(),
+            self.peers.next_due_ms(),
+        ];
+        timers.into_iter().fold(loading, u64::min)
     }
 
     /// What is to be done for all inputs since the last call. `now_ms` is a reading taken just before: what only an
--- a/crates/control-plane/src/node/connections.rs
+++ b/crates/control-plane/src/node/connections.rs
@@ -78,10 +78,9 @@
             Frame::Hello(_) | Frame::Welcome(_) | Frame::Inspect(_) => return Ok(()),
         };
         let session = self.sessions.get(connection).context(UngreetedSnafu { frame: name })?;
-        let node_name = || session.node_name.clone();
         ensure!(
             sender == Some(session.kind),
-            SenderSnafu { frame: name, kind: session.kind, node_name: node_name() }
+            SenderSnafu { frame: name, kind: session.kind, node_name: &session.node_name }
         );
         Ok(())
     }
--- a/crates/control-plane/src/node/scrub.rs
+++ b/crates/control-plane/src/node/scrub.rs
@@ -8,7 +8,7 @@
 /// Time between two parts of the scrub, in milliseconds.
 pub const SCRUB_INTERVAL_MS: u64 = 2_000;
 /// Rows of one part.
-pub const SCRUB_ROWS: usize = 200;
+const SCRUB_ROWS: usize = 200;
 
 /// How far the scrub has come.
 #[derive(Debug)]
--- a/crates/data-plane/tests/common/mod.rs
+++ b/crates/data-plane/tests/common/mod.rs
@@ -152,6 +152,14 @@
         self.orders(orders);
     }
 
+    /// The head orders starts, and the worker lists them as running.
+    pub fn run_all(&mut self, starts: &[StartOrder]) {
+        self.order_start(starts);
+        let reply = self.beat();
+        self.obey(&reply);
+        self.beat();
+    }
+
     pub fn order_stop(&mut self, stops: &[RunId]) {
         let orders = CompanionOrders { stop: stops.to_vec(), ..self.no_orders() };
         self.orders(orders);
--- a/crates/data-plane/tests/companion_holds.rs
+++ b/crates/data-plane/tests/companion_holds.rs
@@ -126,10 +126,7 @@
 #[test]
 fn a_worker_that_leaves_unannounced_is_gone_once_its_runs_have_ended() {
     let mut bench = Bench::settled();
-    bench.order_start(&[start(run(1), 100), start(run(2), 100)]);
-    let reply = bench.beat();
-    bench.obey(&reply);
-    bench.beat();
+    bench.run_all(&[start(run(1), 100), start(run(2), 100)]);
     bench.companion.delete(WORKER);
     let report = bench.report_and_echo();
     let instance = report.instance.expect("it still has runs");
@@ -151,10 +148,7 @@
 #[test]
 fn a_worker_that_leaves_unannounced_and_falls_silent_is_gone_once_its_holds_have_lapsed() {
     let mut bench = Bench::settled();
-    bench.order_start(&[start(run(1), 100)]);
-    let reply = bench.beat();
-    bench.obey(&reply);
-    bench.beat();
+    bench.run_all(&[start(run(1), 100)]);
     let beat_ms = bench.now_ms;
     bench.companion.delete(WORKER);
     bench.now_ms = lapsed_at_ms(beat_ms, HOLD_MS) - 1;
--- a/crates/data-plane/tests/companion_orders.rs
+++ b/crates/data-plane/tests/companion_orders.rs
@@ -83,10 +83,7 @@
 #[test]
 fn a_run_that_is_being_stopped_takes_room_until_its_end_is_listed() {
     let mut bench = Bench::settled();
-    bench.order_start(&[start(run(1), 600)]);
-    let reply = bench.beat();
-    bench.obey(&reply);
-    bench.beat();
+    bench.run_all(&[start(run(1), 600)]);
     bench.order_stop(&[run(1)]);
     bench.order_start(&[start(run(2), 600)]);
     let reply = bench.beat();
--- a/crates/replication/src/replica/reconfiguration.rs
+++ b/crates/replication/src/replica/reconfiguration.rs
@@ -104,9 +104,7 @@
 
     /// Members that are no voters, and could be.
     fn ready_newcomers(&self, tenure: &Tenure) -> Vec<Member> {
-        let is_ready = |peer: &Peer| {
-            self.is_caught_up(tenure, peer) && self.now_ms >= peer.rejoin_ms && !peer.health.leaving
-        };
+        let is_ready = |peer: &Peer| self.is_fit(tenure, peer) && self.now_ms >= peer.rejoin_ms;
         let newcomers = tenure.peers.iter().filter(|(member, _)| !tenure.view.voters.contains(member));
         newcomers.filter(|(_, peer)| is_ready(peer)).map(|(&member, _)| member).collect()
     }
@@ -148,13 +146,14 @@
         self.settings.seeds.len().max(2 * self.settings.tolerated_losses + 1)
     }
 
-    /// Whether a member outside the chain has the head's rows, and could go on as a part of the chain.
-    fn is_caught_up(&self, tenure: &Tenure, peer: &Peer) -> bool {
+    /// Whether a member outside the chain has the head's rows, stays, and could go on as a part of the chain.
+    fn is_fit(&self, tenure: &Tenure, peer: &Peer) -> bool {
         let mark = peer.health.mark;
         mark.view == tenure.view.number
             && mark.seq + REJOIN_LAG >= self.durable.mark.seq
             && peer.health.store_age_ms < REJOIN_STORE_AGE_MS
             && peer.silent_ms(self.now_ms) < SILENT_MEMBER_MS / 2
+            && !peer.health.leaving
     }
 
     /// The present chain without those that hold it up, and with those that have caught up.
@@ -162,14 +161,12 @@
         let least = self.chain_min(voters.len());
         let present: Vec<Member> =
             tenure.view.chain.iter().copied().filter(|member| voters.contains(member)).collect();
-        let (mut leaving, kept): (Vec<Member>, Vec<Member>) =
+        let (leaving, mut chain): (Vec<Member>, Vec<Member>) =
             present.into_iter().partition(|&member| self.holds_up(tenure, member));
-        let mut chain = kept;
         chain.extend(self.joining(tenure, voters, !leaving.is_empty()));
         // A chain that would be too short keeps some of those that hold it up.
-        while chain.len() < least && !leaving.is_empty() {
-            chain.push(leaving.remove(0));
-        }
+        let lacking = least.saturating_sub(chain.len());
+        chain.extend(leaving.into_iter().take(lacking));
         chain
     }
 
@@ -181,9 +178,8 @@
             return Vec::new();
         }
         let joins = |voter: &Member| {
-            let peer = tenure.peers.get(voter).filter(|peer| !peer.health.leaving);
             let may_rejoin = |peer: &Peer| installing || self.now_ms >= peer.rejoin_ms;
-            peer.is_some_and(|peer| self.is_caught_up(tenure, peer) && may_rejoin(peer))
+            tenure.peers.get(voter).is_some_and(|peer| self.is_fit(tenure, peer) && may_rejoin(peer))
         };
         // One that is left out now has been in the chain: it joins again later, when its time of exclusion is over.
         voters.iter().copied().filter(|v| !tenure.view.chain.contains(v) && joins(v)).collect()
--- a/crates/replication/src/storage/rows.rs
+++ b/crates/replication/src/storage/rows.rs
@@ -7,9 +7,6 @@
 use snafu::{ResultExt, ensure};
 use std::path::Path;
 
-/// Rows that are compared with their checksums at a time when a database is opened.
-const CHECK_ROWS: usize = 1_000;
-
 /// A row that has been read, with the checksum beside it.
 struct StoredRow<'a> {
     key: &'a [u8],
@@ -72,7 +69,7 @@
     Ok((rows, false))
 }
 
-/// Compares `count` rows after the key `after` with their checksums; returns the last key, `None` at the end.
+/// Compares `count` rows after the key `after`, and the index with them; returns the last key, `None` at the end.
 pub(super) fn check(
     connection: &Connection, path: &Path, after: &[u8], count: usize,
 ) -> Result<Option<Vec<u8>>, StorageError> {
@@ -99,11 +96,14 @@
     connection.prepare_cached(query)?.query_row(params![row.seq as i64, row.key], |found| found.get(0))
 }
 
-/// Compares all rows with their checksums.
+/// Compares all rows with their checksums; the index is left to SQLite's own check.
 pub(super) fn check_all(connection: &Connection, path: &Path) -> Result<(), StorageError> {
-    let mut after = Some(Vec::new());
-    while let Some(key) = after {
-        after = check(connection, path, &key, CHECK_ROWS)?;
+    let context = DatabaseSnafu { path };
+    let query = "SELECT key, value, seq, crc FROM rows";
+    let mut statement = connection.prepare(query).context(context)?;
+    let mut found = statement.query([]).context(context)?;
+    while let Some(row) = found.next().context(context)? {
+        StoredRow::read(row).context(context)?.check(path)?;
     }
     Ok(())
 }
--- a/crates/replication/tests/crash_points.rs
+++ b/crates/replication/tests/crash_points.rs
@@ -1,20 +1,19 @@
 //! Losses of power at each sync of the database: of what was written since the one before, each sector is there, missing
 //! or torn. And bits that change on disk, in every kind of page.
 
-use indigofold_replication::{
-    Batch, Durable, Mark, Member, RowChange, Storage, StoreOperation, StoreRequest, View, ViewStart,
-};
+mod stored;
+
+use indigofold_replication::{Batch, RowChange, Storage, StoreOperation, StoreRequest};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::Arc;
+use stored::{DATABASE, record};
 use tempfile::TempDir;
 
-const DATABASE: &str = "control.sqlite";
 const LOG: &str = "control.sqlite-wal";
 /// A disk writes sectors of this size as a whole or not at all; a torn one has a part of it.
 const SECTOR: usize = 512;
@@ -50,20 +49,6 @@
     }
 }
 
-fn record(seq: u64) -> Durable {
-    let internal = SocketAddr::from((Ipv4Addr::LOCALHOST, 7380));
-    Durable {
-        member: Member { internal, disk: 7 },
-        promised: 3,
-        view: Some(View::first(&[internal])),
-        agreed: true,
-        mark: Mark { view: 3, seq },
-        history: vec![ViewStart { view: 3, seq: 0 }],
-        trimmed: 0,
-        addresses: Vec::new(),
-    }
-}
-
 /// The write of this number: three rows, some of them deleted at times.
 fn write(seq: u64) -> StoreRequest {
     let change = |offset: u64| {
--- a/crates/replication/tests/storage.rs
+++ b/crates/replication/tests/storage.rs
@@ -1,32 +1,16 @@
 //! The storage of a member: what it keeps, and what it does with a database that it cannot use.
 
-use indigofold_replication::{
-    Batch, Durable, Mark, Member, Row, RowChange, Storage, StoreOperation, StoreRequest, View, ViewStart,
-};
+mod stored;
+
+use indigofold_replication::{Batch, Mark, Row, RowChange, Storage, StoreOperation, StoreRequest};
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use stored::{DATABASE, record};
 use tempfile::TempDir;
 
-const DATABASE: &str = "control.sqlite";
-
-fn record(seq: u64) -> Durable {
-    let internal = SocketAddr::from((Ipv4Addr::LOCALHOST, 7380));
-    Durable {
-        member: Member { internal, disk: 7 },
-        promised: 3,
-        view: Some(View::first(&[internal])),
-        agreed: true,
-        mark: Mark { view: 3, seq },
-        history: vec![ViewStart { view: 3, seq: 0 }],
-        trimmed: 0,
-        addresses: Vec::new(),
-    }
-}
-
 fn change(key: &str, value: Option<&str>) -> RowChange {
     RowChange { key: key.as_bytes().to_vec(), value: value.map(|v| v.as_bytes().to_vec()) }
 }
--- /dev/null
+++ b/crates/replication/tests/stored/mod.rs
@@ -0,0 +1,22 @@
+//! What the tests of the storage keep in their databases.
+
+use indigofold_replication::{Durable, Mark, Member, View, ViewStart};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// The database's file.
+pub const DATABASE: &str = "control.sqlite";
+
+/// The record of a member that has the writes up to `seq`.
+pub fn record(seq: u64) -> Durable {
+    let internal = SocketAddr::from((Ipv4Addr::LOCALHOST, 7380));
+    Durable {
+        member: Member { internal, disk: 7 },
+        promised: 3,
+        view: Some(View::first(&[internal])),
+        agreed: true,
+        mark: Mark { view: 3, seq },
+        history: vec![ViewStart { view: 3, seq: 0 }],
+        trimmed: 0,
+        addresses: Vec::new(),
+    }
+}
--- a/crates/system-tests/src/client.rs
+++ b/crates/system-tests/src/client.rs
@@ -108,20 +108,22 @@
 
     /// One call to hand in a job.
     pub fn hand_in(&self, edge: SocketAddr, handed: &Handed, job: &Job) -> Result<Answer, HttpError> {
-        self.world.job_sent(&handed.id, job, &handed.queue);
-        let body = serde_json::to_vec(job).unwrap_or_default();
-        let result = self.call_at(edge, &Call::new("POST", handed.path()).json(body));
+        let result = self.call_at(edge, &self.handing_in(handed, job));
         self.world.job_answered(&handed.id, result.as_ref().ok().map(|answer| answer.status));
         result
     }
 
+    /// The call that hands in a job, which the world learns of.
+    fn handing_in(&self, handed: &Handed, job: &Job) -> Call {
+        self.world.job_sent(&handed.id, job, &handed.queue);
+        Call::new("POST", handed.path()).json(serde_json::to_vec(job).unwrap_or_default())
+    }
+
     /// Sends the first `bytes` bytes of a call to hand in a job, and leaves without waiting for an answer.
     pub fn hand_in_part(
         &self, edge: SocketAddr, handed: &Handed, job: &Job, bytes: usize,
     ) -> Result<(), HttpError> {
-        self.world.job_sent(&handed.id, job, &handed.queue);
-        let body = serde_json::to_vec(job).unwrap_or_default();
-        let call = Call::new("POST", handed.path()).header("Host", HOST).json(body);
+        let call = self.handing_in(handed, job).header("Host", HOST);
         let sent = send_part(edge, &call, bytes, ANSWER_TIME);
         self.world.job_answered(&handed.id, None);
         sent
--- a/crates/system-tests/src/cluster.rs
+++ b/crates/system-tests/src/cluster.rs
@@ -19,6 +19,8 @@
 pub const START_TIME: Duration = Duration::from_secs(20);
 /// A job of a test must have ended by then, failures of processes included.
 pub const JOB_TIME: Duration = Duration::from_secs(30);
+/// A member that is back counts again after this (`catch_up_s`).
+pub const CATCH_UP: Duration = Duration::from_secs(4);
 /// How long an edge may take to say whether it is ready.
 const READINESS_TIME: Duration = Duration::from_secs(1);
 /// Workers on one rack.
--- a/crates/system-tests/tests/chaos_support/troubles.rs
+++ b/crates/system-tests/tests/chaos_support/troubles.rs
@@ -2,15 +2,13 @@
 //! any number.
 
 use super::draw::Draw;
-use indigofold_system_tests::cluster::Cluster;
+use indigofold_system_tests::cluster::{CATCH_UP, Cluster};
 use indigofold_system_tests::configuration::{PLANNING, Queue};
 use indigofold_system_tests::system::MachineId;
 use indigofold_system_tests::world::Moment;
 use serde_json::json;
 use std::time::Duration;
 
-/// A core member counts again so long after it is back (`catch_up_s`).
-const CATCH_UP: Duration = Duration::from_secs(4);
 /// Between two troubles so many jobs are accepted ...
 const JOBS_BETWEEN: usize = 3;
 /// ... or so much time passes.
--- a/crates/system-tests/tests/failover.rs
+++ b/crates/system-tests/tests/failover.rs
@@ -1,17 +1,13 @@
 //! Losses of the core: its head, all of it, its disks.
 
 use indigofold_system_tests::checks::Excuses;
-use indigofold_system_tests::cluster::{Cluster, JOB_TIME};
+use indigofold_system_tests::cluster::{CATCH_UP, Cluster, JOB_TIME};
 use indigofold_system_tests::configuration::{BATCH, Configuration, PLANNING, QUICK, Queue};
 use indigofold_system_tests::job::{Job, Step};
 use indigofold_system_tests::programs;
 use indigofold_system_tests::system::Shape;
 use rstest::rstest;
 use serde_json::json;
-use std::time::Duration;
-
-/// A member that is back counts again after this (`catch_up_s`).
-const CATCH_UP: Duration = Duration::from_secs(4);
 
 fn steps() -> Job {
     Job::new(vec![Step::new(4, 1_200).checkpoints(), Step::new(2, 600).after(&[0])])
--- a/crates/system-tests/tests/hardening.rs
+++ b/crates/system-tests/tests/hardening.rs
@@ -2,7 +2,7 @@
 //! losses right after a replacement, members that come back after hundreds of changes, connections that break in every
 //! phase of a call.
 
-use indigofold_system_tests::cluster::Cluster;
+use indigofold_system_tests::cluster::{CATCH_UP, Cluster};
 use indigofold_system_tests::configuration::{Configuration, PLANNING, QUICK, Queue};
 use indigofold_system_tests::http::{Answer, Call};
 use indigofold_system_tests::job::{Job, Step};
@@ -13,8 +13,6 @@
 use serde_json::json;
 use std::time::Duration;
 
-/// A member that is back counts again after this (`catch_up_s`).
-const CATCH_UP: Duration = Duration::from_secs(4);
 /// Changes that are made while a member is away.
 const CHANGES: u64 = 500;
 /// So often the head is killed until a certain member leads.
