Within a priority, room goes first to tasks that run at full speed there

Ruled out: lower priorities (all stopped after 5 s), too little room by itself. At fault: Need::considers, which lets a task go away from its data once it has waited for a second, whoever else waits for that room.

Change: a pass over the queue tries the steps of one priority near their data and in one rack first, then those left elsewhere. Need stands in a file of its own.

--- a/crates/scheduler/src/gang.rs
+++ b/crates/scheduler/src/gang.rs
@@ -1,7 +1,7 @@
 //! Placement of gangs: all members at once, with one run number and the same saved progress, or none.
 
 use crate::draw::Choice;
-use crate::placing::{Need, Scope};
+use crate::need::{Need, Reach, Scope};
 use crate::queue::StepRef;
 use crate::runs::Placement;
 use crate::scheduler::Scheduler;
@@ -14,7 +14,7 @@
 
 impl Scheduler {
     /// Places a gang if all members fit.
-    pub(crate) fn place_gang(&mut self, service: &str, at: StepRef) {
+    pub(crate) fn place_gang(&mut self, service: &str, at: StepRef, reach: Reach) {
         let Some(job) = self.jobs.get(&at.job) else { return };
         let (Some(step), Some(state)) = (job.step(at.step), job.step_state(at)) else { return };
         if state.waiting.len() != state.tasks.len() {
@@ -23,8 +23,10 @@
         let (rack_local, members) = (step.rack_local, state.tasks.len());
         let Some(mut need) = Need::of(job, at, self.now_ms) else { return };
         need.spares_idle = self.spares_idle(service, &need.resources);
+        need.reach = reach;
         let rack_wait_ms = (need.estimate_ms as f64 * (self.bounds.far_x - 1.0)) as u64;
-        let may_spread = !rack_local || need.waited_ms >= rack_wait_ms.min(ONE_RACK_WAIT_MAX_MS);
+        let waited = reach == Reach::Away && need.waited_ms >= rack_wait_ms.min(ONE_RACK_WAIT_MAX_MS);
+        let may_spread = !rack_local || waited;
         let plan = [Scope::Preferred, Scope::Allowed].into_iter().find_map(|scope| {
             let in_rack = if rack_local { self.plan_in_rack(service, &need, scope, members) } else { None };
             let spread = || may_spread.then(|| self.plan(service, &need, scope, members, None)).flatten();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -22,6 +22,7 @@
 mod health;
 mod job;
 mod life_rows;
+mod need;
 mod outbox;
 mod outcomes;
 mod placing;
--- /dev/null
+++ b/crates/scheduler/src/need.rs
@@ -0,0 +1,128 @@
+//! What a step asks of workers, and which of them it may use by now.
+
+use crate::draw::Class;
+use crate::health::Standing;
+use crate::job::Job;
+use crate::queue::StepRef;
+use crate::workers::{Worker, WorkerId};
+use indigofold_protocol::job::Resources;
+use rustc_hash::FxHashMap;
+
+/// A step that has waited for so long may use any worker that is allowed at all.
+pub(crate) const ANY_WORKER_MS: u64 = 1_500;
+/// A task may go back to the worker where it failed after this time.
+const FAILED_THERE_MS: u64 = 600;
+/// Longest time that a step waits for the rack that it would like.
+const RACK_WAIT_MAX_MS: u64 = 1_000;
+
+/// What a step asks of workers.
+pub(crate) struct Need {
+    pub at: StepRef,
+    pub resources: Resources,
+    pub label: String,
+    pub affinity: String,
+    pub anti_affinity: u32,
+    /// Tasks of the step on each worker.
+    pub on_worker: FxHashMap<WorkerId, u32>,
+    pub class: Class,
+    pub estimate_ms: u64,
+    pub waited_ms: u64,
+    pub long_running: bool,
+    pub priority: u32,
+    /// Whether the tasks may run away from their data.
+    pub reach: Reach,
+    /// Idle workers are kept for steps that need a whole one, as long as there is room on others.
+    pub spares_idle: bool,
+}
+
+/// Whom a try to place may consider.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Scope {
+    /// Sound workers where the step would like to be.
+    Preferred,
+    /// Any worker that the time waited so far allows.
+    Allowed,
+}
+
+/// How far tasks may be from where they run at full speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    /// Near their data, in one rack.
+    Near,
+    /// Anywhere, once they have waited.
+    Away,
+}
+
+impl Need {
+    pub fn of(job: &Job, at: StepRef, now_ms: u64) -> Option<Need> {
+        let (step, state) = (job.step(at.step)?, job.step_state(at)?);
+        let mut on_worker = FxHashMap::default();
+        if step.anti_affinity > 0 {
+            for run in state.tasks.iter().flat_map(|task| task.runs()) {
+                *on_worker.entry(run.worker).or_default() += 1;
+            }
+        }
+        Some(Need {
+            at,
+            resources: step.resources(),
+            label: step.requirements.clone(),
+            affinity: step.affinity.clone(),
+            anti_affinity: step.anti_affinity,
+            on_worker,
+            class: (job.definition.route.clone(), at.step),
+            estimate_ms: step.estimate_ms,
+            waited_ms: now_ms.saturating_sub(state.waiting_since_ms),
+            long_running: step.long_running,
+            priority: job.terms.priority,
+            reach: Reach::Away,
+            spares_idle: false,
+        })
+    }
+
+    /// Whether the rules allow this worker: label, `anti_affinity`, room beside `extra` tasks more of this step.
+    pub fn permits(&self, id: WorkerId, worker: &Worker, extra: u32) -> bool {
+        let labelled = self.label.is_empty() || worker.labels.contains(&self.label);
+        let there = self.on_worker.get(&id).copied().unwrap_or(0) + extra;
+        let apart = self.anti_affinity == 0 || there < self.anti_affinity;
+        labelled && apart && worker.has_room(&times(&self.resources, u64::from(extra) + 1))
+    }
+
+    /// Whether this worker is near the data, or the step has none.
+    pub fn near(&self, worker: &Worker) -> bool {
+        self.affinity.is_empty() || worker.rack() == Some(&self.affinity)
+    }
+
+    /// Whether a worker is to be considered in this scope.
+    pub fn considers(
+        &self, scope: Scope, worker: &Worker, far_x: f64, failed_there: bool, now_ms: u64,
+    ) -> bool {
+        let standing = worker.health.standing(now_ms);
+        let any = self.waited_ms >= ANY_WORKER_MS;
+        let sound = match standing {
+            Standing::Sound => true,
+            Standing::OnTrial => any || worker.runs.is_empty(),
+            Standing::Suspected => any,
+        };
+        match scope {
+            Scope::Preferred => {
+                sound
+                    && standing != Standing::Suspected
+                    && self.near(worker)
+                    && !failed_there
+                    && worker.cold_until_ms <= now_ms
+                    && !(self.spares_idle && worker.runs.is_empty())
+            }
+            Scope::Allowed => {
+                let rack_ms = (self.estimate_ms as f64 * (far_x - 1.0)) as u64;
+                let waited = self.reach == Reach::Away && self.waited_ms >= rack_ms.min(RACK_WAIT_MAX_MS);
+                let placed_well = waited || self.near(worker);
+                sound && placed_well && (!failed_there || self.waited_ms >= FAILED_THERE_MS)
+            }
+        }
+    }
+}
+
+/// These resources `count` times.
+pub(crate) fn times(resources: &Resources, count: u64) -> Resources {
+    Resources { cpu: resources.cpu * count, mem_mb: resources.mem_mb * count, gpu: resources.gpu * count }
+}
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -1,25 +1,17 @@
 //! Placement of admitted tasks: the steps in the queue's order, each task by hybrid SQ(d) among the workers that may
 //! take it.
 
-use crate::draw::{Class, dominant_share};
-use crate::health::Standing;
-use crate::job::Job;
+use crate::draw::dominant_share;
+use crate::need::{ANY_WORKER_MS, Need, Reach, Scope};
 use crate::queue::{QueueKey, StepRef};
 use crate::reservation::{RESERVATIONS_MAX, Reservation};
 use crate::runs::Placement;
 use crate::scheduler::{Scheduler, ServiceState};
 use crate::workers::{Worker, WorkerId};
 use indigofold_protocol::job::Resources;
-use rustc_hash::FxHashMap;
 
 /// Most steps that one pass over the queue looks at.
 const PASS_STEPS: usize = 400;
-/// A step that has waited for so long may use any worker that is allowed at all.
-const ANY_WORKER_MS: u64 = 1_500;
-/// A task may go back to the worker where it failed after this time.
-const FAILED_THERE_MS: u64 = 600;
-/// Longest time that a step waits for the rack that it would like.
-const RACK_WAIT_MAX_MS: u64 = 1_000;
 /// While something waits, passes over a queue are so far apart.
 const BACKLOG_PASS_MS: u64 = 10;
 /// A task that takes more than this part of a worker needs one as a whole.
@@ -27,103 +19,17 @@
 /// Such a task has come within this time.
 const WHOLE_LATELY_MS: u64 = 30_000;
 
-/// What a step asks of workers.
-pub(crate) struct Need {
-    pub at: StepRef,
-    pub resources: Resources,
-    pub label: String,
-    pub affinity: String,
-    pub anti_affinity: u32,
-    /// Tasks of the step on each worker.
-    pub on_worker: FxHashMap<WorkerId, u32>,
-    pub class: Class,
-    pub estimate_ms: u64,
-    pub waited_ms: u64,
-    pub long_running: bool,
-    pub priority: u32,
-    /// Idle workers are kept for steps that need a whole one, as long as there is room on others.
-    pub spares_idle: bool,
-}
-
-/// Whom a try to place may consider.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Scope {
-    /// Sound workers where the step would like to be.
-    Preferred,
-    /// Any worker that the time waited so far allows.
-    Allowed,
-}
-
-impl Need {
-    pub fn of(job: &Job, at: StepRef, now_ms: u64) -> Option<Need> {
-        let (step, state) = (job.step(at.step)?, job.step_state(at)?);
-        let mut on_worker = FxHashMap::default();
-        if step.anti_affinity > 0 {
-            for run in state.tasks.iter().flat_map(|task| task.runs()) {
-                *on_worker.entry(run.worker).or_default() += 1;
-            }
-        }
-        Some(Need {
-            at,
-            resources: step.resources(),
-            label: step.requirements.clone(),
-            affinity: step.affinity.clone(),
-            anti_affinity: step.anti_affinity,
-            on_worker,
-            class: (job.definition.route.clone(), at.step),
-            estimate_ms: step.estimate_ms,
-            waited_ms: now_ms.saturating_sub(state.waiting_since_ms),
-            long_running: step.long_running,
-            priority: job.terms.priority,
-            spares_idle: false,
-        })
-    }
-
-    /// Whether the rules allow this worker: label, `anti_affinity`, room beside `extra` tasks more of this step.
-    pub fn permits(&self, id: WorkerId, worker: &Worker, extra: u32) -> bool {
-        let labelled = self.label.is_empty() || worker.labels.contains(&self.label);
-        let there = self.on_worker.get(&id).copied().unwrap_or(0) + extra;
-        let apart = self.anti_affinity == 0 || there < self.anti_affinity;
-        labelled && apart && worker.has_room(&times(&self.resources, u64::from(extra) + 1))
-    }
-
-    /// Whether this worker is near the data, or the step has none.
-    pub fn near(&self, worker: &Worker) -> bool {
-        self.affinity.is_empty() || worker.rack() == Some(&self.affinity)
-    }
-
-    /// Whether a worker is to be considered in this scope.
-    pub fn considers(
-        &self, scope: Scope, worker: &Worker, far_x: f64, failed_there: bool, now_ms: u64,
-    ) -> bool {
-        let standing = worker.health.standing(now_ms);
-        let any = self.waited_ms >= ANY_WORKER_MS;
-        let sound = match standing {
-            Standing::Sound => true,
-            Standing::OnTrial => any || worker.runs.is_empty(),
-            Standing::Suspected => any,
-        };
-        match scope {
-            Scope::Preferred => {
-                sound
-                    && standing != Standing::Suspected
-                    && self.near(worker)
-                    && !failed_there
-                    && worker.cold_until_ms <= now_ms
-                    && !(self.spares_idle && worker.runs.is_empty())
-            }
-            Scope::Allowed => {
-                let rack_ms = (self.estimate_ms as f64 * (far_x - 1.0)) as u64;
-                let away = self.near(worker) || self.waited_ms >= rack_ms.min(RACK_WAIT_MAX_MS);
-                sound && away && (!failed_there || self.waited_ms >= FAILED_THERE_MS)
-            }
-        }
-    }
-}
-
-/// These resources `count` times.
-pub(crate) fn times(resources: &Resources, count: u64) -> Resources {
-    Resources { cpu: resources.cpu * count, mem_mb: resources.mem_mb * count, gpu: resources.gpu * count }
+/// What one pass over a queue has found so far.
+#[derive(Debug)]
+struct Pass {
+    /// Much of the service is idle.
+    spare: bool,
+    /// The most of each resource that any one worker has free.
+    room: Resources,
+    /// Tasks that found no room, though they ask for nothing else.
+    blocked: Vec<Resources>,
+    /// Steps that keep workers.
+    reserved: Vec<StepRef>,
 }
 
 impl Scheduler {
@@ -150,40 +56,57 @@
     }
 
     /// Looks at the steps in the queue's order, places what fits and lets steps that need much room keep workers.
+    /// Among steps of one priority, room goes first to tasks that run at full speed there: a task away from its data
+    /// takes room for several times as long.
     fn pass(&mut self, service: &str) {
         let Some(state) = self.services.get(service) else { return };
         let keys: Vec<QueueKey> = state.queue.iter().take(PASS_STEPS).copied().collect();
         if keys.is_empty() {
             return;
         }
-        let spare = self.has_spare(service);
-        let mut room = self.largest_room(service);
-        let mut blocked: Vec<Resources> = Vec::new();
-        let mut reserved: Vec<StepRef> = Vec::new();
+        let mut pass = Pass {
+            spare: self.has_spare(service),
+            room: self.largest_room(service),
+            blocked: Vec::new(),
+            reserved: Vec::new(),
+        };
         self.note_urgent(service, &keys);
-        for key in keys {
-            let Some((resources, picky)) = self.demand(key.at) else { continue };
-            let hidden =
-                blocked.iter().any(|less| resources.holds(less)) && !(spare && self.waits_long(key.at));
-            let beyond = hidden || !room.holds(&resources);
-            if !beyond {
-                self.place_step(service, key);
-            }
-            if !self.waits(key.at) {
-                self.dequeue(key.at);
-                continue;
-            }
-            if !beyond {
-                room = self.largest_room(service);
-                if !picky {
-                    blocked.push(resources);
-                }
-            }
-            if reserved.len() < RESERVATIONS_MAX && self.reserve(service, key) {
-                reserved.push(key.at);
+        for same in keys.chunk_by(|a, b| (a.hopeless, a.priority) == (b.hopeless, b.priority)) {
+            same.iter().for_each(|key| self.try_step(service, *key, Reach::Near, &mut pass));
+            let left = same.iter().filter(|key| self.has_place(key.at) && self.waits(key.at));
+            let left: Vec<QueueKey> = left.copied().collect();
+            left.into_iter().for_each(|key| self.try_step(service, key, Reach::Away, &mut pass));
+        }
+        self.service(service).reserved.retain(|_, kept| pass.reserved.contains(&kept.step));
+    }
+
+    /// Tries to place a step's tasks.
+    fn try_step(&mut self, service: &str, key: QueueKey, reach: Reach, pass: &mut Pass) {
+        let Some((resources, picky)) = self.demand(key.at) else { return };
+        let patient = !(pass.spare && self.waits_long(key.at));
+        let hidden = patient && pass.blocked.iter().any(|less| resources.holds(less));
+        let beyond = hidden || !pass.room.holds(&resources);
+        if !beyond {
+            self.place_step(service, key, reach);
+        }
+        if !self.waits(key.at) {
+            return self.dequeue(key.at);
+        }
+        if !beyond {
+            pass.room = self.largest_room(service);
+            if !picky {
+                pass.blocked.push(resources);
             }
         }
-        self.service(service).reserved.retain(|_, kept| reserved.contains(&kept.step));
+        if pass.reserved.len() < RESERVATIONS_MAX && self.reserve(service, key) {
+            pass.reserved.push(key.at);
+        }
+    }
+
+    /// Whether the step's tasks run faster in some places than in others: near data, or in one rack.
+    fn has_place(&self, at: StepRef) -> bool {
+        let step = self.jobs.get(&at.job).and_then(|job| job.step(at.step));
+        step.is_some_and(|step| !step.affinity.is_empty() || step.rack_local)
     }
 
     /// Whether tasks of this size leave idle workers alone: steps that need a whole worker come to this service, and
@@ -236,17 +159,18 @@
     }
 
     /// Places as many waiting tasks of a step as there is room for.
-    fn place_step(&mut self, service: &str, key: QueueKey) {
+    fn place_step(&mut self, service: &str, key: QueueKey, reach: Reach) {
         let at = key.at;
         let Some(job) = self.jobs.get(&at.job) else { return };
         let Some(step) = job.step(at.step) else { return };
         if step.gang {
-            return self.place_gang(service, at);
+            return self.place_gang(service, at, reach);
         }
         let Some(state) = job.step_state(at) else { return };
         let waiting: Vec<u32> = state.waiting.iter().copied().collect();
         let Some(mut need) = Need::of(job, at, self.now_ms) else { return };
         need.spares_idle = self.spares_idle(service, &need.resources);
+        need.reach = reach;
         let keeps = self.keeps_headroom(service, key);
         let mut spare = if keeps { self.beyond_headroom(service) } else { f64::INFINITY };
         for index in waiting {
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -1,7 +1,7 @@
 //! Preemption: runs of a lower priority give way to a step that would otherwise miss its objective. Victims are those
 //! whose stop loses least; what would lose more than the step is worth is left alone.
 
-use crate::placing::Need;
+use crate::need::Need;
 use crate::queue::{Prospect, QueueKey};
 use crate::scheduler::Scheduler;
 use crate::workers::WorkerId;
--- a/crates/scheduler/src/reservation.rs
+++ b/crates/scheduler/src/reservation.rs
@@ -2,7 +2,7 @@
 //! that fit beside, or end before the room is needed, still use them.
 
 use crate::draw::dominant_share;
-use crate::placing::{Need, times};
+use crate::need::{Need, times};
 use crate::queue::{QueueKey, StepRef};
 use crate::scheduler::Scheduler;
 use crate::workers::{Worker, WorkerId};
--- a/crates/scheduler/src/speculation.rs
+++ b/crates/scheduler/src/speculation.rs
@@ -3,7 +3,7 @@
 
 use crate::health::Standing;
 use crate::job::Run;
-use crate::placing::{Need, Scope};
+use crate::need::{Need, Scope};
 use crate::queue::{Prospect, QueueKey, StepRef};
 use crate::runs::Placement;
 use crate::scheduler::Scheduler;
