Within a priority, steps are served by worth for the work that their jobs still need

At fault: QueueKey, whose order knows nothing of work and worth.

Change: between priority and prospect stands the class (powers of two) of work still needed for what is earned (0.3 + 0.7 x work against the queue's mean; half when late); within a class, deadlines as before. A job's run times and worth are kept with it. Steps of one class go by deadlines, so large jobs are passed by small ones, not starved: from the mean upwards jobs cost about the same for what they earn.

--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -78,6 +78,7 @@
             if description.long_running { 0 } else { known_ms }
         });
         self.jobs.insert(id, job);
+        self.appraise(id);
         self.open_jobs += 1;
         *self.pending.entry(route.name.clone()).or_default() += 1;
         self.outbox.taken.insert(id);
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -1,6 +1,7 @@
 //! Jobs and how far they have come: repetitions, steps, tasks, runs.
 
 use crate::api::{CompanionId, WriteId};
+use crate::order::cost_class;
 use crate::queue::{Prospect, QueueKey, StepRef};
 use crate::workers::WorkerId;
 use indigofold_protocol::job::{JobSpec, JobState, Step};
@@ -63,6 +64,10 @@
     pub terms: Terms,
     /// Longest chain of estimated work from each step to the end of the job, in milliseconds.
     pub chain_ms: Vec<u64>,
+    /// Run time to be expected of each step's tasks, in milliseconds.
+    pub run_ms: Vec<u64>,
+    /// What it earns in time, against the mean of its queue's jobs.
+    pub worth: f64,
     /// Repetitions that are due and not over.
     pub repeats: BTreeMap<u32, Repeat>,
     /// The first repetition that is not due yet; those below that are not in `repeats` are over.
@@ -204,6 +209,8 @@
             service: definition.service.clone(),
             terms: definition.terms,
             chain_ms: chains(&definition.spec.stages, |_, step| step.estimate_ms),
+            run_ms: definition.spec.stages.iter().map(|step| step.estimate_ms).collect(),
+            worth: 1.0,
             definition,
             repeats: BTreeMap::new(),
             next_repeat: 0,
@@ -218,7 +225,9 @@
 
     /// Works its chains out anew with what is known of its queue's run times.
     pub fn expect(&mut self, expected_ms: impl Fn(u32, &Step) -> u64) {
-        self.chain_ms = chains(&self.definition.spec.stages, expected_ms);
+        let stages = &self.definition.spec.stages;
+        self.run_ms = stages.iter().enumerate().map(|(n, step)| expected_ms(n as u32, step)).collect();
+        self.chain_ms = chains(stages, expected_ms);
     }
 
     /// How often its steps run.
@@ -300,13 +309,16 @@
         outstanding
     }
 
-    /// Where a step stands in the queue: by priority, then by when it has to start for the job's objective to be met.
+    /// Where a step stands in the queue: by priority, then by the work that its job still needs for what it
+    /// earns, then by when it has to start for the job's objective to be met.
     pub fn queue_key(&self, at: StepRef, now_ms: u64) -> QueueKey {
         let lasts = self.step(at.step).is_some_and(|step| step.long_running);
         let (prospect, latest_start_ms) =
             if lasts { self.lasting_prospect(at) } else { self.ending_prospect(at, now_ms) };
         let hopeless = prospect == Prospect::Hopeless;
-        QueueKey { hopeless, priority: self.terms.priority, prospect, latest_start_ms, at }
+        let cost_class = if lasts { i16::MIN } else { cost_class(self.work_left(at), self.worth, prospect) };
+        let priority = self.terms.priority;
+        QueueKey { hopeless, priority, cost_class, prospect, latest_start_ms, at }
     }
 
     /// A step that lasts earns as long as it runs: however late it is, it is worth its place, from when it last began
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 mod job;
 mod life_rows;
 mod need;
+mod order;
 mod outbox;
 mod outcomes;
 mod placing;
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -2,6 +2,7 @@
 //! whose stop loses least; what would lose more than the step is worth is left alone.
 
 use crate::need::Need;
+use crate::order::cores;
 use crate::queue::{Prospect, QueueKey};
 use crate::scheduler::Scheduler;
 use crate::workers::WorkerId;
@@ -16,8 +17,6 @@
 const STEPS_LOOKED_AT: usize = 12;
 /// A step preempts once it would miss its objective if it waited so much longer than it has to.
 const SLACK_MS: i64 = 300;
-/// A GPU counts as so many cores.
-const CORES_OF_GPU: f64 = 8.0;
 /// Most core-seconds that may be lost for one step at a time.
 const LOSS_MAX_CORE_S: f64 = 20.0;
 
@@ -184,11 +183,6 @@
 /// What the restart of a task that lasts costs, in seconds.
 const RESTART_S: f64 = 1.0;
 
-/// Cores that these resources count for.
-fn cores(resources: &Resources) -> f64 {
-    resources.cpu as f64 / 1_000.0 + resources.gpu as f64 * CORES_OF_GPU
-}
-
 /// Loss for each part of the room wanted that a victim frees.
 fn per_room(victim: &Victim, need: &Need) -> f64 {
     let part =
--- a/crates/scheduler/src/queue.rs
+++ b/crates/scheduler/src/queue.rs
@@ -45,6 +45,8 @@
     pub hopeless: bool,
     /// Priority of the job's queue.
     pub priority: u32,
+    /// Class of the work that the job still needs for what it earns.
+    pub cost_class: i16,
     /// What it may still earn.
     pub prospect: Prospect,
     /// When it has to start for the job's objective to be met, on the steady clock.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -5,6 +5,7 @@
 use crate::draw::{Kinds, PlacementTrace};
 use crate::job::Job;
 use crate::life_rows::{instance_of, life_key};
+use crate::order::MeanWork;
 use crate::outbox::{Deferred, Outbox};
 use crate::queue::Queue;
 use crate::rng::Rng;
@@ -40,6 +41,8 @@
     pub(crate) forget: BTreeSet<(u64, JobId)>,
     /// Jobs of each route of which nothing has been started.
     pub(crate) pending: FxHashMap<String, u64>,
+    /// Mean work of the jobs of each route.
+    pub(crate) mean_work: FxHashMap<String, MeanWork>,
     /// Tasks of open jobs that are not done.
     pub(crate) open_tasks: u64,
     /// Jobs with saved progress that their rows do not have yet.
@@ -100,6 +103,7 @@
             due: BTreeSet::new(),
             forget: BTreeSet::new(),
             pending: FxHashMap::default(),
+            mean_work: FxHashMap::default(),
             open_tasks: 0,
             unsaved: BTreeSet::new(),
             open_jobs: 0,
--- a/crates/scheduler/src/steps.rs
+++ b/crates/scheduler/src/steps.rs
@@ -1,7 +1,7 @@
 //! Life of a job: repetitions fall due, steps become ready, tasks wait and are done, the job ends and is forgotten.
 
 use crate::job::{Job, JobEnd, StepState};
-use crate::queue::{QueueKey, StepRef};
+use crate::queue::StepRef;
 use crate::scheduler::Scheduler;
 use indigofold_protocol::job::JobState;
 use indigofold_protocol::task::{JobId, TaskName};
@@ -86,29 +86,6 @@
         service.dirty = true;
     }
 
-    /// Puts steps whose prospects have changed to their new places.
-    pub(crate) fn reorder_queues(&mut self) {
-        /// Most steps of one queue looked at.
-        const LOOKED_AT: usize = 500;
-        let now_ms = self.now_ms;
-        let queues: Vec<(String, Vec<QueueKey>)> = self
-            .services
-            .iter()
-            .map(|(name, service)| (name.clone(), service.queue.iter().take(LOOKED_AT).copied().collect()))
-            .collect();
-        for (name, keys) in queues {
-            for key in keys {
-                let Some(job) = self.jobs.get_mut(&key.at.job) else { continue };
-                let present = job.queue_key(key.at, now_ms);
-                let Some(state) = job.step_state_mut(key.at).filter(|_| present != key) else { continue };
-                state.queued = Some(present);
-                let queue = &mut self.service(&name).queue;
-                queue.remove(&key);
-                queue.insert(present);
-            }
-        }
-    }
-
     /// Takes a step out of its service's queue.
     pub(crate) fn dequeue(&mut self, at: StepRef) {
         let Some(job) = self.jobs.get_mut(&at.job) else { return };
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -48,10 +48,11 @@
 
     fn resume_job(&mut self, id: JobId) {
         self.occupy_workers(id);
-        let Some(job) = self.jobs.get(&id) else { return };
-        if job.end.is_some() {
+        if self.jobs.get(&id).is_some_and(|job| job.end.is_some()) {
             return self.resume_ended(id);
         }
+        self.appraise(id);
+        let Some(job) = self.jobs.get(&id) else { return };
         self.open_jobs += 1;
         self.open_tasks += open_tasks(job);
         if !job.started {
--- a/crates/scheduler/tests/overload.rs
+++ b/crates/scheduler/tests/overload.rs
@@ -4,6 +4,8 @@
 
 use indigofold_protocol::internal::ClientOutcome;
 use indigofold_protocol::job::{JobSpec, JobState};
+use indigofold_protocol::job_check::AMOUNT_MAX;
+use indigofold_protocol::task::TaskName;
 use world::{World, spec, step};
 
 fn retry_after_ms(world: &World) -> Option<u64> {
@@ -69,3 +71,59 @@
     world.run_for(50);
     assert_eq!(world.jobs[&id].state, Some(JobState::Completed));
 }
+
+/// When the jobs of one queue ended that waited behind a full service, in their order.
+fn ends_behind_a_full_service(specs: Vec<JobSpec>) -> Vec<u64> {
+    let mut world = World::new(4);
+    world.run_for(200);
+    world.submit("quick", 1, spec(vec![step(64, 1_000, 1_000)]));
+    world.run_for(100);
+    let ids: Vec<_> = specs.into_iter().zip(2..).map(|(spec, id)| world.submit("quick", id, spec)).collect();
+    for _ in 0..400 {
+        world.run_for(50);
+        ids.iter().for_each(|id| world.get(*id));
+    }
+    ids.iter().map(|id| world.jobs[id].ended_ms.expect("the job has ended")).collect()
+}
+
+/// A job that needs far more work for what it earns goes behind those that need less, though it came first.
+#[test]
+fn what_earns_most_for_its_work_goes_first() {
+    let mut specs = vec![spec(vec![step(640, 1_000, 1_000)])];
+    specs.extend((0..20).map(|_| spec(vec![step(3, 1_000, 1_000)])));
+    let ends = ends_behind_a_full_service(specs);
+    assert!(ends[1..].iter().all(|end| *end < ends[0]), "{ends:?}");
+}
+
+/// Jobs that cost about the same go by their deadlines: the first to come is not passed by later ones.
+#[test]
+fn like_jobs_go_by_their_deadlines() {
+    let ends = ends_behind_a_full_service((0..12).map(|_| spec(vec![step(64, 1_000, 800)])).collect());
+    assert!(ends.is_sorted(), "{ends:?}");
+}
+
+/// Estimates that say nothing, or absurd ones, neither end in a division by nothing nor keep others waiting for ever.
+#[test]
+fn absurd_estimates_starve_nobody() {
+    let tell = |estimate_ms| spec(vec![step(4, 1_000, estimate_ms)]);
+    let mut world = World::new(5);
+    world.run_for(200);
+    let ids: Vec<_> = [0, 1, AMOUNT_MAX, 500]
+        .into_iter()
+        .zip(1..)
+        .map(|(estimate_ms, id)| {
+            let id = world.submit("quick", id, tell(estimate_ms));
+            (0..4).for_each(|index| {
+                let name = TaskName { job: id, repeat: 0, step: 0, index };
+                world.work.insert(name, (300, 0));
+            });
+            id
+        })
+        .collect();
+    world.run_for(5_000);
+    for id in ids {
+        world.get(id);
+        world.run_for(50);
+        assert_eq!(world.jobs[&id].state, Some(JobState::Completed), "{id}");
+    }
+}
