--- a/crates/data-plane/src/companion/mod.rs
+++ b/crates/data-plane/src/companion/mod.rs
@@ -33,7 +33,7 @@
 pub const IDLE_BEAT_MS: u64 = 50;
 /// Longest time for which the answer to a heartbeat waits for orders that it expects: the way to the head, a write
 /// there and the way back. A worker that is busy sends its next heartbeat late, as each end of a run puts it off.
-pub const ORDERS_WAIT_MS: u64 = 60;
+pub const ORDERS_WAIT_MS: u64 = 100;
 /// An order makes the worker busy for so long.
 pub const ORDERED_LATELY_MS: u64 = 3_000;
 
