A job that ends late or fails is told with where its time went

Change: tasks and steps keep, in milliseconds by cause (before this head, turn, room, place, commit, way, run, away, failed, stopped, lost), where their time went; along the chain of tasks that were the last of their steps it adds up to the time from due to end.

--- a/crates/control-plane/src/head.rs
+++ b/crates/control-plane/src/head.rs
@@ -6,7 +6,7 @@
 use indigofold_protocol::config::Config;
 use indigofold_protocol::internal::{ClientReply, CompanionOrders};
 use indigofold_replication::RowChange;
-use indigofold_scheduler::{Bounds, Effect, Event, RowError, Scheduler, WriteId};
+use indigofold_scheduler::{Bounds, Effect, Event, LateEnd, RowError, Scheduler, WriteId};
 use snafu::{ResultExt, Snafu};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -51,6 +51,8 @@
         /// Its answer.
         answer: Answer,
     },
+    /// A job ended after its objective, or failed: for the log.
+    Late(Box<LateEnd>),
     /// A configuration is in force from now on.
     ConfigTaken {
         /// Its version.
@@ -131,6 +133,7 @@
                     self.submit(Writer::Scheduler(write), changes.collect())
                 }
                 Effect::Reply { to, reply } => HeadOutput::Reply { to: ConnectionId(to.0), reply },
+                Effect::Late(end) => HeadOutput::Late(end),
                 Effect::Orders { companion, orders } => {
                     HeadOutput::Orders { to: ConnectionId(companion.0), orders }
                 }
--- a/crates/control-plane/src/node/calls.rs
+++ b/crates/control-plane/src/node/calls.rs
@@ -112,6 +112,7 @@
                     log_answer(&answer);
                     self.outputs.push(Output::Answer { call, answer: OperatorAnswer::Order(answer) });
                 }
+                HeadOutput::Late(end) => log::info!("{end}"),
                 HeadOutput::ConfigTaken { version } => log::info!("configuration {version} is in force"),
             }
         }
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -1,5 +1,6 @@
 //! What goes into the scheduler and what comes out of it.
 
+use crate::delays::LateEnd;
 use indigofold_protocol::config::Config;
 use indigofold_protocol::internal::{ClientCall, ClientReply, CompanionOrders, CompanionReport};
 use std::sync::Arc;
@@ -114,6 +115,8 @@
         /// The reply.
         reply: ClientReply,
     },
+    /// A job ended after its objective, or failed: for the log.
+    Late(Box<LateEnd>),
     /// Orders for a companion.
     Orders {
         /// Its connection.
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -1,6 +1,7 @@
 //! Jobs and how far they have come: repetitions, steps, tasks, runs.
 
 use crate::api::{CompanionId, WriteId};
+use crate::delays::Delays;
 use crate::order::cost_class;
 use crate::queue::{Prospect, QueueKey, StepRef};
 use crate::workers::WorkerId;
@@ -108,6 +109,12 @@
     pub queued: Option<QueueKey>,
     /// Since when something waits.
     pub waiting_since_ms: u64,
+    /// What it has waited for since then, as seen when it was looked at.
+    pub waits: Delays,
+    /// When it was looked at last.
+    pub looked_at_ms: u64,
+    /// Where the time went before its turn came.
+    pub chain: Delays,
     /// Progress of the gang as heard last.
     pub gang_saved: String,
     /// Attempts of the gang that have failed.
@@ -133,6 +140,10 @@
     pub copy: Option<Run>,
     /// Worker on which it failed last.
     pub failed_on: Option<WorkerId>,
+    /// Since when it waits to be placed.
+    pub waits_since_ms: u64,
+    /// Where its time went since its step's turn came.
+    pub delays: Delays,
 }
 
 /// A run that is not over.
@@ -144,6 +155,10 @@
     pub worker: WorkerId,
     /// Its order may have left this process.
     pub sent: bool,
+    /// When its order left.
+    pub sent_ms: u64,
+    /// When its worker listed it first.
+    pub began_ms: Option<u64>,
     /// Where its stop was sent last and when; `Some((None, _))` if it is to be sent.
     pub stop: Option<StopOrder>,
     /// When it was placed.
@@ -358,6 +373,14 @@
 }
 
 impl StepState {
+    /// A task is to be placed (again).
+    pub fn wait(&mut self, index: u32, now_ms: u64) {
+        let newly = self.waiting.insert(index);
+        if let Some(task) = self.tasks.get_mut(index as usize).filter(|_| newly) {
+            task.waits_since_ms = now_ms;
+        }
+    }
+
     /// All its tasks are done.
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 mod calls;
 mod checks;
 mod clock;
+mod delays;
 mod dragging;
 mod draw;
 mod gang;
@@ -42,6 +43,7 @@
 mod workers;
 
 pub use api::{Bounds, CallerId, CompanionId, Effect, Event, RowChange, WriteId};
+pub use delays::{Cause, Delays, LateEnd};
 pub use draw::{PlacementTrace, Reason};
 pub use rows::RowError;
 pub use scheduler::Scheduler;
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -1,6 +1,7 @@
 //! Placement of admitted tasks: the steps in the queue's order, each task by hybrid SQ(d) among the workers that may
 //! take it.
 
+use crate::delays::Cause;
 use crate::draw::dominant_share;
 use crate::need::{ANY_WORKER_MS, Need, Reach, Scope};
 use crate::queue::{QueueKey, StepRef};
@@ -92,6 +93,7 @@
         if !self.waits(key.at) {
             return self.dequeue(key.at);
         }
+        self.note_wait(key.at, self.wait_cause(key.at, hidden, beyond));
         if !beyond {
             pass.room = self.largest_room(service);
             if !picky {
@@ -103,6 +105,16 @@
         }
     }
 
+    /// What a step waits for that was looked at: others before it, room, or room in the right place.
+    fn wait_cause(&self, at: StepRef, hidden: bool, beyond: bool) -> Cause {
+        let gang = self.jobs.get(&at.job).and_then(|job| job.step(at.step)).is_some_and(|step| step.gang);
+        match () {
+            () if hidden => Cause::Turn,
+            () if !beyond && (gang || self.has_place(at)) => Cause::Place,
+            () => Cause::Room,
+        }
+    }
+
     /// Whether the step's tasks run faster in some places than in others: near data, or in one rack.
     fn has_place(&self, at: StepRef) -> bool {
         let step = self.jobs.get(&at.job).and_then(|job| job.step(at.step));
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -118,6 +118,7 @@
         let now_ms = self.now_ms;
         let Some(run) = self.run_on(&listed.run, id) else { return false };
         run.listed_ms = now_ms;
+        run.began_ms.get_or_insert(now_ms);
         if run.percent != listed.percent {
             (run.percent, run.percent_ms) = (listed.percent, now_ms);
         }
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -251,7 +251,7 @@
                     run: run.map(|(worker, attempt)| Run::restored(worker, attempt, now_ms)),
                     copy: None,
                     saved: row.saved,
-                    failed_on: None,
+                    ..Task::default()
                 };
             }
         }
@@ -270,6 +270,8 @@
             attempt,
             worker,
             sent: true,
+            sent_ms: now_ms,
+            began_ms: None,
             stop: None,
             placed_ms: now_ms,
             resumed: true,
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -77,7 +77,9 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(resources) = job.step(task.step).map(|step| step.resources()) else { return };
         let Some(state) = job.step_state_mut(StepRef::of(&task)) else { return };
-        state.waiting.remove(&task.index);
+        if state.waiting.remove(&task.index) {
+            state.end_wait(task.index, now_ms);
+        }
         let Some(entry) = state.tasks.get_mut(task.index as usize) else { return };
         entry.last_attempt = attempt;
         let resumed = !entry.saved.is_empty();
@@ -86,6 +88,8 @@
             attempt,
             worker: placement.worker,
             sent: false,
+            sent_ms: 0,
+            began_ms: None,
             stop: None,
             placed_ms: now_ms,
             resumed,
@@ -110,6 +114,7 @@
     /// The run's placement is committed: its order leaves, unless it is not wanted any more or its worker cannot be
     /// reached; then it never started.
     pub(crate) fn send_start(&mut self, run: RunId) {
+        let now_ms = self.now_ms;
         let ended = self.jobs.get(&run.task.job).is_none_or(|job| job.end.is_some());
         let Some(present) = self.run_mut(&run).filter(|present| !present.sent) else { return };
         let (worker, stopped) = (present.worker, present.stop.is_some());
@@ -119,7 +124,7 @@
             return self.run_over(run, Over::NotStarted, "");
         }
         if let Some(present) = self.run_mut(&run) {
-            present.sent = true;
+            (present.sent, present.sent_ms) = (true, now_ms);
         }
         self.order_start(run);
     }
@@ -209,6 +214,7 @@
         }
         self.service(&traits.service).dirty = true;
         self.note_outcome(&task, &run, over, &traits);
+        self.note_run(&task, &run, over);
         match over {
             _ if ended => self.close_if_idle(task.job),
             _ if done => self.tidy_repeat(task.job, task.repeat),
@@ -243,6 +249,7 @@
         let task_failures = state.tasks.get(task.index as usize).map_or(0, |entry| entry.failures);
         let failures = if traits.gang { state.gang_failures } else { task_failures };
         if failures >= limit {
+            self.note_end(&task, JobState::Failed);
             return self.end_job(task.job, JobState::Failed);
         }
         let runs_on =
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{Bounds, CompanionId, Effect, Event, RowChange, WriteId};
 use crate::clock::WallClock;
+use crate::delays::LateEnd;
 use crate::draw::{Kinds, PlacementTrace};
 use crate::job::Job;
 use crate::life_rows::{instance_of, life_key};
@@ -57,6 +58,8 @@
     pub(crate) next_resolve_ms: u64,
     pub(crate) next_check_ms: u64,
     pub(crate) next_preempt_ms: u64,
+    /// Late ends that have not been told.
+    pub(crate) late: Vec<LateEnd>,
     pub(crate) traces: Option<Vec<PlacementTrace>>,
 }
 
@@ -113,6 +116,7 @@
             next_resolve_ms: now_ms,
             next_check_ms: now_ms,
             next_preempt_ms: now_ms,
+            late: Vec::new(),
             traces: None,
         }
     }
@@ -166,6 +170,7 @@
         self.write(effects);
         self.release(effects);
         self.send_orders(effects);
+        effects.extend(self.late.drain(..).map(|end| Effect::Late(Box::new(end))));
     }
 
     fn tick(&mut self) {
--- a/crates/scheduler/src/steps.rs
+++ b/crates/scheduler/src/steps.rs
@@ -1,5 +1,6 @@
 //! Life of a job: repetitions fall due, steps become ready, tasks wait and are done, the job ends and is forgotten.
 
+use crate::delays::Delays;
 use crate::job::{Job, JobEnd, StepState};
 use crate::queue::StepRef;
 use crate::scheduler::Scheduler;
@@ -44,12 +45,14 @@
         self.open_tasks += fresh.steps.iter().map(|step| step.tasks.len() as u64).sum::<u64>();
         job.repeats.insert(repeat, fresh);
         self.mark(id);
-        self.ready_steps(id, repeat);
+        self.ready_steps(id, repeat, self.delays_before(due_ms));
         self.await_next_repeat(id);
     }
 
-    /// Lets all tasks wait whose steps' turn has come and that neither wait, run nor are done.
-    pub(crate) fn ready_steps(&mut self, id: JobId, repeat: u32) {
+    /// Lets all tasks wait whose steps' turn has come and that neither wait, run nor are done. `delays`: where the time
+    /// went until now.
+    pub(crate) fn ready_steps(&mut self, id: JobId, repeat: u32, delays: Delays) {
+        let now_ms = self.now_ms;
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(state) = job.repeats.get(&repeat) else { return };
         let done = |before: &u32| state.steps.get(*before as usize).is_some_and(StepState::is_done);
@@ -64,6 +67,10 @@
             }
             let idle = state.tasks.iter().enumerate().filter(|(_, task)| !task.done && task.run.is_none());
             let idle: Vec<u32> = idle.map(|(index, _)| index as u32).collect();
+            if state.queued.is_none() && !idle.is_empty() {
+                state.chain = delays;
+                state.tasks.iter_mut().for_each(|task| task.waits_since_ms = now_ms);
+            }
             state.waiting.extend(idle);
             self.enqueue(at);
         }
@@ -78,6 +85,7 @@
             return;
         }
         state.waiting_since_ms = now_ms;
+        state.waits = Delays::default();
         let (key, service) = (job.queue_key(at, now_ms), job.service.clone());
         let Some(state) = job.step_state_mut(at) else { return };
         state.queued = Some(key);
@@ -111,11 +119,11 @@
 
     /// A task is to be placed (again). A gang waits until no member runs; those that do are stopped.
     pub(crate) fn wait_again(&mut self, task: TaskName) {
-        let at = StepRef::of(&task);
+        let (at, now_ms) = (StepRef::of(&task), self.now_ms);
         let Some(job) = self.jobs.get_mut(&at.job) else { return };
         if !job.step(at.step).is_some_and(|step| step.gang) {
             if let Some(state) = job.step_state_mut(at) {
-                state.waiting.insert(task.index);
+                state.wait(task.index, now_ms);
             }
             return self.enqueue(at);
         }
@@ -123,7 +131,7 @@
         let with_run = state.tasks.iter().enumerate().filter(|(_, task)| task.run.is_some());
         let running: Vec<u32> = with_run.map(|(index, _)| index as u32).collect();
         if running.is_empty() {
-            state.waiting = (0..state.tasks.len() as u32).collect();
+            (0..state.tasks.len() as u32).for_each(|index| state.wait(index, now_ms));
             return self.enqueue(at);
         }
         running.into_iter().for_each(|index| self.stop_task(at.task(index)));
@@ -150,11 +158,20 @@
             self.dequeue(at);
         }
         if step_done && newly > 0 {
-            self.ready_steps(at.job, at.repeat);
+            self.ready_steps(at.job, at.repeat, self.delays_until(&task));
+            self.note_repeat_done(&task);
             self.tidy_repeat(at.job, at.repeat);
         }
     }
 
+    /// Tells of a repetition that this task has completed late.
+    fn note_repeat_done(&mut self, task: &TaskName) {
+        let repeat = self.jobs.get(&task.job).and_then(|job| job.repeats.get(&task.repeat));
+        if repeat.is_some_and(|repeat| repeat.is_done()) {
+            self.note_end(task, JobState::Completed);
+        }
+    }
+
     /// Forgets a repetition that is over; ends the job if it was the last.
     pub(crate) fn tidy_repeat(&mut self, id: JobId, repeat: u32) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -59,7 +59,10 @@
             *self.pending.entry(job.definition.route.clone()).or_default() += 1;
         }
         let repeats: Vec<u32> = job.repeats.keys().copied().collect();
-        repeats.into_iter().for_each(|repeat| self.ready_steps(id, repeat));
+        for repeat in repeats {
+            let due_ms = self.jobs.get(&id).and_then(|job| job.repeats.get(&repeat)).map_or(0, |r| r.due_ms);
+            self.ready_steps(id, repeat, self.delays_before(due_ms));
+        }
         self.await_next_repeat(id);
     }
 
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -13,7 +13,7 @@
 use indigofold_protocol::job::{JobSpec, JobState};
 use indigofold_protocol::task::{JobId, RunId, TaskName};
 use indigofold_protocol::worker::RunEnd;
-use indigofold_scheduler::{CallerId, CompanionId, Effect, Event, RowChange, Scheduler, WriteId};
+use indigofold_scheduler::{CallerId, CompanionId, Effect, Event, LateEnd, RowChange, Scheduler, WriteId};
 use node::{AtWork, GANG_MS, Node};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -89,6 +89,8 @@
     pub replies: Vec<ClientReply>,
     pub alone: u32,
     pub calm: bool,
+    /// Late ends that were told.
+    pub late: Vec<LateEnd>,
     pub writes_made: u64,
     pub stopped_core_ms: f64,
     /// How far the scheduler's time of day is off.
@@ -124,6 +126,7 @@
             replies: Vec::new(),
             alone: 0,
             calm: true,
+            late: Vec::new(),
             writes_made: 0,
             stopped_core_ms: 0.0,
             clock_step_ms: 0,
@@ -151,6 +154,7 @@
                     self.writes.push_back((now_ms + COMMIT_MS, write, changes));
                 }
                 Effect::Reply { reply, .. } => self.replied(reply),
+                Effect::Late(end) => self.late.push(*end),
                 Effect::Orders { companion, orders } => {
                     self.mail.push_back((now_ms + NET_MS, Mail::Orders(companion, orders)));
                 }
