A worker on trial is tried beside what runs there

With 8% of runs failing by their jobs' own fault, three failures in a row come every few seconds; a worker on trial was given a run only while nothing ran there, and where something lasts that is never. At fault: Need::considers (Standing::OnTrial), Health, which did not know whether a trial was under way.

Change: the first run placed on a worker on trial is its trial; until its end, or the pause, no other is placed there.

--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -34,8 +34,12 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
+    /// When it is tried next at the earliest.
     trial_ms: u64,
+    /// Time between two trials.
     pause_ms: u64,
+    /// A run was placed there to try it, and has not ended yet.
+    tried: bool,
 }
 
 /// Whether a worker is to be used.
@@ -100,14 +104,26 @@
         }
     }
 
+    /// A run was placed there: on a worker that is on trial, the one that tries it. Should nothing be heard of it, the
+    /// worker is tried again.
+    pub fn placed(&mut self, now_ms: u64) {
+        if self.standing(now_ms) == Standing::OnTrial
+            && let Some(suspicion) = &mut self.suspected
+        {
+            (suspicion.tried, suspicion.trial_ms) = (true, now_ms + suspicion.pause_ms);
+        }
+    }
+
     fn suspect(&mut self, now_ms: u64) {
         let pause_ms = match self.suspected {
             None => FIRST_TRIAL_MS,
-            Some(before) if now_ms < before.trial_ms => before.pause_ms,
-            Some(before) => (before.pause_ms * 2).min(TRIAL_MAX_MS),
+            Some(before) if before.tried || now_ms >= before.trial_ms => {
+                (before.pause_ms * 2).min(TRIAL_MAX_MS)
+            }
+            Some(before) => before.pause_ms,
         };
         let trial_ms = self.suspected.map_or(0, |before| before.trial_ms).max(now_ms + pause_ms);
-        self.suspected = Some(Suspicion { trial_ms, pause_ms });
+        self.suspected = Some(Suspicion { trial_ms, pause_ms, tried: false });
     }
 
     fn fade(&mut self, now_ms: u64) {
--- a/crates/scheduler/src/need.rs
+++ b/crates/scheduler/src/need.rs
@@ -100,7 +100,7 @@
         let any = self.waited_ms >= ANY_WORKER_MS;
         let sound = match standing {
             Standing::Sound => true,
-            Standing::OnTrial => any || worker.runs.is_empty(),
+            Standing::OnTrial => true,
             Standing::Suspected => any,
         };
         match scope {
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -103,6 +103,7 @@
         let first = !std::mem::replace(&mut job.started, true);
         if let Some(worker) = self.workers.get_mut(placement.worker) {
             worker.occupy(task, &resources, placement.bound);
+            worker.health.placed(now_ms);
         }
         if first {
             self.no_longer_pending(id);
--- a/crates/scheduler/tests/priorities.rs
+++ b/crates/scheduler/tests/priorities.rs
@@ -113,3 +113,28 @@
     let done = urgent.iter().filter(|id| world.jobs[id].state == Some(JobState::Completed)).count();
     assert!(done >= 38, "{done} of 40 are done");
 }
+
+/// A worker on which something lasts is never idle. Once it has recovered, it is tried all the same and used again.
+#[test]
+fn a_worker_that_has_recovered_is_used_again_beside_what_lasts_there() {
+    let mut world = World::new(9);
+    world.run_for(200);
+    let watch = Step { long_running: true, anti_affinity: 1, ..step(4, 100, 500) };
+    world.submit("bulk", 1, spec(vec![watch]));
+    world.run_for(300);
+    world.nodes[0].fails = true;
+    for number in 0..30 {
+        world.submit("quick", 10 + number, spec(vec![step(6, 240, 300)]));
+        world.run_for(100);
+    }
+    world.nodes[0].fails = false;
+    let lasting = world.nodes[0].running.len();
+    assert_eq!(lasting, 1, "what lasts runs on, and nothing else is placed there");
+    let mut used = false;
+    for number in 0..100 {
+        world.submit("quick", 100 + number, spec(vec![step(6, 240, 300)]));
+        world.run_for(100);
+        used |= world.nodes[0].running.len() > lasting + 1;
+    }
+    assert!(used);
+}
