--- a/crates/data-plane/src/companion/mod.rs
+++ b/crates/data-plane/src/companion/mod.rs
@@ -175,7 +175,7 @@
         if let Some(number) = orders.last_seen {
             life.acknowledge(number);
         }
-        if !orders.start.is_empty() || !orders.stop.is_empty() {
+        if orders.has_work() {
             self.ordered_ms = Some(now_ms);
         }
         let in_doubt = life.lapsed || (life.returned && life.standing != Standing::Confirmed);
--- a/crates/data-plane/src/serve/companion_role.rs
+++ b/crates/data-plane/src/serve/companion_role.rs
@@ -62,9 +62,9 @@
 
     fn received(&mut self, now_ms: u64, frame: Frame) {
         if let Frame::Orders(orders) = frame {
-            let orders_work = !orders.start.is_empty() || !orders.stop.is_empty();
+            let has_work = orders.has_work();
             self.companion.orders(now_ms, orders);
-            if let Some(answer) = self.awaits_orders.take_if(|_| orders_work) {
+            if let Some(answer) = self.awaits_orders.take_if(|_| has_work) {
                 let _ = answer.send(());
             }
         }
--- a/crates/protocol/src/internal.rs
+++ b/crates/protocol/src/internal.rs
@@ -212,6 +212,13 @@
     pub last_seen: Option<u64>,
 }
 
+impl CompanionOrders {
+    /// Whether something is to be started or stopped.
+    pub fn has_work(&self) -> bool {
+        !self.start.is_empty() || !self.stop.is_empty()
+    }
+}
+
 /// For how long after sending a report that the head has answered a companion may go on extending holds.
 pub const HOLD_AUTHORITY_MS: u64 = 8_000;
 
--- a/crates/scheduler/src/placing.rs
+++ b/crates/scheduler/src/placing.rs
@@ -108,10 +108,12 @@
     /// What a step waits for that was looked at: others before it, room, or room in the right place.
     fn wait_cause(&self, at: StepRef, hidden: bool, beyond: bool) -> Cause {
         let gang = self.jobs.get(&at.job).and_then(|job| job.step(at.step)).is_some_and(|step| step.gang);
-        match () {
-            () if hidden => Cause::Turn,
-            () if !beyond && (gang || self.has_place(at)) => Cause::Place,
-            () => Cause::Room,
+        if hidden {
+            Cause::Turn
+        } else if !beyond && (gang || self.has_place(at)) {
+            Cause::Place
+        } else {
+            Cause::Room
         }
     }
 
--- a/crates/scheduler/src/steps.rs
+++ b/crates/scheduler/src/steps.rs
@@ -69,9 +69,8 @@
             let idle: Vec<u32> = idle.map(|(index, _)| index as u32).collect();
             if state.queued.is_none() && !idle.is_empty() {
                 state.chain = delays;
-                state.tasks.iter_mut().for_each(|task| task.waits_since_ms = now_ms);
             }
-            state.waiting.extend(idle);
+            idle.into_iter().for_each(|index| state.wait(index, now_ms));
             self.enqueue(at);
         }
     }
