--- a/crates/scheduler/src/backlog.rs
+++ b/crates/scheduler/src/backlog.rs
@@ -23,15 +23,15 @@
             .workers_of(service)
             .filter(|worker| worker.is_responsive(self.now_ms))
             .fold(Resources::default(), |sum, worker| {
-                sum.plus(&worker.capacity)
+                sum.plus(&worker.capacity())
             });
         let steps = service.queue().iter().filter_map(|key| {
             let job = self.jobs.get(&key.at.job)?;
             let step = job.step(key.at.step)?;
-            let waiting = job.step_state(key.at)?.waiting.len();
+            let waiting = job.step_state(key.at)?.waiting().len();
             let class = job.class(key.at.step);
             let run_ms = service
-                .kinds
+                .kinds()
                 .expected_at_mean_speed_ms(&class, step.estimate_ms);
             Some(waiting as f64 * run_ms * fraction_of_service(step, &capacity))
         });
--- a/crates/scheduler/src/client_calls.rs
+++ b/crates/scheduler/src/client_calls.rs
@@ -1,12 +1,12 @@
 //! Clients' calls: submit, state, cancel, count of what waits; and the configuration that routes them.
 
-use crate::api::CallerId;
+use crate::api::{CallerId, WriteId};
 use crate::backlog::retry_after_ms;
+use crate::cluster::Cluster;
 use crate::definition::{Definition, Terms};
-use crate::job::Job;
+use crate::jobs::Job;
 use crate::kinds::Class;
 use crate::outbox::Outbox;
-use crate::state::ClusterState;
 use indigofold_protocol::config::{Config, Route};
 use indigofold_protocol::internal::{ClientCall, ClientOperation, ClientOutcome};
 use indigofold_protocol::job::{JobSpec, JobState};
@@ -17,209 +17,206 @@
 /// When a client is to come back while there is no configuration.
 const UNCONFIGURED_RETRY_MS: u64 = 500;
 
-impl ClusterState {
+/// Where the reply to a client's call goes.
+#[derive(Clone, Copy, Debug)]
+struct ReplyTo {
+    caller: CallerId,
+    /// The caller's number for the call.
+    call: u64,
+}
+
+/// What a client is told, and the write that has to be committed before.
+struct Answer {
+    after: WriteId,
+    outcome: ClientOutcome,
+}
+
+impl Answer {
+    /// Nothing has to be committed before.
+    fn at_once(outcome: ClientOutcome) -> Self {
+        Answer {
+            after: Outbox::NO_WRITE,
+            outcome,
+        }
+    }
+}
+
+/// Takes clients' calls by the configuration in force.
+#[derive(Debug, Default)]
+pub(crate) struct ClientCalls {
+    /// `None` until the first one arrives.
+    config: Option<Arc<Config>>,
+}
+
+impl ClientCalls {
     /// A client's call.
-    pub(crate) fn call(&mut self, from: CallerId, call: ClientCall) {
-        let Some(config) = self.config.clone() else {
-            let outcome = ClientOutcome::Unavailable {
+    pub(crate) fn handle(&self, cluster: &mut Cluster, from: CallerId, call: ClientCall) {
+        let to = ReplyTo {
+            caller: from,
+            call: call.call,
+        };
+        let answer = self.answer(cluster, call);
+        let outbox = cluster.outbox_mut();
+        outbox.reply(answer.after, to.caller, to.call, answer.outcome);
+    }
+
+    /// This configuration is in force from now on: jobs whose route leads elsewhere move.
+    pub(crate) fn configure(&mut self, cluster: &mut Cluster, config: Arc<Config>) {
+        let before = self.config.replace(config.clone());
+        for service in &config.services {
+            cluster.services_mut().entry(&service.name);
+        }
+        let known = before.iter().flat_map(|before| &before.routes);
+        let known: Vec<&Route> = known.collect();
+        let changed: Vec<&Route> = config
+            .routes
+            .iter()
+            .filter(|route| !known.iter().any(|old| leads_alike(old, route)))
+            .collect();
+        if changed.is_empty() {
+            return;
+        }
+        let open = cluster.jobs().iter().filter(|(_, job)| !job.has_ended());
+        let jobs: Vec<(JobId, &Route)> = open
+            .filter_map(|(id, job)| {
+                let route = changed.iter().find(|route| route.name == job.route())?;
+                let moves = job.service() != route.backend || *job.terms() != terms(route);
+                moves.then_some((*id, *route))
+            })
+            .collect();
+        for (id, route) in jobs {
+            cluster.reroute_job(id, &route.backend, terms(route));
+        }
+    }
+
+    fn answer(&self, cluster: &mut Cluster, call: ClientCall) -> Answer {
+        let Some(config) = &self.config else {
+            return Answer::at_once(ClientOutcome::Unavailable {
                 retry_after_ms: UNCONFIGURED_RETRY_MS,
-            };
-            return self.reply_at_once(from, call.call, outcome);
+            });
         };
         let Some(route) = config.route(&call.host, &call.path) else {
-            return self.reply_at_once(from, call.call, ClientOutcome::UnknownRoute);
+            return Answer::at_once(ClientOutcome::UnknownRoute);
         };
         let rest = call
             .path
             .strip_prefix(route.path_prefix.as_str())
             .unwrap_or_default();
-        let id = rest.parse::<JobId>();
-        match (call.operation, id) {
-            (ClientOperation::Submit(spec), Ok(id)) => {
-                self.submit(from, call.call, id, route, spec);
-            }
-            (ClientOperation::Submit(_), Err(error)) => {
-                self.reply_at_once(
-                    from,
-                    call.call,
-                    ClientOutcome::Invalid {
-                        reason: error.to_string(),
-                    },
-                );
-            }
-            (ClientOperation::Get, Ok(id)) => self.reply_state(from, call.call, id),
+        match (call.operation, rest.parse::<JobId>()) {
+            (ClientOperation::Submit(spec), Ok(id)) => submit(cluster, id, route, spec),
+            (ClientOperation::Submit(_), Err(error)) => Answer::at_once(ClientOutcome::Invalid {
+                reason: error.to_string(),
+            }),
+            (ClientOperation::Get, Ok(id)) => state_of(cluster, id),
             (ClientOperation::Get, Err(_)) if rest.is_empty() => {
-                let pending = self.load.pending(&route.name);
-                self.reply_at_once(from, call.call, ClientOutcome::Pending(pending));
+                let pending = cluster.jobs().pending(&route.name);
+                Answer::at_once(ClientOutcome::Pending(pending))
             }
-            (ClientOperation::Cancel, Ok(id)) => self.cancel(from, call.call, id),
-            _ => self.reply_at_once(from, call.call, ClientOutcome::NoSuchJob),
+            (ClientOperation::Cancel, Ok(id)) => cancel(cluster, id),
+            _ => Answer::at_once(ClientOutcome::NoSuchJob),
         }
     }
+}
 
-    fn reply_at_once(&mut self, to: CallerId, call: u64, outcome: ClientOutcome) {
-        self.outbox.reply(Outbox::NO_WRITE, to, call, outcome);
+/// Accepts a job, unless it is known already, is not valid, or too much is open.
+fn submit(cluster: &mut Cluster, id: JobId, route: &Route, spec: JobSpec) -> Answer {
+    if let Some(known) = cluster.jobs().get(&id) {
+        return Answer {
+            after: known.last_write(),
+            outcome: ClientOutcome::Accepted,
+        };
     }
-
-    fn submit(&mut self, from: CallerId, call: u64, id: JobId, route: &Route, spec: JobSpec) {
-        if let Some(known) = self.jobs.get(&id) {
-            return self
-                .outbox
-                .reply(known.last_write, from, call, ClientOutcome::Accepted);
-        }
-        if let Err(error) = check_job(&spec) {
-            return self.reply_at_once(
-                from,
-                call,
-                ClientOutcome::Invalid {
-                    reason: error.to_string(),
-                },
-            );
-        }
-        if self.load.is_full(self.jobs.len()) {
-            let outcome = ClientOutcome::TooMany {
-                retry_after_ms: retry_after_ms(self.backlog_ms(&route.backend)),
-            };
-            return self.reply_at_once(from, call, outcome);
-        }
-        let job = self.new_job(route, spec);
-        self.jobs.insert(id, job);
-        self.update_value(id);
-        self.load.job_opened();
-        self.load.job_pending(&route.name);
-        self.outbox.job_accepted(id);
-        self.set_dirty(id);
-        self.await_next_repeat(id);
-        self.open_due_repeats();
-        self.outbox.reply(
-            self.outbox.present_write(),
-            from,
-            call,
-            ClientOutcome::Accepted,
-        );
+    if let Err(error) = check_job(&spec) {
+        return Answer::at_once(ClientOutcome::Invalid {
+            reason: error.to_string(),
+        });
     }
-
-    /// A job with the run times that are expected for its route.
-    fn new_job(&mut self, route: &Route, spec: JobSpec) -> Job {
-        let definition = Definition {
-            spec,
-            route: route.name.clone(),
-            service: route.backend.clone(),
-            terms: terms(route),
-            accepted_wall_ms: self.clock.wall_ms(self.now_ms),
-        };
-        let mut job = Job::new(definition);
-        let kinds = &self.services.entry(&route.backend).kinds;
-        job.expect(|step, description| {
-            let class = Class {
-                route: route.name.clone(),
-                step,
-            };
-            let known_ms = kinds.expected_at_mean_speed_ms(&class, description.estimate_ms) as u64;
-            if description.long_running {
-                0
-            } else {
-                known_ms
-            }
+    if cluster.jobs().is_full() {
+        return Answer::at_once(ClientOutcome::TooMany {
+            retry_after_ms: retry_after_ms(backlog_ms(cluster, &route.backend)),
         });
-        job
     }
+    let job = new_job(cluster, route, spec);
+    Answer {
+        after: cluster.accept_job(id, job),
+        outcome: ClientOutcome::Accepted,
+    }
+}
 
-    /// How long the service's workers will take for all that waits in its queue.
-    fn backlog_ms(&mut self, service: &str) -> u64 {
-        let now_ms = self.now_ms;
-        let Some(state) = self.services.get(service) else {
+/// A job with the run times that are expected for its route.
+fn new_job(cluster: &mut Cluster, route: &Route, spec: JobSpec) -> Job {
+    let definition = Definition {
+        spec,
+        route: route.name.clone(),
+        service: route.backend.clone(),
+        terms: terms(route),
+        accepted_wall_ms: cluster.clock().wall_ms(),
+    };
+    let mut job = Job::new(definition);
+    let kinds = cluster.services_mut().entry(&route.backend).kinds();
+    job.expect(|step, description| {
+        if description.long_running {
             return 0;
-        };
-        if let Some(backlog_ms) = state.backlog.get(now_ms) {
-            return backlog_ms;
         }
-        let backlog_ms = self.view().backlog_ms(state);
-        self.services.entry(service).backlog.set(backlog_ms, now_ms);
-        backlog_ms
-    }
-
-    fn reply_state(&mut self, from: CallerId, call: u64, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
-            return self.reply_at_once(from, call, ClientOutcome::NoSuchJob);
-        };
-        let unended = if job.started {
-            JobState::Running
-        } else {
-            JobState::Queued
+        let class = Class {
+            route: route.name.clone(),
+            step,
         };
-        let state = job.end.map_or(unended, |end| end.state);
-        self.outbox
-            .reply(job.last_write, from, call, ClientOutcome::State(state));
-    }
+        kinds.expected_at_mean_speed_ms(&class, description.estimate_ms) as u64
+    });
+    job
+}
 
-    fn cancel(&mut self, from: CallerId, call: u64, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
-            return self.reply_at_once(from, call, ClientOutcome::NoSuchJob);
-        };
-        if job.end.is_none() {
-            self.end_job(id, JobState::Cancelled);
-        }
-        let write = self
-            .jobs
-            .get(&id)
-            .map_or(Outbox::NO_WRITE, |job| job.last_write);
-        self.outbox
-            .reply(write, from, call, ClientOutcome::Cancelled);
+/// How long the service's workers will take for all that waits in its queue.
+fn backlog_ms(cluster: &mut Cluster, service: &str) -> u64 {
+    let now_ms = cluster.clock().now_ms();
+    let Some(state) = cluster.services().get(service) else {
+        return 0;
+    };
+    if let Some(backlog_ms) = state.backlog().get(now_ms) {
+        return backlog_ms;
     }
+    let backlog_ms = cluster.view().backlog_ms(state);
+    let state = cluster.services_mut().entry(service);
+    state.set_backlog(backlog_ms, now_ms);
+    backlog_ms
+}
 
-    /// This configuration is in force from now on: jobs whose route leads elsewhere move.
-    pub(crate) fn configure(&mut self, config: Arc<Config>) {
-        let before = self.config.replace(config.clone());
-        for service in &config.services {
-            self.services.entry(&service.name);
-        }
-        let same = |route: &Route| {
-            let old = before
-                .as_ref()?
-                .routes
-                .iter()
-                .find(|old| old.name == route.name)?;
-            (old.backend == route.backend && terms(old) == terms(route)).then_some(())
-        };
-        let changed: Vec<&Route> = config
-            .routes
-            .iter()
-            .filter(|route| same(route).is_none())
-            .collect();
-        if changed.is_empty() {
-            return;
-        }
-        let moved = |job: &Job| {
-            changed
-                .iter()
-                .find(|r| r.name == job.definition.route)
-                .copied()
-        };
-        let open = self.jobs.iter().filter(|(_, job)| job.end.is_none());
-        let jobs: Vec<(JobId, Route)> = open
-            .filter_map(|(id, job)| Some((*id, moved(job)?.clone())))
-            .collect();
-        jobs.into_iter()
-            .for_each(|(id, route)| self.reroute(id, &route));
+fn state_of(cluster: &Cluster, id: JobId) -> Answer {
+    let Some(job) = cluster.jobs().get(&id) else {
+        return Answer::at_once(ClientOutcome::NoSuchJob);
+    };
+    let unended = if job.is_started() {
+        JobState::Running
+    } else {
+        JobState::Queued
+    };
+    let state = job.end().map_or(unended, |end| end.state);
+    Answer {
+        after: job.last_write(),
+        outcome: ClientOutcome::State(state),
     }
+}
 
-    fn reroute(&mut self, id: JobId, route: &Route) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        if job.service == route.backend && job.terms == terms(route) {
-            return;
-        }
-        let queued = self.dequeue_job(id);
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.service.clone_from(&route.backend);
-            job.terms = terms(route);
-        }
-        queued.into_iter().for_each(|at| self.enqueue(at));
+fn cancel(cluster: &mut Cluster, id: JobId) -> Answer {
+    let Some(job) = cluster.jobs().get(&id) else {
+        return Answer::at_once(ClientOutcome::NoSuchJob);
+    };
+    if !job.has_ended() {
+        cluster.cancel_job(id);
+    }
+    let job = cluster.jobs().get(&id);
+    Answer {
+        after: job.map_or(Outbox::NO_WRITE, Job::last_write),
+        outcome: ClientOutcome::Cancelled,
     }
 }
 
+/// Whether jobs of a route go where they went by its former entry, and on the same terms.
+fn leads_alike(before: &Route, route: &Route) -> bool {
+    before.name == route.name && before.backend == route.backend && terms(before) == terms(route)
+}
+
 fn terms(route: &Route) -> Terms {
     Terms {
         priority: route.priority,
--- a/crates/scheduler/src/clock.rs
+++ b/crates/scheduler/src/clock.rs
@@ -5,9 +5,53 @@
 /// A larger one is adopted once it has been stable for this time.
 const STABLE_MS: u64 = 15_000;
 
+/// The time of the present event, on both clocks.
+#[derive(Debug)]
+pub(crate) struct Clock {
+    /// Latest reading of the steady clock.
+    now_ms: u64,
+    wall: WallClock,
+}
+
+impl Clock {
+    /// Both clocks read at the same moment: the steady one, and the time of day since 1970.
+    pub(crate) fn new(now_ms: u64, wall_ms: u64) -> Self {
+        Clock {
+            now_ms,
+            wall: WallClock::new(now_ms, wall_ms),
+        }
+    }
+
+    /// Both clocks read when an event comes. The time does not go back.
+    pub(crate) fn advance(&mut self, now_ms: u64, wall_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.wall.observe(now_ms, wall_ms);
+    }
+
+    /// Time of the present event on the steady clock.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Time of the present event as the time of day, in milliseconds since 1970.
+    pub(crate) fn wall_ms(&self) -> u64 {
+        self.wall.wall_ms(self.now_ms)
+    }
+
+    /// Reading of the steady clock at this time of day; below zero for times before it began.
+    pub(crate) fn steady_ms(&self, wall_ms: u64) -> i64 {
+        self.wall.steady_ms(wall_ms)
+    }
+
+    /// Time since this reading of the steady clock; 0 if it is to come.
+    pub(crate) fn since_ms(&self, steady_ms: i64) -> u64 {
+        (self.now_ms as i64).saturating_sub(steady_ms).max(0) as u64
+    }
+}
+
 /// Maps the steady clock to the time of day.
 #[derive(Debug)]
-pub(crate) struct WallClock {
+struct WallClock {
     offset_ms: i64,
     candidate: Option<Candidate>,
 }
@@ -21,7 +65,7 @@
 
 impl WallClock {
     /// Both clocks read at the same moment.
-    pub(crate) fn new(now_ms: u64, wall_ms: u64) -> Self {
+    fn new(now_ms: u64, wall_ms: u64) -> Self {
         WallClock {
             offset_ms: wall_ms as i64 - now_ms as i64,
             candidate: None,
@@ -29,7 +73,7 @@
     }
 
     /// Observes both clocks, read at the same moment.
-    pub(crate) fn observe(&mut self, now_ms: u64, wall_ms: u64) {
+    fn observe(&mut self, now_ms: u64, wall_ms: u64) {
         let offset_ms = wall_ms as i64 - now_ms as i64;
         if (offset_ms - self.offset_ms).abs() <= DRIFT_MS {
             (self.offset_ms, self.candidate) = (offset_ms, None);
@@ -49,12 +93,12 @@
     }
 
     /// Time of day at this reading of the steady clock.
-    pub(crate) fn wall_ms(&self, now_ms: u64) -> u64 {
+    fn wall_ms(&self, now_ms: u64) -> u64 {
         (now_ms as i64).saturating_add(self.offset_ms).max(0) as u64
     }
 
     /// Reading of the steady clock at this time of day; below zero for times before it began.
-    pub(crate) fn steady_ms(&self, wall_ms: u64) -> i64 {
+    fn steady_ms(&self, wall_ms: u64) -> i64 {
         (wall_ms.min(i64::MAX as u64) as i64).saturating_sub(self.offset_ms)
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/cluster/runs.rs
@@ -0,0 +1,165 @@
+//! A run from its placement to its end, for its job, its worker and its service.
+
+use crate::cluster::Cluster;
+use crate::jobs::{Placement, Run, StopOrder};
+use crate::outbox::Deferred;
+use crate::queue::StepRef;
+use crate::run_result::RunResult;
+use crate::worker::{Worker, WorkerId};
+use indigofold_protocol::internal::RunningRun;
+use indigofold_protocol::task::{RunId, TaskName};
+
+impl Cluster {
+    /// Places a run of a waiting task, or a speculative run; its order leaves once this is committed.
+    pub(crate) fn place_run(&mut self, task: TaskName, attempt: u32, placement: Placement) {
+        let now_ms = self.clock.now_ms();
+        let Some(resources) = self.jobs.place(task, attempt, &placement, now_ms) else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(placement.worker) {
+            worker.occupy(task, &resources, placement.bound);
+            worker.health_mut().placed(now_ms);
+        }
+        self.take_up_job_events();
+        self.defer(Deferred::Start(RunId { task, attempt }));
+    }
+
+    /// All members of a gang that is about to start resume from its newest checkpoint; returns the number of the run
+    /// that they get.
+    pub(crate) fn prepare_gang(&mut self, at: StepRef) -> Option<u32> {
+        self.jobs.prepare_gang(at)
+    }
+
+    /// The run's placement is committed: its order leaves, unless it is not wanted any more or its worker cannot be
+    /// reached; then it never started.
+    pub(crate) fn send_start(&mut self, run: RunId) {
+        let Some(present) = self.jobs.run(&run).filter(|present| !present.is_sent()) else {
+            return;
+        };
+        let job = self.jobs.get(&run.task.job);
+        let wanted = present.stop().is_none() && job.is_some_and(|job| !job.has_ended());
+        let worker = self.workers.get(present.worker());
+        let reachable = worker.is_some_and(|worker| worker.order_connection().is_some());
+        if !reachable || !wanted {
+            return self.end_run(run, RunResult::NotStarted, "");
+        }
+        self.jobs.record_sent(&run, self.clock.now_ms());
+        self.order_start(run);
+    }
+
+    /// Sends (again) the order of a run whose placement is committed.
+    pub(crate) fn order_start(&mut self, run: RunId) {
+        if let Some((worker, order)) = self.jobs.start_order(run) {
+            self.outbox.orders_for(worker).start.push(order);
+        }
+    }
+
+    /// Stops a run at once, and with a gang's member all others. A run whose order has not left ends with that.
+    pub(crate) fn stop_run(&mut self, run: RunId) {
+        let at = StepRef::of(&run.task);
+        let gang = self.jobs.step(at).is_some_and(|step| step.gang);
+        if !gang {
+            return self.stop_one(run);
+        }
+        let members = self
+            .jobs
+            .step_state(at)
+            .map_or(0, |state| state.tasks().len() as u32);
+        (0..members).for_each(|index| self.stop_task(at.task(index)));
+    }
+
+    /// Stops one run at once; if its order has not left, it ends with that.
+    pub(crate) fn stop_one(&mut self, order: RunId) {
+        let Some(run) = self.jobs.run(&order) else {
+            return;
+        };
+        if !run.is_sent() {
+            return self.end_run(order, RunResult::NotStarted, "");
+        }
+        if run.stop().is_none() {
+            self.send_stop(order);
+        }
+    }
+
+    /// Sends a stop order, if the worker can be reached; otherwise its next report brings it up again.
+    pub(crate) fn send_stop(&mut self, order: RunId) {
+        let Some(worker) = self.jobs.run(&order).map(Run::worker) else {
+            return;
+        };
+        let sent_to = self.workers.get(worker).and_then(Worker::order_connection);
+        let sent_ms = self.clock.now_ms();
+        self.jobs
+            .record_stop(&order, StopOrder { sent_to, sent_ms });
+        if sent_to.is_some() {
+            self.outbox.orders_for(worker).stop.push(order);
+        }
+    }
+
+    /// Sends the stop of a run whose job has ended, if that end is committed; otherwise the stop waits for it already.
+    pub(crate) fn send_stop_if_committed(&mut self, order: RunId) {
+        let job = self.jobs.get(&order.task.job);
+        if job.is_some_and(|job| self.outbox.is_committed(job.last_write())) {
+            self.send_stop(order);
+        }
+    }
+
+    /// A report of this worker lists a start as in flight; `false` if the run is not outstanding there.
+    pub(crate) fn record_in_flight(&mut self, worker: WorkerId, run: &RunId) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.jobs.record_in_flight(run, worker, now_ms)
+    }
+
+    /// A report of this worker lists a run as running; `false` if the run is not outstanding there.
+    pub(crate) fn record_listed(&mut self, worker: WorkerId, listed: &RunningRun) -> bool {
+        let (run, now_ms) = (&listed.run, self.clock.now_ms());
+        if !self.jobs.record_listed(run, worker, listed.percent, now_ms) {
+            return false;
+        }
+        if self.jobs.store_checkpoint(&run.task, &listed.checkpoint) {
+            self.checkpoint_changed(worker, &run.task);
+        }
+        true
+    }
+
+    /// The task goes to another worker than this one, if there is one.
+    pub(crate) fn avoid_worker(&mut self, task: &TaskName, worker: WorkerId) {
+        self.jobs.avoid(task, worker);
+    }
+
+    /// A run has ended; `checkpoint` is its last one, or empty.
+    pub(crate) fn end_run(&mut self, run: RunId, result: RunResult, checkpoint: &str) {
+        let ended = self.jobs.end_run(run, result, checkpoint, &self.clock);
+        let Some(ended) = ended else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(ended.run.worker()) {
+            worker.release(&run.task, &ended.traits.resources, ended.run.is_bound());
+        }
+        self.services.entry(&ended.traits.service).request_pass();
+        self.learn_from(&ended);
+        self.take_up_job_events();
+    }
+
+    /// A `done` of a run that counted as lost: it counts while the task is not done.
+    pub(crate) fn handle_late_done(&mut self, task: TaskName) {
+        self.jobs.handle_late_done(task, &self.clock);
+        self.take_up_job_events();
+    }
+
+    /// Stops all runs of a task at once.
+    pub(super) fn stop_task(&mut self, task: TaskName) {
+        let attempts = self.jobs.attempts(&task).into_iter();
+        attempts.for_each(|attempt| self.stop_one(RunId { task, attempt }));
+    }
+
+    /// Stops a run of a job that has ended, once that end is committed.
+    pub(super) fn stop_once_committed(&mut self, order: RunId) {
+        let Some(run) = self.jobs.run(&order) else {
+            return;
+        };
+        if !run.is_sent() {
+            return self.end_run(order, RunResult::NotStarted, "");
+        }
+        self.defer(Deferred::Stop(order));
+    }
+}
--- a/crates/scheduler/src/writes.rs
+++ b/crates/scheduler/src/cluster/writes.rs
@@ -1,11 +1,12 @@
 //! Collects the rows that the present event has changed, as one write.
 
 use crate::api::{Effect, RowChange};
+use crate::cluster::Cluster;
 use crate::instance_rows::instance_key;
+use crate::outbox::ChangedRows;
 use crate::rows::{self, RowKey};
-use crate::state::ClusterState;
 
-impl ClusterState {
+impl Cluster {
     /// All rows that the present event has changed, in one write; `None` if it has changed none.
     pub(crate) fn take_write(&mut self) -> Option<Effect> {
         if !self.outbox.has_changes() {
@@ -13,19 +14,22 @@
         }
         let (write, changed) = self.outbox.take_changes();
         for id in changed.progress.iter().chain(&changed.forgotten) {
-            self.unwritten_checkpoints.remove(id);
+            self.jobs.record_row(*id, self.clock.now_ms());
         }
+        let changes = self.row_changes(changed);
+        Some(Effect::Write { write, changes })
+    }
+
+    fn row_changes(&self, changed: ChangedRows) -> Vec<RowChange> {
         let mut changes = Vec::new();
         for id in changed.accepted.difference(&changed.closed) {
             let job = self.jobs.get(id);
-            let definition = job.map(|job| rows::definition_bytes(&job.definition));
+            let definition = job.map(|job| rows::definition_bytes(job.definition()));
             changes.extend(definition.map(|value| set(RowKey::Job(*id), value)));
         }
         for id in changed.progress.difference(&changed.forgotten) {
-            let progress = self.jobs.get_mut(id).map(|job| {
-                job.written_ms = self.now_ms;
-                rows::progress_bytes(job, &self.workers)
-            });
+            let job = self.jobs.get(id);
+            let progress = job.map(|job| rows::progress_bytes(job, &self.workers));
             changes.extend(progress.map(|value| set(RowKey::Progress(*id), value)));
         }
         let closed = changed.closed.into_iter();
@@ -38,7 +42,7 @@
                 value: node_name.map(String::into_bytes),
             });
         }
-        Some(Effect::Write { write, changes })
+        changes
     }
 }
 
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -1,7 +1,7 @@
 //! What a step requires of workers, and which of them it may use by now.
 
 use crate::health::HealthStatus;
-use crate::job::Job;
+use crate::jobs::{Job, Task};
 use crate::kinds::Class;
 use crate::queue::StepRef;
 use crate::worker::{Worker, WorkerId};
@@ -69,8 +69,8 @@
         let (step, state) = (job.step(at.step)?, job.step_state(at)?);
         let mut on_worker = FxHashMap::default();
         if step.anti_affinity > 0 {
-            for run in state.tasks.iter().flat_map(super::task::Task::runs) {
-                *on_worker.entry(run.worker).or_default() += 1;
+            for run in state.tasks().iter().flat_map(Task::runs) {
+                *on_worker.entry(run.worker()).or_default() += 1;
             }
         }
         Some(StepDemand {
@@ -82,9 +82,9 @@
             on_worker,
             class: job.class(at.step),
             estimate_ms: step.estimate_ms,
-            waited_ms: now_ms.saturating_sub(state.waiting_since_ms),
+            waited_ms: now_ms.saturating_sub(state.waiting_since_ms()),
             long_running: step.long_running,
-            priority: job.terms.priority,
+            priority: job.terms().priority,
             locality: Locality::Anywhere,
             avoids_idle_workers: false,
         })
@@ -92,10 +92,16 @@
 
     /// Whether label, `anti_affinity` and free capacity (beside `extra` more tasks of this step) allow this worker.
     pub(crate) fn permits(&self, id: WorkerId, worker: &Worker, extra: u32) -> bool {
-        let labelled = self.label.is_empty() || worker.labels.contains(&self.label);
         let there = self.on_worker.get(&id).copied().unwrap_or(0) + extra;
         let spread = self.anti_affinity == 0 || there < self.anti_affinity;
-        labelled && spread && worker.has_capacity(&times(&self.resources, u64::from(extra) + 1))
+        self.is_label_met(worker)
+            && spread
+            && worker.has_capacity(&times(&self.resources, u64::from(extra) + 1))
+    }
+
+    /// Whether this worker has the label that the step asks for.
+    pub(crate) fn is_label_met(&self, worker: &Worker) -> bool {
+        self.label.is_empty() || worker.labels().contains(&self.label)
     }
 
     /// Whether this worker is on the rack of the data, or the step has none.
@@ -112,7 +118,7 @@
         failed_there: bool,
         now_ms: u64,
     ) -> bool {
-        let status = worker.health.status(now_ms);
+        let status = worker.health().status(now_ms);
         let any = self.waited_ms >= ANY_WORKER_MS;
         let usable = match status {
             HealthStatus::Healthy | HealthStatus::OnProbation => true,
@@ -125,7 +131,7 @@
                     && self.is_local(worker)
                     && !failed_there
                     && worker.is_warm(now_ms)
-                    && !(self.avoids_idle_workers && worker.runs.is_empty())
+                    && !(self.avoids_idle_workers && worker.runs().is_empty())
             }
             Scope::Allowed => {
                 let rack_ms = (self.estimate_ms as f64 * (remote_slowdown - 1.0)) as u64;
--- a/crates/scheduler/src/estimates.rs
+++ b/crates/scheduler/src/estimates.rs
@@ -1,7 +1,8 @@
 //! Expected total and remaining run times.
 
+use crate::jobs::Run;
 use crate::queue::StepRef;
-use crate::task::Run;
+use crate::services::ServiceState;
 use crate::view::ClusterView;
 use crate::worker::WorkerId;
 use indigofold_protocol::task::TaskName;
@@ -15,31 +16,28 @@
         let Some(run) = self.run_at(id, task) else {
             return 0;
         };
-        if let Some(stop) = run.stop {
+        if let Some(stop) = run.stop() {
             let stopping_ms = self.now_ms.saturating_sub(stop.sent_ms);
             return self.bounds.stop_ms.saturating_sub(stopping_ms);
         }
-        let elapsed_ms = self.now_ms.saturating_sub(run.placed_ms);
+        let elapsed_ms = self.now_ms.saturating_sub(run.placed_ms());
         let expected_ms = self.expected_run_ms(id, task);
         if let Some(total_ms) = projected_total_ms(run) {
             return total_ms.saturating_sub(elapsed_ms);
         }
-        let left_ms = expected_ms * f64::from(100 - run.percent.min(100)) / 100.0;
-        let unreported_ms = if run.percent == 0 { elapsed_ms } else { 0 };
+        let left_ms = expected_ms * f64::from(100 - run.percent().min(100)) / 100.0;
+        let unreported_ms = if run.percent() == 0 { elapsed_ms } else { 0 };
         (left_ms as u64).saturating_sub(unreported_ms)
     }
 
     /// Expected total run time of the task on this worker, in milliseconds.
     pub(crate) fn expected_run_ms(&self, id: WorkerId, task: &TaskName) -> f64 {
         let at = StepRef::of(task);
-        let Some(traits) = self.traits(at) else {
+        let Some(traits) = self.jobs.traits(at) else {
             return 0.0;
         };
-        let remote_factor = self.run_at(id, task).map_or(1.0, |run| run.remote_factor);
-        let kinds = self
-            .services
-            .get(&traits.service)
-            .map(|service| &service.kinds);
+        let remote_factor = self.run_at(id, task).map_or(1.0, Run::remote_factor);
+        let kinds = self.services.get(&traits.service).map(ServiceState::kinds);
         kinds.map_or(0.0, |kinds| {
             kinds.expected_ms(id, &traits.class, traits.estimate_ms)
         }) * remote_factor
@@ -48,7 +46,7 @@
 
 /// Total run time projected from the progress, in milliseconds; `None` while that is not conclusive.
 pub(crate) fn projected_total_ms(run: &Run) -> Option<u64> {
-    let conclusive = (CONCLUSIVE_PERCENT..100).contains(&run.percent) && !run.resumed;
-    let elapsed_ms = run.percent_ms.saturating_sub(run.placed_ms);
-    conclusive.then(|| elapsed_ms * 100 / u64::from(run.percent))
+    let conclusive = (CONCLUSIVE_PERCENT..100).contains(&run.percent()) && !run.is_resumed();
+    let elapsed_ms = run.percent_ms().saturating_sub(run.placed_ms());
+    conclusive.then(|| elapsed_ms * 100 / u64::from(run.percent()))
 }
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -30,7 +30,7 @@
 
     /// Whether the step has to leave headroom: it is less urgent than recent small tasks, and has time.
     pub(crate) fn must_leave_headroom(&self, service: &ServiceState, key: QueueKey) -> bool {
-        let Some(urgent_priority) = service.recent.urgent_priority(self.now_ms) else {
+        let Some(urgent_priority) = service.recent().urgent_priority(self.now_ms) else {
             return false;
         };
         key.priority > urgent_priority
@@ -40,7 +40,7 @@
     /// Processors, in thousandths of a core, that are free beyond the headroom.
     pub(crate) fn free_beyond_headroom(&self, service: &ServiceState) -> f64 {
         let beyond = |worker: &Worker| {
-            worker.free().cpu as f64 - HEADROOM_FRACTION * worker.capacity.cpu as f64
+            worker.free().cpu as f64 - HEADROOM_FRACTION * worker.capacity().cpu as f64
         };
         self.workers_of(service)
             .filter(|worker| worker.accepts_starts(self.now_ms))
@@ -50,7 +50,7 @@
 
     /// Processors of the service's largest worker, in thousandths of a core.
     fn largest_capacity(&self, service: &ServiceState) -> u64 {
-        let capacities = self.workers_of(service).map(|worker| worker.capacity.cpu);
+        let capacities = self.workers_of(service).map(|worker| worker.capacity().cpu);
         capacities.max().unwrap_or(0)
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/jobs/job/prospects.rs
@@ -0,0 +1,155 @@
+//! What the steps of a job may still earn, and the work that they still need for it: their positions in the queue.
+
+use crate::jobs::job::Job;
+use crate::jobs::repetition::Repetition;
+use crate::jobs::step::StepState;
+use crate::queue::{Prospect, QueueKey, StepRef};
+use crate::value::{cost_class, work_of};
+use indigofold_protocol::job::Step;
+
+/// A job that ends within so many times its latency target still earns something.
+const LATE_FACTOR: i64 = 3;
+/// Longer latency targets are limited to this.
+const LATENCY_TARGET_MAX_MS: u64 = 1 << 40;
+
+/// What a step may still earn.
+struct StepProspect {
+    prospect: Prospect,
+    /// When it has to start for the latency target to be met, on the steady clock.
+    latest_start_ms: i64,
+}
+
+impl Job {
+    /// Works its chains out anew with what is known of its queue's run times.
+    pub(crate) fn expect(&mut self, expected_ms: impl Fn(u32, &Step) -> u64) {
+        let stages = &self.definition.spec.stages;
+        self.run_ms = stages
+            .iter()
+            .enumerate()
+            .map(|(n, step)| expected_ms(n as u32, step))
+            .collect();
+        self.chain_ms = chains(stages, expected_ms);
+    }
+
+    /// The latency target on the time from its due time to its end, in milliseconds.
+    pub(crate) fn latency_target_ms(&self) -> u64 {
+        let chain = self.chain_ms.iter().max().copied().unwrap_or(0);
+        (self.terms.stretch.max(0.0) * chain as f64) as u64 + self.terms.target_latency_ms
+    }
+
+    /// Position of a step in the queue: by priority, then by the work that its job still needs for what it
+    /// earns, then by when it has to start for the latency target of the job to be met.
+    pub(crate) fn queue_key(&self, at: StepRef, now_ms: u64) -> QueueKey {
+        let long_running = self.step(at.step).is_some_and(|step| step.long_running);
+        let StepProspect {
+            prospect,
+            latest_start_ms,
+        } = if long_running {
+            self.long_running_prospect(at)
+        } else {
+            self.finite_prospect(at, now_ms)
+        };
+        let hopeless = prospect == Prospect::Hopeless;
+        let cost_class = if long_running {
+            i16::MIN
+        } else {
+            cost_class(self.work_left(at), self.value, prospect)
+        };
+        let priority = self.terms.priority;
+        QueueKey {
+            hopeless,
+            priority,
+            cost_class,
+            prospect,
+            latest_start_ms,
+            at,
+        }
+    }
+
+    /// A long-running step earns as long as it runs: however late it is, it keeps its value, from when it last began
+    /// to wait.
+    fn long_running_prospect(&self, at: StepRef) -> StepProspect {
+        let waiting_since_ms = self.step_state(at).map_or(0, StepState::waiting_since_ms);
+        let target_ms = self.terms.target_latency_ms.min(LATENCY_TARGET_MAX_MS);
+        StepProspect {
+            prospect: Prospect::InTime,
+            latest_start_ms: waiting_since_ms.saturating_add(target_ms) as i64,
+        }
+    }
+
+    fn finite_prospect(&self, at: StepRef, now_ms: u64) -> StepProspect {
+        let due_ms = self.repeats.get(&at.repeat).map_or(0, Repetition::due_ms);
+        let chain = self.chain_ms.get(at.step as usize).copied().unwrap_or(0) as i64;
+        let latency_target_ms = self.latency_target_ms().min(LATENCY_TARGET_MAX_MS) as i64;
+        let latest_start_ms = due_ms
+            .saturating_add(latency_target_ms)
+            .saturating_sub(chain);
+        let hopeless_ms = due_ms
+            .saturating_add(latency_target_ms.saturating_mul(LATE_FACTOR))
+            .saturating_sub(chain);
+        let prospect = match now_ms as i64 {
+            now if now <= latest_start_ms => Prospect::InTime,
+            now if now <= hopeless_ms => Prospect::Late,
+            _ => Prospect::Hopeless,
+        };
+        StepProspect {
+            prospect,
+            latest_start_ms,
+        }
+    }
+
+    /// All its work, in core-milliseconds.
+    pub(crate) fn work(&self) -> f64 {
+        let steps = self.definition.spec.stages.iter().zip(&self.run_ms);
+        steps
+            .map(|(step, run_ms)| work_of(step, step.count as usize, *run_ms))
+            .sum()
+    }
+
+    /// Work of this step that waits and of the steps behind it, in core-milliseconds.
+    pub(crate) fn work_left(&self, at: StepRef) -> f64 {
+        let Some(repeat) = self.repeats.get(&at.repeat) else {
+            return 0.0;
+        };
+        let steps = self
+            .definition
+            .spec
+            .stages
+            .iter()
+            .zip(repeat.steps())
+            .zip(&self.run_ms);
+        let from_here = steps.enumerate().skip(at.step as usize);
+        let left = from_here.map(|(number, ((step, state), run_ms))| {
+            let tasks = if number == at.step as usize {
+                state.waiting().len()
+            } else {
+                state.open_tasks()
+            };
+            work_of(step, tasks, *run_ms)
+        });
+        left.sum()
+    }
+}
+
+/// Longest chain of work from each step to the end; `expected_ms` gives the run time of a step's tasks.
+pub(super) fn chains(steps: &[Step], expected_ms: impl Fn(u32, &Step) -> u64) -> Vec<u64> {
+    let own: Vec<u64> = steps
+        .iter()
+        .enumerate()
+        .map(|(n, step)| expected_ms(n as u32, step))
+        .collect();
+    let mut chain = own.clone();
+    for step in (0..steps.len()).rev() {
+        for &before in &steps[step].depends_on {
+            let through = own
+                .get(before as usize)
+                .copied()
+                .unwrap_or(0)
+                .saturating_add(chain[step]);
+            if let Some(longest) = chain.get_mut(before as usize) {
+                *longest = (*longest).max(through);
+            }
+        }
+    }
+    chain
+}
--- /dev/null
+++ b/crates/scheduler/src/jobs/job/restored.rs
@@ -0,0 +1,45 @@
+//! A job as a predecessor has written it.
+
+use crate::definition::{Definition, JobEnd};
+use crate::jobs::job::Job;
+use crate::jobs::repetition::Repetition;
+use crate::jobs::run::Run;
+use crate::jobs::step::StepState;
+use crate::jobs::task::Task;
+use indigofold_protocol::task::TaskName;
+use std::collections::BTreeMap;
+
+impl Job {
+    /// A job as its rows have it, without its repetitions; [`restore_repeats`](Self::restore_repeats) adds them.
+    pub(crate) fn restored(definition: Definition, end: Option<JobEnd>, next_repeat: u32) -> Self {
+        Job {
+            end,
+            next_repeat,
+            started: next_repeat > 0,
+            ..Job::new(definition)
+        }
+    }
+
+    /// Adds repetitions that had not ended when the rows were written. Nothing has been started if none had ended and
+    /// no task of these has had a run.
+    pub(crate) fn restore_repeats(&mut self, repeats: BTreeMap<u32, Repetition>) {
+        let has_run = |step: &StepState| step.last_attempt() > 0;
+        self.started = self.next_repeat as usize > repeats.len()
+            || repeats.values().flat_map(Repetition::steps).any(has_run);
+        self.repeats = repeats;
+        let tasks = self
+            .repeats
+            .values()
+            .flat_map(Repetition::steps)
+            .flat_map(StepState::tasks);
+        self.outstanding = tasks.flat_map(Task::runs).count() as u32;
+    }
+
+    /// Adds a speculative run of a task that has the run which it needs beside it.
+    pub(crate) fn restore_speculative_run(&mut self, task: &TaskName, run: Run) {
+        let restored = self
+            .task_mut(task)
+            .is_some_and(|entry| entry.restore_speculative_run(run));
+        self.outstanding += u32::from(restored);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/jobs/runs.rs
@@ -0,0 +1,243 @@
+//! Runs of a job's tasks: placed, ordered, listed, stopped, ended. The end of a run completes its task, fails its job or
+//! puts the task back into the queue.
+
+use crate::clock::Clock;
+use crate::jobs::{JobEvent, Jobs, Placement, Run, RunEnded, StopOrder, Task};
+use crate::queue::StepRef;
+use crate::run_result::RunResult;
+use crate::worker::WorkerId;
+use indigofold_protocol::internal::StartOrder;
+use indigofold_protocol::job::{JobState, Resources, Step};
+use indigofold_protocol::task::{RunId, TaskName};
+use indigofold_protocol::worker::RunEnd;
+
+impl Jobs {
+    /// A run that has not ended.
+    pub(crate) fn run(&self, run: &RunId) -> Option<&Run> {
+        let task = self.get(&run.task.job)?.task(&run.task)?;
+        task.runs().find(|present| present.attempt() == run.attempt)
+    }
+
+    /// Numbers of a task's runs that have not ended.
+    pub(crate) fn attempts(&self, task: &TaskName) -> Vec<u32> {
+        let entry = self.get(&task.job).and_then(|job| job.task(task));
+        let runs = entry.into_iter().flat_map(Task::runs);
+        runs.map(Run::attempt).collect()
+    }
+
+    /// Places a run of a waiting task, or a speculative run; returns what it takes of its worker.
+    pub(crate) fn place(
+        &mut self,
+        task: TaskName,
+        attempt: u32,
+        placement: &Placement,
+        now_ms: u64,
+    ) -> Option<Resources> {
+        let job = self.by_id.get_mut(&task.job)?;
+        let resources = job.step(task.step).map(Step::resources)?;
+        let state = job.step_state_mut(StepRef::of(&task))?;
+        state.place(task.index, attempt, placement, now_ms);
+        if job.run_placed() {
+            self.load.job_no_longer_pending(job.route());
+        }
+        self.progress_changed(task.job);
+        Some(resources)
+    }
+
+    /// All members of a gang that is about to start resume from its newest checkpoint; returns the number of the run
+    /// that they get.
+    pub(crate) fn prepare_gang(&mut self, at: StepRef) -> Option<u32> {
+        let state = self.by_id.get_mut(&at.job)?.step_state_mut(at)?;
+        state.align_checkpoints();
+        Some(state.last_attempt() + 1)
+    }
+
+    /// The start order of a run and the worker that it is for; `None` if the run is not wanted any more.
+    pub(crate) fn start_order(&self, run: RunId) -> Option<(WorkerId, StartOrder)> {
+        let worker = self.run(&run)?.worker();
+        let job = self.get(&run.task.job).filter(|job| !job.has_ended())?;
+        let task = job.task(&run.task).filter(|task| !task.is_done())?;
+        let order = StartOrder {
+            run,
+            resources: job.step(run.task.step)?.resources(),
+            spec: job.definition().spec.spec.clone(),
+            checkpoint: task.checkpoint().to_owned(),
+        };
+        Some((worker, order))
+    }
+
+    /// The run's start order leaves now.
+    pub(crate) fn record_sent(&mut self, run: &RunId, now_ms: u64) {
+        if let Some(run) = self.run_mut(run) {
+            run.record_sent(now_ms);
+        }
+    }
+
+    /// A stop of the run was decided, or is sent again.
+    pub(crate) fn record_stop(&mut self, run: &RunId, stop: StopOrder) {
+        if let Some(run) = self.run_mut(run) {
+            run.record_stop(stop);
+        }
+    }
+
+    /// A report of this worker lists the run's start as in flight; `false` if the run is not outstanding there.
+    pub(crate) fn record_in_flight(&mut self, run: &RunId, worker: WorkerId, now_ms: u64) -> bool {
+        let run = self.run_on_mut(run, worker);
+        run.map(|run| run.record_in_flight(now_ms)).is_some()
+    }
+
+    /// A report of this worker lists the run as running; `false` if the run is not outstanding there.
+    pub(crate) fn record_listed(
+        &mut self,
+        run: &RunId,
+        worker: WorkerId,
+        percent: u32,
+        now_ms: u64,
+    ) -> bool {
+        let run = self.run_on_mut(run, worker);
+        run.map(|run| run.record_listed(percent, now_ms)).is_some()
+    }
+
+    /// Stores a checkpoint of a run; any member's serves for its gang, and the newest stays. Returns whether it is new.
+    pub(crate) fn store_checkpoint(&mut self, task: &TaskName, checkpoint: &str) -> bool {
+        if checkpoint.is_empty() {
+            return false;
+        }
+        let Some(job) = self.by_id.get_mut(&task.job) else {
+            return false;
+        };
+        let gang = job.step(task.step).is_some_and(|step| step.gang);
+        job.step_state_mut(StepRef::of(task))
+            .is_some_and(|state| state.store_checkpoint(task.index, gang, checkpoint))
+    }
+
+    /// The task goes to another worker than this one, if there is one.
+    pub(crate) fn avoid(&mut self, task: &TaskName, worker: WorkerId) {
+        let job = self.by_id.get_mut(&task.job);
+        if let Some(entry) = job.and_then(|job| job.task_mut(task)) {
+            entry.avoid(worker);
+        }
+    }
+
+    /// A run has ended; `None` if it was not outstanding.
+    pub(crate) fn end_run(
+        &mut self,
+        run: RunId,
+        result: RunResult,
+        checkpoint: &str,
+        clock: &Clock,
+    ) -> Option<RunEnded> {
+        let task = run.task;
+        let job = self.by_id.get_mut(&task.job)?;
+        let traits = job.traits(task.step)?;
+        let run = job.task_mut(&task)?.take_run(run.attempt)?;
+        job.run_finished();
+        self.store_checkpoint(&task, checkpoint);
+        let job = self.by_id.get_mut(&task.job)?;
+        let failed_elsewhere =
+            result == RunResult::Ended(RunEnd::Failed) && job.record_failed_on(run.worker());
+        if let Some(entry) = job.task_mut(&task) {
+            entry.add_run_latency(&run, result, clock.now_ms());
+        }
+        let ended = RunEnded {
+            run,
+            result,
+            traits,
+            failed_elsewhere,
+        };
+        self.progress_changed(task.job);
+        self.follow_run_end(task, &ended, clock);
+        Some(ended)
+    }
+
+    /// A `done` of a run that counted as lost: it counts while the task is not done.
+    pub(crate) fn handle_late_done(&mut self, task: TaskName, clock: &Clock) {
+        let Some(job) = self.get(&task.job).filter(|job| !job.has_ended()) else {
+            return;
+        };
+        let Some(step) = job.step(task.step).filter(|step| !step.long_running) else {
+            return;
+        };
+        let at = StepRef::of(&task);
+        let Some(state) = job.step_state(at) else {
+            return;
+        };
+        if state.task(task.index).is_none_or(Task::is_done) {
+            return;
+        }
+        let members = state.members(task.index, step.gang);
+        self.complete_task(task, clock);
+        let stops = members.map(|index| JobEvent::StopTask(at.task(index)));
+        self.events.extend(stops);
+        self.close_repeat_if_finished(task.job, task.repeat, clock);
+    }
+
+    /// What follows for the job from the end of a run.
+    fn follow_run_end(&mut self, task: TaskName, ended: &RunEnded, clock: &Clock) {
+        let Some(job) = self.get(&task.job) else {
+            return;
+        };
+        let Some(entry) = job.task(&task) else {
+            return;
+        };
+        let long_running = ended.traits.long_running;
+        match ended.result {
+            _ if job.has_ended() => self.close_if_idle(task.job),
+            _ if entry.is_done() => self.close_repeat_if_finished(task.job, task.repeat, clock),
+            RunResult::Ended(RunEnd::Done) if !long_running => {
+                self.run_done(task, ended.traits.gang, clock);
+            }
+            RunResult::Ended(RunEnd::Failed) if !long_running => {
+                self.task_failed(task, ended, clock);
+            }
+            _ => self.requeue_unless_running(task, clock),
+        }
+    }
+
+    /// A run has ended `done`: its task is done, and a speculative run beside it is stopped.
+    fn run_done(&mut self, task: TaskName, gang: bool, clock: &Clock) {
+        self.complete_task(task, clock);
+        if !gang {
+            self.events.push_back(JobEvent::StopTask(task));
+        }
+        self.close_repeat_if_finished(task.job, task.repeat, clock);
+    }
+
+    /// Counts a failure; the last one allowed fails the job.
+    fn task_failed(&mut self, task: TaskName, ended: &RunEnded, clock: &Clock) {
+        let Some(job) = self.by_id.get_mut(&task.job) else {
+            return;
+        };
+        let limit = job.terms().max_retries.max(1);
+        let Some(state) = job.step_state_mut(StepRef::of(&task)) else {
+            return;
+        };
+        let failures = state.record_failure(task.index, &ended.run, ended.traits.gang);
+        if failures >= limit {
+            self.record_late_end(&task, JobState::Failed, clock);
+            return self.end(task.job, JobState::Failed, clock);
+        }
+        self.requeue_unless_running(task, clock);
+    }
+
+    /// Puts a task back into the queue, unless another run of it goes on.
+    fn requeue_unless_running(&mut self, task: TaskName, clock: &Clock) {
+        let entry = self.get(&task.job).and_then(|job| job.task(&task));
+        if entry.is_none_or(|entry| entry.run().is_none()) {
+            self.requeue_task(task, clock);
+        }
+    }
+
+    fn run_mut(&mut self, run: &RunId) -> Option<&mut Run> {
+        self.by_id
+            .get_mut(&run.task.job)?
+            .task_mut(&run.task)?
+            .run_mut(run.attempt)
+    }
+
+    /// The task's run, if it has this number and is on this worker.
+    fn run_on_mut(&mut self, run: &RunId, worker: WorkerId) -> Option<&mut Run> {
+        self.run_mut(run)
+            .filter(|present| present.worker() == worker)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/jobs/tests/builder.rs
@@ -0,0 +1,192 @@
+//! One job, its clock, and short forms of what happens to it.
+
+use crate::clock::Clock;
+use crate::definition::{Definition, Terms};
+use crate::jobs::{Job, JobEvent, Jobs, Placement, RunEnded, StepState};
+use crate::queue::StepRef;
+use crate::run_result::RunResult;
+use crate::worker::WorkerId;
+use indigofold_protocol::job::{JobSpec, JobState, Step};
+use indigofold_protocol::task::{JobId, RunId, TaskName};
+
+/// The job of these tests.
+pub(super) const JOB: JobId = JobId(7);
+/// A task that has failed so often fails its job.
+pub(super) const MAX_RETRIES: u32 = 3;
+/// How long an ended job is to be shown, in seconds.
+pub(super) const STATUS_S: u64 = 5;
+
+const START_MS: u64 = 1_000;
+const START_WALL_MS: u64 = 1_000_000;
+
+/// A step of the job in its first repetition.
+pub(super) fn at(step: u32) -> StepRef {
+    StepRef {
+        job: JOB,
+        repeat: 0,
+        step,
+    }
+}
+
+/// A step of one task.
+pub(super) fn one_task() -> Step {
+    Step {
+        count: 1,
+        cpu: 1_000,
+        estimate_ms: 500,
+        ..Step::default()
+    }
+}
+
+/// A step whose tasks work only all together.
+pub(super) fn gang(count: u32) -> Step {
+    Step {
+        count,
+        gang: true,
+        ..one_task()
+    }
+}
+
+/// Jobs and their clock.
+pub(super) struct Stage {
+    pub(super) jobs: Jobs,
+    clock: Clock,
+    now_ms: u64,
+}
+
+impl Stage {
+    /// No jobs yet.
+    pub(super) fn new() -> Self {
+        Stage {
+            jobs: Jobs::new(STATUS_S),
+            clock: Clock::new(START_MS, START_WALL_MS),
+            now_ms: START_MS,
+        }
+    }
+
+    /// Accepts a job of these steps.
+    pub(super) fn accept(&mut self, stages: Vec<Step>) -> Vec<JobEvent> {
+        let definition = Definition {
+            spec: JobSpec {
+                stages,
+                ..JobSpec::default()
+            },
+            route: "route".to_owned(),
+            service: "service".to_owned(),
+            terms: Terms {
+                max_retries: MAX_RETRIES,
+                ..Terms::default()
+            },
+            accepted_wall_ms: START_WALL_MS,
+        };
+        self.jobs.accept(JOB, Job::new(definition), &self.clock);
+        self.events()
+    }
+
+    /// Time passes.
+    pub(super) fn advance(&mut self, ms: u64) {
+        self.now_ms += ms;
+        self.clock
+            .advance(self.now_ms, START_WALL_MS + self.now_ms - START_MS);
+    }
+
+    pub(super) fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Places a run of a task on worker 1.
+    pub(super) fn place(&mut self, step: u32, index: u32) -> RunId {
+        self.place_at(step, index, 1)
+    }
+
+    /// Places a run of a task on a worker.
+    pub(super) fn place_at(&mut self, step: u32, index: u32, worker: u32) -> RunId {
+        let task = at(step).task(index);
+        let entry = self.job().task(&task).expect("there is such a task");
+        self.place_run(task, entry.last_attempt() + 1, worker)
+    }
+
+    /// Places all members of a gang.
+    pub(super) fn place_gang(&mut self, step: u32, members: u32) -> Vec<RunId> {
+        let attempt = self
+            .jobs
+            .prepare_gang(at(step))
+            .expect("there is such a step");
+        let members = 0..members;
+        members
+            .map(|index| self.place_run(at(step).task(index), attempt, index))
+            .collect()
+    }
+
+    fn place_run(&mut self, task: TaskName, attempt: u32, worker: u32) -> RunId {
+        let placement = Placement {
+            worker: WorkerId(worker),
+            bound: false,
+            remote_factor: 1.0,
+        };
+        let taken = self.jobs.place(task, attempt, &placement, self.now_ms);
+        assert!(taken.is_some(), "the run is placed");
+        let waiting = self.step(task.step).waiting();
+        if waiting.is_empty() {
+            self.jobs.dequeue(StepRef::of(&task));
+        }
+        self.events();
+        RunId { task, attempt }
+    }
+
+    /// A run that was outstanding ends; returns what follows.
+    pub(super) fn end(&mut self, run: RunId, result: RunResult) -> Vec<JobEvent> {
+        let ended = self.try_end(run, result);
+        assert!(ended.is_some(), "the run was outstanding");
+        self.events()
+    }
+
+    /// A run ends, if it was outstanding.
+    pub(super) fn try_end(&mut self, run: RunId, result: RunResult) -> Option<RunEnded> {
+        self.jobs.end_run(run, result, "", &self.clock)
+    }
+
+    /// A run that counted as lost has ended `done`.
+    pub(super) fn late_done(&mut self, task: TaskName) -> Vec<JobEvent> {
+        self.jobs.handle_late_done(task, &self.clock);
+        self.events()
+    }
+
+    /// The client cancels the job.
+    pub(super) fn cancel(&mut self) -> Vec<JobEvent> {
+        self.jobs.end(JOB, JobState::Cancelled, &self.clock);
+        self.events()
+    }
+
+    /// Forgets jobs whose time is over.
+    pub(super) fn forget(&mut self) -> Vec<JobEvent> {
+        self.jobs.forget_ended(&self.clock);
+        self.events()
+    }
+
+    /// Jobs with unwritten checkpoints that were last written so long ago.
+    pub(super) fn unwritten(&self, since_ms: u64) -> Vec<JobId> {
+        self.jobs
+            .unwritten_checkpoints(since_ms, self.now_ms)
+            .collect()
+    }
+
+    pub(super) fn job(&self) -> &Job {
+        self.jobs.get(&JOB).expect("the job is known")
+    }
+
+    pub(super) fn step(&self, step: u32) -> &StepState {
+        self.jobs
+            .step_state(at(step))
+            .expect("there is such a step")
+    }
+
+    /// How the job has ended, if it has.
+    pub(super) fn end_state(&self) -> Option<JobState> {
+        self.job().end().map(|end| end.state)
+    }
+
+    fn events(&mut self) -> Vec<JobEvent> {
+        std::iter::from_fn(|| self.jobs.poll_event()).collect()
+    }
+}
--- a/crates/scheduler/src/kinds.rs
+++ b/crates/scheduler/src/kinds.rs
@@ -115,7 +115,7 @@
         self.kind_of.clear();
         for (id, worker) in workers
             .iter()
-            .filter(|(_, w)| w.backend == backend && w.expired_ms().is_none())
+            .filter(|(_, w)| w.backend() == backend && w.expired_ms().is_none())
         {
             let kind = self.kind_for(worker);
             self.kinds[kind].workers.push(id);
@@ -126,14 +126,14 @@
 
     fn kind_for(&mut self, worker: &Worker) -> usize {
         let labels: Vec<String> = worker
-            .labels
+            .labels()
             .iter()
             .filter(|label| !is_rack(label))
             .cloned()
             .collect();
-        let like = |kind: &Kind| kind.labels == labels && kind.capacity == worker.capacity;
+        let like = |kind: &Kind| kind.labels == labels && kind.capacity == worker.capacity();
         self.kinds.iter().position(like).unwrap_or_else(|| {
-            let (capacity, speed) = (worker.capacity, Speed::default());
+            let (capacity, speed) = (worker.capacity(), Speed::default());
             self.kinds.push(Kind {
                 labels,
                 capacity,
@@ -154,7 +154,7 @@
 
     fn solve(&mut self, workers: &Workers) {
         let ready = |kind: &Kind| {
-            let takes = |id: &&WorkerId| workers.get(**id).is_some_and(|w| w.agent.is_some());
+            let takes = |id: &&WorkerId| workers.get(**id).is_some_and(|w| w.agent().is_some());
             kind.workers.iter().filter(takes).count() as f64
         };
         let ready_workers: Vec<f64> = self.kinds.iter().map(ready).collect();
@@ -171,9 +171,11 @@
     pub(crate) fn measured_load(&self, workers: &Workers) -> f64 {
         let (mut used, mut all) = (0.0, 0.0);
         for worker in self.kind_of.keys().filter_map(|id| workers.get(*id)) {
-            let bound = dominant_share(&worker.used_bound(), &worker.capacity);
-            let unbound =
-                dominant_share(&worker.used.minus(&worker.used_bound()), &worker.capacity);
+            let bound = dominant_share(&worker.used_bound(), &worker.capacity());
+            let unbound = dominant_share(
+                &worker.used().minus(&worker.used_bound()),
+                &worker.capacity(),
+            );
             used += unbound;
             all += (1.0 - bound).max(unbound);
         }
@@ -268,7 +270,7 @@
             let in_flight = |id: &WorkerId| {
                 workers
                     .get(*id)
-                    .map_or(usize::MAX, |worker| worker.runs.len())
+                    .map_or(usize::MAX, |worker| worker.runs().len())
             };
             if let Some(&worker) = sampled.iter().min_by_key(|id| in_flight(id)) {
                 let reason = match rank {
@@ -337,9 +339,9 @@
         let name = |id: WorkerId| {
             workers
                 .get(id)
-                .map_or_else(String::new, |worker| worker.instance.clone())
+                .map_or_else(String::new, |worker| worker.instance().to_owned())
         };
-        let in_flight = |id: WorkerId| workers.get(id).map_or(0, |worker| worker.runs.len());
+        let in_flight = |id: WorkerId| workers.get(id).map_or(0, |worker| worker.runs().len());
         PlacementTrace {
             task,
             drawn: selection.drawn,
--- a/crates/scheduler/src/outlook.rs
+++ b/crates/scheduler/src/outlook.rs
@@ -1,26 +1,15 @@
-//! Which workers to reserve: a step whose tasks need much capacity at once reserves workers, so that small tasks do not
-//! starve it. Tasks that fit beside, or end before the capacity is needed, still use them (EASY backfilling).
+//! When and where capacity is expected to be free, if what runs ends as expected.
 
 use crate::demand::{StepDemand, times};
-use crate::kinds::dominant_share;
-use crate::queue::{QueueKey, StepRef};
-use crate::reservations::Reservation;
 use crate::services::ServiceState;
-use crate::state::ClusterState;
 use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::job::Resources;
 use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
 
-/// Most steps of one service that have reservations at a time.
-pub(crate) const RESERVATIONS_MAX: usize = 2;
-/// Tasks that take at least this fraction of a worker need reservations; smaller ones find capacity without.
-const LARGE_FRACTION: f64 = 0.25;
 /// While less than this fraction of the service is in use, nobody waits long for a reserved worker.
 const IDLE_LOAD: f64 = 0.55;
-/// How long they wait then.
-const IDLE_PATIENCE_MS: u64 = 2_400;
 /// A worker that is reserved already counts as free by so much earlier, so that reservations do not move.
 const STAY_MS: u64 = 400;
 
@@ -33,30 +22,6 @@
     pub tasks: FxHashMap<WorkerId, u32>,
 }
 
-/// What a step needs that needs much at once.
-struct LargeDemand {
-    /// What one task asks for.
-    demand: StepDemand,
-    /// Tasks that have to start together.
-    members: u32,
-}
-
-/// A worker that is to be reserved.
-struct PlannedReservation {
-    worker: WorkerId,
-    reservation: Reservation,
-}
-
-/// Which workers to reserve for a step.
-enum ReservationPlan {
-    /// Its tasks find capacity without reservations.
-    NotNeeded,
-    /// No workers will have capacity for it.
-    NoWorkers,
-    /// These workers, at least one.
-    Workers(Vec<PlannedReservation>),
-}
-
 /// Capacity for one task; ordered by time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Slot {
@@ -71,83 +36,15 @@
     freed: Resources,
 }
 
-impl ClusterState {
-    /// Reserves workers for a step that does not fit now; returns whether it has reservations.
-    pub(crate) fn reserve(&mut self, service: &str, key: QueueKey) -> bool {
-        let now_ms = self.now_ms;
-        let Some(state) = self.services.get(service) else {
-            return false;
-        };
-        if state.reservations.are_current(key.at, now_ms) {
-            return true;
-        }
-        let reserved = match self.view().plan_reservations(state, key) {
-            ReservationPlan::NotNeeded => return false,
-            ReservationPlan::NoWorkers => Vec::new(),
-            ReservationPlan::Workers(reserved) => reserved,
-        };
-        let found = !reserved.is_empty();
-        if let Some(state) = self.services.get_mut(service) {
-            let reserved = reserved.into_iter();
-            let reserved = reserved.map(|planned| (planned.worker, planned.reservation));
-            state.reservations.replace(key.at, reserved, now_ms);
-        }
-        found
-    }
-}
-
 impl ClusterView<'_> {
     /// Whether only about half of the service is in use, or less, by the resource used most or by its cores: then no
     /// step may wait long where there is capacity for it.
     pub(crate) fn has_spare_capacity(&self, service: &ServiceState) -> bool {
         let (used, all) = self.workers_of(service).fold((0, 0), |(used, all), w| {
-            (used + w.used.cpu, all + w.capacity.cpu)
+            (used + w.used().cpu, all + w.capacity().cpu)
         });
         (used as f64) < IDLE_LOAD * all as f64
-            || service.kinds.measured_load(self.workers) < IDLE_LOAD
-    }
-
-    /// The workers to reserve for a step.
-    fn plan_reservations(&self, service: &ServiceState, key: QueueKey) -> ReservationPlan {
-        let Some(LargeDemand { demand, members }) = self.large_demand(service, key.at) else {
-            return ReservationPlan::NotNeeded;
-        };
-        let Some(outlook) = self.outlook(service, &demand, members) else {
-            return ReservationPlan::NoWorkers;
-        };
-        let patience_ms = if self.has_spare_capacity(service) {
-            IDLE_PATIENCE_MS
-        } else {
-            u64::MAX
-        };
-        let planned = |(worker, count): (WorkerId, u32)| PlannedReservation {
-            worker,
-            reservation: Reservation {
-                step: key.at,
-                priority: key.priority,
-                resources: times(&demand.resources, u64::from(count)),
-                free_ms: outlook.free_ms,
-                patience_ms,
-            },
-        };
-        ReservationPlan::Workers(outlook.tasks.into_iter().map(planned).collect())
-    }
-
-    /// What a step needs, and for how many tasks at once, if it needs much.
-    fn large_demand(&self, service: &ServiceState, at: StepRef) -> Option<LargeDemand> {
-        let job = self.jobs.get(&at.job)?;
-        let (step, state) = (job.step(at.step)?, job.step_state(at)?);
-        let demand = StepDemand::of(job, at, self.now_ms)?;
-        let workers = self.workers_of(service);
-        let fitting = workers.filter(|worker| worker.capacity.can_fit(&demand.resources));
-        let fractions = fitting.map(|worker| dominant_share(&demand.resources, &worker.capacity));
-        let least = fractions.min_by(f64::total_cmp)?;
-        let members = if step.gang {
-            state.tasks.len() as u32
-        } else {
-            1
-        };
-        (step.gang || least >= LARGE_FRACTION).then_some(LargeDemand { demand, members })
+            || service.kinds().measured_load(self.workers) < IDLE_LOAD
     }
 
     /// Where and when `members` tasks will find capacity, if what runs ends as expected; in one rack if the step needs
@@ -187,11 +84,11 @@
         rack: Option<&str>,
     ) -> Option<Outlook> {
         let mut slots: Vec<Slot> = Vec::new();
-        for id in service.kinds.workers() {
+        for id in service.kinds().workers() {
             let Some(worker) = self.workers.get(id) else {
                 continue;
             };
-            let reservation = service.reservations.get(id);
+            let reservation = service.reservations().get(id);
             let other = reservation.is_some_and(|reservation| {
                 reservation.step != demand.at && reservation.priority <= demand.priority
             });
@@ -227,12 +124,11 @@
         demand: &StepDemand,
         members: u32,
     ) -> Vec<u64> {
-        let labelled = demand.label.is_empty() || worker.labels.contains(&demand.label);
-        if !labelled {
+        if !demand.is_label_met(worker) {
             return Vec::new();
         }
         let mut ends: Vec<ExpectedEnd> = worker
-            .runs
+            .runs()
             .iter()
             .map(|task| ExpectedEnd {
                 at_ms: self.now_ms + self.remaining_ms(id, task),
@@ -241,7 +137,7 @@
             .collect();
         ends.sort_unstable_by_key(|end| end.at_ms);
         let mut ends = ends.into_iter();
-        let (mut used, mut at_ms) = (worker.used, self.now_ms);
+        let (mut used, mut at_ms) = (worker.used(), self.now_ms);
         let mut free = Vec::new();
         let most = if demand.anti_affinity > 0 {
             members.min(demand.anti_affinity)
@@ -250,7 +146,7 @@
         };
         for count in 1..=u64::from(most) {
             let wanted = times(&demand.resources, count);
-            while !worker.capacity.can_fit(&used.plus(&wanted)) {
+            while !worker.capacity().can_fit(&used.plus(&wanted)) {
                 let Some(end) = ends.next() else {
                     return free;
                 };
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -1,19 +1,24 @@
 //! Placement of admitted tasks: the steps in the queue's order, each task by hybrid SQ(d) among the workers that may
-//! take it.
+//! take it. Children: gangs, reservations and speculative runs.
 
+mod gang;
+mod reserve;
+mod speculation;
+
+use crate::cluster::Cluster;
 use crate::demand::{ANY_WORKER_MS, Locality, Scope, StepDemand};
-use crate::kinds::{Selection, dominant_share};
+use crate::jobs::Placement;
+use crate::kinds::{PlacementTrace, Selection, dominant_share};
 use crate::latency::Cause;
-use crate::outlook::RESERVATIONS_MAX;
 use crate::queue::{QueueKey, StepRef};
 use crate::reservations::Reservation;
-use crate::runs::Placement;
+use crate::rng::Rng;
 use crate::services::ServiceState;
-use crate::state::ClusterState;
 use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::job::Resources;
 use indigofold_protocol::task::TaskName;
+use reserve::{RESERVATIONS_MAX, reserve};
 
 /// Most steps that one pass over the queue considers.
 const PASS_STEPS: usize = 400;
@@ -40,32 +45,62 @@
     constrained: bool,
 }
 
-impl ClusterState {
+/// Decides where tasks go. Its draws come from one generator, so that the same events give the same placements.
+#[derive(Debug)]
+pub(crate) struct Placer {
+    rng: Rng,
+    /// Nothing is placed before this time: after a take-over the node agents reconnect one by one.
+    start_ms: u64,
+    /// Placements since they were last taken; `None` while nobody follows them.
+    traces: Option<Vec<PlacementTrace>>,
+}
+
+impl Placer {
+    /// Places from `start_ms` of the steady clock on.
+    pub(crate) fn new(seed: u64, start_ms: u64) -> Self {
+        Placer {
+            rng: Rng::new(seed),
+            start_ms,
+            traces: None,
+        }
+    }
+
+    /// Places nothing before this time of the steady clock.
+    pub(crate) fn wait_until(&mut self, start_ms: u64) {
+        self.start_ms = start_ms;
+    }
+
+    /// Follows placements from now on.
+    pub(crate) fn follow(&mut self) {
+        self.traces = Some(Vec::new());
+    }
+
+    /// Placements since the last call.
+    pub(crate) fn take_traces(&mut self) -> Vec<PlacementTrace> {
+        let traces = self.traces.as_mut();
+        traces.map(std::mem::take).unwrap_or_default()
+    }
+
     /// Places what can be placed, in all services where something has changed.
-    pub(crate) fn schedule(&mut self) {
-        let now_ms = self.now_ms;
-        if now_ms < self.placement_start_ms {
+    pub(crate) fn place_waiting(&mut self, cluster: &mut Cluster) {
+        let now_ms = cluster.clock().now_ms();
+        if now_ms < self.start_ms {
             return;
         }
-        let is_due = |service: &ServiceState| {
-            service
-                .next_pass_ms()
-                .is_some_and(|pass_ms| now_ms >= pass_ms)
-        };
-        for name in self.services.names_where(is_due) {
-            if let Some(service) = self.services.get_mut(&name) {
-                service.begin_pass(&self.workers, &name);
-            }
-            self.pass(&name);
-            self.services.entry(&name).end_pass(now_ms);
+        for name in cluster
+            .services()
+            .names_where(|service| service.is_due(now_ms))
+        {
+            cluster.begin_pass(&name);
+            self.pass(cluster, &name);
+            cluster.services_mut().entry(&name).end_pass(now_ms);
         }
     }
-
     /// Visits the steps in the order of the queue, places what fits and reserves workers for steps that need much capacity.
     /// Among steps of one priority, capacity goes first to tasks that are local there: a remote task occupies it for
     /// several times as long.
-    fn pass(&mut self, service: &str) {
-        let Some(state) = self.services.get(service) else {
+    fn pass(&mut self, cluster: &mut Cluster, service: &str) {
+        let Some(state) = cluster.services().get(service) else {
             return;
         };
         let keys: Vec<QueueKey> = state.queue().iter().take(PASS_STEPS).copied().collect();
@@ -73,175 +108,200 @@
             return;
         }
         let mut pass = Pass {
-            has_spare_capacity: self.view().has_spare_capacity(state),
-            largest_free: self.view().largest_free(service),
+            has_spare_capacity: cluster.view().has_spare_capacity(state),
+            largest_free: cluster.view().largest_free(service),
             blocked: Vec::new(),
             reserved: Vec::new(),
         };
-        self.observe_urgent(service, &keys);
+        observe_urgent(cluster, service, &keys);
         for same in keys.chunk_by(|a, b| (a.hopeless, a.priority) == (b.hopeless, b.priority)) {
-            same.iter()
-                .for_each(|key| self.visit_step(service, *key, Locality::LocalOnly, &mut pass));
+            same.iter().for_each(|key| {
+                self.visit_step(cluster, service, *key, Locality::LocalOnly, &mut pass);
+            });
             let left = same
                 .iter()
-                .filter(|key| self.view().has_locality(key.at) && self.view().waits(key.at));
+                .filter(|key| cluster.view().has_locality(key.at) && cluster.view().waits(key.at));
             let left: Vec<QueueKey> = left.copied().collect();
-            left.into_iter()
-                .for_each(|key| self.visit_step(service, key, Locality::Anywhere, &mut pass));
-        }
-        self.services
-            .entry(service)
-            .reservations
-            .retain(&pass.reserved);
-    }
-
-    /// Records the priority of the first step if its tasks are small: less urgent work has to leave headroom for them.
-    fn observe_urgent(&mut self, service: &str, keys: &[QueueKey]) {
-        let now_ms = self.now_ms;
-        let priority = self
-            .services
-            .get(service)
-            .and_then(|state| self.view().small_task_priority(state, keys));
-        if let Some(priority) = priority {
-            let recent = &mut self.services.entry(service).recent;
-            recent.observe_urgent(priority, now_ms);
+            left.into_iter().for_each(|key| {
+                self.visit_step(cluster, service, key, Locality::Anywhere, &mut pass);
+            });
         }
+        let service = cluster.services_mut().entry(service);
+        service.reservations_mut().retain(&pass.reserved);
     }
 
     /// Places the tasks of a step that fit, and reserves workers for the others if they need much.
-    fn visit_step(&mut self, service: &str, key: QueueKey, locality: Locality, pass: &mut Pass) {
-        let Some(shape) = self.view().task_shape(key.at) else {
+    fn visit_step(
+        &mut self,
+        cluster: &mut Cluster,
+        service: &str,
+        key: QueueKey,
+        locality: Locality,
+        pass: &mut Pass,
+    ) {
+        let Some(shape) = cluster.view().task_shape(key.at) else {
             return;
         };
         let resources = shape.resources;
-        let honors_blocked = !(pass.has_spare_capacity && self.view().waits_long(key.at));
+        let honors_blocked = !(pass.has_spare_capacity && cluster.view().waits_long(key.at));
         let blocked_by_earlier =
             honors_blocked && pass.blocked.iter().any(|less| resources.can_fit(less));
         let beyond = blocked_by_earlier || !pass.largest_free.can_fit(&resources);
         if !beyond {
-            self.place_step(service, key, locality);
+            self.place_step(cluster, service, key, locality);
         }
-        if !self.view().waits(key.at) {
-            return self.dequeue(key.at);
+        if !cluster.view().waits(key.at) {
+            return cluster.dequeue(key.at);
         }
-        let cause = self.view().wait_cause(key.at, blocked_by_earlier, beyond);
-        self.record_wait(key.at, cause);
+        let cause = cluster
+            .view()
+            .wait_cause(key.at, blocked_by_earlier, beyond);
+        cluster.record_wait(key.at, cause);
         if !beyond {
-            pass.largest_free = self.view().largest_free(service);
+            pass.largest_free = cluster.view().largest_free(service);
             if !shape.constrained {
                 pass.blocked.push(resources);
             }
         }
-        if pass.reserved.len() < RESERVATIONS_MAX && self.reserve(service, key) {
+        if pass.reserved.len() < RESERVATIONS_MAX && reserve(cluster, service, key) {
             pass.reserved.push(key.at);
         }
     }
 
     /// Places as many waiting tasks of a step as there is capacity for.
-    fn place_step(&mut self, service: &str, key: QueueKey, locality: Locality) {
+    fn place_step(
+        &mut self,
+        cluster: &mut Cluster,
+        service: &str,
+        key: QueueKey,
+        locality: Locality,
+    ) {
         let at = key.at;
-        let Some(job) = self.jobs.get(&at.job) else {
+        let Some(job) = cluster.jobs().get(&at.job) else {
             return;
         };
         let (Some(step), Some(state)) = (job.step(at.step), job.step_state(at)) else {
             return;
         };
         if step.gang {
-            return self.place_gang(service, at, locality);
+            return self.place_gang(cluster, service, at, locality);
         }
-        let waiting: Vec<u32> = state.waiting.iter().copied().collect();
-        let Some(mut demand) = StepDemand::of(job, at, self.now_ms) else {
+        let waiting: Vec<u32> = state.waiting().iter().copied().collect();
+        let Some(mut demand) = StepDemand::of(job, at, cluster.clock().now_ms()) else {
             return;
         };
-        demand.avoids_idle_workers = self.avoids_idle_workers(service, &demand.resources);
+        demand.avoids_idle_workers = avoids_idle_workers(cluster, service, &demand.resources);
         demand.locality = locality;
-        let mut spare = match self.services.get(service) {
-            Some(state) if self.view().must_leave_headroom(state, key) => {
-                self.view().free_beyond_headroom(state)
+        let mut spare = match cluster.services().get(service) {
+            Some(state) if cluster.view().must_leave_headroom(state, key) => {
+                cluster.view().free_beyond_headroom(state)
             }
             _ => f64::INFINITY,
         };
         for index in waiting {
             spare -= demand.resources.cpu as f64;
-            if spare < 0.0 || !self.place_task(service, &mut demand, index) {
+            if spare < 0.0 || !self.place_task(cluster, service, &mut demand, index) {
                 return;
             }
         }
     }
 
-    /// Whether tasks of this size leave idle workers alone: steps that need most of a worker come to this service, and
-    /// this is none of them.
-    pub(crate) fn avoids_idle_workers(&mut self, service: &str, resources: &Resources) -> bool {
-        let now_ms = self.now_ms;
-        let Some(state) = self.services.get(service) else {
-            return false;
-        };
-        let large = self.view().needs_most_of_worker(state, resources);
-        let recent = &mut self.services.entry(service).recent;
-        if large {
-            recent.observe_large_task(now_ms);
-        }
-        !large && recent.has_large_tasks(now_ms)
-    }
-
     /// Places one task; returns whether a worker was found.
-    fn place_task(&mut self, service: &str, demand: &mut StepDemand, index: u32) -> bool {
+    fn place_task(
+        &mut self,
+        cluster: &mut Cluster,
+        service: &str,
+        demand: &mut StepDemand,
+        index: u32,
+    ) -> bool {
         let task = demand.at.task(index);
-        let Some(entry) = self.jobs.get(&task.job).and_then(|job| job.task(&task)) else {
+        let Some(entry) = cluster
+            .jobs()
+            .get(&task.job)
+            .and_then(|job| job.task(&task))
+        else {
             return false;
         };
-        let (attempt, failed_on) = (entry.last_attempt + 1, entry.failed_on);
+        let (attempt, failed_on) = (entry.last_attempt() + 1, entry.failed_on());
         let selection = [Scope::Preferred, Scope::Allowed]
             .into_iter()
-            .find_map(|scope| self.select_worker(service, demand, scope, failed_on));
+            .find_map(|scope| self.select_worker(cluster, service, demand, scope, failed_on));
         let Some(selection) = selection else {
             return false;
         };
-        self.trace_placement(service, task, &selection);
-        let is_local = self
-            .workers
+        self.trace(cluster, service, task, &selection);
+        let is_local = cluster
+            .workers()
             .get(selection.worker)
             .is_some_and(|worker| demand.is_local(worker));
         if demand.anti_affinity > 0 {
             *demand.on_worker.entry(selection.worker).or_default() += 1;
         }
-        let remote_factor = self.bounds.remote_factor(is_local);
+        let remote_factor = cluster.view().bounds.remote_factor(is_local);
         let placement = Placement::new(&selection, remote_factor);
-        self.place_run(task, attempt, placement);
+        cluster.place_run(task, attempt, placement);
         true
     }
 
     /// Selects a worker that may take a task of the step now.
     fn select_worker(
         &mut self,
+        cluster: &Cluster,
         service: &str,
         demand: &StepDemand,
         scope: Scope,
         failed_on: Option<WorkerId>,
     ) -> Option<Selection> {
-        let (now_ms, remote_slowdown) = (self.now_ms, self.bounds.remote_slowdown);
-        let state = self.services.get(service)?;
+        let view = cluster.view();
+        let (now_ms, remote_slowdown) = (view.now_ms, view.bounds.remote_slowdown);
+        let state = view.services.get(service)?;
         let fits = |id: WorkerId, worker: &Worker| {
             let failed_there = failed_on == Some(id);
             worker.accepts_starts(now_ms)
                 && demand.permits(id, worker, 0)
                 && demand.considers(scope, worker, remote_slowdown, failed_there, now_ms)
-                && state.reservations.get(id).is_none_or(|reservation| {
+                && state.reservations().get(id).is_none_or(|reservation| {
                     usable_despite_reservation(reservation, demand, id, worker, state, now_ms)
                 })
         };
-        let kinds = &state.kinds;
-        kinds.select(&mut self.rng, &self.workers, &demand.label, fits)
+        let kinds = state.kinds();
+        kinds.select(&mut self.rng, view.workers, &demand.label, fits)
     }
 
     /// Records how a worker was selected, for whoever follows placements.
-    pub(crate) fn trace_placement(&mut self, service: &str, task: TaskName, selection: &Selection) {
-        if let (Some(traces), Some(state)) = (&mut self.traces, self.services.get(service)) {
-            traces.push(state.kinds.trace(task, selection, &self.workers));
+    fn trace(&mut self, cluster: &Cluster, service: &str, task: TaskName, selection: &Selection) {
+        if let (Some(traces), Some(state)) = (&mut self.traces, cluster.services().get(service)) {
+            traces.push(state.kinds().trace(task, selection, cluster.workers()));
         }
     }
 }
 
+/// Records the priority of the first step if its tasks are small: less urgent work has to leave headroom for them.
+fn observe_urgent(cluster: &mut Cluster, service: &str, keys: &[QueueKey]) {
+    let now_ms = cluster.clock().now_ms();
+    let state = cluster.services().get(service);
+    let priority = state.and_then(|state| cluster.view().small_task_priority(state, keys));
+    if let Some(priority) = priority {
+        let recent = cluster.services_mut().entry(service).recent_mut();
+        recent.observe_urgent(priority, now_ms);
+    }
+}
+
+/// Whether tasks of this size leave idle workers alone: steps that need most of a worker come to this service, and
+/// this is none of them.
+fn avoids_idle_workers(cluster: &mut Cluster, service: &str, resources: &Resources) -> bool {
+    let now_ms = cluster.clock().now_ms();
+    let Some(state) = cluster.services().get(service) else {
+        return false;
+    };
+    let large = cluster.view().needs_most_of_worker(state, resources);
+    let recent = cluster.services_mut().entry(service).recent_mut();
+    if large {
+        recent.observe_large_task(now_ms);
+    }
+    !large && recent.has_large_tasks(now_ms)
+}
+
 impl ClusterView<'_> {
     /// What a step waits for that was looked at: others before it, capacity, or capacity in the right place.
     fn wait_cause(&self, at: StepRef, blocked_by_earlier: bool, beyond: bool) -> Cause {
@@ -263,7 +323,7 @@
 
     /// Whether a task of this size takes more than half of any worker of the service that can run it.
     fn needs_most_of_worker(&self, service: &ServiceState, resources: &Resources) -> bool {
-        let capacities = self.workers_of(service).map(|worker| worker.capacity);
+        let capacities = self.workers_of(service).map(Worker::capacity);
         let fractions = capacities
             .filter(|capacity| capacity.can_fit(resources))
             .map(|capacity| dominant_share(resources, &capacity));
@@ -276,7 +336,7 @@
     fn task_shape(&self, at: StepRef) -> Option<TaskShape> {
         let job = self.jobs.get(&at.job)?;
         let (step, state) = (job.step(at.step)?, job.step_state(at)?);
-        let retried = state.tasks.iter().any(|task| task.failed_on.is_some());
+        let retried = state.tasks().iter().any(|task| task.failed_on().is_some());
         let constrained = step.gang
             || retried
             || step.anti_affinity > 0
@@ -291,14 +351,14 @@
 
     /// Whether a step has waited long enough to use workers which those before it may not.
     fn waits_long(&self, at: StepRef) -> bool {
-        let state = self.jobs.get(&at.job).and_then(|job| job.step_state(at));
-        state.is_some_and(|state| self.now_ms >= state.waiting_since_ms + ANY_WORKER_MS)
+        let state = self.jobs.step_state(at);
+        state.is_some_and(|state| self.now_ms >= state.waiting_since_ms() + ANY_WORKER_MS)
     }
 
     /// Whether any task of the step is to be placed.
     fn waits(&self, at: StepRef) -> bool {
-        let state = self.jobs.get(&at.job).and_then(|job| job.step_state(at));
-        state.is_some_and(|state| !state.waiting.is_empty())
+        let state = self.jobs.step_state(at);
+        state.is_some_and(|state| !state.waiting().is_empty())
     }
 
     /// The most of each resource that any one worker has free.
@@ -330,7 +390,7 @@
 ) -> bool {
     let beside = worker.has_capacity(&demand.resources.plus(&reservation.resources));
     let expected_ms = state
-        .kinds
+        .kinds()
         .expected_ms(id, &demand.class, demand.estimate_ms) as u64;
     let ends_before = !demand.long_running && now_ms + expected_ms <= reservation.free_ms;
     reservation.yields_to(demand) || beside || ends_before
--- a/crates/scheduler/src/speculation.rs
+++ b/crates/scheduler/src/placement/speculation.rs
@@ -2,13 +2,13 @@
 //! the run takes far longer than expected, and the latency target is at stake. Whichever run ends first counts, the
 //! other is stopped.
 
+use crate::cluster::Cluster;
 use crate::demand::{Scope, StepDemand};
 use crate::health::HealthStatus;
+use crate::jobs::{Placement, Run};
 use crate::kinds::Selection;
+use crate::placement::Placer;
 use crate::queue::{Prospect, QueueKey, StepRef};
-use crate::runs::Placement;
-use crate::state::ClusterState;
-use crate::task::Run;
 use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::task::TaskName;
@@ -34,54 +34,57 @@
     worker: WorkerId,
 }
 
-impl ClusterState {
+impl Placer {
     /// Starts speculative runs for those that may not end in time, where capacity is free that no other step waits for.
-    pub(crate) fn speculate(&mut self) {
+    pub(crate) fn speculate(&mut self, cluster: &mut Cluster) {
         let mut candidates: Vec<SpeculationCandidate> = Vec::new();
-        for (id, worker) in self.workers.iter() {
+        for (id, worker) in cluster.workers().iter() {
             let runs = worker
-                .runs
+                .runs()
                 .iter()
-                .filter_map(|task| self.view().speculation_candidate(id, worker, *task));
+                .filter_map(|task| cluster.view().speculation_candidate(id, worker, *task));
             candidates.extend(runs);
         }
         candidates.sort_by_key(|run| (run.key, run.task));
         candidates
             .into_iter()
-            .for_each(|run| self.place_speculative_run(run));
+            .for_each(|run| self.place_speculative_run(cluster, run));
     }
 
     /// Starts a speculative run beside this one, unless another step waits for the capacity.
-    fn place_speculative_run(&mut self, run: SpeculationCandidate) {
-        let Some(job) = self.jobs.get(&run.task.job) else {
+    fn place_speculative_run(&mut self, cluster: &mut Cluster, run: SpeculationCandidate) {
+        let Some(job) = cluster.jobs().get(&run.task.job) else {
             return;
         };
         let (Some(demand), Some(entry)) = (
-            StepDemand::of(job, run.key.at, self.now_ms),
+            StepDemand::of(job, run.key.at, cluster.clock().now_ms()),
             job.task(&run.task),
         ) else {
             return;
         };
-        let (service, attempt) = (job.service.clone(), entry.last_attempt + 1);
-        let failed_on = entry.failed_on;
-        let Some(selection) = self.select_other_worker(&service, &run, &demand, failed_on) else {
+        let (service, attempt) = (job.service().to_owned(), entry.last_attempt() + 1);
+        let failed_on = entry.failed_on();
+        let selection = self.select_other_worker(cluster, &service, &run, &demand, failed_on);
+        let Some(selection) = selection else {
             return;
         };
-        self.trace_placement(&service, run.task, &selection);
+        self.trace(cluster, &service, run.task, &selection);
         let placement = Placement::new(&selection, 1.0);
-        self.place_run(run.task, attempt, placement);
+        cluster.place_run(run.task, attempt, placement);
     }
 
     /// A worker for a speculative run: another one than that of the first run, local and healthy.
     fn select_other_worker(
         &mut self,
+        cluster: &Cluster,
         service: &str,
         run: &SpeculationCandidate,
         demand: &StepDemand,
         failed_on: Option<WorkerId>,
     ) -> Option<Selection> {
-        let (now_ms, remote_slowdown) = (self.now_ms, self.bounds.remote_slowdown);
-        let state = self.services.get(service)?;
+        let view = cluster.view();
+        let (now_ms, remote_slowdown) = (view.now_ms, view.bounds.remote_slowdown);
+        let state = view.services.get(service)?;
         let others_wait = |key: &QueueKey| !key.hopeless && key.priority <= run.key.priority;
         if state.queue().first().is_some_and(others_wait) {
             return None;
@@ -93,12 +96,12 @@
                 && worker.accepts_starts(now_ms)
                 && demand.permits(id, worker, 0)
                 && demand.considers(scope, worker, remote_slowdown, failed_there, now_ms)
-                && state.reservations.get(id).is_none_or(|reservation| {
+                && state.reservations().get(id).is_none_or(|reservation| {
                     worker.has_capacity(&demand.resources.plus(&reservation.resources))
                 })
         };
-        let kinds = &state.kinds;
-        kinds.select(&mut self.rng, &self.workers, &demand.label, fits)
+        let kinds = state.kinds();
+        kinds.select(&mut self.rng, view.workers, &demand.label, fits)
     }
 }
 
@@ -110,18 +113,18 @@
         worker: &Worker,
         task: TaskName,
     ) -> Option<SpeculationCandidate> {
-        let job = self.jobs.get(&task.job).filter(|job| job.end.is_none())?;
+        let job = self.jobs.get(&task.job).filter(|job| !job.has_ended())?;
         job.step(task.step)
             .filter(|step| step.speculative && !step.gang && !step.long_running)?;
         let entry = job
             .task(&task)
-            .filter(|entry| !entry.done && entry.speculative_run.is_none())?;
-        let run = entry.run_at(id).filter(|run| run.sent)?;
+            .filter(|entry| !entry.is_done() && entry.speculative_run().is_none())?;
+        let run = entry.run_at(id).filter(|run| run.is_sent())?;
         let key = job.queue_key(StepRef::of(&task), self.now_ms);
         let at_stake = key.prospect != Prospect::Hopeless
             && self.now_ms as i64 + DEADLINE_MARGIN_MS >= key.latest_start_ms;
         let unresponsive = worker.is_unresponsive_for(UNRESPONSIVE_MS, self.now_ms);
-        let stopping = run.stop.is_some();
+        let stopping = run.stop().is_some();
         let is_candidate =
             at_stake && (unresponsive || !stopping && self.overdue(id, worker, &task, run));
         is_candidate.then_some(SpeculationCandidate {
@@ -134,20 +137,20 @@
     /// The run takes far longer than expected, and not for its own length: it stands still, or its worker is slow and
     /// another one would be done first even if it began anew.
     fn overdue(&self, id: WorkerId, worker: &Worker, task: &TaskName, run: &Run) -> bool {
-        let suspected = worker.health.status(self.now_ms) != HealthStatus::Healthy;
+        let suspected = worker.health().status(self.now_ms) != HealthStatus::Healthy;
         let factor = if suspected {
             OVERDUE_FACTOR_SUSPECTED
         } else {
             OVERDUE_FACTOR
         };
-        let resume_cost_ms = if run.resumed {
+        let resume_cost_ms = if run.is_resumed() {
             self.bounds.resume_cost_ms as f64
         } else {
             0.0
         };
         let expected_ms = self.expected_run_ms(id, task);
-        let elapsed_ms = self.now_ms.saturating_sub(run.placed_ms) as f64;
-        let stands = self.now_ms.saturating_sub(run.percent_ms) > PERCENT_FRESH_MS;
+        let elapsed_ms = self.now_ms.saturating_sub(run.placed_ms()) as f64;
+        let stands = self.now_ms.saturating_sub(run.percent_ms()) > PERCENT_FRESH_MS;
         elapsed_ms > factor * expected_ms + OVERDUE_MIN_MS + resume_cost_ms
             && (stands
                 || self.slowdown(id).is_some() && self.remaining_ms(id, task) as f64 > expected_ms)
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -1,10 +1,10 @@
 //! Preemption: runs of a lower priority are stopped for a step that would otherwise miss its latency target. Victims are
 //! those whose stop loses least work; nothing is stopped if more than a limit would be lost.
 
+use crate::cluster::Cluster;
 use crate::demand::StepDemand;
 use crate::queue::{Prospect, QueueKey};
 use crate::services::ServiceState;
-use crate::state::ClusterState;
 use crate::value::cores;
 use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
@@ -71,28 +71,24 @@
 /// Capacity on workers that goes to steps further ahead.
 type Claimed = FxHashMap<WorkerId, Resources>;
 
-impl ClusterState {
-    /// Looks for steps that are late for want of capacity, and stops runs for them. Capacity that is free or being freed
-    /// goes to the steps in their order: what those before have claimed is not there for the next.
-    pub(crate) fn preempt(&mut self) {
-        for name in self
-            .services
-            .names_where(|service| !service.queue().is_empty())
-        {
-            let Some(service) = self.services.get(&name) else {
-                continue;
-            };
-            let first = service.queue().iter().take(STEPS_CONSIDERED);
-            let keys: Vec<QueueKey> = first
-                .filter(|key| key.prospect != Prospect::Hopeless)
-                .copied()
-                .collect();
-            let mut claimed = Claimed::default();
-            for key in keys {
-                self.view()
-                    .victims_for(&name, key, &mut claimed)
-                    .into_iter()
-                    .for_each(|victim| self.stop_run(victim.run));
+/// Looks for steps that are late for want of capacity, and stops runs for them. Capacity that is free or being freed
+/// goes to the steps in their order: what those before have claimed is not there for the next.
+pub(crate) fn preempt(cluster: &mut Cluster) {
+    let has_queue = |service: &ServiceState| !service.queue().is_empty();
+    for name in cluster.services().names_where(has_queue) {
+        let Some(service) = cluster.services().get(&name) else {
+            continue;
+        };
+        let first = service.queue().iter().take(STEPS_CONSIDERED);
+        let keys: Vec<QueueKey> = first
+            .filter(|key| key.prospect != Prospect::Hopeless)
+            .copied()
+            .collect();
+        let mut claimed = Claimed::default();
+        for key in keys {
+            let victims = cluster.view().victims_for(&name, key, &mut claimed);
+            for victim in victims {
+                cluster.stop_run(victim.run);
             }
         }
     }
@@ -111,7 +107,7 @@
         let Some(demand) = StepDemand::of(job, key.at, self.now_ms) else {
             return Vec::new();
         };
-        let waiting = state.waiting.len() as u32;
+        let waiting = state.waiting().len() as u32;
         let together = if step.gang { waiting } else { 1 };
         let in_time = |free_ms: u64| free_ms as i64 + SLACK_MS <= key.latest_start_ms;
         if self
@@ -135,7 +131,7 @@
         claimed: &mut Claimed,
     ) -> Vec<Victim> {
         let waiting = wanted.waiting;
-        let workers = service.kinds.workers();
+        let workers = service.kinds().workers();
         let mut offers: Vec<WorkerOffers> = workers
             .map(|worker| {
                 let taken = claimed.get(&worker).copied().unwrap_or_default();
@@ -187,12 +183,11 @@
         else {
             return Vec::new();
         };
-        let labelled = demand.label.is_empty() || worker.labels.contains(&demand.label);
-        if !labelled || !worker.capacity.can_fit(&demand.resources) {
+        if !demand.is_label_met(worker) || !worker.capacity().can_fit(&demand.resources) {
             return Vec::new();
         }
         let mut used = worker
-            .used
+            .used()
             .minus(&self.stopping_resources(id))
             .plus(claimed);
         let mut candidates = self.candidates(id, worker, key, demand).into_iter();
@@ -204,7 +199,7 @@
         };
         'tasks: for _ in 0..most {
             let mut offer = Offer::default();
-            while !worker.capacity.can_fit(&used.plus(&demand.resources)) {
+            while !worker.capacity().can_fit(&used.plus(&demand.resources)) {
                 let Some(victim) = candidates.next() else {
                     break 'tasks;
                 };
@@ -226,7 +221,7 @@
         key: QueueKey,
         demand: &StepDemand,
     ) -> Vec<Victim> {
-        let victims = worker.runs.iter();
+        let victims = worker.runs().iter();
         let mut candidates: Vec<Victim> = victims
             .filter_map(|task| self.victim(id, *task, key))
             .collect();
@@ -240,12 +235,12 @@
         let Some(worker) = self.workers.get(id) else {
             return Resources::default();
         };
-        let stopping = worker.runs.iter().filter(|task| {
+        let stopping = worker.runs().iter().filter(|task| {
             let run = self
                 .jobs
                 .get(&task.job)
                 .and_then(|job| job.task(task)?.run_at(id));
-            run.is_some_and(|run| run.stop.is_some())
+            run.is_some_and(|run| run.stop().is_some())
         });
         stopping.fold(Resources::default(), |sum, task| {
             sum.plus(&self.resources(*task))
@@ -254,14 +249,14 @@
 
     /// The task's run as a victim for a step with this key: of a lower priority, and not being stopped.
     fn victim(&self, id: WorkerId, task: TaskName, key: QueueKey) -> Option<Victim> {
-        let job = self.jobs.get(&task.job).filter(|job| job.end.is_none())?;
+        let job = self.jobs.get(&task.job).filter(|job| !job.has_ended())?;
         let (step, entry) = (job.step(task.step)?, job.task(&task)?);
-        let run = entry.run_at(id).filter(|run| run.stop.is_none())?;
-        if job.terms.priority <= key.priority || entry.done {
+        let run = entry.run_at(id).filter(|run| run.stop().is_none())?;
+        if job.terms().priority <= key.priority || entry.is_done() {
             return None;
         }
         let members = if step.gang { step.count } else { 1 };
-        let ran_s = self.now_ms.saturating_sub(run.placed_ms) as f64 / 1_000.0;
+        let ran_s = self.now_ms.saturating_sub(run.placed_ms()) as f64 / 1_000.0;
         let lost_s = match (step.long_running, step.checkpoints) {
             (true, _) => RESTART_S,
             (false, true) => ran_s.min(self.bounds.resume_cost_ms as f64 / 1_000.0),
@@ -270,7 +265,7 @@
         let resources = step.resources();
         let run = RunId {
             task,
-            attempt: run.attempt,
+            attempt: run.attempt(),
         };
         Some(Victim {
             run,
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -1,10 +1,8 @@
 //! Rows of the control state: `job/ID`, written once, and `progress/ID` with all tasks of a job.
 
-use crate::api::WriteId;
 use crate::definition::{Definition, JobEnd};
-use crate::job::Job;
+use crate::jobs::{GangFailures, Job, Repetition, RestoredTask, Run, StepState, Task};
 use crate::queue::StepRef;
-use crate::task::{Run, StepState, Task};
 use crate::worker::WorkerId;
 use crate::workers::Workers;
 use indigofold_protocol::task::JobId;
@@ -135,16 +133,18 @@
 pub(crate) fn progress_bytes(job: &Job, workers: &Workers) -> Vec<u8> {
     let mut instances = Vec::new();
     let mut repeats = Vec::new();
-    for (&number, repeat) in &job.repeats {
-        let stages = job.definition.spec.stages.iter();
-        let steps = repeat.steps.iter().zip(stages);
+    for (number, repeat) in job.repeats() {
+        let steps = repeat.steps().iter().zip(job.steps());
         let steps = steps
             .map(|(step, stage)| step_row(step, stage.gang, workers, &mut instances))
             .collect();
         repeats.push(RepetitionRow { number, steps });
     }
-    let (end, next_repeat, speculative_runs) =
-        (job.end, job.next_repeat, speculative_run_rows(job, workers));
+    let (end, next_repeat, speculative_runs) = (
+        job.end(),
+        job.next_repeat(),
+        speculative_run_rows(job, workers),
+    );
     let progress = Progress {
         end,
         next_repeat,
@@ -161,22 +161,22 @@
 
 fn speculative_run_rows(job: &Job, workers: &Workers) -> Vec<SpeculativeRunRow> {
     let mut rows = Vec::new();
-    for (&repeat, state) in &job.repeats {
-        for (step, state) in state.steps.iter().enumerate() {
+    for (repeat, state) in job.repeats() {
+        for (step, state) in state.steps().iter().enumerate() {
             let speculative_runs = state
-                .tasks
+                .tasks()
                 .iter()
                 .enumerate()
-                .filter_map(|(n, task)| Some((n, task.speculative_run.as_ref()?)));
+                .filter_map(|(n, task)| Some((n, task.speculative_run()?)));
             rows.extend(speculative_runs.map(|(index, speculative_run)| {
                 SpeculativeRunRow {
                     repeat,
                     step: step as u32,
                     index: index as u32,
                     instance: workers
-                        .get(speculative_run.worker)
-                        .map_or_else(String::new, |w| w.instance.clone()),
-                    attempt: speculative_run.attempt,
+                        .get(speculative_run.worker())
+                        .map_or_else(String::new, |w| w.instance().to_owned()),
+                    attempt: speculative_run.attempt(),
                 }
             }));
         }
@@ -186,7 +186,7 @@
 
 /// Index of a worker's instance in `instances`, entered if it is new.
 fn instance_index(worker: WorkerId, workers: &Workers, instances: &mut Vec<String>) -> u32 {
-    let name = workers.get(worker).map_or("", |w| &w.instance);
+    let name = workers.get(worker).map_or("", |w| w.instance());
     let known = instances.iter().position(|instance| instance == name);
     known.unwrap_or_else(|| {
         instances.push(name.to_owned());
@@ -201,41 +201,42 @@
     workers: &Workers,
     instances: &mut Vec<String>,
 ) -> StepRow {
-    let idle = step.tasks.iter().all(|task| task.run.is_none());
+    let idle = step.is_idle();
     if idle && step.is_done() {
         return StepRow::Done;
     }
-    if idle
-        && step
-            .tasks
-            .iter()
-            .all(|task| task.last_attempt == 0 && !task.done)
-    {
+    let untouched = |task: &Task| task.last_attempt() == 0 && !task.is_done();
+    if idle && step.tasks().iter().all(untouched) {
         return StepRow::Fresh;
     }
     let checkpoint = |task: &Task| {
-        if task.done {
-            String::new()
+        if task.is_done() {
+            ""
         } else if gang {
-            step.gang_checkpoint.clone()
+            step.gang_checkpoint()
         } else {
-            task.checkpoint.clone()
+            task.checkpoint()
         }
+        .to_owned()
     };
     let row = |task: &Task| TaskRow {
-        last_attempt: task.last_attempt,
-        failures: task.failures,
-        done: task.done,
+        last_attempt: task.last_attempt(),
+        failures: task.failures(),
+        done: task.is_done(),
         checkpoint: checkpoint(task),
-        run: task.run.as_ref().map(|run| RunRow {
-            instance: instance_index(run.worker, workers, instances),
-            attempt: run.attempt,
+        run: task.run().map(|run| RunRow {
+            instance: instance_index(run.worker(), workers, instances),
+            attempt: run.attempt(),
         }),
     };
+    let GangFailures {
+        count,
+        newest_attempt,
+    } = step.gang_failures();
     StepRow::Open {
-        gang_failures: step.gang_failures,
-        gang_failed_attempt: step.gang_failed_attempt,
-        tasks: step.tasks.iter().map(row).collect(),
+        gang_failures: count,
+        gang_failed_attempt: newest_attempt,
+        tasks: step.tasks().iter().map(row).collect(),
     }
 }
 
@@ -265,117 +266,109 @@
     }
 }
 
-impl Progress {
+/// What the rows of a job say.
+pub(crate) struct JobRows {
+    definition: Definition,
+    progress: Progress,
+}
+
+impl JobRows {
+    /// Both rows of a job. An ended job has no definition any more; it gets an empty one.
+    pub(crate) fn new(definition: Definition, progress: Progress) -> Self {
+        JobRows {
+            definition,
+            progress,
+        }
+    }
+
     /// The job as it was when its rows were written. Instances that `workers` does not know are entered there.
     /// `due_ms` gives the steady clock's reading at which a repetition was due.
     pub(crate) fn restore(
         self,
-        definition: Definition,
         workers: &mut Workers,
         now_ms: u64,
         due_ms: impl Fn(&Job, u32) -> i64,
     ) -> Job {
-        let mut job = Job::new(definition);
-        job.end = self.end;
-        job.next_repeat = self.next_repeat;
-        job.started = self.next_repeat as usize > self.repeats.len();
-        job.last_write = WriteId(0);
-        let worker_ids: Vec<WorkerId> = self
-            .instances
-            .iter()
+        let Progress {
+            end,
+            next_repeat,
+            instances,
+            repeats,
+            speculative_runs,
+        } = self.progress;
+        let mut job = Job::restored(self.definition, end, next_repeat);
+        let instances = instances.iter();
+        let workers_of_runs: Vec<WorkerId> = instances
             .map(|name| workers.get_or_register(name, now_ms))
             .collect();
-        let mut repeats = BTreeMap::new();
-        for RepetitionRow { number, steps } in self.repeats {
-            let mut repeat = job.fresh_repeat(due_ms(&job, number));
-            for (state, row) in repeat.steps.iter_mut().zip(steps) {
-                job.outstanding += restore_step(state, row, &worker_ids, now_ms);
-                job.started |= state.tasks.iter().any(|task| task.last_attempt > 0);
-            }
-            repeats.insert(number, repeat);
-        }
-        job.repeats = repeats;
-        for speculative_run in self.speculative_runs {
-            let worker = workers.get_or_register(&speculative_run.instance, now_ms);
+        let restore_repeat = |RepetitionRow { number, steps }| {
+            let counts = job.steps().iter().map(|step| step.count);
+            let mut rows = steps.into_iter();
+            let steps = counts.map(|count| {
+                let row = rows.next().unwrap_or(StepRow::Fresh);
+                row.restore(count, &workers_of_runs, now_ms)
+            });
+            let repeat = Repetition::new(due_ms(&job, number), steps.collect());
+            (number, repeat)
+        };
+        let repeats: BTreeMap<u32, Repetition> = repeats.into_iter().map(restore_repeat).collect();
+        job.restore_repeats(repeats);
+        for row in speculative_runs {
+            let worker = workers.get_or_register(&row.instance, now_ms);
             let at = StepRef {
                 job: JobId(0),
-                repeat: speculative_run.repeat,
-                step: speculative_run.step,
+                repeat: row.repeat,
+                step: row.step,
             };
-            if let Some(task) = job
-                .task_mut(&at.task(speculative_run.index))
-                .filter(|task| task.run.is_some())
-            {
-                task.speculative_run = Some(Run::restored(worker, speculative_run.attempt, now_ms));
-                job.outstanding += 1;
-            }
+            let run = Run::restored(worker, row.attempt, now_ms);
+            job.restore_speculative_run(&at.task(row.index), run);
         }
         job
     }
 }
 
-/// Fills a step's state in; returns its number of outstanding runs.
-fn restore_step(state: &mut StepState, row: StepRow, workers: &[WorkerId], now_ms: u64) -> u32 {
-    match row {
-        StepRow::Fresh => {}
-        StepRow::Done => state.tasks.iter_mut().for_each(|task| {
-            task.done = true;
-            task.last_attempt = 1;
-        }),
-        StepRow::Open {
-            gang_failures,
-            gang_failed_attempt,
-            tasks,
-        } => {
-            (state.gang_failures, state.gang_failed_attempt) = (gang_failures, gang_failed_attempt);
-            for (task, row) in state.tasks.iter_mut().zip(tasks) {
-                let run = row.run.and_then(|run| {
-                    let worker = *workers.get(run.instance as usize)?;
-                    Some(Run::restored(worker, run.attempt, now_ms))
-                });
-                *task = Task {
-                    last_attempt: row.last_attempt,
-                    failures: row.failures,
-                    done: row.done,
-                    run,
-                    speculative_run: None,
-                    checkpoint: row.checkpoint,
-                    ..Task::default()
+impl StepRow {
+    /// The state of a step of `count` tasks; `workers` are those that its runs point to.
+    fn restore(self, count: u32, workers: &[WorkerId], now_ms: u64) -> StepState {
+        let count = count as usize;
+        let (rows, gang_failures) = match self {
+            StepRow::Fresh => (Vec::new(), GangFailures::default()),
+            StepRow::Done => {
+                let tasks = vec![Task::restored_done(); count];
+                return StepState::restored(tasks, GangFailures::default());
+            }
+            StepRow::Open {
+                gang_failures: count,
+                gang_failed_attempt: newest_attempt,
+                tasks,
+            } => {
+                let failures = GangFailures {
+                    count,
+                    newest_attempt,
                 };
+                (tasks, failures)
             }
-        }
+        };
+        let tasks = rows.into_iter().map(|row| row.restore(workers, now_ms));
+        let mut tasks: Vec<Task> = tasks.take(count).collect();
+        tasks.resize_with(count, Task::default);
+        StepState::restored(tasks, gang_failures)
     }
-    // A gang's members all have the same text, except in rows of earlier versions; then any of them serves.
-    state.gang_checkpoint = state
-        .tasks
-        .iter()
-        .map(|task| &task.checkpoint)
-        .max()
-        .cloned()
-        .unwrap_or_default();
-    state.done = state.tasks.iter().filter(|task| task.done).count() as u32;
-    state.tasks.iter().filter(|task| task.run.is_some()).count() as u32
 }
 
-impl Run {
-    /// A run that a predecessor has placed; its order may have been sent. It counts as resumed: when it began is not
-    /// known, so its end says nothing about how long such tasks run.
-    fn restored(worker: WorkerId, attempt: u32, now_ms: u64) -> Self {
-        Run {
-            attempt,
-            worker,
-            sent: true,
-            sent_ms: now_ms,
-            began_ms: None,
-            stop: None,
-            placed_ms: now_ms,
-            resumed: true,
-            bound: false,
-            remote_factor: 1.0,
-            percent: 0,
-            percent_ms: now_ms,
-            listed_ms: now_ms,
-        }
+impl TaskRow {
+    fn restore(self, workers: &[WorkerId], now_ms: u64) -> Task {
+        let run = self.run.and_then(|run| {
+            let worker = *workers.get(run.instance as usize)?;
+            Some(Run::restored(worker, run.attempt, now_ms))
+        });
+        Task::from(RestoredTask {
+            last_attempt: self.last_attempt,
+            failures: self.failures,
+            done: self.done,
+            checkpoint: self.checkpoint,
+            run,
+        })
     }
 }
 
--- a/crates/scheduler/src/rows/tests.rs
+++ b/crates/scheduler/src/rows/tests.rs
@@ -52,7 +52,8 @@
     let progress = read_progress(key.as_bytes(), &row).expect("the row is readable");
     assert_eq!(progress.speculative_runs.len(), speculative_runs);
     let mut workers = Workers::new(MAX_LEASE_MS);
-    let job = progress.restore(definition, &mut workers, 1_000, |_, _| 1_000);
+    let rows = JobRows::new(definition, progress);
+    let job = rows.restore(&mut workers, 1_000, |_, _| 1_000);
     assert_eq!(progress_bytes(&job, &workers), row);
 }
 
--- a/crates/scheduler/src/run_checks.rs
+++ b/crates/scheduler/src/run_checks.rs
@@ -1,9 +1,10 @@
 //! Regular checks of all runs: lost orders, runs that cannot end before their worker has drained, runs that hang.
 
+use crate::cluster::Cluster;
 use crate::health::Health;
+use crate::jobs::Job;
 use crate::queue::StepRef;
 use crate::run_result::RunResult;
-use crate::state::ClusterState;
 use crate::view::ClusterView;
 use crate::worker::WorkerId;
 use indigofold_protocol::task::{RunId, TaskName};
@@ -24,73 +25,60 @@
 /// Left free at the end of a worker's drain.
 const DRAIN_MARGIN_MS: u64 = 300;
 
-impl ClusterState {
-    /// Checks all runs of workers that can be sent orders.
-    pub(crate) fn check_runs(&mut self) {
-        let reachable = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.order_connection().is_some());
-        let tasks_by_worker: Vec<(WorkerId, Vec<TaskName>)> = reachable
-            .map(|(id, worker)| (id, worker.runs.iter().copied().collect()))
-            .collect();
-        for (id, tasks) in tasks_by_worker {
-            let slowdown = self.view().slowdown(id);
-            tasks
-                .into_iter()
-                .for_each(|task| self.check_run(id, task, slowdown));
+/// Checks all runs of workers that can be sent orders.
+pub(crate) fn check_runs(cluster: &mut Cluster) {
+    let workers = cluster.workers().iter();
+    let reachable = workers.filter(|(_, worker)| worker.order_connection().is_some());
+    let tasks_by_worker: Vec<(WorkerId, Vec<TaskName>)> = reachable
+        .map(|(id, worker)| (id, worker.runs().iter().copied().collect()))
+        .collect();
+    for (id, tasks) in tasks_by_worker {
+        let slowdown = cluster.view().slowdown(id);
+        for task in tasks {
+            check_run(cluster, id, task, slowdown);
         }
-        self.speculate();
     }
+}
 
-    /// Resends a lost order, and stops a run that cannot end there or would end sooner elsewhere.
-    fn check_run(&mut self, id: WorkerId, task: TaskName, slowdown: Option<f64>) {
-        let now_ms = self.now_ms;
-        let ended = self
-            .jobs
-            .get(&task.job)
-            .is_some_and(|job| job.end.is_some());
-        let Some(run) = self.view().run_at(id, &task).filter(|run| run.sent) else {
-            return;
-        };
-        let absent_ms = now_ms.saturating_sub(run.listed_ms);
-        let stopping = run.stop.is_some() || ended;
-        let order = RunId {
-            task,
-            attempt: run.attempt,
-        };
-        if absent_ms >= ABSENT_MS {
-            return self.finish_run(order, RunResult::NotStarted, "");
-        }
-        if stopping {
-            return;
-        }
-        if absent_ms >= ORDER_RETRY_MS && absent_ms % ORDER_RETRY_MS < CHECK_MS {
-            self.order_start(order);
-        }
-        if self.view().outlasts_drain(id, &task) {
-            self.stop_run(order);
-        } else if self.view().hangs(id, &task) {
-            self.move_run(id, order, |health| health.failed(now_ms, false));
-        } else if slowdown.is_some_and(|slowdown| self.view().is_straggling(id, &task, slowdown)) {
-            self.move_run(id, order, |health| health.too_slow(now_ms));
-        }
+/// Resends a lost order, and stops a run that cannot end there or would end sooner elsewhere.
+fn check_run(cluster: &mut Cluster, id: WorkerId, task: TaskName, slowdown: Option<f64>) {
+    let now_ms = cluster.clock().now_ms();
+    let Some(run) = cluster.view().run_at(id, &task).filter(|run| run.is_sent()) else {
+        return;
+    };
+    let absent_ms = now_ms.saturating_sub(run.listed_ms());
+    let ended = cluster.jobs().get(&task.job).is_some_and(Job::has_ended);
+    let stopping = run.stop().is_some() || ended;
+    let order = RunId {
+        task,
+        attempt: run.attempt(),
+    };
+    if absent_ms >= ABSENT_MS {
+        return cluster.end_run(order, RunResult::NotStarted, "");
+    }
+    if stopping {
+        return;
+    }
+    if absent_ms >= ORDER_RETRY_MS && absent_ms % ORDER_RETRY_MS < CHECK_MS {
+        cluster.order_start(order);
+    }
+    let view = cluster.view();
+    if view.outlasts_drain(id, &task) {
+        cluster.stop_run(order);
+    } else if view.hangs(id, &task) {
+        move_run(cluster, id, order, |health| health.failed(now_ms, false));
+    } else if slowdown.is_some_and(|slowdown| view.is_straggling(id, &task, slowdown)) {
+        move_run(cluster, id, order, |health| health.too_slow(now_ms));
     }
+}
 
-    /// Stops a run that hangs or straggles; the task goes to another worker.
-    fn move_run(&mut self, id: WorkerId, run: RunId, update_health: impl Fn(&mut Health)) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            update_health(&mut worker.health);
-        }
-        if let Some(entry) = self
-            .jobs
-            .get_mut(&run.task.job)
-            .and_then(|job| job.task_mut(&run.task))
-        {
-            entry.failed_on = Some(id);
-        }
-        self.stop_run(run);
+/// Stops a run that hangs or straggles; the task goes to another worker.
+fn move_run(cluster: &mut Cluster, id: WorkerId, run: RunId, update_health: impl Fn(&mut Health)) {
+    if let Some(worker) = cluster.workers_mut().get_mut(id) {
+        update_health(worker.health_mut());
     }
+    cluster.avoid_worker(&run.task, id);
+    cluster.stop_run(run);
 }
 
 impl ClusterView<'_> {
@@ -99,15 +87,15 @@
         let Some(worker) = self
             .workers
             .get(id)
-            .filter(|w| w.state == WorkerState::Draining)
+            .filter(|worker| worker.state() == WorkerState::Draining)
         else {
             return false;
         };
-        let Some(traits) = self.traits(StepRef::of(task)) else {
+        let Some(traits) = self.jobs.traits(StepRef::of(task)) else {
             return false;
         };
         let left_ms = worker
-            .drain_end_ms
+            .drain_end_ms()
             .map_or(0, |drain_end_ms| drain_end_ms.saturating_sub(self.now_ms));
         traits.long_running || self.remaining_ms(id, task) + DRAIN_MARGIN_MS > left_ms
     }
@@ -123,18 +111,18 @@
         let Some(worker) = self.workers.get(id) else {
             return false;
         };
-        let listed = self.now_ms.saturating_sub(run.listed_ms) < STALL_MIN_MS
-            && worker.since_heartbeat_ms < HEARTBEAT_FRESH_MS;
+        let listed = self.now_ms.saturating_sub(run.listed_ms()) < STALL_MIN_MS
+            && worker.since_heartbeat_ms() < HEARTBEAT_FRESH_MS;
         if step.long_running || !listed {
             return false;
         }
         let limit_ms = STALL_MIN_MS.max((self.expected_run_ms(id, task) * STALL_FRACTION) as u64);
-        let resume_cost_ms = if run.resumed {
+        let resume_cost_ms = if run.is_resumed() {
             self.bounds.resume_cost_ms
         } else {
             0
         };
         let gang_ms = if step.gang { self.bounds.gang_ms } else { 0 };
-        self.now_ms.saturating_sub(run.percent_ms) > limit_ms + resume_cost_ms + gang_ms
+        self.now_ms.saturating_sub(run.percent_ms()) > limit_ms + resume_cost_ms + gang_ms
     }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,13 +1,17 @@
 //! How an event passes through the scheduler, and what leaves it.
 
 use crate::api::{Bounds, Effect, Event};
+use crate::client_calls::ClientCalls;
+use crate::cluster::Cluster;
 use crate::instance_rows::instance_of;
 use crate::kinds::PlacementTrace;
 use crate::outbox::Deferred;
-use crate::preemption::PREEMPT_MS;
+use crate::placement::Placer;
+use crate::preemption::{PREEMPT_MS, preempt};
+use crate::reports::{AnswerWithoutInstance, Reports};
 use crate::rows::{RowError, RowKey};
-use crate::run_checks::CHECK_MS;
-use crate::state::{AnswerWithoutInstance, ClusterState};
+use crate::run_checks::{CHECK_MS, check_runs};
+use crate::takeover::{AGENTS_RECONNECT_MS, load};
 use crate::timers::Periodic;
 use indigofold_protocol::internal::AgentOrders;
 
@@ -22,7 +26,10 @@
 pub struct Scheduler {
     /// Fencing token of all orders: number of the view under whose head the scheduler acts.
     epoch: u64,
-    state: ClusterState,
+    cluster: Cluster,
+    calls: ClientCalls,
+    reports: Reports,
+    placer: Placer,
     next_tick_ms: u64,
     resolve_timer: Periodic,
     check_timer: Periodic,
@@ -35,7 +42,10 @@
     pub fn new(bounds: Bounds, epoch: u64, seed: u64, now_ms: u64, wall_ms: u64) -> Self {
         Scheduler {
             epoch,
-            state: ClusterState::new(bounds, seed, now_ms, wall_ms),
+            cluster: Cluster::new(bounds, now_ms, wall_ms),
+            calls: ClientCalls::default(),
+            reports: Reports::default(),
+            placer: Placer::new(seed, now_ms),
             next_tick_ms: now_ms,
             resolve_timer: Periodic::new(RESOLVE_MS, now_ms),
             check_timer: Periodic::new(CHECK_MS, now_ms),
@@ -58,28 +68,29 @@
         &mut self,
         rows: impl IntoIterator<Item = (Vec<u8>, Vec<u8>)>,
     ) -> Result<(), RowError> {
-        self.state.load(rows)
+        if load(&mut self.cluster, rows)? {
+            let now_ms = self.cluster.clock().now_ms();
+            self.placer.wait_until(now_ms + AGENTS_RECONNECT_MS);
+        }
+        Ok(())
     }
 
     /// Follows placements from now on; [`take_traces`](Self::take_traces) hands them out.
     pub fn trace_placements(&mut self) {
-        self.state.traces = Some(Vec::new());
+        self.placer.follow();
     }
 
     /// Placements since the last call.
     pub fn take_traces(&mut self) -> Vec<PlacementTrace> {
-        let traces = self.state.traces.as_mut();
-        traces.map(std::mem::take).unwrap_or_default()
+        self.placer.take_traces()
     }
 
     /// When [`Event::Timer`] is due, on the steady clock.
     pub fn next_timer_ms(&self) -> u64 {
-        let state = &self.state;
-        let due_wall_ms = state.due.next_repetition_wall_ms();
-        let due_ms = due_wall_ms.map_or(u64::MAX, |wall_ms| {
-            state.clock.steady_ms(wall_ms).max(0) as u64
-        });
-        let passes = state.services.iter();
+        let clock = self.cluster.clock();
+        let due_wall_ms = self.cluster.jobs().next_repetition_wall_ms();
+        let due_ms = due_wall_ms.map_or(u64::MAX, |wall_ms| clock.steady_ms(wall_ms).max(0) as u64);
+        let passes = self.cluster.services().iter();
         let pass_ms = passes
             .filter_map(|(_, service)| service.next_pass_ms())
             .min()
@@ -87,84 +98,82 @@
         due_ms
             .min(self.next_tick_ms)
             .min(pass_ms)
-            .max(state.now_ms + 1)
+            .max(clock.now_ms() + 1)
     }
 
     /// Takes an event. `now_ms` is the steady clock, `wall_ms` the time of day since 1970.
     pub fn handle(&mut self, now_ms: u64, wall_ms: u64, event: Event, effects: &mut Vec<Effect>) {
-        self.state.now_ms = self.state.now_ms.max(now_ms);
-        self.state.clock.observe(now_ms, wall_ms);
+        self.cluster.advance_clock(now_ms, wall_ms);
         self.dispatch(event);
-        self.state.open_due_repeats();
-        if self.state.now_ms >= self.next_tick_ms {
+        self.cluster.open_due_repeats();
+        if self.cluster.clock().now_ms() >= self.next_tick_ms {
             self.tick();
         }
         self.release(effects);
-        self.state.schedule();
-        effects.extend(self.state.take_write());
+        self.placer.place_waiting(&mut self.cluster);
+        effects.extend(self.cluster.take_write());
         self.release(effects);
         self.send_orders(effects);
-        let late = self.state.late.drain(..);
+        let late = self.cluster.take_late().into_iter();
         effects.extend(late.map(|end| Effect::Late(Box::new(end))));
     }
 
     /// Passes an event to the part that it concerns.
     fn dispatch(&mut self, event: Event) {
-        let state = &mut self.state;
+        let cluster = &mut self.cluster;
         match event {
-            Event::Config(config) => state.configure(config),
-            Event::Call { from, call } => state.call(from, call),
-            Event::CallerDisconnected(caller) => state.outbox.forget_caller(caller),
-            Event::Committed(write) => state.outbox.commit(write),
+            Event::Config(config) => self.calls.configure(cluster, config),
+            Event::Call { from, call } => self.calls.handle(cluster, from, call),
+            Event::CallerDisconnected(caller) => cluster.outbox_mut().forget_caller(caller),
+            Event::Committed(write) => cluster.outbox_mut().commit(write),
             Event::AgentConnected { agent, node_name } => {
-                state.workers.connected(agent, node_name);
+                cluster.workers_mut().connected(agent, node_name);
             }
-            Event::AgentDisconnected(agent) => state.workers.disconnected(agent),
-            Event::Report { agent, report } => state.report(agent, report),
+            Event::AgentDisconnected(agent) => cluster.workers_mut().disconnected(agent),
+            Event::Report { agent, report } => self.reports.handle(cluster, agent, report),
             Event::Timer => {}
         }
     }
 
     /// Does what depends on time alone.
     fn tick(&mut self) {
-        let state = &mut self.state;
-        let now_ms = state.now_ms;
-        let tick_ms = if state.load.has_open_jobs() {
+        let cluster = &mut self.cluster;
+        let now_ms = cluster.clock().now_ms();
+        let tick_ms = if cluster.jobs().has_open_jobs() {
             TICK_MS
         } else {
             IDLE_TICK_MS
         };
         self.next_tick_ms = now_ms + tick_ms;
-        state.give_up_expired();
-        state.forget_ended();
+        cluster.give_up_expired();
+        cluster.forget_ended_jobs();
         if self.check_timer.take_due(now_ms) {
-            state.check_runs();
+            check_runs(cluster);
+            self.placer.speculate(cluster);
         }
-        state.write_checkpoints();
+        cluster.write_checkpoints();
         if self.resolve_timer.take_due(now_ms) {
-            for service in state.services.iter_mut() {
-                service.kinds.resolve(&state.workers);
-            }
+            cluster.resolve_kinds();
         }
-        state.reorder_queues();
+        cluster.reorder_queues();
         if self.preempt_timer.take_due(now_ms) {
-            state.preempt();
+            preempt(cluster);
         }
-        for service in state.services.iter_mut() {
+        for service in cluster.services_mut().iter_mut() {
             service.request_pass_if_queued();
         }
     }
 
     /// Carries out what need not wait for a write any longer.
     fn release(&mut self, effects: &mut Vec<Effect>) {
-        let state = &mut self.state;
-        for deferred in state.outbox.released() {
+        let cluster = &mut self.cluster;
+        for deferred in cluster.outbox_mut().released() {
             match deferred {
                 Deferred::Reply(to, reply) => effects.push(Effect::Reply { to, reply }),
-                Deferred::Start(run) => state.send_start(run),
-                Deferred::Stop(run) => state.send_stop(run),
+                Deferred::Start(run) => cluster.send_start(run),
+                Deferred::Stop(run) => cluster.send_stop(run),
                 Deferred::Acknowledge(worker, number) => {
-                    if let Some(worker) = state.workers.get_mut(worker) {
+                    if let Some(worker) = cluster.workers_mut().get_mut(worker) {
                         worker.commit_ends_until(number);
                     }
                 }
@@ -175,24 +184,24 @@
     /// The orders of the present event, by worker, then the answers to node agents without one.
     fn send_orders(&mut self, effects: &mut Vec<Effect>) {
         let epoch = self.epoch;
-        for (id, orders) in self.state.outbox.take_orders() {
-            let Some(worker) = self.state.workers.get(id) else {
+        for (id, orders) in self.cluster.outbox_mut().take_orders() {
+            let Some(worker) = self.cluster.workers().get(id) else {
                 continue;
             };
-            let Some(agent) = worker.agent else {
+            let Some(agent) = worker.agent() else {
                 continue;
             };
             let orders = AgentOrders {
                 epoch,
                 echo_sent_ms: orders.echo_sent_ms,
-                instance: worker.instance.clone(),
+                instance: worker.instance().to_owned(),
                 start: orders.start,
                 stop: orders.stop,
                 acknowledged_end: worker.acknowledged_end(),
             };
             effects.push(Effect::Orders { agent, orders });
         }
-        let answers = self.state.answers_without_instance.drain(..);
+        let answers = self.reports.take_answers().into_iter();
         effects.extend(answers.map(|answer| empty_orders(epoch, answer)));
     }
 }
--- a/crates/scheduler/src/services.rs
+++ b/crates/scheduler/src/services.rs
@@ -14,14 +14,12 @@
 /// The state of one service.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceState {
-    /// Its workers by kind.
-    pub kinds: Kinds,
+    kinds: Kinds,
     /// Workers reserved for steps that need much capacity at once.
-    pub reservations: Reservations,
-    /// What came recently.
-    pub recent: RecentDemand,
+    reservations: Reservations,
+    recent: RecentDemand,
     /// How long all that waits will take.
-    pub backlog: BacklogCache,
+    backlog: BacklogCache,
     /// Steps with tasks to place.
     queue: Queue,
     /// Something has changed that may let a task be placed.
@@ -33,6 +31,46 @@
 }
 
 impl ServiceState {
+    /// Its workers by kind.
+    pub(crate) fn kinds(&self) -> &Kinds {
+        &self.kinds
+    }
+
+    /// Its workers by kind.
+    pub(crate) fn kinds_mut(&mut self) -> &mut Kinds {
+        &mut self.kinds
+    }
+
+    /// Workers reserved for steps that need much capacity at once.
+    pub(crate) fn reservations(&self) -> &Reservations {
+        &self.reservations
+    }
+
+    /// Workers reserved for steps that need much capacity at once.
+    pub(crate) fn reservations_mut(&mut self) -> &mut Reservations {
+        &mut self.reservations
+    }
+
+    /// What came recently.
+    pub(crate) fn recent(&self) -> &RecentDemand {
+        &self.recent
+    }
+
+    /// What came recently.
+    pub(crate) fn recent_mut(&mut self) -> &mut RecentDemand {
+        &mut self.recent
+    }
+
+    /// The last estimate of how long all that waits will take.
+    pub(crate) fn backlog(&self) -> &BacklogCache {
+        &self.backlog
+    }
+
+    /// Keeps an estimate of how long all that waits will take.
+    pub(crate) fn set_backlog(&mut self, backlog_ms: u64, now_ms: u64) {
+        self.backlog.set(backlog_ms, now_ms);
+    }
+
     /// Steps with tasks to place, in order of admission.
     pub(crate) fn queue(&self) -> &Queue {
         &self.queue
@@ -76,6 +114,11 @@
         (self.dirty || self.regroup).then_some(self.next_pass_ms)
     }
 
+    /// Whether a pass over its queue is due.
+    pub(crate) fn is_due(&self, now_ms: u64) -> bool {
+        self.next_pass_ms().is_some_and(|pass_ms| now_ms >= pass_ms)
+    }
+
     /// A pass over the queue of this service, called `name`, begins.
     pub(crate) fn begin_pass(&mut self, workers: &Workers, name: &str) {
         self.dirty = false;
--- a/crates/scheduler/src/step_traits.rs
+++ b/crates/scheduler/src/step_traits.rs
@@ -1,8 +1,6 @@
 //! What of a step matters for its runs.
 
-use crate::job::Job;
 use crate::kinds::Class;
-use crate::queue::StepRef;
 use indigofold_protocol::job::Resources;
 
 /// What of a step matters for its runs.
@@ -21,18 +19,3 @@
     /// Service that runs the tasks.
     pub service: String,
 }
-
-impl StepTraits {
-    /// The traits of one of the job's steps.
-    pub(crate) fn of(job: &Job, at: StepRef) -> Option<StepTraits> {
-        let step = job.step(at.step)?;
-        Some(StepTraits {
-            resources: step.resources(),
-            gang: step.gang,
-            long_running: step.long_running,
-            estimate_ms: step.estimate_ms,
-            class: job.class(at.step),
-            service: job.service.clone(),
-        })
-    }
-}
--- a/crates/scheduler/src/straggler.rs
+++ b/crates/scheduler/src/straggler.rs
@@ -29,7 +29,7 @@
     pub(crate) fn slowdown(&self, id: WorkerId) -> Option<f64> {
         let worker = self.workers.get(id)?;
         let mut by_job: BTreeMap<JobId, f64> = BTreeMap::new();
-        for task in &worker.runs {
+        for task in worker.runs() {
             if let Some(projected) = self.projected(id, task) {
                 let ratio = projected.total_ms / projected.expected_ms.max(1.0);
                 by_job
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -1,11 +1,8 @@
 //! A read-only view of the parts on which decisions are based.
 
 use crate::api::Bounds;
-use crate::job_table::JobTable;
-use crate::queue::StepRef;
+use crate::jobs::{Jobs, Run};
 use crate::services::{ServiceState, Services};
-use crate::step_traits::StepTraits;
-use crate::task::Run;
 use crate::worker::{Worker, WorkerId};
 use crate::workers::Workers;
 use indigofold_protocol::job::Resources;
@@ -19,7 +16,7 @@
     /// Limits from the settings.
     pub bounds: &'a Bounds,
     /// All jobs.
-    pub jobs: &'a JobTable,
+    pub jobs: &'a Jobs,
     /// All worker instances.
     pub workers: &'a Workers,
     /// All services.
@@ -27,11 +24,6 @@
 }
 
 impl<'a> ClusterView<'a> {
-    /// What of a step matters for its runs.
-    pub(crate) fn traits(&self, at: StepRef) -> Option<StepTraits> {
-        StepTraits::of(self.jobs.get(&at.job)?, at)
-    }
-
     /// The task's run on this worker.
     pub(crate) fn run_at(&self, worker: WorkerId, task: &TaskName) -> Option<&'a Run> {
         self.jobs.get(&task.job)?.task(task)?.run_at(worker)
@@ -47,6 +39,6 @@
     /// The workers of a service.
     pub(crate) fn workers_of(&self, service: &'a ServiceState) -> impl Iterator<Item = &'a Worker> {
         let workers = self.workers;
-        service.kinds.workers().filter_map(|id| workers.get(id))
+        service.kinds().workers().filter_map(|id| workers.get(id))
     }
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -21,42 +21,32 @@
 /// One worker instance.
 #[derive(Debug)]
 pub(crate) struct Worker {
-    /// Its id among workers.
-    pub instance: String,
+    instance: String,
     /// Machine that it and its node agent run on; unknown until it reports.
     node_name: Option<String>,
     /// Machine that its row names, if it has one.
     recorded_node: Option<String>,
-    /// Connection over which it is reached.
-    pub agent: Option<AgentId>,
-    /// Service it belongs to; empty until it reports.
-    pub backend: String,
-    /// Whether it takes new work.
-    pub state: WorkerState,
-    /// When its drain ends, while it is draining.
-    pub drain_end_ms: Option<u64>,
-    /// What it has.
-    pub capacity: Resources,
-    /// Its labels.
-    pub labels: Vec<String>,
+    agent: Option<AgentId>,
+    backend: String,
+    state: WorkerState,
+    drain_end_ms: Option<u64>,
+    capacity: Resources,
+    labels: Vec<String>,
     /// What outstanding runs take.
-    pub used: Resources,
+    used: Resources,
     /// What of this is used by runs that were bound to a kind.
     used_bound: Resources,
-    /// Tasks with an outstanding run here.
-    pub runs: BTreeSet<TaskName>,
+    runs: BTreeSet<TaskName>,
     /// A full report was received on the present connection.
-    pub full_report_received: bool,
+    full_report_received: bool,
     /// When its node agent reported last.
     last_report_ms: u64,
-    /// Time since its last heartbeat then, in milliseconds.
-    pub since_heartbeat_ms: u64,
+    since_heartbeat_ms: u64,
     /// When a report of its node agent was answered last; before that, when this scheduler took over.
     answered_ms: u64,
     /// When its leases expired without a report; `None` while they may be valid.
     expired_ms: Option<u64>,
-    /// Runs that must not be there.
-    pub unexpected: UnexpectedRuns,
+    unexpected: UnexpectedRuns,
     /// Number of the newest end that was handled.
     handled_end: u64,
     /// Number of the newest end that is committed.
@@ -65,8 +55,7 @@
     backoff_until_ms: u64,
     /// It warms up until then.
     warm_up_until_ms: u64,
-    /// Its health by the results of its runs.
-    pub health: Health,
+    health: Health,
 }
 
 impl Worker {
@@ -99,6 +88,76 @@
         }
     }
 
+    /// Its id among workers.
+    pub(crate) fn instance(&self) -> &str {
+        &self.instance
+    }
+
+    /// Connection over which it is reported.
+    pub(crate) fn agent(&self) -> Option<AgentId> {
+        self.agent
+    }
+
+    /// Service it belongs to; empty until it reports.
+    pub(crate) fn backend(&self) -> &str {
+        &self.backend
+    }
+
+    /// Whether it takes new work.
+    pub(crate) fn state(&self) -> WorkerState {
+        self.state
+    }
+
+    /// When its drain ends, while it is draining.
+    pub(crate) fn drain_end_ms(&self) -> Option<u64> {
+        self.drain_end_ms
+    }
+
+    /// What it has.
+    pub(crate) fn capacity(&self) -> Resources {
+        self.capacity
+    }
+
+    /// Its labels.
+    pub(crate) fn labels(&self) -> &[String] {
+        &self.labels
+    }
+
+    /// What outstanding runs take.
+    pub(crate) fn used(&self) -> Resources {
+        self.used
+    }
+
+    /// Tasks with an outstanding run here.
+    pub(crate) fn runs(&self) -> &BTreeSet<TaskName> {
+        &self.runs
+    }
+
+    /// Time since its last heartbeat when its node agent reported last, in milliseconds.
+    pub(crate) fn since_heartbeat_ms(&self) -> u64 {
+        self.since_heartbeat_ms
+    }
+
+    /// Its health by the results of its runs.
+    pub(crate) fn health(&self) -> &Health {
+        &self.health
+    }
+
+    /// Its health by the results of its runs.
+    pub(crate) fn health_mut(&mut self) -> &mut Health {
+        &mut self.health
+    }
+
+    /// Runs that must not be there.
+    pub(crate) fn unexpected_mut(&mut self) -> &mut UnexpectedRuns {
+        &mut self.unexpected
+    }
+
+    /// Its node agent has sent a full report; returns whether that is the first on this connection.
+    pub(crate) fn record_full_report(&mut self) -> bool {
+        !std::mem::replace(&mut self.full_report_received, true)
+    }
+
     /// Applies what a report says about the instance; returns whether its kind or readiness changed.
     pub(crate) fn apply_report(&mut self, now_ms: u64, report: &InstanceReport) -> bool {
         let changed = self.backend != report.backend
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -87,7 +87,7 @@
         let Some(worker) = self.instances.remove(&id) else {
             return;
         };
-        self.by_instance.remove(&worker.instance);
+        self.by_instance.remove(worker.instance());
         if let Some(instances) = worker
             .node_name()
             .and_then(|node| self.by_node.get_mut(node))
@@ -144,7 +144,7 @@
             self.connection_of_node.remove(&connection.node_name);
         }
         if let Some(worker) = connection.worker.and_then(|id| self.instances.get_mut(&id))
-            && worker.agent == Some(agent)
+            && worker.agent() == Some(agent)
         {
             worker.detach();
         }
@@ -192,7 +192,7 @@
             .get_mut(&agent)
             .and_then(|c| c.worker.take());
         if let Some(worker) = worker.and_then(|id| self.instances.get_mut(&id))
-            && worker.agent == Some(agent)
+            && worker.agent() == Some(agent)
         {
             worker.detach();
         }
