indigofold-ctl: the answer after the third redirection counts

Cause: after the last redirection the head was queried once more, and its answer was never read. Change: each answer is evaluated; beyond the bound the error names the heads that were named last. Measured: job_lookup over sockets; its third case fails with the former bound.

--- a/crates/ctl/src/job.rs
+++ b/crates/ctl/src/job.rs
@@ -1,17 +1,18 @@
 //! `job`: the state of a job, where its tasks run, and why it waits.
 
-use crate::query::{self, MemberError, MemberResponse, NoAnswerSnafu, QueryError};
+use crate::query::{self, MemberError, MemberResponse, NoAnswerSnafu, QueryError, RedirectedSnafu};
 use crate::report::Report;
 use indigofold_protocol::inspection::{
     InspectionAnswer, JobInspection, Question, StepInspection, TaskCounts, Wait,
 };
 use indigofold_protocol::task::JobId;
 use serde_json::Value;
+use snafu::ensure;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// Bound on the redirections to another head, while the leadership moves.
-const REDIRECTIONS_MAX: usize = 3;
+/// Most redirections to another head that are followed, while the leadership moves.
+pub const REDIRECTIONS_MAX: usize = 3;
 
 /// The outcome of the responses to a query for a job.
 enum Lookup {
@@ -29,21 +30,30 @@
 }
 
 /// The job as the acting head knows it; `None` if there is no such job.
+///
+/// # Errors
+///
+/// [`QueryError::NoAnswer`] if no member answers or knows the head, [`QueryError::Redirected`] if members name other
+/// heads for longer than [`REDIRECTIONS_MAX`] redirections.
 pub async fn find_job(
     id: JobId,
     addresses: Vec<SocketAddr>,
 ) -> Result<Option<JobInspection>, QueryError> {
-    let mut responses = query::query_all(&addresses, Question::Job(id)).await;
-    for _ in 0..REDIRECTIONS_MAX {
-        match evaluate(responses) {
+    let mut addresses = addresses;
+    let mut redirections = 0;
+    loop {
+        let responses = query::query_all(&addresses, Question::Job(id)).await;
+        addresses = match evaluate(responses) {
             Lookup::Answered(job) => return Ok(job),
-            Lookup::Redirected(heads) => {
-                responses = query::query_all(&heads, Question::Job(id)).await;
-            }
             Lookup::Failed(failures) => return NoAnswerSnafu { failures }.fail(),
-        }
+            Lookup::Redirected(heads) => heads,
+        };
+        redirections += 1;
+        ensure!(
+            redirections <= REDIRECTIONS_MAX,
+            RedirectedSnafu { heads: addresses }
+        );
     }
-    Err(query::no_answer(responses))
 }
 
 fn evaluate(responses: Vec<MemberResponse>) -> Lookup {
--- a/crates/ctl/src/query.rs
+++ b/crates/ctl/src/query.rs
@@ -68,6 +68,15 @@
         /// Why.
         source: NetError,
     },
+    /// Each member asked names another one as the head.
+    #[snafu(display(
+        "each member names another one as the head, the last {}: the leadership moves, try again",
+        joined(heads)
+    ))]
+    Redirected {
+        /// Internal addresses of the heads named last.
+        heads: Vec<SocketAddr>,
+    },
     /// No member answers.
     #[snafu(display("no member answers: {}", joined(failures)))]
     NoAnswer {
@@ -76,9 +85,9 @@
     },
 }
 
-fn joined(failures: &[MemberError]) -> String {
-    let reasons: Vec<String> = failures.iter().map(ToString::to_string).collect();
-    reasons.join("; ")
+fn joined(parts: &[impl ToString]) -> String {
+    let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    parts.join("; ")
 }
 
 /// What has come of a query to one member.
--- /dev/null
+++ b/crates/ctl/tests/job_lookup.rs
@@ -0,0 +1,78 @@
+//! `job` follows members that name others as the head, as far as its bound, over real sockets.
+
+use indigofold_ctl::job::{REDIRECTIONS_MAX, find_job};
+use indigofold_ctl::query::QueryError;
+use indigofold_net::framed::{self, FrameListener};
+use indigofold_net::runtime::{self, Task};
+use indigofold_protocol::inspection::{InspectionAnswer, InspectionReply};
+use indigofold_protocol::internal::{Frame, MemberAddress};
+use indigofold_protocol::task::JobId;
+use rstest::rstest;
+use std::net::SocketAddr;
+
+/// A member that answers each question with `answer`.
+async fn serve(listener: FrameListener, answer: InspectionAnswer) {
+    while let Ok(mut connection) = listener.accept().await {
+        while let Ok(Some(frame)) = connection.reader.next().await {
+            let Frame::Inspect(call) = frame else {
+                continue;
+            };
+            let reply = InspectionReply {
+                call: call.call,
+                answer: answer.clone(),
+            };
+            let sent = connection.sender.send(&Frame::Inspected(reply));
+            sent.expect("the asker waits for the answer");
+        }
+    }
+}
+
+/// Members of which each names the next one as the head; the last one is the head and knows no job.
+async fn members(count: usize) -> (SocketAddr, Vec<Task<()>>) {
+    let mut tasks = Vec::new();
+    let mut answer = InspectionAnswer::Job(None);
+    let mut first = SocketAddr::from(([127, 0, 0, 1], 0));
+    for number in (0..count).rev() {
+        let listener = framed::listen(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+        let listener = listener.expect("loopback can be listened on");
+        first = listener.local_address();
+        tasks.push(runtime::spawn_scoped(serve(listener, answer)));
+        answer = InspectionAnswer::NotHead {
+            head: Some(MemberAddress {
+                node_name: format!("core-{number}"),
+                internal: first,
+                control: first,
+            }),
+        };
+    }
+    (first, tasks)
+}
+
+#[rstest]
+#[case::the_head_itself(0)]
+#[case::one(1)]
+#[case::as_many_as_are_followed(REDIRECTIONS_MAX)]
+fn the_answer_after_the_last_redirection_counts(#[case] redirections: usize) {
+    let found = runtime::run(async move {
+        let (first, _members) = members(redirections + 1).await;
+        find_job(JobId(7), vec![first]).await
+    });
+    let found = found.expect("the runtime starts");
+    assert_eq!(found.expect("the head has answered"), None);
+}
+
+#[test]
+fn members_that_name_others_without_end_are_an_error_with_the_last_one() {
+    let found = runtime::run(async {
+        let (first, _members) = members(REDIRECTIONS_MAX + 2).await;
+        find_job(JobId(7), vec![first]).await
+    });
+    let error = found
+        .expect("the runtime starts")
+        .expect_err("too many redirections");
+    assert!(
+        matches!(&error, QueryError::Redirected { heads } if heads.len() == 1),
+        "{error}"
+    );
+    assert!(error.to_string().contains("try again"), "{error}");
+}
