Node agent: an unknown instance that was replaced is reported as ended once

Cause: an instance named by the head before the worker registered stayed unknown after it was closed, and ended a second time as its leases expired. Change: closing an instance ends its being unknown. Measured: a test that runs past the leases; it fails without the mend.

--- a/crates/data-plane/src/agent/former_instances.rs
+++ b/crates/data-plane/src/agent/former_instances.rs
@@ -43,6 +43,7 @@
 
     /// An instance was replaced or has deregistered, and nothing of it runs.
     pub(super) fn close(&mut self, id: String) {
+        self.unknown.take_if(|unknown| *unknown == id);
         self.closed.push(id.clone());
         if self.closed.len() > ENDED_INSTANCES_MAX {
             self.closed.remove(0);
--- a/crates/data-plane/tests/agent_reports.rs
+++ b/crates/data-plane/tests/agent_reports.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::agent_harness::{AgentHarness, WORKER, run, start};
-use indigofold_data_plane::agent::{REPORT_INTERVAL_MS, REPORT_SPACING_MS};
+use common::agent_harness::{AgentHarness, START_MS, WORKER, run, start};
+use indigofold_data_plane::agent::{REPORT_INTERVAL_MS, REPORT_SPACING_MS, expires_by_ms};
+use indigofold_protocol::internal::{AgentOrders, RUN_LEASE_MS};
 use indigofold_protocol::worker::{RunEnd, WorkerState};
 
 #[test]
@@ -129,3 +130,35 @@
         (vec![WORKER.to_owned()], vec![run(1)])
     );
 }
+
+/// The head names an instance before the worker has registered, and again before it learns that another one has.
+#[test]
+fn an_unknown_instance_that_was_replaced_is_reported_as_ended_once() {
+    const UNKNOWN: &str = "i-0";
+    let mut harness = AgentHarness::unconnected();
+    harness.agent.handle_connected();
+    harness.report_now();
+    let name_unknown = |harness: &mut AgentHarness| {
+        let orders = AgentOrders {
+            instance: UNKNOWN.to_owned(),
+            ..harness.no_orders()
+        };
+        harness.deliver_orders(orders);
+    };
+    name_unknown(&mut harness);
+    harness.send_heartbeat();
+    name_unknown(&mut harness);
+    assert_eq!(harness.report_now().ended_instances, vec![UNKNOWN]);
+    let leases_expired_ms = expires_by_ms(START_MS, RUN_LEASE_MS);
+    while harness.now_ms <= leases_expired_ms {
+        harness.send_heartbeat();
+        let report = harness.report();
+        let ended = report.map(|report| report.ended_instances);
+        assert_eq!(
+            ended.unwrap_or_default(),
+            Vec::<String>::new(),
+            "at {} ms",
+            harness.now_ms
+        );
+    }
+}
