Net: the warning on a peer that does not read has the bytes that wait

Cause: the line named only the size of the frame that found no space. Measured: a test binary with a logger of its own compares the line with the queue; it fails without the mend.

--- a/crates/net/src/framed/sender.rs
+++ b/crates/net/src/framed/sender.rs
@@ -71,9 +71,10 @@
     pub fn send(&self, frame: &Frame) -> Result<(), Closed> {
         ensure!(!self.link.is_closed(), ClosedSnafu);
         let bytes = codec::encode(frame);
-        if self.queued_bytes() + bytes.len() > QUEUE_BYTES_MAX {
+        let queued_bytes = self.queued_bytes();
+        if queued_bytes + bytes.len() > QUEUE_BYTES_MAX {
             log::warn!(
-                "connection closed: the peer does not read peer={} frame_bytes={}",
+                "connection closed: the peer does not read peer={} queued_bytes={queued_bytes} frame_bytes={}",
                 self.link.peer(),
                 bytes.len()
             );
--- /dev/null
+++ b/crates/net/tests/framed_warning.rs
@@ -0,0 +1,69 @@
+//! What the log says of a peer that does not read. A binary of its own, as a process has one logger.
+
+use indigofold_net::framed::{self, QUEUE_BYTES_MAX};
+use indigofold_net::runtime;
+use indigofold_protocol::internal::Frame;
+use log::{LevelFilter, Log, Metadata, Record};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Time for a connection on loopback; never reached unless something is broken.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Bytes of a frame's payload; several of them fill the queue.
+const PAYLOAD_BYTES: usize = 30 << 20;
+
+/// Keeps warnings.
+struct Warnings(Mutex<Vec<String>>);
+
+static WARNINGS: Warnings = Warnings(Mutex::new(Vec::new()));
+
+impl Log for Warnings {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        metadata.level() <= log::Level::Warn
+    }
+
+    fn log(&self, record: &Record) {
+        if self.enabled(record.metadata()) {
+            let mut warnings = self.0.lock().expect("no test panics with it");
+            warnings.push(record.args().to_string());
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// The number that follows `name=` in a log line.
+fn value(line: &str, name: &str) -> usize {
+    let fields = line.split(' ').filter_map(|field| field.split_once('='));
+    let mut values = fields.filter(|(key, _)| *key == name);
+    let (_, value) = values.next().expect("the line has the field");
+    value.parse().expect("a number")
+}
+
+#[test]
+fn the_warning_says_how_much_waits_for_a_peer_that_does_not_read() {
+    log::set_logger(&WARNINGS).expect("the only logger");
+    log::set_max_level(LevelFilter::Warn);
+    let waiting = runtime::run(async {
+        let listener = framed::listen(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+        let listener = listener.expect("loopback can be listened on");
+        let dialled = framed::connect(listener.local_address(), PATIENCE).await;
+        let connection = dialled.expect("the listener is there");
+        let sender = &connection.sender;
+        let frame = Frame::Replication(vec![0; PAYLOAD_BYTES]);
+        let mut waiting = 0;
+        while sender.send(&frame).is_ok() {
+            waiting = sender.queued_bytes();
+        }
+        waiting
+    });
+    let waiting = waiting.expect("the runtime starts");
+    let warnings = WARNINGS.0.lock().expect("no test panics with it");
+    let [line] = &warnings[..] else {
+        panic!("one warning, not {warnings:?}");
+    };
+    assert_eq!(value(line, "queued_bytes"), waiting);
+    assert!(value(line, "frame_bytes") > PAYLOAD_BYTES);
+    assert!(waiting + value(line, "frame_bytes") > QUEUE_BYTES_MAX);
+}
