Protocol: a heartbeat without remaining_ms is encoded without the field

Cause: it was encoded as null, by stand-in workers only; workers leave the field out. Change: skipped when there is none. The test expected the null; it now expects the encoding without the field, which is as strict. Measured: wire_examples fails without the mend.

--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -45,6 +45,7 @@
     /// Its labels: kind, rack.
     pub labels: Vec<String>,
     /// Least time until it ends, in milliseconds, while it drains.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub remaining_ms: Option<u64>,
     /// Its own clock, in milliseconds.
     pub now_ms: u64,
