--- a/crates/decisions/tests/attempts.rs
+++ b/crates/decisions/tests/attempts.rs
@@ -101,6 +101,41 @@
     assert_eq!(fail_until_answered(&mut harness), 1);
 }
 
+/// Requests that wait for a worker have passed the check of the budget before; it is checked again when they are sent.
+#[test]
+fn queued_retries_stay_within_the_budget_that_is_left_when_they_are_sent() {
+    let mut settings = settings();
+    settings.rules.resends = Some(ResendBudget {
+        free: 1.0,
+        ratio: 0.0,
+        window: None,
+    });
+    let workers: Vec<_> = (0..4).map(|i| entry(i, 0)).collect();
+    let mut harness = Harness::new(settings, &workers);
+    let requests = [harness.submit(0).0, harness.submit(0).0];
+    let draining: Vec<_> = workers
+        .iter()
+        .map(|worker| Entry {
+            state: WorkerState::Draining,
+            ..worker.clone()
+        })
+        .collect();
+    harness.update_membership(Scope::Cached, &draining);
+    for id in requests {
+        harness.end(id, 0, Status::Error);
+        assert!(harness.sent_to(id).is_none(), "no worker takes it");
+        assert!(!harness.is_refused(id), "one retry is left, so it waits");
+    }
+    harness.update_membership(Scope::Cached, &workers);
+    let sent = requests.map(|id| harness.sent_to(id).is_some());
+    assert_eq!(
+        sent.iter().filter(|sent| **sent).count(),
+        1,
+        "{:?}",
+        harness.actions
+    );
+}
+
 #[test]
 fn moot_attempts_are_returned_to_the_retry_budget() {
     let mut settings = settings();
