Scheduler: a run whose order was lost counts as dispatch in the latency breakdown

Cause: a run that never started after its order left was booked as stopped, though nobody stopped it. Change: its time is commit up to the order and dispatch from then on; stopped runs and those whose order had not left stay as they were. Measured: tests of Run alone; the first fails without the mend.

--- a/crates/scheduler/src/jobs/run.rs
+++ b/crates/scheduler/src/jobs/run.rs
@@ -184,13 +184,23 @@
     ) {
         let spent_ms = now_ms.saturating_sub(self.placed_ms);
         match result {
-            RunResult::Ended(RunEnd::Done) => {}
-            RunResult::Ended(RunEnd::Failed) => return breakdown.add(Cause::Failed, spent_ms),
-            RunResult::Lost => return breakdown.add(Cause::Lost, spent_ms),
+            RunResult::Ended(RunEnd::Done) => self.add_work(breakdown, now_ms),
+            RunResult::Ended(RunEnd::Failed) => breakdown.add(Cause::Failed, spent_ms),
+            RunResult::Lost => breakdown.add(Cause::Lost, spent_ms),
+            RunResult::NotStarted if self.sent && self.stop.is_none() => {
+                // Its order was lost or refused on its way.
+                let sent_ms = self.sent_ms.max(self.placed_ms);
+                breakdown.add(Cause::Commit, sent_ms - self.placed_ms);
+                breakdown.add(Cause::Dispatch, now_ms.saturating_sub(sent_ms));
+            }
             RunResult::Ended(_) | RunResult::NotStarted => {
-                return breakdown.add(Cause::Stopped, spent_ms);
+                breakdown.add(Cause::Stopped, spent_ms);
             }
         }
+    }
+
+    /// Adds the time that it took, as its work is done.
+    fn add_work(&self, breakdown: &mut LatencyBreakdown, now_ms: u64) {
         let sent_ms = self.sent_ms.max(self.placed_ms);
         let began_ms = self.began_ms.unwrap_or(sent_ms).max(sent_ms);
         let ran_ms = now_ms.saturating_sub(began_ms);
@@ -201,3 +211,6 @@
         breakdown.add(Cause::Remote, ran_ms - local_ms);
     }
 }
+
+#[cfg(test)]
+mod tests;
