Exchanges: a connection closed under a request, forced; connections waits for the close

Change: closed_under_request forces that order (the claim lies unread as the worker closes): the claim may have run, fails with 500 and is not sent again, so that connections would wait for a second dial in vain. There the worker's close is now acknowledged before the next job comes (SO_LINGER). The log of the one failure was not kept, so that it was this order is not proven.

--- a/crates/indigofold/tests/exchanges.rs
+++ b/crates/indigofold/tests/exchanges.rs
@@ -23,6 +23,8 @@
 //!     NAME < PATTERN               waits for bytes that match from the first one on; `*` stands for any, `{3-40}` for a
 //!                                  whole number from 3 to 40
 //!     NAME close / NAME eof        closes / waits for the other side to close
+//!     NAME leave                   closes, and waits until the program's end of the connection has been told so
+//!     NAME unread                  waits until bytes have come, and leaves them unread
 //!     NAME end                     waits for the other side to close without a reset
 //!     NAME reset                   closes with a reset
 //!     NAME fill COUNT              sends so many bytes of nothing that can be understood
@@ -546,6 +548,20 @@
                 rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO))
                     .expect("a reset");
             }
+            (_, "leave") => {
+                let (stream, _) = self.links.remove(name).expect("a connection");
+                // With this, closing waits until the close has been acknowledged.
+                rustix::net::sockopt::set_socket_linger(&stream, Some(LIMIT)).expect("a close");
+            }
+            (_, "unread") => {
+                let (stream, got) = self.links.get_mut(name).expect("a connection");
+                assert!(
+                    got.is_empty(),
+                    "nothing has been read beyond what was expected"
+                );
+                let count = stream.peek(&mut [0]).expect("bytes to be read");
+                assert_eq!(count, 1, "{name} was closed");
+            }
             (_, "fill") => {
                 let (stream, _) = self.links.get_mut(name).expect("a connection");
                 stream
