Scheduler: random draws by rand_pcg and rand, as in replication

Cause: the crate had a generator of its own (SplitMix64). Change: Pcg64Mcg with random_range and random of the rand crate; the draws differ, so that placements do.

--- a/crates/scheduler/src/kinds.rs
+++ b/crates/scheduler/src/kinds.rs
@@ -1,13 +1,14 @@
 //! Hybrid SQ(d): the workers of a service by kind, the probabilities `p_k` of the kinds by problem (1), and the selection of a
 //! worker.
 
-use crate::rng::Rng;
 use crate::worker::{Worker, WorkerId, is_rack};
 use crate::workers::Workers;
 use indigofold_placement::runs::{KEEP, Speed, Sum, Work, add, learn};
 use indigofold_placement::solve::solve;
 use indigofold_protocol::job::Resources;
 use indigofold_protocol::task::TaskName;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 
 /// Workers sampled for a task.
@@ -252,7 +253,7 @@
     /// fewest runs wins. Without any the other kinds follow by `p_k`.
     pub(crate) fn select(
         &self,
-        rng: &mut Rng,
+        rng: &mut Pcg64Mcg,
         workers: &Workers,
         label: &str,
         fits: impl Fn(WorkerId, &Worker) -> bool,
@@ -314,12 +315,12 @@
         }
     }
 
-    fn draw(&self, rng: &mut Rng, allowed: &[usize]) -> Option<usize> {
+    fn draw(&self, rng: &mut Pcg64Mcg, allowed: &[usize]) -> Option<usize> {
         let total: f64 = allowed
             .iter()
             .map(|kind| self.kinds[*kind].probability)
             .sum();
-        let mut at = rng.unit() * total;
+        let mut at = rng.random::<f64>() * total;
         for &kind in allowed {
             at -= self.kinds[kind].probability;
             if at < 0.0 {
@@ -406,7 +407,7 @@
 
 /// Up to [`SAMPLES`] different workers that fit, drawn at random.
 fn sample(
-    rng: &mut Rng,
+    rng: &mut Pcg64Mcg,
     from: &[WorkerId],
     workers: &Workers,
     fits: impl Fn(WorkerId, &Worker) -> bool,
@@ -414,7 +415,7 @@
     let mut left = from.to_vec();
     let mut sampled = Vec::with_capacity(SAMPLES);
     while sampled.len() < SAMPLES && !left.is_empty() {
-        let id = left.swap_remove(rng.below(left.len()));
+        let id = left.swap_remove(rng.random_range(..left.len()));
         if workers.get(id).is_some_and(|worker| fits(id, worker)) {
             sampled.push(id);
         }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! - Values: `latency`, `api` (inputs and outputs), `run_result`, `queue` (order of admission), `value`, `definition`,
 //!   `step_traits`.
-//! - Parts with state of their own: `clock`, `timers`, `rng`, `health`, `unexpected_runs`, `worker`, `workers` (registry
+//! - Parts with state of their own: `clock`, `timers`, `health`, `unexpected_runs`, `worker`, `workers` (registry
 //!   of instances and connections), `kinds` (hybrid SQ(d)), `jobs` (lifecycle of jobs, their tasks and runs), `demand`,
 //!   `reservations`, `recent_demand`, `backlog_cache`, `services` (queues), `rows` (stored forms), `outbox` (changed rows
 //!   and what waits for their commit).
@@ -44,7 +44,6 @@
 mod recent_demand;
 mod reports;
 mod reservations;
-mod rng;
 mod rows;
 mod run_checks;
 mod run_result;
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -12,12 +12,13 @@
 use crate::latency::Cause;
 use crate::queue::{QueueKey, StepRef};
 use crate::reservations::Reservation;
-use crate::rng::Rng;
 use crate::services::ServiceState;
 use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::job::Resources;
 use indigofold_protocol::task::TaskName;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use reserve::{RESERVATIONS_MAX, reserve};
 
 /// Most steps that one pass over the queue considers.
@@ -48,7 +49,7 @@
 /// Decides where tasks go. Its draws come from one generator, so that the same events give the same placements.
 #[derive(Debug)]
 pub(crate) struct Placer {
-    rng: Rng,
+    rng: Pcg64Mcg,
     /// Nothing is placed before this time: after a take-over the node agents reconnect one by one.
     start_ms: u64,
     /// Placements since they were last taken; `None` while nobody follows them.
@@ -59,7 +60,7 @@
     /// Places from `start_ms` of the steady clock on.
     pub(crate) fn new(seed: u64, start_ms: u64) -> Self {
         Placer {
-            rng: Rng::new(seed),
+            rng: Pcg64Mcg::seed_from_u64(seed),
             start_ms,
             traces: None,
         }
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -7,6 +7,7 @@
 use crate::placement::{Placer, avoids_idle_workers};
 use crate::queue::StepRef;
 use crate::worker::{Worker, WorkerId};
+use rand::RngExt;
 use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
 
@@ -77,7 +78,7 @@
         let racks: BTreeSet<&str> = racks.collect();
         let mut racks: Vec<String> = racks.into_iter().map(str::to_owned).collect();
         while !racks.is_empty() {
-            let rack = racks.swap_remove(self.rng.below(racks.len()));
+            let rack = racks.swap_remove(self.rng.random_range(..racks.len()));
             if let Some(plan) = self.plan(cluster, service, demand, scope, members, Some(&rack)) {
                 return Some(plan);
             }
