--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,225 +1,223 @@
 //! One member's side of the protocol.
 //!
-//! [`Replica`] takes inputs, hands each to the part of the protocol that it belongs to, and collects the outputs. State that
-//! one part alone changes is kept in a type of its own: `Voter` (leases and pre-votes granted), `Campaign`, `Leadership`
-//! with its `WriteQueue`, `StateTransfer`, `RowsServer`, `TrimSchedule` and `StoreQueue`. The record ([`Durable`]) is shared
-//! by all parts, because it is stored as a whole.
+//! [`Replica`] takes inputs, hands each to the part of the protocol that it belongs to, and collects the outputs. Each part
+//! keeps its own state and timers, and tells by its result what follows for others:
+//!
+//! | part | its state |
+//! | --- | --- |
+//! | `Follower` | leases and pre-votes granted, announcements |
+//! | `Candidate` | the campaign, when the next one begins |
+//! | `Head` | the leadership with its peers and writes, when the view is changed |
+//! | `Transfers` | the transfer to this member, requests of others, tombstones |
+//! | `chain` | none: a member's part in the chain is in the record |
+//! | `Context` | the record ([`Durable`]) and its stores, clock, random numbers, outputs |
+//!
+//! `roles` has what concerns several parts: a member begins to follow, promises, campaigns, leads, hands over.
 
-mod campaign;
+mod candidate;
 mod chain;
-mod commit;
+mod context;
 mod discovery;
-mod election;
-mod following;
+mod follower;
 mod head;
 mod io;
-mod leadership;
-mod peer;
-mod planner;
-mod proposal;
-mod reconfiguration;
-mod rows_server;
-mod state_transfer;
-mod step_down;
+mod roles;
 mod store_queue;
-mod transfer;
-mod trim_schedule;
-mod voter;
-mod voting;
-mod write_queue;
-mod writes;
+mod transfers;
 
 pub use io::{Input, Output, Settings};
 
 use crate::durable::Durable;
 use crate::message::{Envelope, Message};
-use crate::timing::{BACKOFF_SPREAD_MS, LEASE_MS, RESUME_CAMPAIGN_MS};
-use crate::types::{Member, SEED_DISK, View, ViewStart, Viewstamp};
-use campaign::Campaign;
-use indigofold_protocol::internal::MemberAddress;
-use leadership::Leadership;
-use rand_core::{Rng, SeedableRng};
-use rand_pcg::Pcg64Mcg;
-use rows_server::RowsServer;
-use state_transfer::StateTransfer;
-use std::net::SocketAddr;
-use store_queue::{AfterStore, StoreQueue};
-use trim_schedule::TrimSchedule;
-use voter::Voter;
+use crate::timing::{LEASE_MS, RESUME_CAMPAIGN_MS};
+use crate::types::{Member, View, Viewstamp};
+use candidate::Candidate;
+use context::Context;
+use follower::Follower;
+use head::Head;
+use store_queue::AfterStore;
+use transfers::Transfers;
 
 /// A member: takes [`Input`]s and returns [`Output`]s.
 #[derive(Debug)]
 pub struct Replica {
-    settings: Settings,
-    /// The record with all that is being stored or will be.
-    durable: Durable,
-    stores: StoreQueue,
-    voter: Voter,
-    /// When to campaign, unless a heartbeat comes before.
-    campaign_at_ms: u64,
-    /// When to announce itself, unless a heartbeat comes before.
-    announce_at_ms: u64,
-    trim_schedule: TrimSchedule,
-    campaign: Option<Campaign>,
-    leadership: Option<Leadership>,
-    transfer: Option<StateTransfer>,
-    rows_server: RowsServer,
-    /// Id of the last pre-vote or transfer; random at the start, so that answers to an earlier incarnation are told apart.
-    last_request_id: u64,
-    /// The next number that this member proposes is above this.
-    number_floor: u64,
-    draining_since_ms: Option<u64>,
-    random: Pcg64Mcg,
-    now_ms: u64,
-    outputs: Vec<Output>,
+    context: Context,
+    follower: Follower,
+    candidate: Candidate,
+    head: Head,
+    transfers: Transfers,
 }
 
 impl Replica {
     /// A member that starts with what its disk has kept, if anything.
     pub fn new(settings: Settings, durable: Option<Durable>, now_ms: u64) -> Replica {
-        let mut random = Pcg64Mcg::seed_from_u64(settings.random_seed);
-        let stores = StoreQueue::new(durable.as_ref());
         let lease_wait_ms = if durable.is_some() { LEASE_MS } else { 0 };
         let vote_from_ms = now_ms + lease_wait_ms;
-        let durable = durable.unwrap_or_else(|| first_record(&settings, &mut random));
+        let address = settings.address.clone();
         let mut replica = Replica {
-            durable,
-            stores,
-            voter: Voter::new(vote_from_ms),
-            campaign_at_ms: 0,
-            announce_at_ms: now_ms,
-            trim_schedule: TrimSchedule::new(now_ms),
-            campaign: None,
-            leadership: None,
-            transfer: None,
-            rows_server: RowsServer::default(),
-            last_request_id: random.next_u64() >> 1,
-            number_floor: 0,
-            draining_since_ms: None,
-            random,
-            now_ms,
-            outputs: Vec::new(),
-            settings,
+            context: Context::new(settings, durable, now_ms),
+            follower: Follower::new(vote_from_ms, now_ms),
+            candidate: Candidate::new(now_ms + RESUME_CAMPAIGN_MS),
+            head: Head::default(),
+            transfers: Transfers::new(now_ms),
         };
-        replica.campaign_at_ms = match replica.is_resuming() {
-            true => now_ms + RESUME_CAMPAIGN_MS,
-            false => vote_from_ms + replica.random_below(BACKOFF_SPREAD_MS),
-        };
-        let own_address = replica.settings.address.clone();
-        replica.learn_address(own_address);
+        if !replica.is_resuming() {
+            let context = &mut replica.context;
+            replica.candidate.postpone_beyond(context, vote_from_ms);
+        }
+        replica.context.learn_address(address);
         replica
     }
 
     /// Takes an input at `now_ms` of the steady clock.
     pub fn handle(&mut self, now_ms: u64, input: Input) -> Vec<Output> {
-        self.now_ms = self.now_ms.max(now_ms);
+        let context = &mut self.context;
+        context.advance(now_ms);
         match input {
-            Input::Message(envelope) => self.on_message(envelope),
-            Input::Stored { store } => self.on_stored(store),
-            Input::StoreFailed { store } => self.stores.fail(self.now_ms, store),
-            Input::RowsRead { read, chunk } => self.on_rows_read(read, chunk),
-            Input::ReadFailed { read } => {
-                self.rows_server.finish(read);
+            Input::Message(envelope) => self.handle_message(envelope),
+            Input::Stored { store } => self.handle_stored(store),
+            Input::StoreFailed { store } => context.stores.fail(context.now_ms(), store),
+            Input::RowsRead { read, chunk } => {
+                self.transfers.handle_rows_read(context, read, chunk);
             }
-            Input::Submit { write_id, changes } => self.on_submit(write_id, changes),
-            Input::MemberDiscovered { address } => self.learn_address(address),
-            Input::StepDown => self.on_step_down(),
+            Input::ReadFailed { read } => self.transfers.handle_read_failed(read),
+            Input::Submit { write_id, changes } => {
+                self.head.handle_submit(context, write_id, changes);
+            }
+            Input::MemberDiscovered { address } => context.learn_address(address),
+            Input::StepDown => self.handle_step_down(),
             Input::Timer => {}
         }
         self.run_due();
         self.start_store();
-        std::mem::take(&mut self.outputs)
+        self.context.take_outputs()
     }
 
     /// When [`Input::Timer`] is due.
     pub fn next_timer_ms(&self) -> u64 {
+        let is_campaigning = self.candidate.is_campaigning();
         let due = [
-            self.stores.retry_ms(),
+            self.context.stores.retry_ms(),
             self.announcement_due_ms(),
             self.election_due_ms(),
-            self.leadership_due_ms(),
-            self.transfer_due_ms(),
-            Some(self.trim_schedule.due_ms()),
+            self.head.due_ms(&self.context, is_campaigning),
+            self.transfers.due_ms(),
+            Some(self.transfers.trim_due_ms()),
         ];
         due.into_iter().flatten().min().unwrap_or(u64::MAX)
     }
 
     /// Number of the view that this member follows; 0 before the first.
     pub fn view(&self) -> u64 {
-        self.durable.view_number()
+        self.context.record.view_number()
     }
 
     /// This member's name among the voters.
     pub fn member(&self) -> Member {
-        self.durable.member
+        self.context.own()
     }
 
     /// The view accepted last, and whether it is known to be agreed.
     pub fn accepted_view(&self) -> Option<(&View, bool)> {
-        self.durable
-            .view
-            .as_ref()
-            .map(|view| (view, self.durable.agreed))
+        let record = &self.context.record;
+        record.view.as_ref().map(|view| (view, record.agreed))
     }
 
     /// The state of the rows on disk.
     pub fn stored_viewstamp(&self) -> Viewstamp {
-        self.stores.stored_viewstamp()
+        self.context.stores.stored_viewstamp()
+    }
+
+    /// This member is the head, and no other can be at this moment.
+    pub fn may_act(&self, now_ms: u64) -> bool {
+        self.head.may_act(now_ms)
+    }
+
+    /// Until when [`Replica::may_act`] is true if nothing else happens; 0 if it is false.
+    pub fn acting_until_ms(&self) -> u64 {
+        self.head.acting_until_ms()
     }
 
     fn run_due(&mut self) {
         self.run_announcement();
-        self.run_transfer();
+        self.transfers.run(&mut self.context);
         self.run_election();
         self.run_leadership();
-        self.run_trim_schedule();
+        self.transfers.run_trim_schedule(&mut self.context);
     }
 
-    fn on_message(&mut self, envelope: Envelope) {
+    fn handle_message(&mut self, envelope: Envelope) {
         let Envelope { from, message } = envelope;
-        if from == self.durable.member {
+        if from == self.context.own() {
             return;
         }
         match message {
-            Message::Announce { address } => self.on_announce(from, address),
+            Message::Announce { address } => self.handle_announce(from, address),
             Message::Addresses { addresses } => {
-                addresses.into_iter().for_each(|a| self.learn_address(a));
+                for address in addresses {
+                    self.context.learn_address(address);
+                }
             }
-            Message::PreVote(pre_vote) => self.on_pre_vote(from, &pre_vote),
-            Message::PreVoteReply(reply) => self.on_pre_vote_reply(from, reply),
+            Message::Heartbeat(heartbeat) => self.handle_heartbeat(from, heartbeat),
+            Message::Release { number } => self.handle_release(from, number),
+            Message::PreVote(pre_vote) => self.handle_pre_vote(from, &pre_vote),
             Message::Prepare {
                 number,
                 headed_view,
-            } => self.on_prepare(from, number, headed_view),
-            Message::PrepareOk(prepare_ok) => self.on_prepare_ok(from, prepare_ok),
+            } => self.handle_prepare(from, number, headed_view),
+            Message::Accept { view } => self.handle_accept(from, view),
+            message => self.handle_answer(from, message),
+        }
+    }
+
+    /// Takes answers to what this member has sent, writes, and state transfers.
+    fn handle_answer(&mut self, from: Member, message: Message) {
+        let is_campaigning = self.candidate.is_campaigning();
+        let context = &mut self.context;
+        match message {
+            Message::PreVoteReply(reply) => {
+                let step = self.candidate.handle_pre_vote_reply(context, from, reply);
+                self.handle_campaign_step(step);
+            }
+            Message::PrepareOk(prepare_ok) => self.handle_prepare_ok(from, prepare_ok),
             Message::PrepareReject { number, promised } => {
-                self.on_prepare_reject(from, number, promised);
+                self.handle_prepare_reject(from, number, promised);
             }
-            Message::Accept { view } => self.on_accept(from, view),
-            Message::Accepted { number } => self.on_accepted(from, number),
-            Message::Heartbeat(heartbeat) => self.on_heartbeat(from, heartbeat),
-            Message::Grant(grant) => self.on_grant(from, grant),
-            Message::Release { number } => self.on_release(from, number),
-            Message::CampaignNow { number } => self.on_campaign_now(from, number),
-            Message::Write(write) => self.on_write(write),
-            Message::Stored { viewstamp } => self.on_member_stored(from, viewstamp),
-            Message::WriteGap { viewstamp } => self.on_write_gap(from, viewstamp),
-            Message::Fetch(fetch) => self.on_fetch(from, &fetch),
-            Message::Rows(rows) => self.on_rows(from, rows),
+            Message::Accepted { number } => self.handle_accepted(from, number),
+            Message::CampaignNow { number } => self.handle_campaign_now(from, number),
+            Message::Grant(grant) => {
+                self.head.handle_grant(context, from, grant, is_campaigning);
+            }
+            Message::Write(write) if !self.head.is_leading() => chain::handle_write(context, write),
+            Message::Stored { viewstamp } => {
+                let head = &mut self.head;
+                head.handle_stored(context, from, viewstamp, is_campaigning);
+            }
+            Message::WriteGap { viewstamp } => {
+                self.head.handle_write_gap(context, from, viewstamp);
+            }
+            Message::Fetch(fetch) => self.transfers.handle_fetch(context, from, &fetch),
+            Message::Rows(rows) => self.handle_rows(from, rows),
+            _ => {}
         }
     }
 
-    fn on_stored(&mut self, store: u64) {
-        let Some(finished) = self.stores.finish(store) else {
+    fn handle_stored(&mut self, store: u64) {
+        let Some(finished) = self.context.stores.finish(store) else {
             return;
         };
         for effect in finished.after {
             match effect {
-                AfterStore::Send { to, message } => self.send(to, *message),
-                AfterStore::OwnPrepareOk { number } => self.on_own_prepare_ok(number),
-                AfterStore::OwnAccepted { number } => self.on_accepted(self.durable.member, number),
-                AfterStore::TransferStored { number } => self.on_transfer_stored(number),
-                AfterStore::Grant => self.send_grant(),
+                AfterStore::Send { to, message } => self.context.send(to, *message),
+                AfterStore::OwnPrepareOk { number } => self.handle_own_prepare_ok(number),
+                AfterStore::OwnAccepted { number } => {
+                    self.handle_accepted(self.context.own(), number);
+                }
+                AfterStore::TransferStored { number } => {
+                    let step = self.candidate.handle_fetched(&mut self.context, number);
+                    self.handle_campaign_step(step);
+                }
+                AfterStore::Grant => self.follower.send_grant(&mut self.context),
             }
         }
         if finished.has_new_rows {
@@ -227,57 +225,25 @@
         }
     }
 
-    fn start_store(&mut self) {
-        self.make_batch();
-        if let Some((store, request)) = self.stores.start(self.now_ms, &self.durable) {
-            self.outputs.push(Output::Store { store, request });
+    /// Reports to the head what is on disk, or counts it at the head itself.
+    fn report_stored(&mut self) {
+        let is_campaigning = self.candidate.is_campaigning();
+        if self.head.is_leading() {
+            self.head
+                .handle_own_stored(&mut self.context, is_campaigning);
+        } else {
+            chain::report_stored(&mut self.context);
         }
     }
 
-    fn send(&mut self, to: SocketAddr, message: Message) {
-        let envelope = Box::new(Envelope {
-            from: self.durable.member,
-            message,
-        });
-        self.outputs.push(Output::Send { to, envelope });
-    }
-
-    fn is_draining(&self) -> bool {
-        self.draining_since_ms.is_some()
-    }
-
-    fn random_below(&mut self, bound: u64) -> u64 {
-        self.random.next_u64() % bound.max(1)
-    }
-}
-
-/// The record of a member whose disk is empty.
-fn first_record(settings: &Settings, random: &mut Pcg64Mcg) -> Durable {
-    let internal = settings.address.internal;
-    let is_seed = settings.bootstrap && settings.seeds.contains(&internal);
-    let view = is_seed.then(|| View::first(&settings.seeds));
-    let viewstamp = view.as_ref().map_or(Viewstamp::default(), |v| v.base);
-    Durable {
-        member: Member {
-            internal,
-            disk: if is_seed {
-                SEED_DISK
-            } else {
-                random.next_u64().max(1)
-            },
-        },
-        promised: viewstamp.view,
-        agreed: is_seed,
-        viewstamp,
-        history: view
-            .iter()
-            .map(|v| ViewStart {
-                view: v.number,
-                seq: 0,
-            })
-            .collect(),
-        view,
-        trimmed: 0,
-        addresses: Vec::<MemberAddress>::new(),
+    fn start_store(&mut self) {
+        let context = &mut self.context;
+        if !self.candidate.is_campaigning() {
+            self.head.make_batch(context);
+        }
+        let (now_ms, record) = (context.now_ms(), &context.record);
+        if let Some((store, request)) = context.stores.start(now_ms, record) {
+            context.output(Output::Store { store, request });
+        }
     }
 }
--- /dev/null
+++ b/crates/replication/src/replica/candidate.rs
@@ -0,0 +1,342 @@
+//! How a voter becomes the head of the next view, in the phases of Paxos: a pre-vote (Raft thesis, section 9.6), promises,
+//! the transfer of the newest state among those that have promised, and acceptance. Child: what a campaign has collected.
+
+mod campaign;
+mod proposal;
+
+pub(super) use campaign::{NewestState, Plan};
+
+use super::context::Context;
+use super::store_queue::AfterStore;
+use crate::message::{Message, PreVoteReply, PrepareOk};
+use crate::timing::{
+    BACKOFF_MS, BACKOFF_OUTSIDE_CHAIN_MS, BACKOFF_SPREAD_MS, PHASE_MS, PRE_VOTE_GRANTED_MS,
+    PRE_VOTE_MS, PREPARED_DEFER_MS, RESUME_CAMPAIGN_MS, RESUME_PRE_VOTE_MS,
+};
+use crate::types::{Member, View, Viewstamp};
+use campaign::Campaign;
+use proposal::next_view;
+use std::collections::BTreeSet;
+
+/// What follows from a campaign for the other parts of a member.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum CampaignStep {
+    /// It waits for answers.
+    Wait,
+    /// A majority would vote for this member: promises for this number are to be asked for, on top of this view.
+    Prepare { number: u64, known: View },
+    /// The newest state has to be fetched from another member.
+    Fetch { number: u64, newest: NewestState },
+    /// No majority comes together: it is to be given up.
+    Fail,
+}
+
+/// A member as a candidate: its campaign, and when it begins the next one.
+#[derive(Debug)]
+pub(super) struct Candidate {
+    campaign: Option<Campaign>,
+    /// When to campaign, unless a heartbeat comes before.
+    campaign_at_ms: u64,
+}
+
+impl Candidate {
+    /// A member that campaigns at `campaign_at_ms`, unless a heartbeat comes before.
+    pub(super) fn new(campaign_at_ms: u64) -> Candidate {
+        Candidate {
+            campaign: None,
+            campaign_at_ms,
+        }
+    }
+
+    /// Whether a campaign is under way.
+    pub(super) fn is_campaigning(&self) -> bool {
+        self.campaign.is_some()
+    }
+
+    /// The number that the campaign under way has prepared.
+    pub(super) fn number(&self) -> Option<u64> {
+        self.campaign.as_ref().map(Campaign::number)
+    }
+
+    /// When the campaign under way goes on without those that have not answered; `None` if there is none.
+    pub(super) fn due_ms(&self) -> Option<u64> {
+        self.campaign.as_ref().map(Campaign::due_ms)
+    }
+
+    /// When the next campaign is to begin.
+    pub(super) fn campaign_at_ms(&self) -> u64 {
+        self.campaign_at_ms
+    }
+
+    /// Whether the campaign under way has had no majority for too long.
+    pub(super) fn is_timed_out(&self, now_ms: u64) -> bool {
+        let campaign = self.campaign.as_ref();
+        campaign.is_some_and(|campaign| campaign.is_timed_out(now_ms))
+    }
+
+    /// Gives the campaign up for another candidate or head.
+    pub(super) fn abandon(&mut self) {
+        self.campaign = None;
+    }
+
+    /// A campaign has failed; the next one begins after a random time, or soon if this member resumes as head.
+    pub(super) fn fail(&mut self, context: &mut Context, is_resuming: bool) {
+        self.campaign = None;
+        self.campaign_at_ms = if is_resuming {
+            context.now_ms() + RESUME_CAMPAIGN_MS
+        } else {
+            context.now_ms() + BACKOFF_MS + context.random_below(BACKOFF_SPREAD_MS)
+        };
+    }
+
+    /// The next campaign begins no sooner than a random time after `from_ms`.
+    pub(super) fn postpone_beyond(&mut self, context: &mut Context, from_ms: u64) {
+        self.campaign_at_ms = from_ms + context.random_below(BACKOFF_SPREAD_MS);
+    }
+
+    /// The next campaign begins at this time.
+    pub(super) fn postpone_until(&mut self, campaign_at_ms: u64) {
+        self.campaign_at_ms = campaign_at_ms;
+    }
+
+    /// This member is bound to a head until `until_ms`, and campaigns only if it does not hear from it again.
+    pub(super) fn yield_to_head(&mut self, context: &mut Context, until_ms: u64, in_chain: bool) {
+        self.campaign = None;
+        let extra_ms = if in_chain {
+            0
+        } else {
+            BACKOFF_OUTSIDE_CHAIN_MS
+        };
+        self.postpone_beyond(context, until_ms + extra_ms);
+    }
+
+    /// Another candidate has been granted a pre-vote and gets time for its campaign.
+    pub(super) fn yield_to_pre_vote(&mut self, context: &mut Context) {
+        self.campaign = None;
+        self.yield_for(context, PRE_VOTE_GRANTED_MS);
+    }
+
+    /// Another candidate has been promised a number and gets time for its campaign.
+    pub(super) fn yield_to_prepare(&mut self, context: &mut Context) {
+        self.yield_for(context, PREPARED_DEFER_MS);
+    }
+
+    fn yield_for(&mut self, context: &mut Context, time_ms: u64) {
+        let until_ms = context.now_ms() + time_ms + context.random_below(BACKOFF_SPREAD_MS);
+        self.campaign_at_ms = self.campaign_at_ms.max(until_ms);
+    }
+
+    /// Whether this member's own campaign goes before one of `candidate`, whose rows have this state.
+    pub(super) fn goes_before(
+        &self,
+        context: &Context,
+        candidate: Member,
+        viewstamp: Viewstamp,
+    ) -> bool {
+        let own_state = (context.record.viewstamp, candidate);
+        self.campaign
+            .as_ref()
+            .is_some_and(|own| !own.is_pre_vote() || own_state > (viewstamp, context.own()))
+    }
+
+    /// Asks whether a majority would vote for this member; nothing is promised yet.
+    pub(super) fn start_pre_vote(
+        &mut self,
+        context: &mut Context,
+        is_resuming: bool,
+    ) -> CampaignStep {
+        let request_id = context.next_request_id();
+        let Some(known) = context.record.view.clone() else {
+            return CampaignStep::Wait;
+        };
+        let wait_ms = if is_resuming {
+            RESUME_PRE_VOTE_MS
+        } else {
+            PRE_VOTE_MS
+        };
+        let own = context.own();
+        let mut campaign = Campaign::pre_vote(own, known, context.record.promised, request_id);
+        campaign.set_deadline(context.now_ms() + wait_ms);
+        self.campaign = Some(campaign);
+        self.send_requests(context);
+        if let Some(campaign) = &mut self.campaign {
+            campaign.count(own);
+        }
+        self.decide_pre_vote(context.own())
+    }
+
+    /// A voter has answered the pre-vote.
+    pub(super) fn handle_pre_vote_reply(
+        &mut self,
+        context: &mut Context,
+        from: Member,
+        reply: PreVoteReply,
+    ) -> CampaignStep {
+        let is_granted = reply.granted;
+        let Some(campaign) = &mut self.campaign else {
+            return CampaignStep::Wait;
+        };
+        if !campaign.receive_pre_vote_reply(from, reply) {
+            return CampaignStep::Wait;
+        }
+        if !is_granted && campaign.is_hopeless() {
+            return CampaignStep::Fail;
+        }
+        let step = if is_granted {
+            self.decide_pre_vote(context.own())
+        } else {
+            CampaignStep::Wait
+        };
+        if step == CampaignStep::Wait {
+            self.send_requests(context);
+        }
+        step
+    }
+
+    /// Asks for promises for `number` on top of the view `known`; `plan` is what a head wants to change.
+    pub(super) fn prepare(
+        &mut self,
+        context: &mut Context,
+        number: u64,
+        known: View,
+        plan: Option<Plan>,
+    ) {
+        let promised = context.record.promised;
+        let mut campaign = Campaign::prepare(context.own(), known, promised, number, plan);
+        campaign.set_deadline(context.now_ms() + PHASE_MS);
+        self.campaign = Some(campaign);
+        context.record.promised = number;
+        let own_promise = AfterStore::OwnPrepareOk { number };
+        context.stores.request_store_then(own_promise);
+        self.send_requests(context);
+    }
+
+    /// A voter has promised.
+    pub(super) fn handle_prepare_ok(
+        &mut self,
+        context: &mut Context,
+        from: Member,
+        prepare_ok: PrepareOk,
+    ) -> CampaignStep {
+        let campaign = self.campaign.as_mut();
+        if !campaign.is_some_and(|campaign| campaign.receive_prepare_ok(from, prepare_ok)) {
+            return CampaignStep::Wait;
+        }
+        self.send_requests(context);
+        self.decide_prepare(context)
+    }
+
+    /// Proposes a view once the newest state is decided, or says from whom that state is to be fetched first.
+    pub(super) fn decide_prepare(&mut self, context: &mut Context) -> CampaignStep {
+        let (own, now_ms) = (context.own(), context.now_ms());
+        let Some(campaign) = &mut self.campaign else {
+            return CampaignStep::Wait;
+        };
+        let Some(newest) = campaign.decided_state(own, now_ms) else {
+            return CampaignStep::Wait;
+        };
+        if newest.source == own {
+            return self.propose(context, newest.viewstamp);
+        }
+        campaign.fetch();
+        campaign.set_deadline(now_ms + PHASE_MS);
+        let number = campaign.number();
+        CampaignStep::Fetch { number, newest }
+    }
+
+    /// The state that was fetched for the view `number` is on disk.
+    pub(super) fn handle_fetched(&mut self, context: &mut Context, number: u64) -> CampaignStep {
+        let campaign = self.campaign.as_ref();
+        if campaign.is_some_and(|campaign| campaign.is_fetching(number)) {
+            self.propose(context, context.record.viewstamp)
+        } else {
+            CampaignStep::Wait
+        }
+    }
+
+    /// A voter has accepted the view `number`; returns the view once it is agreed.
+    pub(super) fn handle_accepted(
+        &mut self,
+        from: Member,
+        number: u64,
+        own: Member,
+    ) -> Option<View> {
+        let view = self
+            .campaign
+            .as_mut()?
+            .receive_accepted(from, number, own)?;
+        self.campaign = None;
+        Some(view)
+    }
+
+    /// A voter has promised a higher number, or is bound to another head.
+    pub(super) fn handle_reject(
+        &mut self,
+        from: Member,
+        number: u64,
+        promised: u64,
+        now_ms: u64,
+    ) -> CampaignStep {
+        let Some(campaign) = &mut self.campaign else {
+            return CampaignStep::Wait;
+        };
+        let is_own = campaign.receive_reject(from, number, promised, now_ms);
+        if is_own && campaign.is_hopeless() {
+            CampaignStep::Fail
+        } else {
+            CampaignStep::Wait
+        }
+    }
+
+    /// Sends this phase's request to all voters that have not had it yet.
+    fn send_requests(&mut self, context: &mut Context) {
+        let (viewstamp, headed_view) = (context.record.viewstamp, context.headed_view());
+        let campaign = self.campaign.as_mut();
+        let requests = campaign.and_then(|c| c.next_requests(viewstamp, headed_view));
+        let Some((message, voters)) = requests else {
+            return;
+        };
+        for voter in voters {
+            context.send(voter.internal, message.clone());
+        }
+    }
+
+    /// Promises are to be asked for once a majority would vote for this member.
+    fn decide_pre_vote(&self, own: Member) -> CampaignStep {
+        let Some(campaign) = self.campaign.as_ref().filter(|c| c.has_majority()) else {
+            return CampaignStep::Wait;
+        };
+        let (number, known) = (campaign.next_number(), campaign.known().clone());
+        if known.voters.contains(&own) {
+            CampaignStep::Prepare { number, known }
+        } else {
+            CampaignStep::Fail
+        }
+    }
+
+    /// Proposes the view on top of the state `base`, which this member has on disk.
+    fn propose(&mut self, context: &mut Context, base: Viewstamp) -> CampaignStep {
+        let own = context.own();
+        let campaign = self.campaign.as_mut();
+        let proposed = campaign.and_then(|campaign| {
+            let view = next_view(campaign, own, base, context.settings())?;
+            campaign.propose(view.clone());
+            campaign.set_deadline(context.now_ms() + PHASE_MS);
+            Some(view)
+        });
+        let Some(view) = proposed else {
+            return CampaignStep::Fail;
+        };
+        context.record.view = Some(view.clone());
+        context.record.agreed = false;
+        let number = view.number;
+        let own_acceptance = AfterStore::OwnAccepted { number };
+        context.stores.request_store_then(own_acceptance);
+        let electorates = view.voters.iter().chain(&view.previous_voters);
+        let others: BTreeSet<Member> = electorates.copied().filter(|&m| m != own).collect();
+        for member in others {
+            context.send(member.internal, Message::Accept { view: view.clone() });
+        }
+        CampaignStep::Wait
+    }
+}
--- a/crates/replication/src/replica/campaign.rs
+++ b/crates/replication/src/replica/candidate/campaign.rs
@@ -29,14 +29,14 @@
 
 /// A change that a head wants to make to its view.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Plan {
+pub(in crate::replica) struct Plan {
     pub voters: Vec<Member>,
     pub chain: Vec<Member>,
 }
 
 /// The newest state among those of the members that have promised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct NewestState {
+pub(in crate::replica) struct NewestState {
     pub viewstamp: Viewstamp,
     /// A member that has it: the candidate itself before others.
     pub source: Member,
--- a/crates/replication/src/replica/proposal.rs
+++ b/crates/replication/src/replica/candidate/proposal.rs
@@ -1,7 +1,7 @@
 //! The view that a candidate proposes once it has the newest state.
 
 use super::campaign::{Campaign, Plan, Promised};
-use super::io::Settings;
+use crate::replica::io::Settings;
 use crate::types::{Member, View, Viewstamp};
 use std::cmp::Reverse;
 
--- a/crates/replication/src/replica/voter.rs
+++ b/crates/replication/src/replica/follower/voter.rs
@@ -1,5 +1,5 @@
 //! What binds a voter beside the record on its disk: the lease that it has granted, and its answer to a pre-vote.
-//! Leases are granted and given up in `following`, where heartbeats and releases of the head are handled.
+//! Leases are granted and given up in `follower`, where heartbeats and releases of the head are handled.
 //!
 //! Nothing of this is on disk. A voter that was started again therefore counts as bound for a whole lease after its start.
 
@@ -8,7 +8,7 @@
 
 /// A promise to vote for no candidate but `head` for a time.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Lease {
+pub(in crate::replica) struct Lease {
     pub head: Member,
     /// Number of the head's view.
     pub number: u64,
@@ -27,7 +27,7 @@
 
 /// To whom a voter is bound.
 #[derive(Debug)]
-pub(super) struct Voter {
+pub(in crate::replica) struct Voter {
     /// Set by each heartbeat that is answered; cleared when the head gives the lease back, or this member leads itself.
     lease: Option<Lease>,
     pre_vote: Option<PreVoteGranted>,
@@ -37,7 +37,7 @@
 
 impl Voter {
     /// A voter that may have granted a lease which ends by `vote_from_ms`.
-    pub(super) fn new(vote_from_ms: u64) -> Voter {
+    pub(in crate::replica) fn new(vote_from_ms: u64) -> Voter {
         Voter {
             lease: None,
             pre_vote: None,
@@ -46,45 +46,45 @@
     }
 
     /// The lease granted last, whether it has expired or not.
-    pub(super) fn lease(&self) -> Option<&Lease> {
+    pub(in crate::replica) fn lease(&self) -> Option<&Lease> {
         self.lease.as_ref()
     }
 
     /// Grants a lease, in place of any other.
-    pub(super) fn grant_lease(&mut self, lease: Lease) {
+    pub(in crate::replica) fn grant_lease(&mut self, lease: Lease) {
         self.lease = Some(lease);
     }
 
     /// Forgets the lease granted.
-    pub(super) fn clear_lease(&mut self) {
+    pub(in crate::replica) fn clear_lease(&mut self) {
         self.lease = None;
     }
 
     /// Forgets the lease of this head and view; `false` if it is another's.
-    pub(super) fn release_lease(&mut self, head: Member, number: u64) -> bool {
+    pub(in crate::replica) fn release_lease(&mut self, head: Member, number: u64) -> bool {
         let is_released = |lease: &mut Lease| lease.head == head && lease.number == number;
         self.lease.take_if(is_released).is_some()
     }
 
     /// A lease runs that was granted to another member than `candidate`.
-    pub(super) fn is_leased_against(&self, candidate: Member, now_ms: u64) -> bool {
+    pub(in crate::replica) fn is_leased_against(&self, candidate: Member, now_ms: u64) -> bool {
         self.lease
             .is_some_and(|lease| lease.head != candidate && now_ms < lease.until_ms)
     }
 
     /// A lease may run that was granted before the start.
-    pub(super) fn may_have_unknown_lease(&self, now_ms: u64) -> bool {
+    pub(in crate::replica) fn may_have_unknown_lease(&self, now_ms: u64) -> bool {
         now_ms < self.vote_from_ms
     }
 
     /// Until when this member may not campaign itself.
-    pub(super) fn bound_until_ms(&self, now_ms: u64) -> u64 {
+    pub(in crate::replica) fn bound_until_ms(&self, now_ms: u64) -> u64 {
         let granted = self.lease.map_or(0, |lease| lease.until_ms);
         granted.max(self.vote_from_ms).max(now_ms)
     }
 
     /// Grants a pre-vote; for [`PRE_VOTE_GRANTED_MS`] no other candidate gets one.
-    pub(super) fn grant_pre_vote(&mut self, candidate: Member, now_ms: u64) {
+    pub(in crate::replica) fn grant_pre_vote(&mut self, candidate: Member, now_ms: u64) {
         self.pre_vote = Some(PreVoteGranted {
             candidate,
             until_ms: now_ms + PRE_VOTE_GRANTED_MS,
@@ -92,7 +92,7 @@
     }
 
     /// Another candidate has been granted a pre-vote just now.
-    pub(super) fn has_pre_voted_against(&self, candidate: Member, now_ms: u64) -> bool {
+    pub(in crate::replica) fn has_pre_voted_against(&self, candidate: Member, now_ms: u64) -> bool {
         self.pre_vote
             .as_ref()
             .is_some_and(|granted| granted.candidate != candidate && now_ms < granted.until_ms)
--- a/crates/replication/src/replica/head.rs
+++ b/crates/replication/src/replica/head.rs
@@ -1,179 +1,274 @@
-//! The head's work beside writes: heartbeats, and its lease.
+//! A member as the head: its leadership with heartbeats and lease, and why it ends. Children: writes, what the chain has
+//! stored, and when the view is changed.
 
-use super::Replica;
-use super::leadership::Leadership;
-use super::peer::Health;
+mod commit;
+mod leadership;
+mod peer;
+mod planner;
+mod reconfiguration;
+mod write_queue;
+mod writes;
+
+use super::context::Context;
+use super::io::Output;
 use crate::message::{Grant, Heartbeat, Message};
-use crate::timing::{BACKOFF_SPREAD_MS, DRAIN_WAIT_MS, HISTORY_MAX, LEASE_MS, SLOW_MEMBER_MS};
-use crate::types::{Member, View, ViewStart, Viewstamp};
+use crate::timing::{
+    DRAIN_WAIT_MS, HEARTBEAT_INTERVAL_MS, LEADERSHIP_MIN_MS, LEASE_MS, SLOW_HEAD_MS, SLOW_MEMBER_MS,
+};
+use crate::types::{Member, View};
+use leadership::Leadership;
+use peer::{Health, Peer};
+use reconfiguration::Reconfiguration;
 use std::net::SocketAddr;
 
-impl Replica {
+/// To whom a leadership is transferred, and who is told that the lease is given back.
+#[derive(Debug)]
+pub(super) struct Handover {
+    /// Number of the view that the head gives up.
+    pub number: u64,
+    /// Internal address of the member that is to campaign.
+    pub successor: SocketAddr,
+    /// Internal addresses of the others.
+    pub others: Vec<SocketAddr>,
+}
+
+/// A member as the head, while it leads.
+#[derive(Debug, Default)]
+pub(super) struct Head {
+    leadership: Option<Leadership>,
+    reconfiguration: Reconfiguration,
+}
+
+impl Head {
+    /// Whether this member leads a view, whatever its lease.
+    pub(super) fn is_leading(&self) -> bool {
+        self.leadership.is_some()
+    }
+
     /// This member is the head, and no other can be at this moment.
-    pub fn may_act(&self, now_ms: u64) -> bool {
+    pub(super) fn may_act(&self, now_ms: u64) -> bool {
         now_ms < self.acting_until_ms()
     }
 
-    /// Until when [`Replica::may_act`] is true if nothing else happens; 0 if it is false.
-    pub fn acting_until_ms(&self) -> u64 {
-        let gained = self
-            .leadership
-            .as_ref()
-            .filter(|leadership| leadership.is_gained());
+    /// Until when [`Head::may_act`] is true if nothing else happens; 0 if it is false.
+    pub(super) fn acting_until_ms(&self) -> u64 {
+        let leadership = self.leadership.as_ref();
+        let gained = leadership.filter(|leadership| leadership.is_gained());
         gained.map_or(0, Leadership::lease_until_ms)
     }
 
+    /// Internal addresses of all members that the head knows.
+    pub(super) fn peer_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let peers = self.leadership.iter().flat_map(Leadership::peers);
+        peers.map(|(member, _)| member.internal)
+    }
+
     /// Leads an agreed view.
-    pub(super) fn lead(&mut self, view: View) {
-        self.durable.agreed = true;
-        self.enter_view(&view);
-        self.voter.clear_lease();
+    pub(super) fn lead(&mut self, context: &mut Context, view: View) {
+        let now_ms = context.now_ms();
+        context.record.agreed = true;
+        context.enter_view(&view);
         match &mut self.leadership {
-            Some(leadership) => leadership.renew(view, self.now_ms),
+            Some(leadership) => leadership.renew(view, now_ms),
             None => {
-                let leadership = Leadership::new(
-                    self.durable.member,
-                    view,
-                    self.now_ms,
-                    self.stores.stored_viewstamp(),
-                );
+                let stored = context.stores.stored_viewstamp();
+                let leadership = Leadership::new(context.own(), view, now_ms, stored);
                 self.leadership = Some(leadership);
+                self.reconfiguration.begin(now_ms);
             }
         }
-        self.send_heartbeats();
-    }
-
-    /// Takes over the view's first state, which this member's rows are in already.
-    pub(super) fn enter_view(&mut self, view: &View) {
-        self.durable.viewstamp = Viewstamp {
-            view: view.number,
-            seq: view.base.seq,
-        };
-        let history = &mut self.durable.history;
-        history.push(ViewStart {
-            view: view.number,
-            seq: view.base.seq,
-        });
-        if history.len() > HISTORY_MAX {
-            history.drain(..history.len() - HISTORY_MAX);
-        }
-        self.stores.request_store();
+        self.send_heartbeats(context);
     }
 
-    pub(super) fn send_heartbeats(&mut self) {
-        let Some(leadership) = &mut self.leadership else {
+    /// This member leads no more. Whether writes that were sent down the chain are kept is unknown.
+    pub(super) fn end(&mut self, context: &mut Context) {
+        let Some(leadership) = self.leadership.take() else {
             return;
         };
-        leadership.schedule_heartbeat(self.now_ms);
-        for internal in leadership.heartbeat_recipients() {
-            self.send_heartbeat(internal);
+        let is_gained = leadership.is_gained();
+        let unfinished = leadership.into_writes().into_unfinished();
+        for write_id in unfinished.unknown {
+            context.output(Output::Aborted { write_id });
+        }
+        for write_id in unfinished.unsent {
+            context.output(Output::Rejected { write_id });
+        }
+        if is_gained {
+            context.output(Output::HeadLost);
         }
     }
 
-    fn send_heartbeat(&mut self, to: SocketAddr) {
-        let Some(leadership) = &self.leadership else {
-            return;
-        };
-        let message = Message::Heartbeat(Heartbeat {
-            view: leadership.view.clone(),
-            sent_ms: self.now_ms,
-            seq: self.durable.viewstamp.seq,
-            address: self.settings.address.clone(),
-        });
-        self.send(to, message);
-    }
-
-    pub(super) fn on_grant(&mut self, from: Member, grant: Grant) {
-        let now_ms = self.now_ms;
+    /// A member has answered a heartbeat.
+    pub(super) fn handle_grant(
+        &mut self,
+        context: &mut Context,
+        from: Member,
+        grant: Grant,
+        is_campaigning: bool,
+    ) {
+        let now_ms = context.now_ms();
         let (number, sent_ms) = (grant.number, grant.sent_ms);
         let health = Health {
             viewstamp: grant.viewstamp,
             store_age_ms: grant.store_age_ms,
             draining: grant.draining,
         };
-        self.learn_address(grant.address);
+        context.learn_address(grant.address);
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        let is_known = leadership.has_led(number) && sent_ms <= now_ms;
-        if !is_known {
+        if !leadership.has_led(number) || sent_ms > now_ms {
             return;
         }
-        leadership
-            .peer_or_new(from, now_ms)
-            .has_granted(sent_ms, health, now_ms);
-        self.count_stored();
+        let peer = leadership.peer_or_new(from, now_ms);
+        peer.has_granted(sent_ms, health, now_ms);
+        self.count_stored(context, is_campaigning);
     }
 
     /// A member without a head has announced itself.
-    pub(super) fn on_newcomer(&mut self, member: Member) {
-        let now_ms = self.now_ms;
+    pub(super) fn handle_newcomer(
+        &mut self,
+        context: &mut Context,
+        member: Member,
+        is_campaigning: bool,
+    ) {
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        leadership.peer_or_new(member, now_ms);
-        if self.campaign.is_none() {
-            self.send_heartbeat(member.internal);
+        leadership.peer_or_new(member, context.now_ms());
+        if !is_campaigning {
+            self.send_heartbeat(context, member.internal);
         }
     }
 
-    /// A member has rejected a heartbeat because it has promised a higher number.
-    pub(super) fn on_heartbeat_rejected(&mut self, from: Member, number: u64, promised: u64) {
-        let has_lease = self.may_act(self.now_ms);
-        let Some(leadership) = self.leadership.as_mut().filter(|l| l.view.number == number) else {
+    /// A member has rejected a heartbeat of the view `number` because it has promised a higher number. A head without a
+    /// lease gives way to it.
+    pub(super) fn handle_reject(
+        &mut self,
+        context: &mut Context,
+        from: Member,
+        number: u64,
+        promised: u64,
+    ) {
+        let now_ms = context.now_ms();
+        let has_lease = self.may_act(now_ms);
+        let leadership = self.leadership.as_mut();
+        let Some(leadership) = leadership.filter(|leads| leads.view().number == number) else {
             return;
         };
-        if promised <= self.durable.promised.max(number) {
+        if promised <= context.record.promised.max(number) {
             return;
         }
-        if let Some(peer) = leadership.peers.get_mut(&from) {
-            peer.has_rejected(self.now_ms);
+        if let Some(peer) = leadership.peer_mut(from) {
+            peer.has_rejected(now_ms);
         }
         if has_lease {
-            self.number_floor = self.number_floor.max(promised);
-        } else if leadership.view_age_ms(self.now_ms) > LEASE_MS {
-            self.end_leadership();
+            self.reconfiguration.raise_number(promised);
+        } else if leadership.view_age_ms(now_ms) > LEASE_MS {
+            self.end(context);
         }
     }
 
-    pub(super) fn leadership_due_ms(&self) -> Option<u64> {
+    /// When the head has something to do next; `None` if this member does not lead.
+    pub(super) fn due_ms(&self, context: &Context, is_campaigning: bool) -> Option<u64> {
         let leadership = self.leadership.as_ref()?;
-        let heartbeat = if self.campaign.is_some() {
+        let heartbeat_ms = if is_campaigning {
             u64::MAX
         } else {
             leadership.heartbeat_ms()
         };
-        let slow = leadership
-            .writes
-            .oldest()
-            .map_or(u64::MAX, |o| o.sent_ms + SLOW_MEMBER_MS);
-        let leave = self
-            .draining_since_ms
-            .map_or(u64::MAX, |since| since + DRAIN_WAIT_MS);
-        let ahead = [slow, leave].into_iter().filter(|&due| due > self.now_ms);
-        ahead.chain([heartbeat]).min()
+        let oldest = leadership.writes().oldest();
+        let slow_ms = oldest.map_or(u64::MAX, |oldest| oldest.sent_ms + SLOW_MEMBER_MS);
+        let draining_since_ms = context.draining_since_ms();
+        let leave_ms = draining_since_ms.map_or(u64::MAX, |since_ms| since_ms + DRAIN_WAIT_MS);
+        let ahead = [slow_ms, leave_ms].into_iter();
+        let ahead = ahead.filter(|&due_ms| due_ms > context.now_ms());
+        ahead.chain([heartbeat_ms]).min()
     }
 
-    pub(super) fn run_leadership(&mut self) {
+    /// Whether the head has had no lease in its view for too long.
+    pub(super) fn is_lost(&self, now_ms: u64) -> bool {
+        let leadership = self.leadership.as_ref();
+        leadership.is_some_and(|leadership| leadership.is_lost(now_ms))
+    }
+
+    /// Sends heartbeats, and again what members lack, when that is due.
+    pub(super) fn run_heartbeats(&mut self, context: &mut Context) {
+        let now_ms = context.now_ms();
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        if leadership.is_lost(self.now_ms) {
-            self.abandon_leadership_and_campaign();
-            self.campaign_at_ms = self.now_ms + LEASE_MS + self.random_below(BACKOFF_SPREAD_MS);
+        if now_ms < leadership.heartbeat_ms() {
             return;
         }
-        // Before heartbeats: one sent after the leadership was transferred would bind its receiver to this head again.
-        self.drain();
-        self.transfer_leadership_if_slow();
+        leadership.forget_newcomers(now_ms);
+        self.send_heartbeats(context);
+        self.resend_lacking(context);
+    }
+
+    /// To whom the leadership is to be transferred now: the member drains and its writes are committed, or have had time
+    /// for it; or its own disk hangs. `None` also if nobody else could lead at once.
+    pub(super) fn due_handover(&self, context: &Context) -> Option<Handover> {
+        let leadership = self.leadership.as_ref()?;
+        let now_ms = context.now_ms();
+        let has_drained = context.draining_since_ms().is_some_and(|since_ms| {
+            leadership.writes().is_empty() || now_ms >= since_ms + DRAIN_WAIT_MS
+        });
+        let is_slow = context.stores.age_ms(now_ms) >= SLOW_HEAD_MS
+            && leadership.age_ms(now_ms) >= LEADERSHIP_MIN_MS;
+        if !has_drained && !is_slow {
+            return None;
+        }
+        let successor = successor(leadership, context.own(), now_ms)?.internal;
+        let mut others = leadership.heartbeat_recipients();
+        others.remove(&successor);
+        Some(Handover {
+            number: leadership.view().number,
+            successor,
+            others: others.into_iter().collect(),
+        })
+    }
+
+    fn send_heartbeats(&mut self, context: &mut Context) {
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        if self.campaign.is_none() && self.now_ms >= leadership.heartbeat_ms() {
-            leadership.forget_newcomers(self.now_ms);
-            self.send_heartbeats();
-            self.resend_lacking();
+        leadership.schedule_heartbeat(context.now_ms());
+        for internal in leadership.heartbeat_recipients() {
+            self.send_heartbeat(context, internal);
         }
-        self.reconfigure();
     }
+
+    fn send_heartbeat(&self, context: &mut Context, to: SocketAddr) {
+        let Some(leadership) = &self.leadership else {
+            return;
+        };
+        let message = Message::Heartbeat(Heartbeat {
+            view: leadership.view().clone(),
+            sent_ms: context.now_ms(),
+            seq: context.record.viewstamp.seq,
+            address: context.settings().address.clone(),
+        });
+        context.send(to, message);
+    }
+}
+
+/// The member of the chain with the newest state, among those that could lead at once.
+fn successor(leadership: &Leadership, own: Member, now_ms: u64) -> Option<Member> {
+    let oldest_seq = leadership.writes().oldest().map_or(0, |o| o.batch.seq);
+    let is_fit = |peer: &Peer| {
+        peer.since_received_ms(now_ms) < 2 * HEARTBEAT_INTERVAL_MS
+            && !peer.health().draining
+            && peer.health().store_age_ms < SLOW_HEAD_MS / 2
+            && peer.health().viewstamp.seq >= oldest_seq
+    };
+    let others = leadership
+        .view()
+        .chain
+        .iter()
+        .copied()
+        .filter(|&m| m != own);
+    others
+        .filter(|&member| leadership.peer(member).is_some_and(is_fit))
+        .max_by_key(|&member| leadership.viewstamp_of(member))
 }
--- a/crates/replication/src/replica/leadership.rs
+++ b/crates/replication/src/replica/head/leadership.rs
@@ -2,9 +2,7 @@
 
 use super::peer::Peer;
 use super::write_queue::{Outstanding, WriteQueue};
-use crate::timing::{
-    FORGET_NEWCOMER_MS, HEARTBEAT_INTERVAL_MS, LEASE_MS, LEASE_USED_PERCENT, RECONFIGURE_MS,
-};
+use crate::timing::{FORGET_NEWCOMER_MS, HEARTBEAT_INTERVAL_MS, LEASE_MS, LEASE_USED_PERCENT};
 use crate::types::{Member, View, Viewstamp, majority};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -26,19 +24,17 @@
     /// Number of its first view.
     first_view: u64,
     /// The view that it leads now.
-    pub view: View,
+    view: View,
     view_since_ms: u64,
     since_ms: u64,
     /// The whole chain has taken over the view's first state.
-    is_installed: bool,
+    is_synchronized: bool,
     /// Number of the view that was reported to the driver last; `None` until this member has been reported as the head.
     reported_view: Option<u64>,
-    pub peers: BTreeMap<Member, Peer>,
-    pub writes: WriteQueue,
+    peers: BTreeMap<Member, Peer>,
+    writes: WriteQueue,
     /// When the next heartbeats are due.
     heartbeat_ms: u64,
-    /// When the view may be changed next.
-    reconfigure_ms: u64,
     /// State on the head's own disk.
     own_viewstamp: Viewstamp,
 }
@@ -57,12 +53,11 @@
             view,
             view_since_ms: now_ms,
             since_ms: now_ms,
-            is_installed: false,
+            is_synchronized: false,
             reported_view: None,
             peers: BTreeMap::new(),
             writes: WriteQueue::default(),
             heartbeat_ms: now_ms,
-            reconfigure_ms: now_ms,
             own_viewstamp,
         };
         leadership.add_voters(now_ms);
@@ -73,7 +68,7 @@
     pub(super) fn renew(&mut self, view: View, now_ms: u64) {
         self.view = view;
         self.view_since_ms = now_ms;
-        self.is_installed = false;
+        self.is_synchronized = false;
         self.heartbeat_ms = now_ms;
         for peer in self.peers.values_mut() {
             peer.enter_view();
@@ -89,6 +84,50 @@
         }
     }
 
+    /// The view that it leads now.
+    pub(super) fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// The view's own voters decide alone from now on; `false` if they did before.
+    pub(super) fn establish(&mut self) -> bool {
+        let is_new = !self.view.is_established();
+        if is_new {
+            self.view = self.view.clone().established();
+        }
+        is_new
+    }
+
+    /// All members that it knows, but itself.
+    pub(super) fn peers(&self) -> &BTreeMap<Member, Peer> {
+        &self.peers
+    }
+
+    /// A member that it knows.
+    pub(super) fn peer(&self, member: Member) -> Option<&Peer> {
+        self.peers.get(&member)
+    }
+
+    /// A member that it knows.
+    pub(super) fn peer_mut(&mut self, member: Member) -> Option<&mut Peer> {
+        self.peers.get_mut(&member)
+    }
+
+    /// Its writes that are not committed.
+    pub(super) fn writes(&self) -> &WriteQueue {
+        &self.writes
+    }
+
+    /// Its writes that are not committed.
+    pub(super) fn writes_mut(&mut self) -> &mut WriteQueue {
+        &mut self.writes
+    }
+
+    /// Its writes that are not committed, as it ends.
+    pub(super) fn into_writes(self) -> WriteQueue {
+        self.writes
+    }
+
     /// Whether it has led the view of this number.
     pub(super) fn has_led(&self, number: u64) -> bool {
         (self.first_view..=self.view.number).contains(&number)
@@ -100,13 +139,13 @@
     }
 
     /// The whole chain has taken over the view's first state.
-    pub(super) fn is_installed(&self) -> bool {
-        self.is_installed
+    pub(super) fn is_synchronized(&self) -> bool {
+        self.is_synchronized
     }
 
     /// The whole chain has taken over the view's first state now; `false` if it had before.
-    pub(super) fn install(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_installed, true)
+    pub(super) fn synchronize(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_synchronized, true)
     }
 
     /// What to notify the driver of, once: the first view when the head has a lease, later ones at once.
@@ -132,16 +171,6 @@
         self.heartbeat_ms = now_ms + HEARTBEAT_INTERVAL_MS;
     }
 
-    /// Whether the view may be changed now: the head has a lease, and the last attempt is long enough ago.
-    pub(super) fn may_reconfigure(&self, now_ms: u64) -> bool {
-        now_ms >= self.reconfigure_ms && now_ms < self.lease_until_ms()
-    }
-
-    /// The view is not changed again before [`RECONFIGURE_MS`] have passed.
-    pub(super) fn delay_reconfiguration(&mut self, now_ms: u64) {
-        self.reconfigure_ms = now_ms + RECONFIGURE_MS;
-    }
-
     /// How long the head has led its present view.
     pub(super) fn view_age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.view_since_ms)
--- a/crates/replication/src/replica/planner.rs
+++ b/crates/replication/src/replica/head/planner.rs
@@ -5,13 +5,13 @@
 //! after overlapping. An even number of voters bears no more losses than the odd number below it, so that the planner aims
 //! at odd numbers.
 
-use super::campaign::Plan;
-use super::io::Settings;
 use super::leadership::Leadership;
 use super::peer::Peer;
+use crate::replica::candidate::Plan;
+use crate::replica::io::Settings;
 use crate::timing::{
-    INSTALL_MS, REJOIN_LAG_WRITES, REJOIN_STORE_AGE_MS, REMOVE_AFTER_MS, REMOVE_LONE_AFTER_MS,
-    REPLACE_AFTER_MS, SLOW_MEMBER_MS, UNRESPONSIVE_MEMBER_MS, VOTERS_MAX,
+    REJOIN_LAG_WRITES, REJOIN_STORE_AGE_MS, REMOVE_AFTER_MS, REMOVE_LONE_AFTER_MS,
+    REPLACE_AFTER_MS, SLOW_MEMBER_MS, SYNCHRONIZE_MS, UNRESPONSIVE_MEMBER_MS, VOTERS_MAX,
 };
 use crate::types::Member;
 
@@ -39,7 +39,7 @@
 impl Planner<'_> {
     /// What the view should become; `None` where it is good as it is.
     pub(super) fn plan(&self) -> Option<Plan> {
-        let view = &self.leadership.view;
+        let view = self.leadership.view();
         let voters = self.planned_voters();
         let chain = self.planned_chain(&voters);
         let is_changed = voters != view.voters || chain != view.chain;
@@ -50,11 +50,11 @@
     }
 
     fn peer(&self, member: Member) -> Option<&Peer> {
-        self.leadership.peers.get(&member)
+        self.leadership.peer(member)
     }
 
     fn planned_voters(&self) -> Vec<Member> {
-        let mut voters = self.leadership.view.voters.clone();
+        let mut voters = self.leadership.view().voters.clone();
         match self.voter_change() {
             Some(VoterChange::Add(new)) => voters.push(new),
             Some(VoterChange::Remove(old)) => voters.retain(|&voter| voter != old),
@@ -70,7 +70,7 @@
     /// The next step towards an odd number of voters, all of them responsive. With an even number a partition into two
     /// halves would leave neither half a majority.
     fn voter_change(&self) -> Option<VoterChange> {
-        if !self.leadership.is_installed() {
+        if !self.leadership.is_synchronized() {
             return None;
         }
         let newcomers = self.ready_newcomers();
@@ -82,7 +82,7 @@
 
     /// A newcomer takes the place of the voter that had its address, and has lost its disk.
     fn wiped_replacement(&self, newcomers: &[Member]) -> Option<VoterChange> {
-        let voters = &self.leadership.view.voters;
+        let voters = &self.leadership.view().voters;
         newcomers.iter().find_map(|&new| {
             let has_address = |voter: &&Member| voter.internal == new.internal;
             let old = *voters.iter().find(has_address)?;
@@ -97,7 +97,7 @@
     }
 
     fn addition(&self, newcomers: &[Member]) -> Option<VoterChange> {
-        let voters = self.leadership.view.voters.len();
+        let voters = self.leadership.view().voters.len();
         let is_wanted = voters < self.voters_aimed_at(voters + newcomers.len());
         let new = *newcomers.first().filter(|_| is_wanted)?;
         Some(VoterChange::Add(new))
@@ -106,9 +106,9 @@
     /// Members that are no voters, and could be.
     fn ready_newcomers(&self) -> Vec<Member> {
         let is_ready = |peer: &Peer| self.is_fit(peer) && peer.may_rejoin(self.now_ms);
-        let peers = self.leadership.peers.iter();
+        let peers = self.leadership.peers().iter();
         peers
-            .filter(|(member, _)| !self.leadership.view.voters.contains(member))
+            .filter(|(member, _)| !self.leadership.view().voters.contains(member))
             .filter(|(_, peer)| is_ready(peer))
             .map(|(&member, _)| member)
             .collect()
@@ -120,7 +120,7 @@
             self.peer(voter)
                 .map_or(0, |peer| peer.since_received_ms(self.now_ms))
         };
-        let voters = self.leadership.view.voters.iter().copied();
+        let voters = self.leadership.view().voters.iter().copied();
         let mut unresponsive: Vec<Member> = voters
             .filter(|&voter| voter != self.own)
             .filter(|&voter| since_received_ms(voter) >= for_ms)
@@ -132,7 +132,7 @@
     /// A voter beyond those wanted: an unresponsive one (later if an even number would be left for it alone), and of an
     /// even number one that is not in the chain, or the last of the chain.
     fn surplus_voter(&self) -> Option<Member> {
-        let view = &self.leadership.view;
+        let view = self.leadership.view();
         if view.voters.len() <= self.settings.voters_min() {
             return None;
         }
@@ -160,7 +160,7 @@
     /// Whether a member outside the chain has the head's rows, stays, and could go on as a part of the chain.
     fn is_fit(&self, peer: &Peer) -> bool {
         let viewstamp = peer.health().viewstamp;
-        viewstamp.view == self.leadership.view.number
+        viewstamp.view == self.leadership.view().number
             && viewstamp.seq + REJOIN_LAG_WRITES >= self.head_seq
             && peer.health().store_age_ms < REJOIN_STORE_AGE_MS
             && peer.since_received_ms(self.now_ms) < UNRESPONSIVE_MEMBER_MS / 2
@@ -169,7 +169,7 @@
 
     /// The present chain without those that delay it, and with those that have caught up.
     fn planned_chain(&self, voters: &[Member]) -> Vec<Member> {
-        let chain = self.leadership.view.chain.iter().copied();
+        let chain = self.leadership.view().chain.iter().copied();
         let (delaying, mut planned): (Vec<Member>, Vec<Member>) = chain
             .filter(|member| voters.contains(member))
             .partition(|&member| self.slows_chain(member));
@@ -186,17 +186,17 @@
     /// Voters outside the chain that are taken into it. While the chain has not taken over the view's first state, only
     /// to replace one that delays it (`is_needed`): such a chain may never come together otherwise.
     fn joining(&self, voters: &[Member], is_needed: bool) -> Vec<Member> {
-        let is_installing = !self.leadership.is_installed();
-        if is_installing && !is_needed {
+        let is_synchronizing = !self.leadership.is_synchronized();
+        if is_synchronizing && !is_needed {
             return Vec::new();
         }
-        let may_rejoin = |peer: &Peer| is_installing || peer.may_rejoin(self.now_ms);
+        let may_rejoin = |peer: &Peer| is_synchronizing || peer.may_rejoin(self.now_ms);
         let joins = |peer: &Peer| self.is_fit(peer) && may_rejoin(peer);
         // One that is left out now has been in the chain: it joins again later, when its time of exclusion is over.
         let outside = voters
             .iter()
             .copied()
-            .filter(|voter| !self.leadership.view.chain.contains(voter));
+            .filter(|voter| !self.leadership.view().chain.contains(voter));
         outside
             .filter(|&voter| self.peer(voter).is_some_and(joins))
             .collect()
@@ -210,8 +210,8 @@
         let Some(peer) = self.peer(member) else {
             return false;
         };
-        let lacks_first_state = peer.health().viewstamp.view != self.leadership.view.number
-            && self.leadership.view_age_ms(self.now_ms) >= INSTALL_MS;
+        let lacks_first_state = peer.health().viewstamp.view != self.leadership.view().number
+            && self.leadership.view_age_ms(self.now_ms) >= SYNCHRONIZE_MS;
         peer.health().draining
             || peer.since_received_ms(self.now_ms) >= UNRESPONSIVE_MEMBER_MS
             || lacks_first_state
@@ -225,9 +225,9 @@
             return false;
         };
         let has_stored = |&&other: &&Member| leadership.viewstamp_of(other).seq >= oldest.batch.seq;
-        let stored = leadership.view.chain.iter().filter(has_stored).count();
+        let stored = leadership.view().chain.iter().filter(has_stored).count();
         let is_late = self.now_ms >= oldest.sent_ms + SLOW_MEMBER_MS;
-        let chain_min = self.settings.chain_min(leadership.view.voters.len());
-        leadership.is_installed() && is_late && stored >= chain_min
+        let chain_min = self.settings.chain_min(leadership.view().voters.len());
+        leadership.is_synchronized() && is_late && stored >= chain_min
     }
 }
--- /dev/null
+++ b/crates/replication/src/replica/head/writes.rs
@@ -0,0 +1,124 @@
+//! Writes at the head: batches are sent down the chain, and again to members that lack them.
+
+use super::Head;
+use super::peer::Peer;
+use crate::durable::StoreOperation;
+use crate::message::{Message, Write};
+use crate::replica::context::Context;
+use crate::replica::io::Output;
+use crate::timing::RESEND_MS;
+use crate::types::{Batch, Member, RowChange, Viewstamp};
+use std::sync::Arc;
+
+impl Head {
+    /// The driver submits a write; it is rejected unless this member leads and takes writes.
+    pub(in crate::replica) fn handle_submit(
+        &mut self,
+        context: &mut Context,
+        write_id: u64,
+        changes: Vec<RowChange>,
+    ) {
+        let accepts = !context.is_draining() && !context.stores.is_failing();
+        let leadership = self.leadership.as_mut();
+        let is_taken = leadership
+            .filter(|leadership| leadership.is_gained() && accepts)
+            .is_some_and(|leadership| leadership.writes_mut().submit(write_id, changes));
+        if !is_taken {
+            context.output(Output::Rejected { write_id });
+        }
+    }
+
+    /// Writes all that waits as one batch, unless a store is under way.
+    pub(in crate::replica) fn make_batch(&mut self, context: &mut Context) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let is_current = context.record.promised == leadership.view().number;
+        let is_ready = leadership.is_synchronized() && context.stores.is_idle() && is_current;
+        if !is_ready || !leadership.writes().has_pending() {
+            return;
+        }
+        context.record.viewstamp.seq += 1;
+        let seq = context.record.viewstamp.seq;
+        let batch = leadership.writes_mut().next_batch(seq, context.now_ms());
+        let write = StoreOperation::Write(Arc::clone(&batch));
+        context.stores.add(write);
+        context.stores.request_store();
+        self.send_batch(context, &batch);
+    }
+
+    /// A member lacks writes after this state.
+    pub(in crate::replica) fn handle_write_gap(
+        &mut self,
+        context: &mut Context,
+        from: Member,
+        viewstamp: Viewstamp,
+    ) {
+        let Some(leadership) = &self.leadership else {
+            return;
+        };
+        let view = leadership.view();
+        if viewstamp.view == view.number && view.chain.contains(&from) {
+            self.resend(context, from, viewstamp.seq);
+        }
+    }
+
+    /// Sends writes again to members that have not stored them for a while.
+    pub(super) fn resend_lacking(&mut self, context: &mut Context) {
+        let (own, now_ms) = (context.own(), context.now_ms());
+        let leadership = self.leadership.as_ref();
+        let Some(leadership) = leadership.filter(|leads| leads.is_synchronized()) else {
+            return;
+        };
+        let is_late = |member: Member| {
+            let oldest = leadership.oldest_lacking(member);
+            oldest.is_some_and(|oldest| now_ms >= oldest.sent_ms + RESEND_MS)
+        };
+        let chain = leadership.view().chain.iter().copied();
+        let late: Vec<(Member, u64)> = chain
+            .filter(|&member| member != own && is_late(member))
+            .map(|member| (member, leadership.viewstamp_of(member).seq))
+            .collect();
+        for (member, after) in late {
+            self.resend(context, member, after);
+        }
+    }
+
+    fn send_batch(&self, context: &mut Context, batch: &Arc<Batch>) {
+        let Some(leadership) = &self.leadership else {
+            return;
+        };
+        let view = leadership.view();
+        let successor = view.successor(context.own());
+        let is_direct = |member: Member| leadership.peer(member).is_some_and(Peer::is_direct);
+        let others = view.chain.iter().copied().skip(1);
+        let direct = others.filter(|&member| Some(member) != successor && is_direct(member));
+        for member in successor.into_iter().chain(direct) {
+            let message = Message::Write(Write {
+                number: view.number,
+                batches: vec![Arc::clone(batch)],
+                relay: Some(member) == successor,
+            });
+            context.send(member.internal, message);
+        }
+    }
+
+    fn resend(&mut self, context: &mut Context, member: Member, after: u64) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let peer = leadership.peer_mut(member);
+        if !peer.is_some_and(|peer| peer.begin_resend(context.now_ms())) {
+            return;
+        }
+        let batches = leadership.writes().batches_after(after);
+        if !batches.is_empty() {
+            let message = Message::Write(Write {
+                number: leadership.view().number,
+                batches,
+                relay: false,
+            });
+            context.send(member.internal, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/src/replica/roles.rs
@@ -0,0 +1,329 @@
+//! Changes between the roles of a member, each of which concerns several of its parts: it follows a head, promises,
+//! campaigns, leads, changes its view, and hands its leadership over.
+
+use super::Replica;
+use super::candidate::{CampaignStep, Plan};
+use super::head::Handover;
+use super::transfers::TransferOutcome;
+use crate::message::{Heartbeat, Message, PreVote, PrepareOk, Rows};
+use crate::timing::{BACKOFF_MS, BACKOFF_SPREAD_MS, LEASE_MS, RESIGNED_DEFER_MS};
+use crate::types::{Member, View};
+
+impl Replica {
+    // Following.
+
+    pub(super) fn handle_heartbeat(&mut self, from: Member, heartbeat: Heartbeat) {
+        let Heartbeat {
+            view,
+            sent_ms,
+            seq,
+            address,
+        } = heartbeat;
+        self.context.learn_address(address);
+        if view.number < self.context.record.promised || view.head() != Some(from) {
+            return self.context.reject(from, view.number);
+        }
+        self.follow(&view);
+        let context = &mut self.context;
+        let until_ms = self.follower.grant_lease(context, from, &view, sent_ms);
+        let in_chain = view.chain.contains(&context.own());
+        self.candidate.yield_to_head(context, until_ms, in_chain);
+        self.transfers.catch_up(context, &view, seq);
+    }
+
+    /// Takes over an agreed view that another member leads.
+    fn follow(&mut self, view: &View) {
+        let record = &self.context.record;
+        let known = record.view.as_ref().filter(|v| v.number == view.number);
+        let is_followed = record.agreed && record.promised == view.number;
+        if let Some(known) = known.filter(|_| is_followed) {
+            if view.is_established() && !known.is_established() {
+                self.context.record.view = Some(view.clone());
+                self.context.stores.request_store();
+            }
+            return;
+        }
+        self.abandon_leadership_and_campaign();
+        let record = &mut self.context.record;
+        record.promised = view.number;
+        record.view = Some(view.clone());
+        record.agreed = true;
+        self.transfers.abandon();
+        self.context.stores.request_store();
+    }
+
+    pub(super) fn handle_release(&mut self, from: Member, number: u64) {
+        if self.follower.handle_release(from, number) {
+            let from_ms = self.context.now_ms() + BACKOFF_SPREAD_MS;
+            self.candidate.postpone_beyond(&mut self.context, from_ms);
+        }
+    }
+
+    /// Whether this member is bound to a head other than `candidate`, as a voter or as that head itself. `headed_view`:
+    /// the view that the candidate heads on its disk (0: none).
+    fn is_bound_against(&self, candidate: Member, headed_view: u64) -> bool {
+        let context = &self.context;
+        let is_acting = candidate != context.own() && self.head.may_act(context.now_ms());
+        let follower = &self.follower;
+        is_acting || follower.is_bound_against(context, candidate, headed_view)
+    }
+
+    // Voting.
+
+    pub(super) fn handle_pre_vote(&mut self, from: Member, pre_vote: &PreVote) {
+        let context = &mut self.context;
+        let now_ms = context.now_ms();
+        let has_other = self.follower.has_pre_voted_against(from, now_ms);
+        let own_goes_first = self
+            .candidate
+            .goes_before(context, from, pre_vote.viewstamp);
+        let prefers = !has_other && !own_goes_first;
+        let granted = prefers && !self.is_bound_against(from, pre_vote.headed_view);
+        if granted {
+            self.candidate.yield_to_pre_vote(&mut self.context);
+        }
+        let context = &mut self.context;
+        self.follower
+            .answer_pre_vote(context, from, pre_vote, granted);
+    }
+
+    pub(super) fn handle_prepare(&mut self, from: Member, number: u64, headed_view: u64) {
+        let is_superseded = number <= self.context.record.promised;
+        if is_superseded || self.is_bound_against(from, headed_view) {
+            return self.context.reject(from, number);
+        }
+        self.adopt_number(number);
+        let prepare_ok = Message::PrepareOk(self.prepare_ok(number, self.context.is_draining()));
+        self.context.send_once_stored(from, prepare_ok);
+    }
+
+    pub(super) fn handle_accept(&mut self, from: Member, view: View) {
+        let number = view.number;
+        if number < self.context.record.promised || view.head() != Some(from) {
+            return self.context.reject(from, number);
+        }
+        self.adopt_number(number);
+        let record = &mut self.context.record;
+        if record.view.as_ref().is_none_or(|v| v.number < number) {
+            record.view = Some(view);
+            record.agreed = false;
+        }
+        let accepted = Message::Accepted { number };
+        self.context.send_once_stored(from, accepted);
+    }
+
+    /// Takes part in no view below `number` any more, and leaves its candidate time.
+    fn adopt_number(&mut self, number: u64) {
+        self.abandon_leadership_and_campaign();
+        self.context.record.promised = number;
+        self.transfers.abandon();
+        self.candidate.yield_to_prepare(&mut self.context);
+    }
+
+    /// This member's promise for `number`, with what it has accepted and the state of its rows.
+    fn prepare_ok(&self, number: u64, draining: bool) -> PrepareOk {
+        let record = &self.context.record;
+        PrepareOk {
+            number,
+            view: record.view.clone(),
+            agreed: record.agreed,
+            viewstamp: record.viewstamp,
+            draining,
+        }
+    }
+
+    // Campaigning.
+
+    /// This member has been started again as the head of the view on its disk. It campaigns at once: no lease but its own,
+    /// which ended with its process, can run in that view.
+    pub(super) fn is_resuming(&self) -> bool {
+        let voter = self.follower.voter();
+        self.context.headed_view() > 0
+            && !self.head.is_leading()
+            && voter.may_have_unknown_lease(self.context.now_ms())
+    }
+
+    /// This member votes, and is not about to stop.
+    fn may_campaign(&self) -> bool {
+        let record = &self.context.record;
+        let Some(view) = &record.view else {
+            return false;
+        };
+        let own = &record.member;
+        let votes =
+            view.voters.contains(own) || (!record.agreed && view.previous_voters.contains(own));
+        votes && !self.context.is_draining()
+    }
+
+    pub(super) fn election_due_ms(&self) -> Option<u64> {
+        let may_begin = !self.head.is_leading() && self.may_campaign();
+        let begin_ms = || may_begin.then_some(self.candidate.campaign_at_ms());
+        self.candidate.due_ms().or_else(begin_ms)
+    }
+
+    pub(super) fn run_election(&mut self) {
+        let now_ms = self.context.now_ms();
+        if self.candidate.is_timed_out(now_ms) {
+            self.fail_campaign();
+        }
+        let step = self.candidate.decide_prepare(&mut self.context);
+        self.handle_campaign_step(step);
+        let is_due = !self.candidate.is_campaigning()
+            && !self.head.is_leading()
+            && now_ms >= self.candidate.campaign_at_ms();
+        if is_due && self.may_campaign() {
+            self.start_campaign();
+        }
+    }
+
+    fn start_campaign(&mut self) {
+        let own = self.context.own();
+        if self.is_bound_against(own, self.context.headed_view()) {
+            let now_ms = self.context.now_ms();
+            let from_ms = self.follower.voter().bound_until_ms(now_ms) + BACKOFF_MS;
+            return self.candidate.postpone_beyond(&mut self.context, from_ms);
+        }
+        let is_resuming = self.is_resuming();
+        let context = &mut self.context;
+        let step = self.candidate.start_pre_vote(context, is_resuming);
+        self.handle_campaign_step(step);
+    }
+
+    pub(super) fn handle_campaign_now(&mut self, from: Member, number: u64) {
+        let is_busy = self.candidate.is_campaigning() || self.head.is_leading();
+        if self.context.record.view_number() != number || is_busy {
+            return;
+        }
+        if self.follower.is_bound_to_none_but(from) {
+            self.follower.clear_lease();
+            self.start_campaign();
+        }
+    }
+
+    /// Takes up what follows from a campaign for the other parts.
+    pub(super) fn handle_campaign_step(&mut self, step: CampaignStep) {
+        match step {
+            CampaignStep::Wait => {}
+            CampaignStep::Prepare { number, known } => self.prepare(number, known, None),
+            CampaignStep::Fetch { number, newest } => {
+                self.head.end(&mut self.context);
+                let context = &mut self.context;
+                let (source, newest) = (newest.source, newest.viewstamp);
+                self.transfers
+                    .fetch_for_candidate(context, source, number, newest);
+            }
+            CampaignStep::Fail => self.fail_campaign(),
+        }
+    }
+
+    fn prepare(&mut self, number: u64, known: View, plan: Option<Plan>) {
+        self.transfers.abandon();
+        self.candidate
+            .prepare(&mut self.context, number, known, plan);
+    }
+
+    /// Gives the campaign up; the next one begins after a random time.
+    fn fail_campaign(&mut self) {
+        self.transfers.abandon_for_candidate();
+        let is_resuming = self.is_resuming();
+        self.candidate.fail(&mut self.context, is_resuming);
+        self.head.delay_view_change(self.context.now_ms());
+    }
+
+    /// This member's own promise is on its disk.
+    pub(super) fn handle_own_prepare_ok(&mut self, number: u64) {
+        let prepare_ok = self.prepare_ok(number, false);
+        self.handle_prepare_ok(self.context.own(), prepare_ok);
+    }
+
+    pub(super) fn handle_prepare_ok(&mut self, from: Member, prepare_ok: PrepareOk) {
+        let context = &mut self.context;
+        let step = self.candidate.handle_prepare_ok(context, from, prepare_ok);
+        self.handle_campaign_step(step);
+    }
+
+    pub(super) fn handle_prepare_reject(&mut self, from: Member, number: u64, promised: u64) {
+        let context = &mut self.context;
+        self.head.handle_reject(context, from, number, promised);
+        let now_ms = context.now_ms();
+        let step = self.candidate.handle_reject(from, number, promised, now_ms);
+        self.handle_campaign_step(step);
+    }
+
+    pub(super) fn handle_rows(&mut self, from: Member, rows: Rows) {
+        let campaign = self.candidate.number();
+        let context = &mut self.context;
+        let outcome = self.transfers.handle_rows(context, from, rows, campaign);
+        if outcome == TransferOutcome::Useless {
+            self.fail_campaign();
+        }
+    }
+
+    // Leading.
+
+    pub(super) fn handle_accepted(&mut self, from: Member, number: u64) {
+        let own = self.context.own();
+        if let Some(view) = self.candidate.handle_accepted(from, number, own) {
+            self.follower.clear_lease();
+            self.head.lead(&mut self.context, view);
+        }
+    }
+
+    pub(super) fn run_leadership(&mut self) {
+        if !self.head.is_leading() {
+            return;
+        }
+        let now_ms = self.context.now_ms();
+        if self.head.is_lost(now_ms) {
+            self.abandon_leadership_and_campaign();
+            let from_ms = now_ms + LEASE_MS;
+            return self.candidate.postpone_beyond(&mut self.context, from_ms);
+        }
+        // Before heartbeats: one sent after the leadership was transferred would bind its receiver to this head again.
+        if let Some(handover) = self.head.due_handover(&self.context) {
+            return self.transfer_leadership(handover);
+        }
+        if !self.candidate.is_campaigning() {
+            self.head.run_heartbeats(&mut self.context);
+            self.reconfigure();
+        }
+    }
+
+    /// Starts a new view under this head where the present one should change.
+    fn reconfigure(&mut self) {
+        let context = &self.context;
+        if context.is_draining() || context.stores.is_failing() {
+            return;
+        }
+        let change = self.head.due_view_change(context);
+        if let Some((change, known)) = change.zip(context.record.view.clone()) {
+            self.prepare(change.number, known, Some(change.plan));
+        }
+    }
+
+    /// Gives the lease back and asks the member with the newest state to campaign (Raft thesis, section 3.10).
+    fn transfer_leadership(&mut self, handover: Handover) {
+        let number = handover.number;
+        self.abandon_leadership_and_campaign();
+        let context = &mut self.context;
+        for internal in handover.others {
+            context.send(internal, Message::Release { number });
+        }
+        context.send(handover.successor, Message::CampaignNow { number });
+        let campaign_at_ms = context.now_ms() + RESIGNED_DEFER_MS;
+        self.candidate.postpone_until(campaign_at_ms);
+    }
+
+    pub(super) fn handle_step_down(&mut self) {
+        if self.context.begin_draining() && !self.head.is_leading() {
+            self.candidate.abandon();
+            self.follower.send_grant(&mut self.context);
+        }
+    }
+
+    /// Another member's campaign goes first: this member is neither head nor candidate any more.
+    fn abandon_leadership_and_campaign(&mut self) {
+        self.candidate.abandon();
+        self.head.end(&mut self.context);
+    }
+}
--- /dev/null
+++ b/crates/replication/src/replica/transfers.rs
@@ -0,0 +1,273 @@
+//! State transfer: how a member gets the rows that it lacks, from the head or, as a candidate, from another voter; and how
+//! it serves others (Viewstamped Replication's state transfer). It also drops tombstones that nobody needs any more.
+
+mod rows_server;
+mod state_transfer;
+mod trim_schedule;
+
+use super::context::Context;
+use super::io::Output;
+use super::store_queue::AfterStore;
+use crate::durable::{Durable, StoreOperation};
+use crate::message::{Fetch, Message, Rows};
+use crate::timing::TRANSFER_BYTES;
+use crate::types::{Member, RowsChunk, View, ViewStart, Viewstamp};
+use rows_server::{RowsRequest, RowsServer};
+use state_transfer::{Progress, Purpose, StateTransfer};
+use trim_schedule::TrimSchedule;
+
+/// The transfer to this member, if one is under way, and those to others.
+#[derive(Debug)]
+pub(super) struct Transfers {
+    transfer: Option<StateTransfer>,
+    rows_server: RowsServer,
+    trim_schedule: TrimSchedule,
+}
+
+/// How a transfer ended that a candidate had asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TransferOutcome {
+    /// It goes on, its rows are being stored, or it was no candidate's.
+    Pending,
+    /// It led to another state than the candidate needs.
+    Useless,
+}
+
+impl Transfers {
+    /// No transfer is under way.
+    pub(super) fn new(now_ms: u64) -> Transfers {
+        Transfers {
+            transfer: None,
+            rows_server: RowsServer::default(),
+            trim_schedule: TrimSchedule::new(now_ms),
+        }
+    }
+
+    /// Gives the transfer to this member up: another view goes first.
+    pub(super) fn abandon(&mut self) {
+        self.transfer = None;
+    }
+
+    /// Gives the transfer up if a candidate has asked for it: its campaign has failed.
+    pub(super) fn abandon_for_candidate(&mut self) {
+        self.transfer
+            .take_if(|transfer| transfer.is_for_candidate());
+    }
+
+    /// Brings the rows up to the head's where writes down the chain do not do it.
+    pub(super) fn catch_up(&mut self, context: &mut Context, view: &View, head_seq: u64) {
+        let Some(head) = view.head() else { return };
+        let viewstamp = context.record.viewstamp;
+        let in_chain = view.chain.contains(&context.own());
+        if viewstamp.view == view.number && (in_chain || viewstamp.seq >= head_seq) {
+            return;
+        }
+        if viewstamp == view.base {
+            context.enter_view(view);
+        } else if self.transfer.is_none() {
+            let number = view.number;
+            self.start(context, head, Purpose::Follow { number });
+        }
+    }
+
+    /// Fetches the newest state, on top of which this member wants to propose the view `number`.
+    pub(super) fn fetch_for_candidate(
+        &mut self,
+        context: &mut Context,
+        source: Member,
+        number: u64,
+        newest: Viewstamp,
+    ) {
+        self.start(context, source, Purpose::Candidate { number, newest });
+    }
+
+    /// When the request of the transfer under way is repeated.
+    pub(super) fn due_ms(&self) -> Option<u64> {
+        self.transfer.as_ref().map(StateTransfer::due_ms)
+    }
+
+    /// Repeats a request without an answer, or gives the transfer up.
+    pub(super) fn run(&mut self, context: &mut Context) {
+        let now_ms = context.now_ms();
+        let Some(transfer) = &self.transfer else {
+            return;
+        };
+        if transfer.is_timed_out(now_ms) {
+            self.transfer = None;
+        } else if now_ms >= transfer.due_ms() {
+            self.request_rows(context);
+        }
+    }
+
+    /// Another member asks for rows that it lacks.
+    pub(super) fn handle_fetch(&mut self, context: &mut Context, from: Member, fetch: &Fetch) {
+        let viewstamp = fetch.viewstamp;
+        let (after, clear) = match fetch.after {
+            Some(after) => (after, false),
+            None if is_earlier_state_of(viewstamp, &context.record) => (viewstamp.seq, false),
+            None => (0, true),
+        };
+        let read = self.rows_server.start(RowsRequest {
+            to: from,
+            request_id: fetch.request_id,
+            after,
+            clear,
+            view: context.record.viewstamp.view,
+        });
+        context.output(Output::ReadRows {
+            read,
+            since: after,
+            bytes_max: TRANSFER_BYTES,
+        });
+    }
+
+    /// Rows that another member has asked for have been read.
+    pub(super) fn handle_rows_read(&mut self, context: &mut Context, read: u64, chunk: RowsChunk) {
+        let Some(request) = self.rows_server.finish(read) else {
+            return;
+        };
+        // The rows have been replaced since the request came: its answer would mix two states.
+        if chunk.viewstamp.view != request.view {
+            return;
+        }
+        let message = Message::Rows(Rows {
+            request_id: request.request_id,
+            after: request.after,
+            clear: request.clear,
+            rows: chunk.rows,
+            more: chunk.more,
+            viewstamp: chunk.viewstamp,
+            history: chunk.history,
+        });
+        context.send(request.to.internal, message);
+    }
+
+    /// Rows that another member has asked for cannot be read; it asks again.
+    pub(super) fn handle_read_failed(&mut self, read: u64) {
+        self.rows_server.finish(read);
+    }
+
+    /// A chunk of rows has come; `campaign` is the number that this member's campaign has prepared.
+    pub(super) fn handle_rows(
+        &mut self,
+        context: &mut Context,
+        from: Member,
+        mut rows: Rows,
+        campaign: Option<u64>,
+    ) -> TransferOutcome {
+        let Some(transfer) = &mut self.transfer else {
+            return TransferOutcome::Pending;
+        };
+        match transfer.receive(context.now_ms(), from, &mut rows) {
+            Progress::Ignored => TransferOutcome::Pending,
+            Progress::MoreNeeded => {
+                self.request_rows(context);
+                TransferOutcome::Pending
+            }
+            Progress::Complete => self.finish(context, rows.viewstamp, rows.history, campaign),
+        }
+    }
+
+    /// When tombstones are looked at next.
+    pub(super) fn trim_due_ms(&self) -> u64 {
+        self.trim_schedule.due_ms()
+    }
+
+    /// Drops tombstones of rows deleted long ago, together with the next store.
+    pub(super) fn run_trim_schedule(&mut self, context: &mut Context) {
+        let stored_seq = context.stores.stored_viewstamp().seq;
+        let Some(seq) = self.trim_schedule.run(context.now_ms(), stored_seq) else {
+            return;
+        };
+        if seq > context.record.trimmed {
+            context.record.trimmed = seq;
+            context.stores.add(StoreOperation::Trim(seq));
+        }
+    }
+
+    fn start(&mut self, context: &mut Context, source: Member, purpose: Purpose) {
+        let request_id = context.next_request_id();
+        let transfer = StateTransfer::new(source, request_id, purpose, context.now_ms());
+        self.transfer = Some(transfer);
+        self.request_rows(context);
+    }
+
+    fn request_rows(&mut self, context: &mut Context) {
+        let Some(transfer) = &mut self.transfer else {
+            return;
+        };
+        let to = transfer.source().internal;
+        let request = transfer.next_request(context.now_ms(), context.record.viewstamp);
+        context.send(to, request);
+    }
+
+    fn finish(
+        &mut self,
+        context: &mut Context,
+        viewstamp: Viewstamp,
+        history: Vec<ViewStart>,
+        campaign: Option<u64>,
+    ) -> TransferOutcome {
+        let Some(transfer) = self.transfer.take() else {
+            return TransferOutcome::Pending;
+        };
+        let purpose = transfer.purpose();
+        if !may_adopt(context, purpose, viewstamp, campaign) {
+            return if transfer.is_for_candidate() {
+                TransferOutcome::Useless
+            } else {
+                TransferOutcome::Pending
+            };
+        }
+        if transfer.replaces_all() {
+            context.record.trimmed = viewstamp.seq;
+        }
+        for operation in transfer.into_operations() {
+            context.stores.add(operation);
+        }
+        context.record.viewstamp = viewstamp;
+        context.record.history = history;
+        match purpose {
+            Purpose::Follow { .. } => context.stores.request_store(),
+            Purpose::Candidate { number, .. } => {
+                let stored = AfterStore::TransferStored { number };
+                context.stores.request_store_then(stored);
+            }
+        }
+        TransferOutcome::Pending
+    }
+}
+
+/// The state that a transfer led to is the one that it was started for, and is not older than this member's own.
+fn may_adopt(
+    context: &Context,
+    purpose: Purpose,
+    viewstamp: Viewstamp,
+    campaign: Option<u64>,
+) -> bool {
+    let record = &context.record;
+    let is_expected = match purpose {
+        Purpose::Follow { number } => {
+            viewstamp.view == number && record.promised == number && record.view_number() == number
+        }
+        Purpose::Candidate { number, newest } => viewstamp == newest && campaign == Some(number),
+    };
+    is_expected && viewstamp >= record.viewstamp
+}
+
+/// Whether the state `viewstamp` is a prefix of the state of `durable`, so that a member that has it lacks only later
+/// rows.
+fn is_earlier_state_of(viewstamp: Viewstamp, durable: &Durable) -> bool {
+    if viewstamp.seq < durable.trimmed || viewstamp.view == 0 {
+        return false;
+    }
+    if viewstamp.view == durable.viewstamp.view {
+        return viewstamp.seq <= durable.viewstamp.seq;
+    }
+    let position = durable
+        .history
+        .iter()
+        .position(|start| start.view == viewstamp.view);
+    let next = position.and_then(|position| durable.history.get(position + 1));
+    next.is_some_and(|next| viewstamp.seq <= next.seq)
+}
--- a/crates/replication/src/timing.rs
+++ b/crates/replication/src/timing.rs
@@ -19,7 +19,7 @@
 /// A member of the chain that has not answered heartbeats for so long is excluded.
 pub const UNRESPONSIVE_MEMBER_MS: u64 = 800;
 /// A member of the chain that has not taken over the view's first state for so long is excluded.
-pub const INSTALL_MS: u64 = 1_500;
+pub const SYNCHRONIZE_MS: u64 = 1_500;
 /// A voter that has been unresponsive for so long may be replaced by a newcomer.
 pub const REPLACE_AFTER_MS: u64 = 1_000;
 /// A voter that has been unresponsive for so long is removed while there are more voters than needed.
--- a/crates/replication/tests/model/chain.rs
+++ b/crates/replication/tests/model/chain.rs
@@ -51,14 +51,14 @@
         let Some(leadership) = &member.leadership else {
             return;
         };
-        let open = leadership.is_installed
+        let open = leadership.is_synchronized
             && member.promised == leadership.view.number
             && member.campaign.is_none();
         if open && member.rows.log.len() < self.writes && !member.unsynced {
             actions.push(Action::Write { head: id });
         }
         let counts = stored_by_all(member);
-        if counts.is_some_and(|stored| !leadership.is_installed || stored > state.committed.len()) {
+        if counts.is_some_and(|stored| !leadership.is_synchronized || stored > state.committed.len()) {
             actions.push(Action::Commit { head: id });
         }
     }
@@ -133,7 +133,7 @@
         let Some(leadership) = &mut member.leadership else {
             return;
         };
-        let newly_installed = !std::mem::replace(&mut leadership.is_installed, true);
+        let newly_synchronized = !std::mem::replace(&mut leadership.is_synchronized, true);
         let committed = member.rows.log[..stored.min(member.rows.log.len())].to_vec();
         let common = committed.len().min(state.committed.len());
         if committed[..common] != state.committed[..common] {
@@ -142,7 +142,7 @@
         if committed.len() > state.committed.len() {
             state.committed = committed;
         }
-        if newly_installed {
+        if newly_synchronized {
             establish(state, head);
         }
     }
--- a/crates/replication/tests/model/elections.rs
+++ b/crates/replication/tests/model/elections.rs
@@ -75,7 +75,7 @@
     fn next_voters(&self, state: &State, candidate: Id, known: &View) -> Vec<Members> {
         let member = &state.members[usize::from(candidate)];
         let leads = member.leadership.as_ref().is_some_and(|leadership| {
-            leadership.is_installed
+            leadership.is_synchronized
                 && leadership.view.number == known.number
                 && known.is_established()
         });
@@ -219,7 +219,7 @@
         member.leadership = Some(Leadership {
             view: view.clone(),
             stored,
-            is_installed: false,
+            is_synchronized: false,
         });
         let log = member.rows.log.clone();
         let is_established = view.is_established();
--- a/crates/replication/tests/model/rules.rs
+++ b/crates/replication/tests/model/rules.rs
@@ -141,7 +141,7 @@
         members[0].leadership = Some(Leadership {
             view: view.clone(),
             stored: chain.iter().map(|id| (id, log.len())).collect(),
-            is_installed: true,
+            is_synchronized: true,
         });
         let led = Led {
             view,
@@ -194,7 +194,7 @@
             .iter()
             .filter(|&id| follows(id, leadership.view.number))
             .collect();
-        leadership.is_installed && voters.majority_in(Members::of(&followers))
+        leadership.is_synchronized && voters.majority_in(Members::of(&followers))
     };
     let acting = state
         .members
--- a/crates/replication/tests/model/state.rs
+++ b/crates/replication/tests/model/state.rs
@@ -114,7 +114,7 @@
 pub(crate) struct Leadership {
     pub view: View,
     pub stored: BTreeMap<Id, usize>,
-    pub is_installed: bool,
+    pub is_synchronized: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
