--- a/crates/control-plane/src/head.rs
+++ b/crates/control-plane/src/acting_head.rs
@@ -2,7 +2,7 @@
 
 use crate::clocks::Clocks;
 use crate::config_authority::{
-    self, CallId, ChangeResponse, ConfigAuthority, ConfigChange, LoadError,
+    ChangeResponse, ConfigAuthority, ConfigChange, ConfigEffect, LoadError, OperatorCallId,
 };
 use crate::sessions::ConnectionId;
 use crate::storage_thread::StoredRow;
@@ -17,7 +17,7 @@
 /// An action that the caller has to take for the head, in this order.
 #[derive(Debug)]
 pub enum HeadOutput {
-    /// Write these rows; the commit is to be reported by [`Head::committed`].
+    /// Write these rows; the commit is to be reported by [`ActingHead::committed`].
     Submit {
         /// Id of the write.
         write_id: u64,
@@ -41,7 +41,7 @@
     /// Respond to the operator.
     Respond {
         /// Number of the request.
-        call: CallId,
+        call: OperatorCallId,
         /// The response.
         response: ChangeResponse,
     },
@@ -88,7 +88,7 @@
 }
 
 /// State of the head, once its rows are loaded.
-pub struct Head {
+pub struct ActingHead {
     scheduler: Scheduler,
     authority: ConfigAuthority,
     /// Writes without a result, by id.
@@ -97,7 +97,7 @@
     next_write_id: u64,
 }
 
-impl Head {
+impl ActingHead {
     /// The head of view `epoch`, from all stored rows. The ids of its writes count from `first_write_id`.
     ///
     /// # Errors
@@ -118,7 +118,7 @@
         let rows = rows.into_iter().filter(|row| Scheduler::is_row(&row.key));
         let rows = rows.map(|row| (row.key, row.value));
         scheduler.load(rows).context(SchedulerSnafu)?;
-        Ok(Head {
+        Ok(ActingHead {
             scheduler,
             authority,
             writers: HashMap::new(),
@@ -165,7 +165,7 @@
     pub fn handle_change(
         &mut self,
         clocks: Clocks,
-        call: CallId,
+        call: OperatorCallId,
         change: ConfigChange,
         outputs: &mut Vec<HeadOutput>,
     ) {
@@ -204,10 +204,8 @@
         let mut effects = Vec::new();
         self.authority.aborted(&mut effects);
         let responses = effects.into_iter().filter_map(|effect| match effect {
-            config_authority::Effect::Respond(call, response) => {
-                Some(HeadOutput::Respond { call, response })
-            }
-            config_authority::Effect::Write(_) | config_authority::Effect::Activated(_) => None,
+            ConfigEffect::Respond(call, response) => Some(HeadOutput::Respond { call, response }),
+            ConfigEffect::Write(_) | ConfigEffect::Activated(_) => None,
         });
         outputs.extend(responses);
         UncommittedWrites {
@@ -234,21 +232,21 @@
     fn apply_config_effects(
         &mut self,
         clocks: Clocks,
-        effects: Vec<config_authority::Effect>,
+        effects: Vec<ConfigEffect>,
         outputs: &mut Vec<HeadOutput>,
     ) {
         for effect in effects {
             match effect {
-                config_authority::Effect::Write(changes) => {
+                ConfigEffect::Write(changes) => {
                     outputs.push(self.submit(Writer::Config, changes));
                 }
-                config_authority::Effect::Activated(config) => {
+                ConfigEffect::Activated(config) => {
                     outputs.push(HeadOutput::ConfigActivated {
                         version: config.version,
                     });
                     self.handle_event(clocks, Event::Config(config), outputs);
                 }
-                config_authority::Effect::Respond(call, response) => {
+                ConfigEffect::Respond(call, response) => {
                     outputs.push(HeadOutput::Respond { call, response });
                 }
             }
--- a/crates/control-plane/src/config_authority.rs
+++ b/crates/control-plane/src/config_authority.rs
@@ -57,7 +57,7 @@
 
 /// Identifies a request of the operator until it is answered; chosen by the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct CallId(pub u64);
+pub struct OperatorCallId(pub u64);
 
 /// Response to a change.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -88,13 +88,13 @@
 
 /// What the caller has to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
+pub enum ConfigEffect {
     /// Write these rows atomically, then report [`ConfigAuthority::committed`] or [`ConfigAuthority::aborted`].
     Write(Vec<RowChange>),
     /// This configuration is in force from now on.
     Activated(Arc<Config>),
     /// Answer this request.
-    Respond(CallId, ChangeResponse),
+    Respond(OperatorCallId, ChangeResponse),
 }
 
 /// A row on disk that has another form than this program writes.
@@ -131,7 +131,7 @@
 
 /// A change that has not been decided.
 struct QueuedChange {
-    call: CallId,
+    call: OperatorCallId,
     change: ConfigChange,
 }
 
@@ -143,7 +143,7 @@
 
 /// The change that is being written.
 struct PendingChange {
-    call: CallId,
+    call: OperatorCallId,
     change: ValidChange,
     /// Version of the remembered change that the same write removes.
     forgotten: Option<u64>,
@@ -205,13 +205,18 @@
     }
 
     /// Queues a change, and decides it unless another one is being written.
-    pub fn handle_change(&mut self, call: CallId, change: ConfigChange, effects: &mut Vec<Effect>) {
+    pub fn handle_change(
+        &mut self,
+        call: OperatorCallId,
+        change: ConfigChange,
+        effects: &mut Vec<ConfigEffect>,
+    ) {
         self.queue.push_back(QueuedChange { call, change });
         self.decide_queued(effects);
     }
 
     /// The requested write is on the disks of the whole chain.
-    pub fn committed(&mut self, effects: &mut Vec<Effect>) {
+    pub fn committed(&mut self, effects: &mut Vec<ConfigEffect>) {
         let Some(pending) = self.pending.take() else {
             return;
         };
@@ -221,30 +226,30 @@
         let ValidChange { digest, next } = pending.change;
         let version = next.config.version;
         self.remembered.insert(version, digest);
-        effects.push(Effect::Activated(Arc::clone(&next.config)));
+        effects.push(ConfigEffect::Activated(Arc::clone(&next.config)));
         self.active = Some(next);
         let response = ChangeResponse::Accepted { version };
-        effects.push(Effect::Respond(pending.call, response));
+        effects.push(ConfigEffect::Respond(pending.call, response));
         self.decide_queued(effects);
     }
 
     /// It is unknown whether the requested write holds: this member is no longer the head.
-    pub fn aborted(&mut self, effects: &mut Vec<Effect>) {
+    pub fn aborted(&mut self, effects: &mut Vec<ConfigEffect>) {
         let pending = self.pending.take().map(|pending| pending.call);
         let queued = self.queue.drain(..).map(|queued| queued.call);
         let calls = pending.into_iter().chain(queued);
-        effects.extend(calls.map(|call| Effect::Respond(call, ChangeResponse::Undetermined)));
+        effects.extend(calls.map(|call| ConfigEffect::Respond(call, ChangeResponse::Undetermined)));
     }
 
     /// Decides queued changes, up to the first that has to be written.
-    fn decide_queued(&mut self, effects: &mut Vec<Effect>) {
+    fn decide_queued(&mut self, effects: &mut Vec<ConfigEffect>) {
         while self.pending.is_none() {
             let Some(QueuedChange { call, change }) = self.queue.pop_front() else {
                 return;
             };
             match self.decide(&change) {
                 Ok(valid) => self.write(call, valid, effects),
-                Err(response) => effects.push(Effect::Respond(call, response)),
+                Err(response) => effects.push(ConfigEffect::Respond(call, response)),
             }
         }
     }
@@ -287,7 +292,12 @@
     }
 
     /// Requests the write of a configuration and of the change that made it.
-    fn write(&mut self, call: CallId, change: ValidChange, effects: &mut Vec<Effect>) {
+    fn write(
+        &mut self,
+        call: OperatorCallId,
+        change: ValidChange,
+        effects: &mut Vec<ConfigEffect>,
+    ) {
         let version = change.next.config.version.to_be_bytes().to_vec();
         let mut rows = vec![
             RowChange {
@@ -310,7 +320,7 @@
             change,
             forgotten,
         });
-        effects.push(Effect::Write(rows));
+        effects.push(ConfigEffect::Write(rows));
     }
 }
 
--- a/crates/control-plane/src/node.rs
+++ b/crates/control-plane/src/core_member.rs
@@ -1,18 +1,18 @@
-//! A member of the core as one state machine without I/O. [`Node::handle`] takes inputs with a reading of the clocks;
-//! [`Node::poll_outputs`], called once per wake-up, returns the frames to send, the requests to the storage thread and the
+//! A member of the core as one state machine without I/O. [`CoreMember::handle`] takes inputs with a reading of the clocks;
+//! [`CoreMember::poll_outputs`], called once per wake-up, returns the frames to send, the requests to the storage thread and the
 //! responses to the operator.
 //!
 //! Each part of the state is a type with a module of its own (role as head, sessions, peers, announcement, inspections,
-//! scrub); the `impl Node` blocks in the other modules pass inputs and outputs between the parts.
+//! scrub); the `impl CoreMember` blocks in the other modules pass inputs and outputs between the parts.
 
 mod announcement;
 mod connections;
 mod head_outputs;
 mod head_role;
+mod head_transitions;
 mod inspect;
 mod inspections;
 mod interface;
-mod leadership;
 mod lease_filter;
 mod membership;
 mod replica_inputs;
@@ -21,7 +21,7 @@
 mod scrub;
 mod storage;
 
-pub use interface::{Input, NodeSettings, Output};
+pub use interface::{CoreMemberSettings, Input, Output};
 pub use scrub::SCRUB_INTERVAL_MS;
 
 use crate::clocks::Clocks;
@@ -36,8 +36,8 @@
 use scrub::Scrub;
 
 /// A member of the core.
-pub struct Node {
-    settings: NodeSettings,
+pub struct CoreMember {
+    settings: CoreMemberSettings,
     replica: Replica,
     replica_inputs: ReplicaInputs,
     head_role: HeadRole,
@@ -52,9 +52,9 @@
     outputs: Vec<Output>,
 }
 
-impl Node {
+impl CoreMember {
     /// A member that starts from the record on its disk; `None` if the disk holds none.
-    pub fn new(settings: NodeSettings, durable: Option<Durable>, clocks: Clocks) -> Self {
+    pub fn new(settings: CoreMemberSettings, durable: Option<Durable>, clocks: Clocks) -> Self {
         let replica_settings = indigofold_replication::Settings {
             address: settings.address.clone(),
             seeds: settings.seeds.clone(),
@@ -62,7 +62,7 @@
             tolerated_losses: settings.tolerated_losses,
             random_seed: settings.random_seed,
         };
-        Node {
+        CoreMember {
             replica: Replica::new(replica_settings, durable, clocks.steady_ms),
             replica_inputs: ReplicaInputs::default(),
             head_role: HeadRole::default(),
--- a/crates/control-plane/src/node/connections.rs
+++ b/crates/control-plane/src/core_member/connections.rs
@@ -1,6 +1,6 @@
 //! Frames that are received, and connections that open and close.
 
-use super::{Input, Node, Output};
+use super::{CoreMember, Input, Output};
 use crate::clocks::Clocks;
 use crate::sessions::ConnectionId;
 use indigofold_protocol::internal::{Frame, Hello, ProcessKind};
@@ -22,7 +22,7 @@
     },
 }
 
-impl Node {
+impl CoreMember {
     /// Queues a frame to be sent.
     pub(super) fn send(&mut self, connection: ConnectionId, frame: Frame) {
         self.outputs.push(Output::Send { connection, frame });
--- a/crates/control-plane/src/node/head_outputs.rs
+++ b/crates/control-plane/src/core_member/head_outputs.rs
@@ -1,15 +1,15 @@
 //! Events for the scheduler, and the outputs of the head.
 
-use super::{Node, Output};
+use super::{CoreMember, Output};
+use crate::acting_head::HeadOutput;
 use crate::clocks::Clocks;
 use crate::config_authority::ChangeResponse;
-use crate::head::HeadOutput;
 use crate::operator::OperatorResponse;
 use indigofold_protocol::internal::Frame;
 use indigofold_replication::Input as ReplicaInput;
 use indigofold_scheduler::Event;
 
-impl Node {
+impl CoreMember {
     /// Passes an event to the scheduler, if this member leads.
     pub(super) fn scheduler_event(&mut self, clocks: Clocks, event: Event) {
         let Some(head) = self.head_role.leading_mut() else {
--- a/crates/control-plane/src/node/head_role.rs
+++ b/crates/control-plane/src/core_member/head_role.rs
@@ -1,8 +1,8 @@
 //! The member's role towards the schedulers: follower, head that loads its rows, or leading head; and the writes that an
 //! earlier time as head has left without a result.
 
+use crate::acting_head::{ActingHead, HeadError, HeadOutput};
 use crate::clocks::Clocks;
-use crate::head::{Head, HeadError, HeadOutput};
 use crate::storage_thread::StoredRow;
 use indigofold_scheduler::Bounds;
 use std::collections::BTreeSet;
@@ -16,16 +16,16 @@
     /// Head of `view` that reads its rows. At `retry_ms` it requests them once more; [`u64::MAX`] while a request is
     /// open.
     Loading { view: u64, retry_ms: u64 },
-    /// Head with its rows.
-    Leading(Box<Head>),
+    /// A head with its rows.
+    Leading(Box<ActingHead>),
 }
 
 /// The role, and the numbering of writes across roles.
 pub(super) struct HeadRole {
     state: HeadState,
-    /// Number of the first write of the next [`Head`].
+    /// Number of the first write of the next [`ActingHead`].
     next_write_id: u64,
-    /// Writes of former [`Head`]s of this process without a result yet. Rows are loaded only once there is none.
+    /// Writes of former [`ActingHead`]s of this process without a result yet. Rows are loaded only once there is none.
     pending_writes: BTreeSet<u64>,
 }
 
@@ -51,7 +51,7 @@
     }
 
     /// The head, once it has its rows.
-    pub(super) fn leading(&self) -> Option<&Head> {
+    pub(super) fn leading(&self) -> Option<&ActingHead> {
         match &self.state {
             HeadState::Leading(head) => Some(head),
             HeadState::Follower | HeadState::Loading { .. } => None,
@@ -59,7 +59,7 @@
     }
 
     /// Like [`Self::leading`].
-    pub(super) fn leading_mut(&mut self) -> Option<&mut Head> {
+    pub(super) fn leading_mut(&mut self) -> Option<&mut ActingHead> {
         match &mut self.state {
             HeadState::Leading(head) => Some(head),
             HeadState::Follower | HeadState::Loading { .. } => None,
@@ -133,7 +133,7 @@
         rows: Vec<StoredRow>,
         outputs: &mut Vec<HeadOutput>,
     ) -> Result<(), HeadError> {
-        let mut head = Head::load(bounds, view, self.next_write_id, clocks, rows)?;
+        let mut head = ActingHead::load(bounds, view, self.next_write_id, clocks, rows)?;
         head.begin(clocks, outputs);
         self.state = HeadState::Leading(Box::new(head));
         Ok(())
--- a/crates/control-plane/src/node/leadership.rs
+++ b/crates/control-plane/src/core_member/head_transitions.rs
@@ -1,8 +1,8 @@
 //! Transitions of the head's role.
 
-use super::{Node, Output};
+use super::{CoreMember, Output};
+use crate::acting_head::ActingHead;
 use crate::clocks::Clocks;
-use crate::head::Head;
 use crate::storage_thread::{StorageRequest, StoredRow};
 use indigofold_scheduler::Event;
 use std::fmt;
@@ -28,7 +28,7 @@
     }
 }
 
-impl Node {
+impl CoreMember {
     /// This member has become the head of `view`.
     pub(super) fn head_gained(&mut self, clocks: Clocks, view: u64) {
         if self.is_head() {
@@ -103,7 +103,7 @@
     /// A write will not be confirmed. If it is one of the current head, the head's decisions since may differ from the
     /// stored rows: it loads them anew, once all its other writes have a result.
     pub(super) fn write_lost(&mut self, clocks: Clocks, write_id: u64) {
-        let is_own = |head: &Head| head.waits_for(write_id);
+        let is_own = |head: &ActingHead| head.waits_for(write_id);
         if self.head_role.leading().is_some_and(is_own) {
             self.head_lost(clocks, HeadLossReason::WriteLost);
             let view = self.replica.view();
--- a/crates/control-plane/src/node/inspect.rs
+++ b/crates/control-plane/src/core_member/inspect.rs
@@ -2,7 +2,7 @@
 //! changes any state.
 
 use super::inspections::OpenQuestion;
-use super::{Node, Output};
+use super::{CoreMember, Output};
 use crate::clocks::Clocks;
 use crate::inspection::{ClusterCapacity, TableSummary, job_report};
 use crate::sessions::ConnectionId;
@@ -15,7 +15,7 @@
 use indigofold_replication::{Member, StorageError, View};
 use std::net::SocketAddr;
 
-impl Node {
+impl CoreMember {
     /// A question of the tool. The acting head has its rows read first.
     pub(super) fn handle_inspection(
         &mut self,
@@ -147,7 +147,7 @@
         let head = self.head_role.leading();
         WorkStatus {
             config_version: self.config_version(),
-            open_writes: head.map_or(0, super::super::head::Head::open_writes),
+            open_writes: head.map_or(0, crate::acting_head::ActingHead::open_writes),
             services: self.capacity(summary).services(),
             queues: summary.queues.values().cloned().collect(),
             ended: summary.ended,
--- a/crates/control-plane/src/node/interface.rs
+++ b/crates/control-plane/src/core_member/interface.rs
@@ -1,6 +1,6 @@
-//! Inputs and outputs of a [`Node`](super::Node), and its settings.
+//! Inputs and outputs of a [`CoreMember`](super::CoreMember), and its settings.
 
-use crate::config_authority::CallId;
+use crate::config_authority::OperatorCallId;
 use crate::operator::{OperatorRequest, OperatorResponse};
 use crate::sessions::ConnectionId;
 use crate::storage_thread::{StorageRequest, StorageResponse};
@@ -11,7 +11,7 @@
 
 /// Settings of a member, fixed at its start but for the seeds.
 #[derive(Clone, Debug)]
-pub struct NodeSettings {
+pub struct CoreMemberSettings {
     /// The greeting on connections that it opens.
     pub hello: Hello,
     /// Its own addresses.
@@ -58,7 +58,7 @@
     /// A request of the operator.
     Operator {
         /// Number of the request.
-        call: CallId,
+        call: OperatorCallId,
         /// The request.
         request: OperatorRequest,
     },
@@ -97,7 +97,7 @@
     /// Respond to the operator.
     Respond {
         /// Number of the request.
-        call: CallId,
+        call: OperatorCallId,
         /// The response.
         response: OperatorResponse,
     },
--- a/crates/control-plane/src/node/membership.rs
+++ b/crates/control-plane/src/core_member/membership.rs
@@ -1,13 +1,13 @@
 //! The other members: connections to them, and the announcement of this member and the members that it knows.
 
-use super::{Node, Output};
+use super::{CoreMember, Output};
 use crate::clocks::Clocks;
 use indigofold_protocol::internal::{Frame, MemberAddress, Welcome};
 use indigofold_replication::Input as ReplicaInput;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-impl Node {
+impl CoreMember {
     /// Another member's welcome: the replica is informed of the members in it.
     pub(super) fn handle_welcome(&mut self, clocks: Clocks, welcome: Welcome) {
         let own = self.settings.address.internal;
--- a/crates/control-plane/src/node/replication.rs
+++ b/crates/control-plane/src/core_member/replication.rs
@@ -1,13 +1,13 @@
 //! Inputs and outputs of the replica.
 
-use super::leadership::HeadLossReason;
-use super::{Node, Output};
+use super::head_transitions::HeadLossReason;
+use super::{CoreMember, Output};
 use crate::clocks::Clocks;
 use crate::storage_thread::StorageRequest;
 use indigofold_protocol::internal::Frame;
 use indigofold_replication::{Input as ReplicaInput, Output as ReplicaOutput, message};
 
-impl Node {
+impl CoreMember {
     /// Passes an input to the replica and carries out its outputs. Inputs that arise from them are queued.
     pub(super) fn replica_input(&mut self, clocks: Clocks, input: ReplicaInput) {
         if !self.replica_inputs.push(input) {
--- a/crates/control-plane/src/node/requests.rs
+++ b/crates/control-plane/src/core_member/requests.rs
@@ -1,15 +1,15 @@
 //! Calls of edges, reports of node agents and requests of the operator.
 
 use super::lease_filter::RETRY_AFTER_MS;
-use super::{Node, Output};
+use super::{CoreMember, Output};
 use crate::clocks::Clocks;
-use crate::config_authority::CallId;
+use crate::config_authority::OperatorCallId;
 use crate::operator::{OperatorRequest, OperatorResponse};
 use crate::sessions::ConnectionId;
 use indigofold_protocol::internal::{AgentReport, ClientCall, ClientOutcome, ClientReply, Frame};
 use indigofold_scheduler::{AgentId, CallerId, Event};
 
-impl Node {
+impl CoreMember {
     /// A client's call, sent by an edge.
     pub(super) fn handle_call(
         &mut self,
@@ -51,7 +51,7 @@
     pub(super) fn handle_operator(
         &mut self,
         clocks: Clocks,
-        call: CallId,
+        call: OperatorCallId,
         request: OperatorRequest,
     ) {
         let is_acting = self.is_acting(clocks.steady_ms);
--- a/crates/control-plane/src/node/storage.rs
+++ b/crates/control-plane/src/core_member/storage.rs
@@ -1,11 +1,11 @@
 //! Responses of the storage thread.
 
-use super::{Node, Output};
+use super::{CoreMember, Output};
 use crate::clocks::Clocks;
 use crate::storage_thread::StorageResponse;
 use indigofold_replication::{Input as ReplicaInput, RowsChunk, StorageError};
 
-impl Node {
+impl CoreMember {
     /// Handles a response of the storage thread.
     pub(super) fn handle_storage(&mut self, clocks: Clocks, response: StorageResponse) {
         let response = match response.check_damage() {
--- a/crates/control-plane/src/driver.rs
+++ b/crates/control-plane/src/driver.rs
@@ -1,4 +1,4 @@
-//! Runs a [`Node`]: connects it with sockets, storage thread, clocks and signals. One thread serves all but the disk.
+//! Runs a [`CoreMember`]: connects it with sockets, storage thread, clocks and signals. One thread serves all but the disk.
 
 mod clock;
 mod connections;
@@ -10,9 +10,9 @@
 pub use error::DriverError;
 
 use crate::clocks::Clocks;
-use crate::config_authority::CallId;
+use crate::config_authority::OperatorCallId;
+use crate::core_member::{CoreMember, Input, Output};
 use crate::inbox::Inbox;
-use crate::node::{Input, Node, Output};
 use crate::operator::OperatorResponse;
 use crate::storage_thread::StorageRequest;
 use connections::Connections;
@@ -61,7 +61,7 @@
         connections,
         storage,
         calls: HashMap::new(),
-        next_call: CallId(0),
+        next_call: OperatorCallId(0),
         stop_ms: None,
         settings_due_ms,
     };
@@ -70,13 +70,13 @@
 
 /// The running member.
 struct Driver {
-    node: Node,
+    node: CoreMember,
     inbox: Inbox<Event>,
     connections: Connections,
     storage: Sender<StorageRequest>,
     /// Open requests of the operator.
-    calls: HashMap<CallId, oneshot::Sender<OperatorResponse>>,
-    next_call: CallId,
+    calls: HashMap<OperatorCallId, oneshot::Sender<OperatorResponse>>,
+    next_call: OperatorCallId,
     /// When the process ends at the latest; set by SIGTERM.
     stop_ms: Option<u64>,
     /// When the settings are read for other seeds, as long as no head is known.
@@ -144,10 +144,10 @@
 
     fn handle_event(&mut self, clocks: Clocks, event: Event) {
         match event {
-            Event::Node(input) => self.node.handle(clocks, input),
+            Event::CoreMember(input) => self.node.handle(clocks, input),
             Event::Operator { request, reply } => {
                 let call = self.next_call;
-                self.next_call = CallId(call.0 + 1);
+                self.next_call = OperatorCallId(call.0 + 1);
                 self.calls.insert(call, reply);
                 self.node.handle(clocks, Input::Operator { call, request });
             }
--- a/crates/control-plane/src/driver/connections.rs
+++ b/crates/control-plane/src/driver/connections.rs
@@ -2,8 +2,8 @@
 
 use super::error::{DriverError, NetSnafu};
 use super::event::Event;
+use crate::core_member::Input;
 use crate::inbox::Inbox;
-use crate::node::Input;
 use crate::sessions::ConnectionId;
 use indigofold_net::framed::{self, Connection, FrameListener, FrameReader, FrameSender};
 use indigofold_net::runtime;
@@ -123,6 +123,6 @@
     }
 
     fn push_input(&self, input: Input) {
-        self.inbox.push(Event::Node(input));
+        self.inbox.push(Event::CoreMember(input));
     }
 }
--- a/crates/control-plane/src/driver/event.rs
+++ b/crates/control-plane/src/driver/event.rs
@@ -1,6 +1,6 @@
 //! Events of the driver.
 
-use crate::node::Input;
+use crate::core_member::Input;
 use crate::operator::{OperatorRequest, OperatorResponse};
 use futures_channel::oneshot;
 use indigofold_net::signals::Signal;
@@ -12,7 +12,7 @@
 )]
 pub(super) enum Event {
     /// An input for the node.
-    Node(Input),
+    CoreMember(Input),
     /// A request of the operator.
     Operator {
         /// The request.
--- a/crates/control-plane/src/driver/start.rs
+++ b/crates/control-plane/src/driver/start.rs
@@ -3,8 +3,8 @@
 use super::error::{DriverError, MissingSnafu, NetSnafu, StorageThreadSnafu};
 use super::event::Event;
 use super::{clock, operator_api};
+use crate::core_member::{CoreMember, CoreMemberSettings, Input};
 use crate::inbox::Inbox;
-use crate::node::{Input, Node, NodeSettings};
 use crate::storage_thread::{self, StorageRequest};
 use futures_util::StreamExt;
 use indigofold_net::runtime;
@@ -31,7 +31,7 @@
 pub(super) async fn node(
     settings: &Settings,
     inbox: &Inbox<Event>,
-) -> Result<(Node, Sender<StorageRequest>), DriverError> {
+) -> Result<(CoreMember, Sender<StorageRequest>), DriverError> {
     let directory = settings.data_dir.as_deref();
     let directory = directory.context(MissingSnafu {
         field: "data_dir",
@@ -44,14 +44,14 @@
     let inbox = inbox.clone();
     runtime::spawn(async move {
         while let Some(response) = responses.next().await {
-            inbox.push(Event::Node(Input::Storage(response)));
+            inbox.push(Event::CoreMember(Input::Storage(response)));
         }
     });
     let clocks = clock::now();
     let mut node_settings = node_settings(settings)?;
     // A member that has lost its record must not vote as one that has never prepared a view.
     node_settings.bootstrap &= !opened.has_quarantined;
-    let node = Node::new(node_settings, opened.durable, clocks);
+    let node = CoreMember::new(node_settings, opened.durable, clocks);
     Ok((node, requests))
 }
 
@@ -114,7 +114,7 @@
         .collect()
 }
 
-fn node_settings(settings: &Settings) -> Result<NodeSettings, DriverError> {
+fn node_settings(settings: &Settings) -> Result<CoreMemberSettings, DriverError> {
     let random = RandomState::new();
     let address = MemberAddress {
         node_name: settings.node_name.clone(),
@@ -127,7 +127,7 @@
         zone: settings.zone.clone(),
         incarnation: random.hash_one((wall_ms(), "incarnation")),
     };
-    Ok(NodeSettings {
+    Ok(CoreMemberSettings {
         hello,
         address,
         seeds: seeds(settings),
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,18 +1,18 @@
 //! A member of the core: replicates the control state in a chain with the other members and, while it is the acting head,
 //! decides changes of the configuration and runs the schedulers.
 //!
-//! [`node::Node`] is the member as a state machine; [`driver`] connects it with sockets, disk, clocks and signals.
+//! [`node::CoreMember`] is the member as a state machine; [`driver`] connects it with sockets, disk, clocks and signals.
 
 #![forbid(unsafe_code)]
 
+pub mod acting_head;
 pub mod clocks;
 pub mod command_line;
 pub mod config_authority;
+pub mod core_member;
 pub mod driver;
-pub mod head;
 pub mod inbox;
 pub mod inspection;
-pub mod node;
 pub mod operator;
 pub mod peers;
 pub mod sessions;
--- a/crates/control-plane/tests/control_plane/builders.rs
+++ b/crates/control-plane/tests/control_plane/builders.rs
@@ -2,7 +2,7 @@
 
 use indigofold_control_plane::clocks::Clocks;
 use indigofold_control_plane::config_authority::{ChangeResponse, ConfigChange, ConfigMethod};
-use indigofold_control_plane::node::Output;
+use indigofold_control_plane::core_member::Output;
 use indigofold_control_plane::operator::OperatorResponse;
 use indigofold_control_plane::sessions::ConnectionId;
 use indigofold_protocol::internal::{ClientOutcome, Frame, Hello, ProcessKind};
--- a/crates/control-plane/tests/control_plane/cluster.rs
+++ b/crates/control-plane/tests/control_plane/cluster.rs
@@ -3,7 +3,7 @@
 use crate::builders::{EDGE, accepted, config_read, edge_replies, first_config, hello, put};
 use crate::simulated_cluster::{CONTROL_PORT, SimulatedCluster};
 use indigofold_control_plane::config_authority::ChangeResponse;
-use indigofold_control_plane::node::Input;
+use indigofold_control_plane::core_member::Input;
 use indigofold_control_plane::operator::{OperatorRequest, OperatorResponse};
 use indigofold_protocol::internal::{
     ClientCall, ClientOperation, ClientOutcome, Frame, ProcessKind,
--- a/crates/control-plane/tests/control_plane/config_authority.rs
+++ b/crates/control-plane/tests/control_plane/config_authority.rs
@@ -2,8 +2,8 @@
 
 use crate::builders::{config_text, put};
 use indigofold_control_plane::config_authority::{
-    CONFIG_KEY, CallId, ChangeResponse, ConfigAuthority, ConfigChange, ConfigMethod, Effect,
-    REMEMBERED_CHANGES_MAX,
+    CONFIG_KEY, ChangeResponse, ConfigAuthority, ConfigChange, ConfigEffect, ConfigMethod,
+    OperatorCallId, REMEMBERED_CHANGES_MAX,
 };
 use indigofold_replication::RowChange;
 use rstest::rstest;
@@ -34,12 +34,12 @@
 }
 
 impl TestAuthority {
-    fn take(&mut self, effects: Vec<Effect>) {
+    fn take(&mut self, effects: Vec<ConfigEffect>) {
         for effect in effects {
             match effect {
-                Effect::Write(rows) => self.writing.push(rows),
-                Effect::Activated(config) => self.in_force.push(config.version),
-                Effect::Respond(call, response) => self.responses.push((call.0, response)),
+                ConfigEffect::Write(rows) => self.writing.push(rows),
+                ConfigEffect::Activated(config) => self.in_force.push(config.version),
+                ConfigEffect::Respond(call, response) => self.responses.push((call.0, response)),
             }
         }
     }
@@ -47,7 +47,7 @@
     fn change(&mut self, call: u64, change: ConfigChange) {
         let mut effects = Vec::new();
         self.authority
-            .handle_change(CallId(call), change, &mut effects);
+            .handle_change(OperatorCallId(call), change, &mut effects);
         self.take(effects);
     }
 
--- a/crates/control-plane/tests/control_plane/node.rs
+++ b/crates/control-plane/tests/control_plane/core_member.rs
@@ -2,7 +2,7 @@
 
 use crate::builders::{CONFIG_VERSION, EDGE, MAX_BODY_BYTES, accepted, config_read};
 use crate::test_node::{TestNode, address};
-use indigofold_control_plane::node::{Input, Output, SCRUB_INTERVAL_MS};
+use indigofold_control_plane::core_member::{Input, Output, SCRUB_INTERVAL_MS};
 use indigofold_control_plane::operator::{OperatorRequest, OperatorResponse};
 use indigofold_control_plane::sessions::ConnectionId;
 use indigofold_control_plane::storage_thread::StorageResponse;
--- a/crates/control-plane/tests/control_plane/simulated_cluster.rs
+++ b/crates/control-plane/tests/control_plane/simulated_cluster.rs
@@ -2,8 +2,8 @@
 
 use crate::builders::{START_MS, clocks, hello};
 use indigofold_control_plane::clocks::Clocks;
-use indigofold_control_plane::config_authority::CallId;
-use indigofold_control_plane::node::{Input, Node, NodeSettings, Output};
+use indigofold_control_plane::config_authority::OperatorCallId;
+use indigofold_control_plane::core_member::{CoreMember, CoreMemberSettings, Input, Output};
 use indigofold_control_plane::operator::{OperatorRequest, OperatorResponse};
 use indigofold_control_plane::sessions::ConnectionId;
 use indigofold_control_plane::storage_thread::{StorageRequest, execute};
@@ -29,7 +29,7 @@
 
 /// A member that is up.
 struct Member {
-    node: Node,
+    node: CoreMember,
     storage: Storage,
 }
 
@@ -51,7 +51,7 @@
     links: HashMap<Endpoint, Endpoint>,
     events: VecDeque<Event>,
     partitioned: BTreeSet<usize>,
-    responses: HashMap<CallId, OperatorResponse>,
+    responses: HashMap<OperatorCallId, OperatorResponse>,
     now_ms: u64,
     last_number: u64,
 }
@@ -84,7 +84,7 @@
         self.now_ms
     }
 
-    pub(crate) fn node(&self, member: usize) -> &Node {
+    pub(crate) fn node(&self, member: usize) -> &CoreMember {
         &self.members[member]
             .as_ref()
             .expect("the member is up")
@@ -96,7 +96,7 @@
         let opened = Storage::open(self.directories[member].path()).expect("a database");
         let mut settings = self.settings(member);
         settings.bootstrap &= !opened.has_quarantined;
-        let node = Node::new(settings, opened.durable, self.clocks());
+        let node = CoreMember::new(settings, opened.durable, self.clocks());
         self.members[member] = Some(Member {
             node,
             storage: opened.storage,
@@ -145,13 +145,13 @@
     }
 
     /// The operator sends a request to a member.
-    pub(crate) fn call(&mut self, member: usize, request: OperatorRequest) -> CallId {
-        let call = CallId(self.number());
+    pub(crate) fn call(&mut self, member: usize, request: OperatorRequest) -> OperatorCallId {
+        let call = OperatorCallId(self.number());
         self.input(member, Input::Operator { call, request });
         call
     }
 
-    pub(crate) fn response(&self, call: CallId) -> Option<&OperatorResponse> {
+    pub(crate) fn response(&self, call: OperatorCallId) -> Option<&OperatorResponse> {
         self.responses.get(&call)
     }
 
@@ -318,9 +318,9 @@
         );
     }
 
-    fn settings(&mut self, member: usize) -> NodeSettings {
+    fn settings(&mut self, member: usize) -> CoreMemberSettings {
         let node_name = format!("core-{member}");
-        NodeSettings {
+        CoreMemberSettings {
             hello: hello(&node_name, ProcessKind::Core, self.number()),
             address: MemberAddress {
                 node_name,
--- a/crates/control-plane/tests/control_plane/test_head.rs
+++ b/crates/control-plane/tests/control_plane/test_head.rs
@@ -1,9 +1,9 @@
 //! A head whose writes are committed at once, with one worker, and the table that its writes make.
 
 use crate::builders::{START_MS, clocks, first_config, put};
+use indigofold_control_plane::acting_head::{ActingHead, HeadOutput};
 use indigofold_control_plane::clocks::Clocks;
-use indigofold_control_plane::config_authority::CallId;
-use indigofold_control_plane::head::{Head, HeadOutput};
+use indigofold_control_plane::config_authority::OperatorCallId;
 use indigofold_control_plane::inspection::{
     ClusterCapacity, TableSummary, WorkerProfile, job_report,
 };
@@ -24,7 +24,7 @@
 const REPORT_INTERVAL_MS: u64 = 1_000;
 
 pub(crate) struct TestHead {
-    head: Head,
+    head: ActingHead,
     rows: BTreeMap<Vec<u8>, Vec<u8>>,
     clocks: Clocks,
     worker: Option<InstanceReport>,
@@ -35,7 +35,7 @@
     pub(crate) fn new() -> TestHead {
         let clocks = clocks(START_MS);
         let head =
-            Head::load(Bounds::default(), 1, 1, clocks, Vec::new()).expect("no rows to read");
+            ActingHead::load(Bounds::default(), 1, 1, clocks, Vec::new()).expect("no rows to read");
         let mut test = TestHead {
             head,
             rows: BTreeMap::new(),
@@ -45,7 +45,7 @@
         let mut outputs = Vec::new();
         let change = put(0, &first_config());
         test.head
-            .handle_change(clocks, CallId(1), change, &mut outputs);
+            .handle_change(clocks, OperatorCallId(1), change, &mut outputs);
         test.commit(outputs);
         test
     }
--- a/crates/control-plane/tests/control_plane/test_node.rs
+++ b/crates/control-plane/tests/control_plane/test_node.rs
@@ -2,8 +2,8 @@
 
 use crate::builders::{EDGE, START_MS, clocks, edge_replies, first_config, hello, put};
 use indigofold_control_plane::clocks::Clocks;
-use indigofold_control_plane::config_authority::CallId;
-use indigofold_control_plane::node::{Input, Node, NodeSettings, Output};
+use indigofold_control_plane::config_authority::OperatorCallId;
+use indigofold_control_plane::core_member::{CoreMember, CoreMemberSettings, Input, Output};
 use indigofold_control_plane::operator::{OperatorRequest, OperatorResponse};
 use indigofold_control_plane::sessions::ConnectionId;
 use indigofold_control_plane::storage_thread::{StorageResponse, execute};
@@ -30,7 +30,7 @@
 }
 
 pub(crate) struct TestNode {
-    node: Node,
+    node: CoreMember,
     storage: Storage,
     directory: TempDir,
     now_ms: u64,
@@ -62,7 +62,7 @@
     fn start_in(directory: TempDir, seeds: &[u8]) -> TestNode {
         let opened = Storage::open(directory.path()).expect("a database");
         TestNode {
-            node: Node::new(settings(seeds), opened.durable, clocks(START_MS)),
+            node: CoreMember::new(settings(seeds), opened.durable, clocks(START_MS)),
             storage: opened.storage,
             directory,
             now_ms: START_MS,
@@ -163,7 +163,7 @@
 
     /// Handles a request of the operator.
     pub(crate) fn operator(&mut self, call: u64, request: OperatorRequest) {
-        let call = CallId(call);
+        let call = OperatorCallId(call);
         self.input(Input::Operator { call, request });
     }
 
@@ -230,8 +230,8 @@
     }
 }
 
-fn settings(seeds: &[u8]) -> NodeSettings {
-    NodeSettings {
+fn settings(seeds: &[u8]) -> CoreMemberSettings {
+    CoreMemberSettings {
         hello: hello("core-1", ProcessKind::Core, 1),
         address: MemberAddress {
             node_name: "core-1".to_owned(),
--- a/crates/data-plane/src/edge/calls.rs
+++ b/crates/data-plane/src/edge/calls.rs
@@ -10,10 +10,10 @@
 
 /// Number of a call on this edge.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
+pub struct ClientCallId(pub u64);
 
 /// The number of liveness probes; no client's call has it.
-const PROBE_CALL: CallId = CallId(0);
+const PROBE_CALL: ClientCallId = ClientCallId(0);
 
 /// A call that no client waits for: it has no route, so the head replies at once without doing anything.
 pub fn liveness_probe() -> Frame {
@@ -49,11 +49,11 @@
 
 /// What the process has to do.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
+pub enum CallEffect {
     /// Send this frame to the acting head.
     Send(Rc<Frame>),
     /// Answer the client of this call.
-    Answer(CallId, Answer),
+    Answer(ClientCallId, Answer),
 }
 
 /// A client's call that has come in.
@@ -71,9 +71,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct BegunCall {
     /// Its number.
-    pub id: CallId,
+    pub id: ClientCallId,
     /// What to do for it first.
-    pub effect: Effect,
+    pub effect: CallEffect,
 }
 
 #[derive(Debug)]
@@ -91,8 +91,8 @@
 #[derive(Debug)]
 pub struct Calls {
     limits: CallLimits,
-    calls: BTreeMap<CallId, PendingCall>,
-    last_call: CallId,
+    calls: BTreeMap<ClientCallId, PendingCall>,
+    last_call: ClientCallId,
     has_head: bool,
 }
 
@@ -109,11 +109,11 @@
 
     /// A client's call has come in.
     pub fn begin(&mut self, now_ms: u64, call: NewCall) -> BegunCall {
-        self.last_call = CallId(self.last_call.0 + 1);
+        self.last_call = ClientCallId(self.last_call.0 + 1);
         let id = self.last_call;
         let effect = match self.rejection() {
-            Some(answer) => Effect::Answer(id, answer),
-            None => Effect::Send(self.insert(now_ms, id, call)),
+            Some(answer) => CallEffect::Answer(id, answer),
+            None => CallEffect::Send(self.insert(now_ms, id, call)),
         };
         BegunCall { id, effect }
     }
@@ -126,7 +126,7 @@
             .then(|| Answer::retry_later(503, RETRY_MS, "too many calls are under way"))
     }
 
-    fn insert(&mut self, now_ms: u64, id: CallId, call: NewCall) -> Rc<Frame> {
+    fn insert(&mut self, now_ms: u64, id: ClientCallId, call: NewCall) -> Rc<Frame> {
         let ParsedRequest {
             operation,
             client_timeout_ms,
@@ -151,26 +151,26 @@
     }
 
     /// The head has replied. A reply to a call that has ended is ignored.
-    pub fn handle_reply(&mut self, reply: ClientReply) -> Option<Effect> {
-        let id = CallId(reply.call);
+    pub fn handle_reply(&mut self, reply: ClientReply) -> Option<CallEffect> {
+        let id = ClientCallId(reply.call);
         let call = self.calls.remove(&id)?;
-        Some(Effect::Answer(id, call.answer(reply.outcome)))
+        Some(CallEffect::Answer(id, call.answer(reply.outcome)))
     }
 
     /// The client has disconnected.
-    pub fn abandon(&mut self, id: CallId) {
+    pub fn abandon(&mut self, id: ClientCallId) {
         self.calls.remove(&id);
     }
 
     /// An acting head is connected: all calls under way are resent to it.
-    pub fn handle_attached(&mut self) -> Vec<Effect> {
+    pub fn handle_attached(&mut self) -> Vec<CallEffect> {
         self.has_head = true;
         let waiting = self.calls.values_mut();
         waiting
             .map(|call| {
                 call.orphaned_until_ms = None;
                 call.resent = true;
-                Effect::Send(Rc::clone(&call.frame))
+                CallEffect::Send(Rc::clone(&call.frame))
             })
             .collect()
     }
@@ -185,12 +185,12 @@
     }
 
     /// Times out calls.
-    pub fn handle_timeout(&mut self, now_ms: u64) -> Vec<Effect> {
+    pub fn handle_timeout(&mut self, now_ms: u64) -> Vec<CallEffect> {
         let expired = self
             .calls
             .extract_if(.., |_, call| call.timeout_ms() <= now_ms);
         expired
-            .map(|(id, call)| Effect::Answer(id, call.time_out_answer()))
+            .map(|(id, call)| CallEffect::Answer(id, call.time_out_answer()))
             .collect()
     }
 
--- a/crates/data-plane/src/serve.rs
+++ b/crates/data-plane/src/serve.rs
@@ -6,8 +6,8 @@
 mod edge_server;
 mod error;
 mod lifecycle;
-mod node;
 mod role;
+mod role_process;
 mod timer;
 
 pub use error::ServeError;
--- a/crates/data-plane/src/serve/agent_server.rs
+++ b/crates/data-plane/src/serve/agent_server.rs
@@ -3,7 +3,7 @@
 use super::agent_role::AgentRole;
 use super::error::{NoAddressSnafu, ServeError};
 use super::lifecycle::until_terminated;
-use super::node::Node;
+use super::role_process::RoleProcess;
 use crate::agent::{Agent, HeartbeatOutcome, HeartbeatReceipt, ORDERS_WAIT_MS};
 use futures_util::future::select;
 use indigofold_net::http::{self, HttpOptions, HttpRequest, HttpResponse, Method};
@@ -35,7 +35,7 @@
     let mut signals = Signals::register()?;
     let max_lease_ms = settings.bounds.max_hold_ms as u64;
     let role = AgentRole::new(Agent::new(steady_ms(), max_lease_ms));
-    let node = Node::new(&settings, ProcessKind::Agent, role);
+    let node = RoleProcess::new(&settings, ProcessKind::Agent, role);
     let worker_node = node.clone();
     let options = HttpOptions {
         max_body_bytes: HEARTBEAT_BYTES_MAX,
@@ -59,7 +59,7 @@
     Ok(())
 }
 
-async fn answer_worker(node: &Node<AgentRole>, request: &HttpRequest) -> HttpResponse {
+async fn answer_worker(node: &RoleProcess<AgentRole>, request: &HttpRequest) -> HttpResponse {
     let id = request
         .path
         .strip_prefix(INSTANCES_PATH)
@@ -77,7 +77,7 @@
     }
 }
 
-async fn answer_heartbeat(node: &Node<AgentRole>, id: &str, body: &[u8]) -> HttpResponse {
+async fn answer_heartbeat(node: &RoleProcess<AgentRole>, id: &str, body: &[u8]) -> HttpResponse {
     let heartbeat = match parse_heartbeat(body) {
         Ok(heartbeat) => heartbeat,
         Err(error) => return error_response(400, &error.to_string()),
@@ -91,7 +91,11 @@
 }
 
 /// The reply to a heartbeat that was taken over; it waits for expected orders.
-async fn reply(node: &Node<AgentRole>, id: &str, receipt: HeartbeatReceipt) -> HeartbeatReply {
+async fn reply(
+    node: &RoleProcess<AgentRole>,
+    id: &str,
+    receipt: HeartbeatReceipt,
+) -> HeartbeatReply {
     if receipt.expects_orders {
         wait_for_orders(node).await;
     }
@@ -106,7 +110,7 @@
 }
 
 /// Returns once orders have come in, a newer heartbeat waits, or [`ORDERS_WAIT_MS`] are over.
-async fn wait_for_orders(node: &Node<AgentRole>) {
+async fn wait_for_orders(node: &RoleProcess<AgentRole>) {
     let receiver = node.with_role(AgentRole::wait_for_orders);
     let sleep = pin!(runtime::sleep(Duration::from_millis(ORDERS_WAIT_MS)));
     select(sleep, receiver).await;
--- a/crates/data-plane/src/serve/edge_role.rs
+++ b/crates/data-plane/src/serve/edge_role.rs
@@ -1,7 +1,9 @@
 //! The edge as a role: its calls on the link to the core.
 
 use super::role::{HeadStatus, Role};
-use crate::edge::{self, Answer, BegunCall, CallId, CallLimits, Calls, Effect, NewCall, Readiness};
+use crate::edge::{
+    self, Answer, BegunCall, CallEffect, CallLimits, Calls, ClientCallId, NewCall, Readiness,
+};
 use futures_channel::oneshot;
 use indigofold_net::http::{HttpOptions, HttpServer};
 use indigofold_net::steady_ms;
@@ -14,7 +16,7 @@
 /// A call under way, and where its answer comes in.
 pub(super) struct AwaitedAnswer {
     /// The call.
-    pub call: CallId,
+    pub call: ClientCallId,
     /// Receives the answer; ends without one if the call was abandoned.
     pub receiver: oneshot::Receiver<Answer>,
 }
@@ -24,7 +26,7 @@
     calls: Calls,
     readiness: Readiness,
     /// The clients that wait for an answer.
-    waiters: HashMap<CallId, oneshot::Sender<Answer>>,
+    waiters: HashMap<ClientCallId, oneshot::Sender<Answer>>,
     /// Frames to send with the next poll.
     outbox: Vec<Rc<Frame>>,
     /// The server of clients, once it runs.
@@ -56,7 +58,7 @@
     }
 
     /// The call has ended: it was answered, or its client has disconnected.
-    pub(super) fn end(&mut self, call: CallId) {
+    pub(super) fn end(&mut self, call: ClientCallId) {
         self.calls.abandon(call);
         self.waiters.remove(&call);
     }
@@ -76,10 +78,10 @@
         self.readiness.is_ready(now_ms)
     }
 
-    fn apply(&mut self, effect: Effect) {
+    fn apply(&mut self, effect: CallEffect) {
         match effect {
-            Effect::Send(frame) => self.outbox.push(frame),
-            Effect::Answer(call, answer) => {
+            CallEffect::Send(frame) => self.outbox.push(frame),
+            CallEffect::Answer(call, answer) => {
                 if let Some(waiter) = self.waiters.remove(&call) {
                     // The client may have disconnected.
                     let _ = waiter.send(answer);
--- a/crates/data-plane/src/serve/edge_server.rs
+++ b/crates/data-plane/src/serve/edge_server.rs
@@ -3,8 +3,8 @@
 use super::edge_role::{AwaitedAnswer, EdgeRole, http_options};
 use super::error::{NoAddressSnafu, ServeError};
 use super::lifecycle::until_terminated;
-use super::node::Node;
-use crate::edge::{self, Answer, CallId, DEADLINE_HEADER, NewCall, parse_request};
+use super::role_process::RoleProcess;
+use crate::edge::{self, Answer, ClientCallId, DEADLINE_HEADER, NewCall, parse_request};
 use indigofold_net::http::{
     self, HttpOptions, HttpRequest, HttpResponse, HttpServer, Method, header,
 };
@@ -37,7 +37,7 @@
         role,
     })?;
     let mut signals = Signals::register()?;
-    let node = Node::new(&settings, ProcessKind::Edge, EdgeRole::new());
+    let node = RoleProcess::new(&settings, ProcessKind::Edge, EdgeRole::new());
 
     let client_node = node.clone();
     let options = http_options(&IngressLimits::default());
@@ -61,7 +61,7 @@
 }
 
 /// Serves as before until the platform routes no new clients here, then finishes the calls under way.
-async fn drain(settings: &Settings, node: &Node<EdgeRole>, frontend: &HttpServer) {
+async fn drain(settings: &Settings, node: &RoleProcess<EdgeRole>, frontend: &HttpServer) {
     log::info!("SIGTERM received, not ready any more, draining calls");
     node.with_role(EdgeRole::stop);
     let grace_ms = (settings.bounds.grace_s * 1_000.0) as u64;
@@ -77,8 +77,8 @@
 
 /// Abandons a call when it is dropped before the answer: its client has disconnected.
 struct CallGuard {
-    node: Node<EdgeRole>,
-    call: CallId,
+    node: RoleProcess<EdgeRole>,
+    call: ClientCallId,
     answered: bool,
 }
 
@@ -90,7 +90,7 @@
     }
 }
 
-async fn answer_call(node: Node<EdgeRole>, request: HttpRequest) -> HttpResponse {
+async fn answer_call(node: RoleProcess<EdgeRole>, request: HttpRequest) -> HttpResponse {
     let method = match request.method {
         Method::POST => edge::Method::Post,
         Method::GET => edge::Method::Get,
@@ -118,7 +118,7 @@
 }
 
 #[expect(clippy::unused_async, reason = "a handler is asynchronous")]
-async fn answer_readiness(node: Node<EdgeRole>, _request: HttpRequest) -> HttpResponse {
+async fn answer_readiness(node: RoleProcess<EdgeRole>, _request: HttpRequest) -> HttpResponse {
     let ready = node.with_role(|role| role.is_ready(steady_ms()));
     HttpResponse::new(if ready { 200 } else { 503 })
 }
--- a/crates/data-plane/src/serve/node.rs
+++ b/crates/data-plane/src/serve/role_process.rs
@@ -21,21 +21,21 @@
 }
 
 /// A role and its link to the core; clones share them.
-pub(super) struct Node<R> {
+pub(super) struct RoleProcess<R> {
     state: Rc<RefCell<State<R>>>,
     timer: Rc<Timer>,
 }
 
-impl<R> Clone for Node<R> {
+impl<R> Clone for RoleProcess<R> {
     fn clone(&self) -> Self {
-        Node {
+        RoleProcess {
             state: Rc::clone(&self.state),
             timer: Rc::clone(&self.timer),
         }
     }
 }
 
-impl<R: Role> Node<R> {
+impl<R: Role> RoleProcess<R> {
     /// A process that is not connected yet.
     pub(super) fn new(settings: &Settings, kind: ProcessKind, role: R) -> Self {
         let incarnation = fastrand::u64(..);
@@ -58,7 +58,7 @@
             hello,
             senders: HashMap::new(),
         };
-        Node {
+        RoleProcess {
             state: Rc::new(RefCell::new(state)),
             timer: Rc::new(Timer::default()),
         }
--- a/crates/data-plane/tests/edge.rs
+++ b/crates/data-plane/tests/edge.rs
@@ -1,8 +1,8 @@
 //! The edge: parsing of requests, calls to the head and its successors, outcomes as HTTP responses.
 
 use indigofold_data_plane::edge::{
-    Answer, BRIEF_LOSS_MS, BegunCall, Body, CallId, CallLimits, Calls, Effect, Method, NewCall,
-    ParsedRequest, Readiness, liveness_probe, parse_request,
+    Answer, BRIEF_LOSS_MS, BegunCall, Body, CallEffect, CallLimits, Calls, ClientCallId, Method,
+    NewCall, ParsedRequest, Readiness, liveness_probe, parse_request,
 };
 use indigofold_protocol::internal::{ClientOperation, ClientOutcome, ClientReply, Frame};
 use indigofold_protocol::job::{JobSpec, JobState};
@@ -38,14 +38,14 @@
     ClientOperation::Submit(JobSpec::default())
 }
 
-fn answer_of(effect: Effect) -> Answer {
+fn answer_of(effect: CallEffect) -> Answer {
     match effect {
-        Effect::Answer(_, answer) => answer,
-        Effect::Send(frame) => panic!("an answer is expected, not {frame:?}"),
+        CallEffect::Answer(_, answer) => answer,
+        CallEffect::Send(frame) => panic!("an answer is expected, not {frame:?}"),
     }
 }
 
-fn reply(calls: &mut Calls, id: CallId, outcome: ClientOutcome) -> Option<Answer> {
+fn reply(calls: &mut Calls, id: ClientCallId, outcome: ClientOutcome) -> Option<Answer> {
     calls
         .handle_reply(ClientReply {
             call: id.0,
@@ -140,7 +140,7 @@
     let mut calls = calls();
     let BegunCall { id, effect } = begin(&mut calls, submit());
     assert!(
-        matches!(&effect, Effect::Send(frame) if matches!(&**frame, Frame::Call(sent) if sent.call == id.0))
+        matches!(&effect, CallEffect::Send(frame) if matches!(&**frame, Frame::Call(sent) if sent.call == id.0))
     );
     assert_eq!(
         reply(&mut calls, id, ClientOutcome::Accepted),
@@ -155,7 +155,7 @@
     for _ in 0..LIMITS.calls_max {
         assert!(matches!(
             begin(&mut calls, submit()).effect,
-            Effect::Send(_)
+            CallEffect::Send(_)
         ));
     }
     assert_eq!(answer_of(begin(&mut calls, submit()).effect).status, 503);
@@ -282,7 +282,11 @@
     let id = begin(&mut calls, submit()).id;
     assert_ne!(probe.call, id.0);
     assert_eq!(
-        reply(&mut calls, CallId(probe.call), ClientOutcome::UnknownRoute),
+        reply(
+            &mut calls,
+            ClientCallId(probe.call),
+            ClientOutcome::UnknownRoute
+        ),
         None
     );
     assert!(!calls.is_empty());
--- a/crates/replication/src/replica/head.rs
+++ b/crates/replication/src/replica/head.rs
@@ -17,7 +17,7 @@
 };
 use crate::types::{Member, View};
 use leadership::Leadership;
-use peer::{Health, Peer};
+use peer::{Peer, PeerReport};
 use reconfiguration::Reconfiguration;
 use std::net::SocketAddr;
 
@@ -108,7 +108,7 @@
     ) {
         let now_ms = context.now_ms();
         let (number, sent_ms) = (grant.number, grant.sent_ms);
-        let health = Health {
+        let report = PeerReport {
             viewstamp: grant.viewstamp,
             store_age_ms: grant.store_age_ms,
             draining: grant.draining,
@@ -121,7 +121,7 @@
             return;
         }
         let peer = leadership.peer_or_new(from, now_ms);
-        peer.has_granted(sent_ms, health, now_ms);
+        peer.has_granted(sent_ms, report, now_ms);
         self.count_stored(context, is_campaigning);
     }
 
@@ -258,9 +258,9 @@
     let oldest_seq = leadership.writes().oldest().map_or(0, |o| o.batch.seq);
     let is_fit = |peer: &Peer| {
         peer.since_received_ms(now_ms) < 2 * HEARTBEAT_INTERVAL_MS
-            && !peer.health().draining
-            && peer.health().store_age_ms < SLOW_HEAD_MS / 2
-            && peer.health().viewstamp.seq >= oldest_seq
+            && !peer.report().draining
+            && peer.report().store_age_ms < SLOW_HEAD_MS / 2
+            && peer.report().viewstamp.seq >= oldest_seq
     };
     let others = leadership
         .view()
--- a/crates/replication/src/replica/head/leadership.rs
+++ b/crates/replication/src/replica/head/leadership.rs
@@ -231,7 +231,7 @@
         }
         self.peers
             .get(&member)
-            .map_or(Viewstamp::default(), |peer| peer.health().viewstamp)
+            .map_or(Viewstamp::default(), |peer| peer.report().viewstamp)
     }
 
     /// Last write that the whole chain has on disk; `None` before all of it has taken over the view.
--- a/crates/replication/src/replica/head/peer.rs
+++ b/crates/replication/src/replica/head/peer.rs
@@ -5,7 +5,7 @@
 
 /// What a member reports of itself with its answer to a heartbeat.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Health {
+pub(super) struct PeerReport {
     /// State on its disk.
     pub viewstamp: Viewstamp,
     /// Age of its oldest store that is not done.
@@ -20,7 +20,7 @@
     /// `sent_ms` of the newest heartbeat that it has answered.
     granted_ms: Option<u64>,
     last_received_ms: u64,
-    health: Health,
+    report: PeerReport,
     /// It is not taken into the chain before this time.
     rejoin_ms: u64,
     /// How long the next exclusion lasts.
@@ -39,7 +39,7 @@
         Peer {
             granted_ms: None,
             last_received_ms: now_ms,
-            health: Health {
+            report: PeerReport {
                 viewstamp: Viewstamp::default(),
                 store_age_ms: 0,
                 draining: false,
@@ -66,16 +66,16 @@
     /// Takes a state that it has on disk. Messages may overtake each other: an older state changes nothing.
     pub(super) fn has_stored(&mut self, viewstamp: Viewstamp, now_ms: u64) {
         self.last_received_ms = now_ms;
-        self.health.viewstamp = self.health.viewstamp.max(viewstamp);
+        self.report.viewstamp = self.report.viewstamp.max(viewstamp);
     }
 
     /// Takes the answer to the heartbeat sent at `sent_ms`.
-    pub(super) fn has_granted(&mut self, sent_ms: u64, health: Health, now_ms: u64) {
+    pub(super) fn has_granted(&mut self, sent_ms: u64, report: PeerReport, now_ms: u64) {
         self.granted_ms = self.granted_ms.max(Some(sent_ms));
         self.last_received_ms = now_ms;
-        self.health = Health {
-            viewstamp: self.health.viewstamp.max(health.viewstamp),
-            ..health
+        self.report = PeerReport {
+            viewstamp: self.report.viewstamp.max(report.viewstamp),
+            ..report
         };
     }
     /// The head leads another view: what was known of the one before does not count.
@@ -106,8 +106,8 @@
     }
 
     /// What it has reported of itself last.
-    pub(super) fn health(&self) -> &Health {
-        &self.health
+    pub(super) fn report(&self) -> &PeerReport {
+        &self.report
     }
 
     /// Its time of exclusion from the chain is over.
--- a/crates/replication/src/replica/head/planner.rs
+++ b/crates/replication/src/replica/head/planner.rs
@@ -159,12 +159,12 @@
 
     /// Whether a member outside the chain has the head's rows, stays, and could go on as a part of the chain.
     fn is_fit(&self, peer: &Peer) -> bool {
-        let viewstamp = peer.health().viewstamp;
+        let viewstamp = peer.report().viewstamp;
         viewstamp.view == self.leadership.view().number
             && viewstamp.seq + REJOIN_LAG_WRITES >= self.head_seq
-            && peer.health().store_age_ms < REJOIN_STORE_AGE_MS
+            && peer.report().store_age_ms < REJOIN_STORE_AGE_MS
             && peer.since_received_ms(self.now_ms) < UNRESPONSIVE_MEMBER_MS / 2
-            && !peer.health().draining
+            && !peer.report().draining
     }
 
     /// The present chain without those that delay it, and with those that have caught up.
@@ -210,9 +210,9 @@
         let Some(peer) = self.peer(member) else {
             return false;
         };
-        let lacks_first_state = peer.health().viewstamp.view != self.leadership.view().number
+        let lacks_first_state = peer.report().viewstamp.view != self.leadership.view().number
             && self.leadership.view_age_ms(self.now_ms) >= SYNCHRONIZE_MS;
-        peer.health().draining
+        peer.report().draining
             || peer.since_received_ms(self.now_ms) >= UNRESPONSIVE_MEMBER_MS
             || lacks_first_state
             || self.is_slow(member)
--- a/crates/replication/tests/model/chain.rs
+++ b/crates/replication/tests/model/chain.rs
@@ -58,7 +58,9 @@
             actions.push(Action::Write { head: id });
         }
         let counts = stored_by_all(member);
-        if counts.is_some_and(|stored| !leadership.is_synchronized || stored > state.committed.len()) {
+        if counts
+            .is_some_and(|stored| !leadership.is_synchronized || stored > state.committed.len())
+        {
             actions.push(Action::Commit { head: id });
         }
     }
--- a/crates/scheduler/src/backlog.rs
+++ b/crates/scheduler/src/backlog.rs
@@ -1,7 +1,7 @@
 //! How much work waits for a service, and when a client whose job was rejected should retry.
 
+use crate::cluster_view::ClusterView;
 use crate::services::ServiceState;
-use crate::view::ClusterView;
 use indigofold_protocol::job::{Resources, Step};
 
 /// A rejected client should retry once the backlog divided by this is done.
--- a/crates/scheduler/src/clock.rs
+++ b/crates/scheduler/src/clock.rs
@@ -53,12 +53,12 @@
 #[derive(Debug)]
 struct WallClock {
     offset_ms: i64,
-    candidate: Option<Candidate>,
+    candidate: Option<OffsetCandidate>,
 }
 
 /// Another offset, and since when it has been observed.
 #[derive(Clone, Copy, Debug)]
-struct Candidate {
+struct OffsetCandidate {
     offset_ms: i64,
     since_ms: u64,
 }
@@ -83,7 +83,7 @@
             .candidate
             .filter(|c| (c.offset_ms - offset_ms).abs() <= DRIFT_MS);
         let since_ms = lasting.map_or(now_ms, |c| c.since_ms);
-        self.candidate = Some(Candidate {
+        self.candidate = Some(OffsetCandidate {
             offset_ms,
             since_ms,
         });
--- a/crates/scheduler/src/cluster.rs
+++ b/crates/scheduler/src/cluster.rs
@@ -10,6 +10,7 @@
 
 use crate::api::{Bounds, WriteId};
 use crate::clock::Clock;
+use crate::cluster_view::ClusterView;
 use crate::definition::Terms;
 use crate::jobs::{Job, JobEvent, Jobs};
 use crate::latency::{Cause, LateEnd};
@@ -17,7 +18,6 @@
 use crate::queue::StepRef;
 use crate::rows::JobRows;
 use crate::services::Services;
-use crate::view::ClusterView;
 use crate::workers::Workers;
 use indigofold_protocol::job::JobState;
 use indigofold_protocol::task::JobId;
--- a/crates/scheduler/src/estimates.rs
+++ b/crates/scheduler/src/estimates.rs
@@ -1,9 +1,9 @@
 //! Expected total and remaining run times.
 
+use crate::cluster_view::ClusterView;
 use crate::jobs::Run;
 use crate::queue::StepRef;
 use crate::services::ServiceState;
-use crate::view::ClusterView;
 use crate::worker::WorkerId;
 use indigofold_protocol::task::TaskName;
 
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -1,9 +1,9 @@
 //! Headroom: while small urgent tasks keep coming, work of lower priority that has time leaves a fraction of the
 //! service's processors free, so that urgent tasks start without waiting for stops.
 
+use crate::cluster_view::ClusterView;
 use crate::queue::QueueKey;
 use crate::services::ServiceState;
-use crate::view::ClusterView;
 use crate::worker::Worker;
 
 /// Fraction of the service's processors that is left free.
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -22,7 +22,7 @@
 
 /// Results of one worker's runs.
 #[derive(Debug)]
-pub(crate) struct Health {
+pub(crate) struct WorkerHealth {
     /// Weight of successes; older ones fade.
     good: f64,
     /// Weight of failures; older ones fade.
@@ -58,9 +58,9 @@
     Suspected,
 }
 
-impl Default for Health {
+impl Default for WorkerHealth {
     fn default() -> Self {
-        Health {
+        WorkerHealth {
             good: 0.0,
             bad: 0.0,
             streak: 0.0,
@@ -71,7 +71,7 @@
     }
 }
 
-impl Health {
+impl WorkerHealth {
     /// A run there ended `done` after `pace` times the time expected.
     pub(crate) fn succeeded(&mut self, now_ms: u64, pace: Option<f64>) {
         self.fade(now_ms);
--- a/crates/scheduler/src/health/tests.rs
+++ b/crates/scheduler/src/health/tests.rs
@@ -2,15 +2,15 @@
 
 use super::*;
 
-fn suspected(now_ms: u64) -> Health {
-    let mut health = Health::default();
+fn suspected(now_ms: u64) -> WorkerHealth {
+    let mut health = WorkerHealth::default();
     (0..3).for_each(|_| health.failed(now_ms, false));
     health
 }
 
 #[test]
 fn a_worker_is_suspected_after_three_failures_in_a_row() {
-    let mut health = Health::default();
+    let mut health = WorkerHealth::default();
     (0..10).for_each(|_| health.succeeded(1_000, None));
     health.failed(1_000, false);
     health.failed(1_000, false);
@@ -21,7 +21,7 @@
 
 #[test]
 fn failures_of_a_job_that_fails_everywhere_hardly_count() {
-    let mut health = Health::default();
+    let mut health = WorkerHealth::default();
     (0..10).for_each(|_| health.failed(1_000, true));
     assert_eq!(health.status(1_000), HealthStatus::Healthy);
 }
@@ -50,7 +50,7 @@
 
 #[test]
 fn a_worker_that_is_far_slower_than_expected_is_suspected() {
-    let mut health = Health::default();
+    let mut health = WorkerHealth::default();
     (0..10).for_each(|_| health.succeeded(1_000, Some(2.0 * SLOW_PACE)));
     assert_eq!(health.status(1_000), HealthStatus::Suspected);
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,7 +10,7 @@
 //!   of instances and connections), `kinds` (hybrid SQ(d)), `jobs` (lifecycle of jobs, their tasks and runs), `demand`,
 //!   `reservations`, `recent_demand`, `backlog_cache`, `services` (queues), `rows` (stored forms), `outbox` (changed rows
 //!   and what waits for their commit).
-//! - `view`: what decisions read. Decisions: `estimates`, `straggler`, `headroom`, `backlog`, `outlook`.
+//! - `cluster_view`: what decisions read. Decisions: `estimates`, `straggler`, `headroom`, `backlog`, `outlook`.
 //! - `cluster`: the parts together; what one event means for several of them. `jobs` tells it by typed events what
 //!   follows for queues, rows and runs.
 //! - What acts on the cluster: `placement` (with gangs, reservations, speculative runs), `preemption`, `run_checks`,
@@ -27,6 +27,7 @@
 mod client_calls;
 mod clock;
 mod cluster;
+mod cluster_view;
 mod definition;
 mod demand;
 mod estimates;
@@ -55,7 +56,6 @@
 mod timers;
 mod unexpected_runs;
 mod value;
-mod view;
 mod worker;
 mod workers;
 
--- a/crates/scheduler/src/outlook.rs
+++ b/crates/scheduler/src/outlook.rs
@@ -1,8 +1,8 @@
 //! When and where capacity is expected to be free, if what runs ends as expected.
 
+use crate::cluster_view::ClusterView;
 use crate::demand::{StepDemand, times};
 use crate::services::ServiceState;
-use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::job::Resources;
 use rustc_hash::FxHashMap;
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -6,6 +6,7 @@
 mod speculation;
 
 use crate::cluster::Cluster;
+use crate::cluster_view::ClusterView;
 use crate::demand::{ANY_WORKER_MS, Locality, Scope, StepDemand};
 use crate::jobs::Placement;
 use crate::kinds::{PlacementTrace, Selection, dominant_share};
@@ -13,7 +14,6 @@
 use crate::queue::{QueueKey, StepRef};
 use crate::reservations::Reservation;
 use crate::services::ServiceState;
-use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::job::Resources;
 use indigofold_protocol::task::TaskName;
--- a/crates/scheduler/src/placement/reserve.rs
+++ b/crates/scheduler/src/placement/reserve.rs
@@ -2,12 +2,12 @@
 //! starve it. Tasks that fit beside, or end before the capacity is needed, still use them (EASY backfilling).
 
 use crate::cluster::Cluster;
+use crate::cluster_view::ClusterView;
 use crate::demand::{StepDemand, times};
 use crate::kinds::dominant_share;
 use crate::queue::{QueueKey, StepRef};
 use crate::reservations::Reservation;
 use crate::services::ServiceState;
-use crate::view::ClusterView;
 use crate::worker::WorkerId;
 
 /// Most steps of one service that have reservations at a time.
--- a/crates/scheduler/src/placement/speculation.rs
+++ b/crates/scheduler/src/placement/speculation.rs
@@ -3,13 +3,13 @@
 //! other is stopped.
 
 use crate::cluster::Cluster;
+use crate::cluster_view::ClusterView;
 use crate::demand::{Scope, StepDemand};
 use crate::health::HealthStatus;
 use crate::jobs::{Placement, Run};
 use crate::kinds::Selection;
 use crate::placement::Placer;
 use crate::queue::{Prospect, QueueKey, StepRef};
-use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::task::TaskName;
 
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -2,11 +2,11 @@
 //! those whose stop loses least work; nothing is stopped if more than a limit would be lost.
 
 use crate::cluster::Cluster;
+use crate::cluster_view::ClusterView;
 use crate::demand::StepDemand;
 use crate::queue::{Prospect, QueueKey};
 use crate::services::ServiceState;
 use crate::value::cores;
-use crate::view::ClusterView;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::job::Resources;
 use indigofold_protocol::task::{RunId, TaskName};
--- a/crates/scheduler/src/run_checks.rs
+++ b/crates/scheduler/src/run_checks.rs
@@ -1,11 +1,11 @@
 //! Regular checks of all runs: lost orders, runs that cannot end before their worker has drained, runs that hang.
 
 use crate::cluster::Cluster;
-use crate::health::Health;
+use crate::cluster_view::ClusterView;
+use crate::health::WorkerHealth;
 use crate::jobs::Job;
 use crate::queue::StepRef;
 use crate::run_result::RunResult;
-use crate::view::ClusterView;
 use crate::worker::WorkerId;
 use indigofold_protocol::task::{RunId, TaskName};
 use indigofold_protocol::worker::WorkerState;
@@ -73,7 +73,12 @@
 }
 
 /// Stops a run that hangs or straggles; the task goes to another worker.
-fn move_run(cluster: &mut Cluster, id: WorkerId, run: RunId, update_health: impl Fn(&mut Health)) {
+fn move_run(
+    cluster: &mut Cluster,
+    id: WorkerId,
+    run: RunId,
+    update_health: impl Fn(&mut WorkerHealth),
+) {
     if let Some(worker) = cluster.workers_mut().get_mut(id) {
         update_health(worker.health_mut());
     }
--- a/crates/scheduler/src/straggler.rs
+++ b/crates/scheduler/src/straggler.rs
@@ -1,8 +1,8 @@
 //! Stragglers: workers that have become slow, by the progress of their runs, and the runs that end sooner if they begin
 //! anew elsewhere. One run alone is not conclusive: jobs differ far more than workers.
 
+use crate::cluster_view::ClusterView;
 use crate::estimates::projected_total_ms;
-use crate::view::ClusterView;
 use crate::worker::WorkerId;
 use indigofold_protocol::task::{JobId, TaskName};
 use std::collections::BTreeMap;
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,7 +1,7 @@
 //! One worker instance, as its node agent reports it: capacity, state, runs.
 
 use crate::api::AgentId;
-use crate::health::Health;
+use crate::health::WorkerHealth;
 use crate::unexpected_runs::UnexpectedRuns;
 use indigofold_protocol::internal::InstanceReport;
 use indigofold_protocol::job::Resources;
@@ -55,7 +55,7 @@
     backoff_until_ms: u64,
     /// It warms up until then.
     warm_up_until_ms: u64,
-    health: Health,
+    health: WorkerHealth,
 }
 
 impl Worker {
@@ -84,7 +84,7 @@
             committed_end: 0,
             backoff_until_ms: 0,
             warm_up_until_ms: 0,
-            health: Health::default(),
+            health: WorkerHealth::default(),
         }
     }
 
@@ -139,12 +139,12 @@
     }
 
     /// Its health by the results of its runs.
-    pub(crate) fn health(&self) -> &Health {
+    pub(crate) fn health(&self) -> &WorkerHealth {
         &self.health
     }
 
     /// Its health by the results of its runs.
-    pub(crate) fn health_mut(&mut self) -> &mut Health {
+    pub(crate) fn health_mut(&mut self) -> &mut WorkerHealth {
         &mut self.health
     }
 
