--- a/crates/ctl/src/check_config.rs
+++ b/crates/ctl/src/check_config.rs
@@ -56,6 +56,11 @@
 }
 
 /// Checks the file; `current` is the configuration that it would follow.
+///
+/// # Errors
+///
+/// [`CheckConfigError`] if a file cannot be read or `current` is not a configuration. What is wrong with the checked file
+/// is in the report.
 pub fn run(path: &Path, current: Option<&Path>) -> Result<Report, CheckConfigError> {
     let bytes = files::read(path)?;
     let current = current.map(read_current).transpose()?;
--- a/crates/ctl/src/check_deploy.rs
+++ b/crates/ctl/src/check_deploy.rs
@@ -18,6 +18,10 @@
 const ROLES_MAX: usize = 2;
 
 /// Checks the file.
+///
+/// # Errors
+///
+/// [`FileError`] if the file cannot be read. What is wrong with it is in the report.
 pub fn run(path: &Path) -> Result<Report, FileError> {
     let text = files::read_text(path)?;
     let (roles, findings) = match text.parse::<Table>() {
--- a/crates/ctl/src/check_settings.rs
+++ b/crates/ctl/src/check_settings.rs
@@ -7,6 +7,10 @@
 use std::path::Path;
 
 /// Checks the file.
+///
+/// # Errors
+///
+/// [`FileError`] if the file cannot be read. What is wrong with it is in the report.
 pub fn run(path: &Path) -> Result<Report, FileError> {
     let text = files::read_text(path)?;
     Ok(match Settings::from_toml(&text) {
--- a/crates/ctl/src/command_line.rs
+++ b/crates/ctl/src/command_line.rs
@@ -120,6 +120,10 @@
 }
 
 /// Reads the arguments (without the program's name).
+///
+/// # Errors
+///
+/// [`CommandLineError`] names the first argument that is missing, unknown or not of its form.
 pub fn parse(arguments: Vec<OsString>) -> Result<Command, CommandLineError> {
     let mut arguments = Arguments::from_vec(arguments);
     if arguments.contains(["-V", "--version"]) {
--- a/crates/ctl/src/files.rs
+++ b/crates/ctl/src/files.rs
@@ -15,11 +15,19 @@
 }
 
 /// All bytes of a file.
+///
+/// # Errors
+///
+/// [`FileError`] if the file cannot be read.
 pub fn read(path: &Path) -> Result<Vec<u8>, FileError> {
     std::fs::read(path).context(FileSnafu { path })
 }
 
 /// A file's text.
+///
+/// # Errors
+///
+/// [`FileError`] if the file cannot be read or is not UTF-8.
 pub fn read_text(path: &Path) -> Result<String, FileError> {
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
--- a/crates/ctl/src/job.rs
+++ b/crates/ctl/src/job.rs
@@ -25,6 +25,10 @@
 }
 
 /// Queries the acting head, which is found through the members at these internal addresses.
+///
+/// # Errors
+///
+/// [`QueryError`], as of [`find_job`], or if the runtime cannot be started.
 pub fn run(id: JobId, addresses: Vec<SocketAddr>) -> Result<Report, QueryError> {
     query::run(find_job(id, addresses)).map(|job| report(id, job))
 }
--- a/crates/ctl/src/query.rs
+++ b/crates/ctl/src/query.rs
@@ -150,6 +150,10 @@
 }
 
 /// Runs queries to their end, in a runtime of their own.
+///
+/// # Errors
+///
+/// That of the queries, or [`QueryError::Runtime`] if the runtime cannot be started.
 pub fn run<T: 'static>(
     queries: impl Future<Output = Result<T, QueryError>> + 'static,
 ) -> Result<T, QueryError> {
--- a/crates/ctl/src/quickstart.rs
+++ b/crates/ctl/src/quickstart.rs
@@ -39,6 +39,10 @@
 }
 
 /// Runs the cluster and prints to `out` what happens. The daemons end before this returns.
+///
+/// # Errors
+///
+/// [`QuickstartError`] if a program is missing, a process cannot be started or ends early, or the job does not end well.
 pub fn run(options: &Options, out: &mut impl Write) -> Result<Report, QuickstartError> {
     options.programs.check()?;
     let interrupted = catch_signals()?;
--- a/crates/ctl/src/quickstart/stand_in.rs
+++ b/crates/ctl/src/quickstart/stand_in.rs
@@ -87,7 +87,7 @@
 
     /// When [`advance`](Self::advance) has to be called next.
     pub fn next_due_ms(&self) -> u64 {
-        let ends = self.runs.iter().map(|run| run.end_ms());
+        let ends = self.runs.iter().map(ActiveRun::end_ms);
         let lease_end_ms = if self.runs.is_empty() {
             u64::MAX
         } else {
--- a/crates/ctl/src/replicas.rs
+++ b/crates/ctl/src/replicas.rs
@@ -26,6 +26,10 @@
 }
 
 /// Opens the replicas in these folders and compares each with the first.
+///
+/// # Errors
+///
+/// [`ReplicaError`] for the first folder whose database cannot be opened.
 pub fn run(folders: &[PathBuf]) -> Result<Report, ReplicaError> {
     let replicas: Vec<Replica> = folders
         .iter()
--- a/crates/ctl/src/replicas/replica.rs
+++ b/crates/ctl/src/replicas/replica.rs
@@ -89,6 +89,10 @@
 
 impl Replica {
     /// Reads the database of a folder. Its files are cloned first: to open a database changes it.
+    ///
+    /// # Errors
+    ///
+    /// [`ReplicaError`] if the files cannot be cloned, or are no database of a member.
     pub fn open(folder: &Path) -> Result<Replica, ReplicaError> {
         let scratch = tempfile::tempdir().context(FilesSnafu { folder })?;
         let found = clone_database_files(folder, scratch.path()).context(FilesSnafu { folder })?;
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -13,6 +13,10 @@
 use std::net::SocketAddr;
 
 /// Queries the members at these internal addresses, and those that they know.
+///
+/// # Errors
+///
+/// [`QueryError`] if no member answers, or the runtime cannot be started.
 pub fn run(addresses: Vec<SocketAddr>) -> Result<Report, QueryError> {
     query::run(gather::gather(addresses)).map(|status| report(&status))
 }
--- a/crates/decisions-testing/src/lib.rs
+++ b/crates/decisions-testing/src/lib.rs
@@ -5,7 +5,10 @@
 
 #![warn(missing_docs)]
 
-use indigofold_decisions::api::*;
+use indigofold_decisions::api::{
+    Action, AttemptNo, Charges, Class, ClassId, Effect, Entry, Event, Group, KindId, Limits, Load,
+    Reports, Request, RequestId, Rules, Scope, Settings, Status, Time, WorkerId, WorkerState,
+};
 use indigofold_decisions::dispatcher::Dispatcher;
 
 /// One millisecond in microseconds.
--- a/crates/decisions/src/dispatcher.rs
+++ b/crates/decisions/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The decision module of one dispatcher. [`crate::api`] has its inputs ([`Event`]) and outputs ([`Action`]).
 //!
 //! The mechanism is hybrid SQ(d) (Van Spilbeeck and Van Houdt): a request draws a listed kind k with probability
-//! p_k, solved now and then from problem (1), samples d ready workers of it and goes to the one with the fewest
+//! `p_k`, solved now and then from problem (1), samples d ready workers of it and goes to the one with the fewest
 //! slots in flight. The further rules, which the paper does without, are in `docs/design.md`. The dispatcher reads no
 //! clock, does no I/O and draws from a seeded generator.
 //!
@@ -62,9 +62,9 @@
     queued: Vec<VecDeque<RequestId>>,
     /// When to look at a request again.
     due: BTreeSet<(Time, RequestId)>,
-    /// p_k of problem (1).
+    /// `p_k` of problem (1).
     kind_weights: Vec<f64>,
-    /// p_k averaged for longer: requests with an affinity seldom move.
+    /// `p_k` averaged for longer: requests with an affinity seldom move.
     affinity_weights: SmoothedWeights,
     /// Active workers by group (see `tuning::group`) and kind: no event walks the whole fleet.
     groups: Vec<Vec<usize>>,
@@ -151,11 +151,12 @@
     }
 
     /// Returns whether queued requests may be sent because of it. One arm for each event, hence its length.
+    #[allow(clippy::too_many_lines, reason = "an arm for each event")]
     fn handle_event(&mut self, now: Time, event: Event, out: &mut Vec<Action>) -> bool {
         let attempt_id = |request, attempt| AttemptId { request, attempt };
         match event {
             Event::Membership { scope, entries } => {
-                self.handle_membership(now, scope, entries, out)
+                self.handle_membership(now, scope, entries, out);
             }
             Event::Request(request) => {
                 if !self.open.contains_key(&request.id) {
--- a/crates/decisions/src/dispatcher/draw.rs
+++ b/crates/decisions/src/dispatcher/draw.rs
@@ -1,4 +1,4 @@
-//! The draw of kinds: preferred workers of each kind, and p_k of problem (1).
+//! The draw of kinds: preferred workers of each kind, and `p_k` of problem (1).
 
 use super::Dispatcher;
 use super::state::Worker;
--- a/crates/decisions/src/dispatcher/retry_budget.rs
+++ b/crates/decisions/src/dispatcher/retry_budget.rs
@@ -14,24 +14,24 @@
 
 impl RetryHistory {
     /// Records an accepted request, which adds to the budget.
-    pub fn record_accepted(&mut self, now: Time, budget: Option<ResendBudget>) {
+    pub(super) fn record_accepted(&mut self, now: Time, budget: Option<ResendBudget>) {
         self.accepted_at.extend(budget.map(|_| now));
     }
 
     /// Records a retry, which uses up one of the budget.
-    pub fn record_retry(&mut self, now: Time, budget: Option<ResendBudget>) {
+    pub(super) fn record_retry(&mut self, now: Time, budget: Option<ResendBudget>) {
         self.retried_at.extend(budget.map(|_| now));
     }
 
     /// Removes a retry that was recorded at this time but never made.
-    pub fn take_back(&mut self, sent: Time) {
+    pub(super) fn take_back(&mut self, sent: Time) {
         if let Ok(position) = self.retried_at.binary_search(&sent) {
             self.retried_at.remove(position);
         }
     }
 
     /// Retries that the budget has left in the window that ends now.
-    pub fn left(&mut self, now: Time, budget: Option<ResendBudget>) -> f64 {
+    pub(super) fn left(&mut self, now: Time, budget: Option<ResendBudget>) -> f64 {
         let Some(budget) = budget else {
             return f64::INFINITY;
         };
@@ -51,13 +51,13 @@
     }
 
     /// Times of the latest retries, at most this many, in order.
-    pub fn latest(&self, limit: usize) -> Vec<Time> {
+    pub(super) fn latest(&self, limit: usize) -> Vec<Time> {
         let first = self.retried_at.len().saturating_sub(limit);
         self.retried_at.iter().skip(first).copied().collect()
     }
 
     /// Adds retries of the former process. Statistics may be merged twice: retries that are known already count once.
-    pub fn merge(&mut self, now: Time, retried_at: Vec<Time>) {
+    pub(super) fn merge(&mut self, now: Time, retried_at: Vec<Time>) {
         let is_new = |at: &Time| *at <= now && self.retried_at.binary_search(at).is_err();
         let new: Vec<Time> = retried_at.into_iter().filter(is_new).collect();
         self.retried_at.extend(new);
--- a/crates/decisions/src/dispatcher/sampling.rs
+++ b/crates/decisions/src/dispatcher/sampling.rs
@@ -9,7 +9,7 @@
 use crate::api::{RequestId, Time};
 use rand_pcg::Pcg64Mcg;
 
-/// Weight of a unit of capacity, added to p_k: kinds that the solution does not use come last, by capacity.
+/// Weight of a unit of capacity, added to `p_k`: kinds that the solution does not use come last, by capacity.
 const CAPACITY_WEIGHT: f64 = 1e-12;
 
 /// What a sample is drawn for.
@@ -59,7 +59,7 @@
             .min_by(|a, b| load(a).total_cmp(&load(b)))
     }
 
-    /// Draws a kind by the solved p_k and samples d of its workers: those with a free slot first, by tiers.
+    /// Draws a kind by the solved `p_k` and samples d of its workers: those with a free slot first, by tiers.
     pub(super) fn sample(&mut self, now: Time, id: RequestId) -> Vec<usize> {
         let mut rng = self.rng.clone();
         let prefers_home = unit(&mut rng) < self.zone_preference.home();
@@ -120,7 +120,7 @@
         found
     }
 
-    /// Takes a kind out of `kinds`, drawn by p_k.
+    /// Takes a kind out of `kinds`, drawn by `p_k`.
     fn draw_kind(
         &self,
         rng: &mut Option<Pcg64Mcg>,
--- a/crates/decisions/src/dispatcher/state.rs
+++ b/crates/decisions/src/dispatcher/state.rs
@@ -77,7 +77,7 @@
 
 impl Worker {
     /// A worker of which nothing but its entry is known.
-    pub fn new(listed: Entry) -> Self {
+    pub(super) fn new(listed: Entry) -> Self {
         Worker {
             listed,
             start_delay: FIRST_START_DELAY,
@@ -86,7 +86,7 @@
     }
 
     /// Own slots running, averaged over the age of a report. To be called before their number changes.
-    pub fn running(&mut self, now: Time) -> f64 {
+    pub(super) fn running(&mut self, now: Time) -> f64 {
         let fade = (-(now.saturating_sub(self.running.at) as f64) / REPORT_AGE).exp();
         let runs = self.started_slots();
         self.running = Timed {
@@ -97,7 +97,7 @@
     }
 
     /// Own slots whose start has been reported.
-    pub fn started_slots(&self) -> f64 {
+    pub(super) fn started_slots(&self) -> f64 {
         self.own_slots
             - self
                 .unstarted
@@ -107,7 +107,7 @@
     }
 
     /// Slots that peers occupy here, weighted by the age of their updates.
-    pub fn peer_slots(&self, now: Time) -> f64 {
+    pub(super) fn peer_slots(&self, now: Time) -> f64 {
         self.peer_claims
             .iter()
             .map(|claim| claim.slots * fresh(now, claim.at))
@@ -115,7 +115,7 @@
     }
 
     /// Whether a start after this wait shows that no slot was free. Times are microseconds.
-    pub fn is_late_start(&self, wait: f64, granularity: Time) -> bool {
+    pub(super) fn is_late_start(&self, wait: f64, granularity: Time) -> bool {
         wait > 2.0 * self.start_delay + 4.0 * granularity as f64
     }
 }
@@ -142,7 +142,7 @@
 
 impl ClassStats {
     /// Until a run time is known, a job is assumed to be as long as its class's latency target.
-    pub fn of(class: &Class) -> Self {
+    pub(super) fn of(class: &Class) -> Self {
         ClassStats {
             run_time: Work::of(class.latency_target),
             longest_patience: 0,
@@ -156,25 +156,25 @@
 
 impl QueueIndex {
     /// Queues of each class.
-    pub const PER_CLASS: usize = 4;
+    pub(super) const PER_CLASS: usize = 4;
     const OVER_QUOTA: usize = 2;
     const LATE: usize = 1;
 
-    pub fn new(class: usize, over_quota: bool, is_late: bool) -> Self {
+    pub(super) fn new(class: usize, over_quota: bool, is_late: bool) -> Self {
         let of_class =
             usize::from(over_quota) * Self::OVER_QUOTA + usize::from(is_late) * Self::LATE;
         QueueIndex(class * Self::PER_CLASS + of_class)
     }
 
-    pub fn class(self) -> usize {
+    pub(super) fn class(self) -> usize {
         self.0 / Self::PER_CLASS
     }
 
-    pub fn is_over_quota(self) -> bool {
+    pub(super) fn is_over_quota(self) -> bool {
         self.0 & Self::OVER_QUOTA != 0
     }
 
-    pub fn is_late(self) -> bool {
+    pub(super) fn is_late(self) -> bool {
         self.0 & Self::LATE != 0
     }
 }
--- a/crates/decisions/src/dispatcher/tuning.rs
+++ b/crates/decisions/src/dispatcher/tuning.rs
@@ -87,15 +87,15 @@
 /// A group of workers: by zone, and whether this dispatcher prefers them.
 pub(super) mod group {
     /// Preferred workers of the own zone.
-    pub const HOME_PREFERRED: usize = 0;
+    pub(crate) const HOME_PREFERRED: usize = 0;
     /// Other workers of the own zone.
-    pub const HOME_OTHER: usize = 1;
+    pub(crate) const HOME_OTHER: usize = 1;
     /// Preferred workers of other zones.
-    pub const AWAY_PREFERRED: usize = 2;
+    pub(crate) const AWAY_PREFERRED: usize = 2;
     /// Other workers of other zones.
-    pub const AWAY_OTHER: usize = 3;
+    pub(crate) const AWAY_OTHER: usize = 3;
     /// Number of groups.
-    pub const COUNT: usize = 4;
+    pub(crate) const COUNT: usize = 4;
 }
 
 /// Groups that are sampled together.
--- a/crates/decisions/src/dispatcher/zone_preference.rs
+++ b/crates/decisions/src/dispatcher/zone_preference.rs
@@ -23,27 +23,27 @@
 
 impl ZonePreference {
     /// Fraction of requests that prefer workers of the own zone.
-    pub fn home(&self) -> f64 {
+    pub(super) fn home(&self) -> f64 {
         self.home
     }
 
     /// Recent fractions of late starts.
-    pub fn late_starts(&self) -> LateStartRate {
+    pub(super) fn late_starts(&self) -> LateStartRate {
         self.late_starts
     }
 
     /// Whether no late start counts yet.
-    pub fn is_unobserved(&self) -> bool {
+    pub(super) fn is_unobserved(&self) -> bool {
         self.late_starts == LateStartRate::default()
     }
 
     /// Sets the preference until starts have been observed.
-    pub fn assume(&mut self, home: f64) {
+    pub(super) fn assume(&mut self, home: f64) {
         self.home = home.min(1.0);
     }
 
     /// Adapts the preference to a prompt or a late start, where crossing zones has this price.
-    pub fn record_start(&mut self, is_home: bool, is_late: bool, crossing_price: f64) {
+    pub(super) fn record_start(&mut self, is_home: bool, is_late: bool, crossing_price: f64) {
         let fraction = self.late_starts.of_zone(is_home);
         *fraction += LATE_STEP * (f64::from(u8::from(is_late)) - *fraction);
         let LateStartRate { away, home } = self.late_starts;
@@ -52,7 +52,7 @@
     }
 
     /// Continues from the values of another dispatcher, at this fraction of their weight.
-    pub fn resume(&mut self, home: f64, late_starts: LateStartRate, keep: f64) {
+    pub(super) fn resume(&mut self, home: f64, late_starts: LateStartRate, keep: f64) {
         self.home = 1.0 - (1.0 - home) * keep;
         self.late_starts = late_starts.faded(keep);
     }
--- a/crates/decisions/tests/arrivals.rs
+++ b/crates/decisions/tests/arrivals.rs
@@ -23,7 +23,8 @@
     );
     let fractions = [0, 1, 2].map(|tenant| arrivals.fraction(tenant));
     assert!(
-        (fractions[0].unwrap() - 0.75).abs() < 0.02 && (fractions[1].unwrap() - 0.25).abs() < 0.02
+        fractions[0].is_some_and(|fraction| (fraction - 0.75).abs() < 0.02)
+            && fractions[1].is_some_and(|fraction| (fraction - 0.25).abs() < 0.02)
     );
     assert_eq!(fractions[2], None);
     arrivals.add_tenants([0.3, 0.3, 0.4].into_iter());
--- a/crates/decisions/tests/reconfigure.rs
+++ b/crates/decisions/tests/reconfigure.rs
@@ -16,7 +16,7 @@
     let mut harness = Harness::new(settings(), &[entry(1, 0), entry(2, 0)]);
     let (unsafe_request, safe_request) = (harness.submit(2).0, harness.submit(0).0);
     harness.handle(reconfigured(|settings| {
-        (settings.classes[2].effect, settings.classes[0].effect) = (Effect::Safe, Effect::Unsafe)
+        (settings.classes[2].effect, settings.classes[0].effect) = (Effect::Safe, Effect::Unsafe);
     }));
     harness.end(unsafe_request, 0, Status::Reset);
     assert!(harness.is_failed(unsafe_request) && harness.sent_to(unsafe_request).is_none());
@@ -26,7 +26,7 @@
         let mut harness = Harness::new(settings(), &[entry(1, 0), entry(2, 0)]);
         harness.handle(reconfigured(|settings| {
             (settings.classes[2].effect, settings.classes[0].effect) =
-                (Effect::Safe, Effect::Unsafe)
+                (Effect::Safe, Effect::Unsafe);
         }));
         let id = harness.submit(class).0;
         harness.end(id, 0, Status::Reset);
--- a/crates/decisions/tests/rules/checker.rs
+++ b/crates/decisions/tests/rules/checker.rs
@@ -21,7 +21,7 @@
 }
 
 /// Knows only the events and actions of both sides, and checks each action against the rules.
-pub struct Checker {
+pub(crate) struct Checker {
     settings: Settings,
     harness: Harness,
     entries_by_worker: BTreeMap<WorkerId, Entry>,
@@ -38,7 +38,7 @@
 
 impl Checker {
     /// A dispatcher with six workers of three kinds in two zones.
-    pub fn new(settings: Settings) -> Self {
+    pub(crate) fn new(settings: Settings) -> Self {
         let workers: Vec<_> = (0..6)
             .map(|i| Entry {
                 zone: i % 2,
@@ -67,7 +67,7 @@
     }
 
     /// Checks the actions of the last event against the rules.
-    pub fn check(&mut self) {
+    pub(crate) fn check(&mut self) {
         let now = self.harness.now;
         for action in self.harness.actions.clone() {
             match action {
@@ -89,7 +89,7 @@
                 }
                 Action::Probe { .. } => assert!(self.settings.limits.probes),
                 Action::UpdatePeers { in_flight } => {
-                    assert!(self.settings.limits.peers && in_flight.len() <= 51)
+                    assert!(self.settings.limits.peers && in_flight.len() <= 51);
                 }
                 _ => {}
             }
@@ -347,7 +347,11 @@
     }
 
     /// Performs one step and checks the actions that follow. One arm for each step, hence its length.
-    pub fn run(&mut self, step: Step) {
+    #[allow(
+        clippy::too_many_lines,
+        reason = "one scenario, in the order in which it happens"
+    )]
+    pub(crate) fn run(&mut self, step: Step) {
         match step {
             Step::Submit { class, left, slots } => self.submit(class, left, slots),
             Step::Start(n) => {
@@ -468,7 +472,7 @@
     }
 
     /// Lets all deadlines pass: each request must have had exactly one final answer.
-    pub fn finish(&mut self) {
+    pub(crate) fn finish(&mut self) {
         self.advance(20 * SEC);
         for (id, r) in &self.requests {
             assert_eq!(
--- a/crates/decisions/tests/rules/steps.rs
+++ b/crates/decisions/tests/rules/steps.rs
@@ -6,7 +6,7 @@
 
 /// One thing that happens to a dispatcher.
 #[derive(Clone, Debug)]
-pub enum Step {
+pub(crate) enum Step {
     Submit {
         class: u32,
         left: Time,
@@ -31,7 +31,7 @@
 }
 
 /// Any step, weighted by how often it should occur.
-pub fn step() -> impl Strategy<Value = Step> {
+pub(crate) fn step() -> impl Strategy<Value = Step> {
     use Status::*;
     let left = prop_oneof![Just(0), 1..60 * MS, 60 * MS..8 * SEC];
     let status = prop_oneof![
--- a/crates/indigofold/examples/in_process.rs
+++ b/crates/indigofold/examples/in_process.rs
@@ -1,10 +1,17 @@
 //! One dispatcher and two workers in one process: a request is taken, sent, started and answered, then a
 //! second one meets an error and is tried again elsewhere. Run with `cargo run --example in_process`.
 
-use indigofold::api::*;
+use indigofold::api::{
+    Action, Charges, Class, Effect, Entry, Event, Limits, Reports, Request, RequestId, Rules,
+    Scope, Settings, Status, Time, WorkerId, WorkerState,
+};
 use indigofold::dispatcher::Dispatcher;
 
 /// A site with one safe class, a pushed worker list and workers that tell when a job starts.
+#[allow(
+    clippy::too_many_lines,
+    reason = "an example that is read from top to bottom"
+)]
 fn settings() -> Settings {
     let class = Class {
         kind: None,
@@ -94,7 +101,11 @@
 }
 
 /// Runs the example and returns which worker each attempt went to.
-pub fn run() -> Vec<(RequestId, WorkerId)> {
+#[allow(
+    clippy::too_many_lines,
+    reason = "an example that is read from top to bottom"
+)]
+pub(crate) fn run() -> Vec<(RequestId, WorkerId)> {
     let mut host = Host {
         dispatcher: Dispatcher::new(settings(), 42, 0),
         now: 0,
@@ -152,6 +163,6 @@
 }
 
 /// Prints events and actions.
-pub fn main() {
+pub(crate) fn main() {
     run();
 }
--- a/crates/indigofold/examples/stand_in_worker.rs
+++ b/crates/indigofold/examples/stand_in_worker.rs
@@ -24,10 +24,10 @@
         from.read_line(&mut line).ok()?;
         match line.trim_end().split_once(": ") {
             Some((name, value)) if name.eq_ignore_ascii_case("X-Trace-Id") => {
-                trace = value.to_string()
+                trace = value.to_string();
             }
             Some((name, value)) if name.eq_ignore_ascii_case("Content-Length") => {
-                length = value.parse().ok()?
+                length = value.parse().ok()?;
             }
             Some(_) => {}
             None => break,
--- a/crates/indigofold/src/admin.rs
+++ b/crates/indigofold/src/admin.rs
@@ -78,33 +78,46 @@
         waiting.borrow_mut().push_back(reject.clone());
         let (admin, waiting, open) = (admin.clone(), waiting.clone(), open.clone());
         admin.net.clone().spawn(async move {
-            let rejection = async {
-                let _ = rejected.recv().await;
-                Err(TOO_MANY_CALLS)
-            };
-            let (request, length) = match call(&stream).or(rejection).await {
-                Ok((request, length)) => (request, Ok(length)),
-                Err(why) => ([0; MAX_CALL_BYTES], Err(why)),
-            };
+            let request = read_call(&stream, rejected).await;
             waiting.borrow_mut().retain(|w| !w.same_channel(&reject));
-            let text = match length {
-                Ok(length) => admin.execute(&request[..length]),
-                Err(why) => format!("fail {why}\n"),
-            };
-            let written = async { (&stream).write_all(text.as_bytes()).await.is_ok() };
-            let stalled = async {
-                Timer::after(CALL_TIMEOUT).await;
-                false
-            };
-            // One that is rejected frees its descriptor at once.
-            if written.or(stalled).await && length != Err(TOO_MANY_CALLS) {
-                finish_write(&stream).await;
-            }
+            answer_call(&admin, &stream, request).await;
             open.set(open.get() - 1);
         });
     }
 }
 
+/// A call, or why there is none; one that is rejected for a newer call is not read further.
+async fn read_call(
+    stream: &Async<TcpStream>,
+    rejected: async_channel::Receiver<()>,
+) -> Result<([u8; MAX_CALL_BYTES], usize), &'static str> {
+    let rejection = async {
+        let _ = rejected.recv().await;
+        Err(TOO_MANY_CALLS)
+    };
+    call(stream).or(rejection).await
+}
+
+/// Answers a call; one that was rejected frees its descriptor at once.
+async fn answer_call(
+    admin: &Rc<AdminEndpoint>,
+    mut stream: &Async<TcpStream>,
+    request: Result<([u8; MAX_CALL_BYTES], usize), &'static str>,
+) {
+    let text = match &request {
+        Ok((bytes, length)) => admin.execute(&bytes[..*length]),
+        Err(why) => format!("fail {why}\n"),
+    };
+    let written = async { stream.write_all(text.as_bytes()).await.is_ok() };
+    let stalled = async {
+        Timer::after(CALL_TIMEOUT).await;
+        false
+    };
+    if written.or(stalled).await && !matches!(request, Err(TOO_MANY_CALLS)) {
+        finish_write(stream).await;
+    }
+}
+
 /// Reads one line.
 async fn call(stream: &Async<TcpStream>) -> Result<([u8; MAX_CALL_BYTES], usize), &'static str> {
     let read = async {
@@ -198,7 +211,7 @@
                 match since.elapsed() {
                     all if all > CLOSE_ALL_IDLE_AFTER => set.evict_idle_clients(Duration::ZERO),
                     some if some > KEEP_IDLE_AFTER_DRAIN => {
-                        set.evict_idle_clients(IDLE_BEFORE_CLOSE)
+                        set.evict_idle_clients(IDLE_BEFORE_CLOSE);
                     }
                     _ => {}
                 }
--- a/crates/indigofold/src/config.rs
+++ b/crates/indigofold/src/config.rs
@@ -24,6 +24,10 @@
 
 /// Parses JSON text in place. A text nested too deeply is rejected first: the parser recurses at each level, and a few
 /// thousand levels would overflow the stack.
+///
+/// # Errors
+///
+/// Where the text is nested too deeply, is no JSON, or has not the form of `T`.
 pub fn decode<T: for<'a> Deserialize<'a>>(text: &mut [u8]) -> Parse<T> {
     let (mut depth, mut quoted, mut escaped) = (0usize, false, false);
     for byte in text.iter() {
--- a/crates/indigofold/src/config/discovery.rs
+++ b/crates/indigofold/src/config/discovery.rs
@@ -51,6 +51,10 @@
 
 impl MembershipUpdate {
     /// Parses JSON text in place; the text is not usable afterwards.
+    ///
+    /// # Errors
+    ///
+    /// The text is no JSON, or not of this form.
     pub fn read(text: &mut [u8]) -> Parse<Self> {
         decode(text).map_err(|e| format!("no machine list: {e}"))
     }
@@ -79,6 +83,10 @@
 
 impl JobReport {
     /// Parses JSON text in place; the text is not usable afterwards.
+    ///
+    /// # Errors
+    ///
+    /// The text is no JSON, or not of this form.
     pub fn read(text: &mut [u8]) -> Parse<Self> {
         decode(text).map_err(|e| format!("no news: {e}"))
     }
--- a/crates/indigofold/src/config/faktory.rs
+++ b/crates/indigofold/src/config/faktory.rs
@@ -68,6 +68,10 @@
 
 impl Faktory {
     /// Reads the operator's file from JSON text.
+    ///
+    /// # Errors
+    ///
+    /// Names the first entry that is missing or not allowed, and what is allowed.
     pub fn read(mut text: Vec<u8>) -> Parse<Self> {
         let raw: RawFaktory = decode(&mut text).map_err(|e| format!("no Faktory front: {e}"))?;
         let mut wids: Vec<&String> = raw.machines.iter().flat_map(|m| &m.wids).collect();
--- a/crates/indigofold/src/config/json.rs
+++ b/crates/indigofold/src/config/json.rs
@@ -31,12 +31,14 @@
     }
 
     pub(super) fn number(self) -> Option<f64> {
-        self.0.and_then(|v| v.cast_f64()).filter(|v| v.is_finite())
+        self.0
+            .and_then(ValueAsScalar::cast_f64)
+            .filter(|v| v.is_finite())
     }
 
     pub(super) fn flag(self) -> bool {
         self.0
-            .and_then(|v| v.as_bool())
+            .and_then(ValueAsScalar::as_bool)
             .unwrap_or(self.number() == Some(1.0))
     }
 
--- a/crates/indigofold/src/config/platform.rs
+++ b/crates/indigofold/src/config/platform.rs
@@ -59,6 +59,10 @@
 
 impl Platform {
     /// Reads the configuration from JSON text; variables of the environment take precedence.
+    ///
+    /// # Errors
+    ///
+    /// Names the first entry that is missing or not allowed, and what is allowed.
     pub fn read(mut text: Vec<u8>, env: impl Fn(&str) -> Option<String>) -> Parse<Self> {
         let document: OwnedValue =
             decode(&mut text.clone()).map_err(|e| format!("no configuration: {e}"))?;
@@ -90,6 +94,10 @@
     }
 
     /// Parses the file that replaces this one: it must have every key that this one has.
+    ///
+    /// # Errors
+    ///
+    /// As [`Platform::read`], or an entry is missing that the present configuration has.
     pub fn reread(&self, text: Vec<u8>) -> Parse<Self> {
         // The environment is that of the start: a changed file takes precedence over it.
         let new = Platform::read(text, |_| None)?;
@@ -106,7 +114,7 @@
     match (old, new) {
         (OwnedValue::Object(old), OwnedValue::Object(new)) => {
             old.iter().find_map(|(key, value)| {
-                let missing = || Some(key.to_string());
+                let missing = || Some(key.clone());
                 new.get(key).map_or_else(missing, |new| match key.as_str() {
                     "known" => None, // as old as the program's start
                     _ if kind(value) != kind(new) => missing(),
@@ -123,7 +131,7 @@
             common.into_iter().find_map(|(key, value)| {
                 let has =
                     |v: &OwnedValue| v.get(key.as_str()).is_some_and(|v| kind(v) == kind(value));
-                (!new.iter().all(has)).then(|| key.to_string())
+                (!new.iter().all(has)).then(|| key.clone())
             })
         }
         _ => None,
--- a/crates/indigofold/src/config/settings.rs
+++ b/crates/indigofold/src/config/settings.rs
@@ -2,7 +2,10 @@
 
 use super::Parse;
 use super::json::Json;
-use crate::api::*;
+use crate::api::{
+    Charges, Class, Effect, Group, KindId, Limits, Reports, ResendBudget, Rules, Settings, Tenant,
+    Time, ZoneId,
+};
 use simd_json::prelude::*;
 
 /// Reads the settings object; what a rule or a limit rests on must be there, the rest has defaults.
--- a/crates/indigofold/src/config/site.rs
+++ b/crates/indigofold/src/config/site.rs
@@ -64,6 +64,10 @@
 
 impl Site {
     /// Reads the settings object from JSON text, which is used up.
+    ///
+    /// # Errors
+    ///
+    /// As [`Site::from_value`], or the text is no JSON.
     pub fn read(mut text: Vec<u8>) -> Parse<Self> {
         let value = decode::<OwnedValue>(&mut text)
             .map_err(|e| format!("the settings must be a JSON object: {e}"))?;
@@ -71,6 +75,10 @@
     }
 
     /// Reads the settings object.
+    ///
+    /// # Errors
+    ///
+    /// Names the first setting that is missing or not allowed, and what is allowed.
     pub fn from_value(value: &OwnedValue) -> Parse<Self> {
         let env = Json(Some(value));
         let names = |key: &str, inner: Option<&str>| -> Names {
--- a/crates/indigofold/src/core/engine.rs
+++ b/crates/indigofold/src/core/engine.rs
@@ -24,6 +24,10 @@
     }
 
     /// Hands it one event and appends what it asks for. An error is the text of a panic, on one line.
+    ///
+    /// # Errors
+    ///
+    /// The text of a panic, on one line.
     pub fn handle(
         &mut self,
         now: Time,
@@ -111,10 +115,10 @@
             CoreInput::Settings(settings) => self.batch_interval = settings.granularity,
             // Whoever asked may have turned to something else: then the job is still its client's here.
             CoreInput::Release(job, to) if !to.is_closed() => {
-                _ = to.try_send(self.release(now, *job))
+                _ = to.try_send(self.release(now, *job));
             }
             CoreInput::ReadStatistics(to, scope) => {
-                _ = to.try_send(self.module.statistics(now, *scope))
+                _ = to.try_send(self.module.statistics(now, *scope));
             }
             _ => {}
         }
--- a/crates/indigofold/src/core/job_table.rs
+++ b/crates/indigofold/src/core/job_table.rs
@@ -103,15 +103,19 @@
                     attempt: id.number,
                 });
             }
-            CoreInput::Started(_) | CoreInput::Progress(..) | CoreInput::Unacknowledged(_) => {}
             CoreInput::Ended(id, status, load) => self.attempt_ended(id, status, load, transport),
             CoreInput::Membership(scope, entries) => {
-                self.events.push(Event::Membership { scope, entries })
+                self.events.push(Event::Membership { scope, entries });
             }
             CoreInput::Settings(settings) => self.events.push(Event::Settings(settings)),
             CoreInput::Statistics(other) => self.events.push(Event::Statistics(other)),
             CoreInput::Adopted(id, job, until, reply) => self.adopt(id, job, until, reply),
-            CoreInput::ReadStatistics(..) | CoreInput::Release(..) => {} // the engine's: the module must be asked
+            // Of an attempt that is not in flight any more, or the engine's own: the module must be asked.
+            CoreInput::Started(_)
+            | CoreInput::Progress(..)
+            | CoreInput::Unacknowledged(_)
+            | CoreInput::ReadStatistics(..)
+            | CoreInput::Release(..) => {}
             CoreInput::Probed(worker, status, load) => self.events.push(Event::Probed {
                 worker,
                 status,
--- a/crates/indigofold/src/net.rs
+++ b/crates/indigofold/src/net.rs
@@ -37,6 +37,10 @@
 const ACCEPT_BACKLOG: i32 = 1024;
 
 /// Listens at an address.
+///
+/// # Errors
+///
+/// The address cannot be bound.
 pub fn listen(at: SocketAddr) -> io::Result<Async<TcpListener>> {
     let listener = TcpListener::bind(at)?;
     rustix::net::listen(&listener, ACCEPT_BACKLOG)?;
@@ -136,6 +140,10 @@
 
     /// A buffer for a message that begins to come. Where there is no room, connections whose first message is not
     /// complete are evicted.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::NoCapacity`] if there is no room in time.
     pub async fn buffer(&self) -> Result<Buffer, Reason> {
         let wait = async {
             while !self.pool.has_capacity() {
@@ -148,6 +156,10 @@
     }
 
     /// Runs a future on an accepted connection that may be evicted meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// The reason of `work`, or that the connection was evicted.
     pub async fn unless_evicted<T>(
         &self,
         rank: Rank,
@@ -157,6 +169,10 @@
     }
 
     /// The same; a client's connection is also evicted as the program drains.
+    ///
+    /// # Errors
+    ///
+    /// The reason of `work`, or that the connection was evicted.
     pub async fn unless_evicted_or_drained<T>(
         &self,
         rank: Rank,
@@ -175,6 +191,10 @@
     }
 
     /// The same for what an accepted connection does first: it is of this rank once it is no longer fresh.
+    ///
+    /// # Errors
+    ///
+    /// The reason of `work`, or that the connection was evicted.
     pub async fn first_unless_evicted<T>(
         &self,
         accepted: Instant,
@@ -222,6 +242,10 @@
     }
 
     /// Dials; no longer than the limit.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no connection: no descriptor, refused, or not in time.
     pub async fn dial(&self, to: SocketAddr, limit: Duration) -> Result<Link, Reason> {
         let Some(seat) = self.set.seat(Direction::Outbound) else {
             self.set.evict_one();
@@ -245,6 +269,10 @@
 }
 
 /// Runs something for no longer than the limit.
+///
+/// # Errors
+///
+/// The reason of the work, or `late` if the limit is over first.
 pub async fn within<T>(
     limit: Duration,
     reason: Reason,
@@ -373,6 +401,10 @@
     }
 
     /// Reads what has come into the buffer's room. 0: the other side has closed, or the buffer is full.
+    ///
+    /// # Errors
+    ///
+    /// That of the socket.
     pub async fn read(&self, buffer: &mut Buffer) -> io::Result<usize> {
         let count = (&self.stream).read(buffer.spare()).await?;
         buffer.grow(count);
@@ -418,6 +450,10 @@
     }
 
     /// Returns once there is something to read, the end included.
+    ///
+    /// # Errors
+    ///
+    /// That of the socket.
     pub async fn readable(&self) -> io::Result<()> {
         self.stream.readable().await
     }
@@ -436,6 +472,10 @@
     }
 
     /// Writes all of it and counts what went out, also when it breaks off.
+    ///
+    /// # Errors
+    ///
+    /// That of the socket; `bytes_written` says how far it came.
     pub async fn write(&self, bytes: &[u8], bytes_written: &mut usize) -> io::Result<()> {
         while *bytes_written < bytes.len() {
             match (&self.stream).write(&bytes[*bytes_written..]).await? {
@@ -447,6 +487,10 @@
     }
 
     /// Writes all of it within a time.
+    ///
+    /// # Errors
+    ///
+    /// Why not all of it was written in time.
     pub async fn send(&self, bytes: &[u8], limit: Duration) -> Result<(), Reason> {
         let mut bytes_written = 0;
         let write = async {
--- a/crates/indigofold/src/net/http.rs
+++ b/crates/indigofold/src/net/http.rs
@@ -158,6 +158,10 @@
 }
 
 /// Parses the message at the front of the buffer, if all of it is there. A chunked body is joined in place.
+///
+/// # Errors
+///
+/// What is wrong with the message, or that it is too large.
 pub fn parse_message(buffer: &mut Buffer, kind: Kind) -> Result<Progress, Bad> {
     let bytes = buffer.filled();
     let Some(parsed) = parse_head(bytes, kind)? else {
@@ -272,8 +276,11 @@
     }
 }
 
-/// The body_chunks of a chunked body and its length on the wire; `None` while some of it is missing.
-#[allow(clippy::type_complexity)]
+/// The `body_chunks` of a chunked body and its length on the wire; `None` while some of it is missing.
+#[allow(
+    clippy::type_complexity,
+    reason = "used by one caller, which takes both apart at once"
+)]
 fn chunks(bytes: &[u8]) -> Result<Option<(Vec<Range<usize>>, usize)>, Bad> {
     let (mut at, mut sum, mut body_chunks) = (0, 0, Vec::new());
     loop {
--- a/crates/indigofold/src/program.rs
+++ b/crates/indigofold/src/program.rs
@@ -31,6 +31,10 @@
 const ANSWER_MARGIN_US: u64 = 40_000;
 
 /// Runs the program until a signal has stopped it. An error is one of the configuration or of a listener.
+///
+/// # Errors
+///
+/// One of the configuration or of a listener.
 pub async fn run(tasks: Rc<LocalExecutor<'static>>) -> Result<(), Box<dyn Error>> {
     // Before anything else: without a handler, each of these ends the program.
     let (mut signals, hangups) = (
--- a/crates/indigofold/src/program/platform.rs
+++ b/crates/indigofold/src/program/platform.rs
@@ -81,9 +81,8 @@
             front.net.clone().spawn(async move {
                 let listener = loop {
                     Timer::after(RETRY_INTERVAL).await;
-                    match bind(&address) {
-                        Ok(listener) => break listener,
-                        Err(_) => continue,
+                    if let Ok(listener) = bind(&address) {
+                        break listener;
                     }
                 };
                 let _ = open_admin(&front, listener);
--- a/crates/indigofold/src/wire.rs
+++ b/crates/indigofold/src/wire.rs
@@ -4,7 +4,7 @@
 //! the end of each batch it returns the reply. Unknown messages, fields and settings are skipped, the first
 //! of each kind with a warning ([`Session::take_warnings`]); a known message that is malformed is a [`WireError`].
 
-use crate::api::*;
+use crate::api::{Action, Entry, Event, Scope, Time};
 use crate::config::Site;
 use fields::{Fields, Parse, head};
 use instance::Instance;
@@ -128,6 +128,10 @@
     }
 
     /// Ends the session: input that stops inside a batch is an error.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] if the input stops inside a batch.
     pub fn finish(&self) -> Result<(), WireError> {
         if self.in_batch {
             let message = "input ended inside a batch; expected EOB".to_string();
@@ -140,6 +144,10 @@
     }
 
     /// Takes one line (without its line break). Returns the reply when the line ends a batch.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] if the line is none of the wire, or none that may come here.
     pub fn feed(&mut self, text: &str) -> Result<Option<String>, WireError> {
         self.line += 1;
         let text = text.strip_suffix('\r').unwrap_or(text);
--- a/crates/indigofold/src/wire/instance.rs
+++ b/crates/indigofold/src/wire/instance.rs
@@ -1,7 +1,9 @@
 //! One instance: lines to events, actions to lines, and the names of its requests.
 
 use super::fields::{Fields, Parse, head};
-use crate::api::*;
+use crate::api::{
+    Action, Entry, Event, Load, Request, RequestId, Status, Time, WorkerId, WorkerState,
+};
 use crate::config::{self, Site};
 use crate::core::engine::Module;
 use base64::Engine;
@@ -197,7 +199,7 @@
     }
 
     /// Writes what the module asks for as lines of the protocol.
-    // Longer than most: an arm for each action.
+    #[allow(clippy::too_many_lines, reason = "an arm for each action")]
     pub(super) fn write(&mut self, action: &Action, out: &mut String) {
         let name = |id: &RequestId| self.requests.get(id).map_or("", |r| r.name.as_str());
         let _ = match action {
@@ -265,7 +267,7 @@
                 }
             }
             Action::Refuse { request, .. } | Action::Fail { request } => {
-                self.forget_if_closed(*request, true, 0)
+                self.forget_if_closed(*request, true, 0);
             }
             _ => {}
         }
--- a/crates/indigofold/tests/affinity.rs
+++ b/crates/indigofold/tests/affinity.rs
@@ -231,7 +231,7 @@
     assert!(moved == had && (150..=250).contains(&had), "{moved} {had}");
 }
 
-/// Guards against first workers that move with every solution: the p_k of a busy moment last for a second, what was
+/// Guards against first workers that move with every solution: the `p_k` of a busy moment last for a second, what was
 /// fetched for longer (0.57 of the keys moved while the list stayed the same).
 #[test]
 fn affinity_weights_follow_the_solution_slowly() {
@@ -266,6 +266,10 @@
 
 /// Guards against a freed slot going to the newest held job, which fetches there, while one whose like goes there waits.
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn a_freed_slot_goes_to_the_queued_job_with_affinity_to_its_worker() {
     let mut s = stage(&workers(1, 3));
     let one_slot = Load {
@@ -337,6 +341,10 @@
 /// Guards against a worker that hangs being tried again and again (37 jobs in 17 s on big-1 of the second site, each lost
 /// 1.6 s): where its attempts are given up, nothing that is out there can tell when it is back.
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn backoff_from_a_hanging_worker_grows_until_it_makes_progress() {
     let limits = Limits {
         duplicates: false,
--- a/crates/indigofold/tests/exchanges.rs
+++ b/crates/indigofold/tests/exchanges.rs
@@ -221,6 +221,10 @@
         self.spawn(front, &format!("{unset}{limit}"), given("unread").is_some());
     }
 
+    #[allow(
+        clippy::too_many_lines,
+        reason = "one scenario, in the order in which it happens"
+    )]
     fn spawn(&mut self, front: &str, before: &str, unread: bool) {
         let mut command = Command::new("/bin/sh");
         command.args([
@@ -356,15 +360,18 @@
         let (verb, more) = rest.split_once(' ').unwrap_or((rest, ""));
         match (name, verb) {
             ("known" | "set" | "stale" | "config" | "edit" | "broken", _) => {
-                self.change_files((name, verb), rest)
+                self.change_files((name, verb), rest);
             }
             ("crowd" | "pushers" | "visits" | "scatter", _) => self.open_many((name, verb), more),
-            ("start" | "replace" | "kill" | "was" | "log" | "runs" | "exit" | "pause", _)
-            | ("term" | "hup" | "stop" | "cont", _) => {
-                self.control_program((name, verb), rest, more)
+            (
+                "start" | "replace" | "kill" | "was" | "log" | "runs" | "exit" | "pause" | "term"
+                | "hup" | "stop" | "cont",
+                _,
+            ) => {
+                self.control_program((name, verb), rest, more);
             }
             (_, "listen" | "full" | "quiet" | "dialled" | "open" | "deaf") => {
-                self.use_listener(name, verb)
+                self.use_listener(name, verb);
             }
             _ => self.use_connection((name, verb), more),
         }
@@ -436,6 +443,10 @@
     }
 
     /// A step that starts, signals or observes the program.
+    #[allow(
+        clippy::too_many_lines,
+        reason = "one scenario, in the order in which it happens"
+    )]
     fn control_program(&mut self, (name, verb): (&str, &str), rest: &str, more: &str) {
         match (name, verb) {
             ("start", front) => self.start(front, more),
@@ -480,13 +491,17 @@
                 assert!(status.success(), "{status}, {:#?}", program.log);
             }
             ("pause", ms) => {
-                std::thread::sleep(Duration::from_millis(ms.parse().expect("a number")))
+                std::thread::sleep(Duration::from_millis(ms.parse().expect("a number")));
             }
             _ => panic!("no such step: {name} {verb}"),
         }
     }
 
     /// A step on a listener of a stand-in.
+    #[allow(
+        clippy::too_many_lines,
+        reason = "one scenario, in the order in which it happens"
+    )]
     fn use_listener(&mut self, name: &str, verb: &str) {
         match (name, verb) {
             (_, "listen") => {
@@ -541,6 +556,10 @@
     }
 
     /// A step on one connection.
+    #[allow(
+        clippy::too_many_lines,
+        reason = "one scenario, in the order in which it happens"
+    )]
     fn use_connection(&mut self, (name, verb): (&str, &str), more: &str) {
         match (name, verb) {
             (_, "reset") => {
--- a/crates/indigofold/tests/faktory.rs
+++ b/crates/indigofold/tests/faktory.rs
@@ -163,6 +163,10 @@
 
 /// A plain Faktory server, from the protocol's specification: one queue, PUSH is answered when the job is taken
 /// in, FETCH waits a while for a job, and what a lost connection had fetched is given out again.
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn plain_server() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
@@ -335,7 +339,7 @@
         })
         .collect();
     for _ in 0..MAX_FETCHES {
-        if clients.iter().all(|s| s.is_finished()) || count_all(&runs) == 20 {
+        if clients.iter().all(std::thread::JoinHandle::is_finished) || count_all(&runs) == 20 {
             break;
         }
         worker.fetch(&runs);
@@ -355,6 +359,10 @@
 }
 
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn the_core_is_notified_of_starts_drains_and_lost_connections() {
     let tasks = Rc::new(LocalExecutor::new());
     async_io::block_on(tasks.run(async {
--- a/crates/indigofold/tests/job_table.rs
+++ b/crates/indigofold/tests/job_table.rs
@@ -206,6 +206,10 @@
 /// Guards against a second copy: the module sends a job anew as soon as it hears that an attempt is given up, and that is not
 /// before its machine has heard of it. What the machine says meanwhile counts.
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn an_attempt_being_cancelled_stays_in_flight_until_its_machine_acknowledges() {
     for done in [false, true] {
         let (mut table, transport) = (
--- a/crates/indigofold/tests/replacement.rs
+++ b/crates/indigofold/tests/replacement.rs
@@ -58,6 +58,10 @@
 }
 
 impl Transport for Simulation {
+    #[allow(
+        clippy::too_many_lines,
+        reason = "one scenario, in the order in which it happens"
+    )]
     fn send(&self, attempt: Attempt) -> bool {
         let (fate, takes, wait) = (
             self.random(100),
@@ -187,6 +191,10 @@
 }
 
 /// Plays one scheduler for some seconds, replaced so many times; returns its world and how many jobs went over.
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn play(seed: u64, duplicates: bool, replacements: u64) -> (World, u32) {
     let mut settings = indigofold_decisions_testing::settings();
     settings.dispatchers = 300;
--- a/crates/indigofold/tests/wire.rs
+++ b/crates/indigofold/tests/wire.rs
@@ -160,6 +160,10 @@
 }
 
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn errors_of_malformed_input_name_the_position_and_the_field() {
     for (line, what) in [
         ("ACCEPT type=read left=5", "requestId"),
--- a/crates/replay/src/baseline.rs
+++ b/crates/replay/src/baseline.rs
@@ -142,7 +142,7 @@
             CoreInput::Job(request, until, _) => self.handle_job(now, request, until, transport),
             CoreInput::ClientLeft(id) => self.close(id, transport),
             CoreInput::Ended(attempt, status, _) => {
-                self.handle_end(now, attempt, status, transport)
+                self.handle_end(now, attempt, status, transport);
             }
             CoreInput::Membership(Scope::Failed, _) => {}
             CoreInput::Membership(scope, entries) => {
--- a/crates/replay/src/check.rs
+++ b/crates/replay/src/check.rs
@@ -20,7 +20,7 @@
 /// A job at one scheduler: one request of a client.
 pub type Job = u64;
 
-#[allow(missing_docs)] // the fields say what they are
+#[allow(missing_docs, reason = "the fields say what they are")]
 /// Something that was observed. Observations come in order of time as far as one rule needs it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Observation {
@@ -222,7 +222,8 @@
         self.scenario.classes[class as usize].effect
     }
 
-    /// Takes an observation. (Longer than most functions: one arm for each kind.)
+    /// Takes an observation.
+    #[allow(clippy::too_many_lines, reason = "an arm for each kind of observation")]
     pub fn observe(&mut self, observation: Observation) {
         match observation {
             Observation::RequestAccepted {
--- a/crates/replay/src/cli.rs
+++ b/crates/replay/src/cli.rs
@@ -11,7 +11,7 @@
 /// Exit codes: 0 done; 1 it could not be done, and why is said; 2 the call was wrong; 3 a run broke a rule.
 #[derive(Parser)]
 #[command(name = "indigofold-replay", version)]
-pub struct Cli {
+pub(crate) struct Cli {
     /// Print results as JSON.
     #[arg(long, global = true)]
     pub json: bool,
@@ -23,7 +23,7 @@
 }
 
 #[derive(Subcommand)]
-pub enum Call {
+pub(crate) enum Call {
     /// Make a recording of HAR files and access logs.
     Import(Import),
     /// Show what a recording holds.
@@ -113,13 +113,13 @@
 }
 
 #[derive(Clone, Copy, clap::ValueEnum)]
-pub enum SchemaOf {
+pub(crate) enum SchemaOf {
     Mapping,
     Scenario,
 }
 
 #[derive(Args)]
-pub struct Files {
+pub(crate) struct Files {
     /// The recording.
     pub recording: PathBuf,
     /// Where the result goes; compressed if its name ends in .zst.
@@ -128,7 +128,7 @@
 }
 
 #[derive(Args)]
-pub struct Jump {
+pub(crate) struct Jump {
     #[command(flatten)]
     pub files: Files,
     /// Seconds after the first job.
@@ -149,7 +149,7 @@
 }
 
 #[derive(Args)]
-pub struct Compare {
+pub(crate) struct Compare {
     /// The scenario that both were played on.
     #[arg(long)]
     pub scenario: PathBuf,
@@ -163,7 +163,7 @@
 }
 
 #[derive(Args)]
-pub struct Import {
+pub(crate) struct Import {
     /// HAR files, logs, recordings; plain, gzip or zstd. Rotated files may be named in any order.
     #[arg(required = true)]
     pub files: Vec<PathBuf>,
@@ -189,7 +189,7 @@
 }
 
 #[derive(Args)]
-pub struct Live {
+pub(crate) struct Live {
     /// The scenario.
     pub scenario: PathBuf,
     /// Random numbers begin here, in place of the scenario's.
@@ -212,7 +212,7 @@
 }
 
 #[derive(Args)]
-pub struct Replay {
+pub(crate) struct Replay {
     /// The scenario: schedulers, job workers, troubles.
     pub scenario: PathBuf,
     /// The recording; without one, the scenario's made load.
@@ -237,7 +237,7 @@
 }
 
 #[derive(Args)]
-pub struct Results {
+pub(crate) struct Results {
     /// Write a report here.
     #[arg(long)]
     pub report: Option<PathBuf>,
--- a/crates/replay/src/compare_command.rs
+++ b/crates/replay/src/compare_command.rs
@@ -7,7 +7,7 @@
 use indigofold_replay::report;
 use std::io::Write;
 
-pub fn compare_runs(args: &Compare, json: bool) -> Result<(), Bad> {
+pub(crate) fn compare_runs(args: &Compare, json: bool) -> Result<(), Bad> {
     let scenario = read_scenario(&args.scenario)?;
     let (a, b) = (read_run(&args.a)?, read_run(&args.b)?);
     let comparison = compare(&a, &b);
--- a/crates/replay/src/files.rs
+++ b/crates/replay/src/files.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 /// A progress bar, hidden where standard error is no terminal.
-pub fn bar(length: u64, of: &'static str) -> ProgressBar {
+pub(crate) fn bar(length: u64, of: &'static str) -> ProgressBar {
     if !std::io::stderr().is_terminal() {
         return ProgressBar::hidden();
     }
@@ -22,18 +22,18 @@
     bar.with_message(of)
 }
 
-pub fn open(path: &Path) -> Result<Reader<Box<dyn BufRead>>, Bad> {
+pub(crate) fn open(path: &Path) -> Result<Reader<Box<dyn BufRead>>, Bad> {
     let from =
         source::open(path, Arc::default()).map_err(|e| format!("{}: {e}", path.display()))?;
     Ok(Reader::new(from).map_err(|e| format!("{}: {e}", path.display()))?)
 }
 
-pub fn text_of(path: &Path) -> Result<String, Bad> {
+pub(crate) fn text_of(path: &Path) -> Result<String, Bad> {
     Ok(std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?)
 }
 
 /// When a recording's first job was sent.
-pub fn first_time(path: &Path) -> Result<i64, Bad> {
+pub(crate) fn first_time(path: &Path) -> Result<i64, Bad> {
     Ok(open(path)?
         .next()
         .transpose()?
@@ -42,7 +42,7 @@
 }
 
 /// Creates a file under a temporary name: the caller renames it once it is complete.
-pub fn create(path: &Path) -> Result<(Box<dyn Write>, PathBuf), Bad> {
+pub(crate) fn create(path: &Path) -> Result<(Box<dyn Write>, PathBuf), Bad> {
     let unfinished = path.with_extension(format!("part-{}", std::process::id()));
     let file = File::create(&unfinished).map_err(|e| format!("{}: {e}", unfinished.display()))?;
     let out = BufWriter::with_capacity(1 << 18, file);
--- a/crates/replay/src/folding_command.rs
+++ b/crates/replay/src/folding_command.rs
@@ -6,7 +6,7 @@
 use std::io::Write;
 use std::path::Path;
 
-pub fn check_folding(scenario: &Path, seeds: u64, json: bool) -> Result<(), Bad> {
+pub(crate) fn check_folding(scenario: &Path, seeds: u64, json: bool) -> Result<(), Bad> {
     let scenario = read_scenario(scenario)?;
     let rows = retry_folding::check(&scenario, seeds)?;
     if json {
--- a/crates/replay/src/import_command.rs
+++ b/crates/replay/src/import_command.rs
@@ -21,7 +21,7 @@
 /// Between two updates of the progress bar.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
 
-pub fn import_files(args: &Import, json: bool) -> Result<ExitCode, Bad> {
+pub(crate) fn import_files(args: &Import, json: bool) -> Result<ExitCode, Bad> {
     let text = text_of(&args.mapping)?;
     let mapping = Mapping::read(&text).map_err(|e| format!("{}:\n{e}", args.mapping.display()))?;
     let options = Options {
--- a/crates/replay/src/play_command.rs
+++ b/crates/replay/src/play_command.rs
@@ -19,18 +19,18 @@
 /// The exit code where a run broke a rule.
 const RULES_BROKEN: u8 = 3;
 
-pub fn read_scenario(path: &Path) -> Result<Scenario, Bad> {
+pub(crate) fn read_scenario(path: &Path) -> Result<Scenario, Bad> {
     let text = text_of(path)?;
     Ok(scenario::read(&text).map_err(|e| format!("{}:\n{e}", path.display()))?)
 }
 
-pub fn read_run(path: &Path) -> Result<Run, Bad> {
+pub(crate) fn read_run(path: &Path) -> Result<Run, Bad> {
     let text = text_of(path)?;
     Ok(serde_json::from_str(&text)
         .map_err(|e| format!("{}: this is no result: {e}", path.display()))?)
 }
 
-pub fn live(args: &Live, json: bool) -> Result<ExitCode, Bad> {
+pub(crate) fn live(args: &Live, json: bool) -> Result<ExitCode, Bad> {
     let scenario = read_scenario(&args.scenario)?;
     let seed = args.seed.unwrap_or(scenario.seed);
     let mut logs: Vec<Log<BufWriter<File>>> = Vec::new();
@@ -74,7 +74,7 @@
     results(&scenario, "Live", &run, begin, &args.results, json)
 }
 
-pub fn replay(args: &Replay, json: bool) -> Result<ExitCode, Bad> {
+pub(crate) fn replay(args: &Replay, json: bool) -> Result<ExitCode, Bad> {
     let mut scenario = read_scenario(&args.scenario)?;
     let seed = args.seed.unwrap_or(scenario.seed);
     if let Some(seconds) = args.seconds {
--- a/crates/replay/src/recording_commands.rs
+++ b/crates/replay/src/recording_commands.rs
@@ -19,7 +19,7 @@
 /// In characters.
 const MIN_SECRET_LENGTH: usize = 16;
 
-pub fn show(path: &Path, json: bool) -> Result<(), Bad> {
+pub(crate) fn show(path: &Path, json: bool) -> Result<(), Bad> {
     let mut reader = open(path)?;
     let mut summary = Summary::default();
     for job in &mut reader {
@@ -107,7 +107,7 @@
     Ok(())
 }
 
-pub fn change(
+pub(crate) fn change(
     files: &Files,
     json: bool,
     by: impl FnOnce(Jobs<'static>) -> Jobs<'static>,
@@ -117,7 +117,7 @@
     write(header, by(jobs), &files.out, &failed, json)
 }
 
-pub fn merge(recordings: &[PathBuf], out: &Path, json: bool) -> Result<(), Bad> {
+pub(crate) fn merge(recordings: &[PathBuf], out: &Path, json: bool) -> Result<(), Bad> {
     let failed = Rc::new(RefCell::new(None));
     let mut all = Vec::new();
     let mut made_of = Vec::new();
@@ -136,7 +136,7 @@
 }
 
 /// Keeps what was sent between two times, in seconds after the first job.
-pub fn keep_time_span(files: &Files, from: f64, to: f64, json: bool) -> Result<(), Bad> {
+pub(crate) fn keep_time_span(files: &Files, from: f64, to: f64, json: bool) -> Result<(), Bad> {
     let first = first_time(&files.recording)?;
     let at = |seconds: f64| first + microseconds(seconds);
     change(files, json, |jobs| {
@@ -145,7 +145,13 @@
 }
 
 /// Scales the rate by a factor, within stretches of so many milliseconds.
-pub fn scale(files: &Files, by: f64, stretch_ms: i64, seed: u64, json: bool) -> Result<(), Bad> {
+pub(crate) fn scale(
+    files: &Files,
+    by: f64,
+    stretch_ms: i64,
+    seed: u64,
+    json: bool,
+) -> Result<(), Bad> {
     if !(by > 0.0 && by <= MAX_FACTOR) {
         return Err("--by must be over 0 and up to 1000".into());
     }
@@ -156,7 +162,7 @@
 }
 
 /// Adds a jump of the rate.
-pub fn jump(args: &Jump, json: bool) -> Result<(), Bad> {
+pub(crate) fn jump(args: &Jump, json: bool) -> Result<(), Bad> {
     if !(args.times > 0.0 && args.times <= MAX_FACTOR) {
         return Err("--times must be over 0 and up to 1000".into());
     }
@@ -173,7 +179,12 @@
 }
 
 /// Replaces what names people and things by keyed hashes.
-pub fn pseudonymise(files: &Files, secret: &Path, parishes: bool, json: bool) -> Result<(), Bad> {
+pub(crate) fn pseudonymise(
+    files: &Files,
+    secret: &Path,
+    parishes: bool,
+    json: bool,
+) -> Result<(), Bad> {
     let secret = text_of(secret)?;
     if secret.trim().len() < MIN_SECRET_LENGTH {
         return Err("the secret is too short: 16 characters or more are wanted".into());
--- a/crates/replay/src/sockets/clients.rs
+++ b/crates/replay/src/sockets/clients.rs
@@ -6,7 +6,7 @@
 use crate::check::Observation;
 use crate::client::{ClientResponse, next_retry};
 use crate::load::Arrival;
-use crate::scenario::{Effect, Micros};
+use crate::scenario::{Class, Effect, Micros};
 use crate::service::{EndedJob, JobEnd};
 use crate::virtual_time::Retries;
 use smol::Timer;
@@ -49,7 +49,7 @@
 }
 
 /// Sends all arrivals, and waits until their jobs have ended. `shift` is added to each arrival's time.
-pub async fn send(
+pub(crate) async fn send(
     environment: &Arc<Environment>,
     arrivals: impl Iterator<Item = Result<Arrival, String>>,
     addresses: &[SocketAddr],
@@ -93,7 +93,7 @@
 
     async fn wait_for_ends(&self) {
         let environment = &self.environment;
-        let deadlines = environment.scenario.classes.iter().map(|c| c.deadline());
+        let deadlines = environment.scenario.classes.iter().map(Class::deadline);
         let longest = deadlines.max().unwrap_or(0);
         let until = environment.now() + longest + FINAL_MARGIN.as_micros() as Micros;
         while self.open_jobs.load(Ordering::SeqCst) > 0 && environment.now() < until {
--- a/crates/replay/src/sockets/discovery.rs
+++ b/crates/replay/src/sockets/discovery.rs
@@ -19,7 +19,7 @@
 
 /// Health of a worker, as the platform's discovery names it.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Health {
+pub(crate) enum Health {
     /// It takes work.
     Ready,
     /// It drains.
@@ -51,13 +51,13 @@
 }
 
 /// The membership of workers.
-pub struct Membership {
+pub(crate) struct Membership {
     version: u64,
     hosts: Vec<Host>,
 }
 
 /// What a scheduler receives of the membership.
-pub struct MembershipUpdate {
+pub(crate) struct MembershipUpdate {
     /// In the form of the platform's protocol.
     pub body: Value,
     /// The workers in it, and whether each takes work.
@@ -65,13 +65,13 @@
 }
 
 /// A worker's name.
-pub fn name(worker: u32) -> String {
+pub(crate) fn name(worker: u32) -> String {
     format!("s-{:08x}", crate::worker::id(worker))
 }
 
 impl Membership {
     /// All workers, ready since long before.
-    pub fn new(scenario: &Scenario) -> Self {
+    pub(crate) fn new(scenario: &Scenario) -> Self {
         let host = |w: u32| Host {
             kind: scenario.kinds[scenario.kind_of(w)].name.clone(),
             zone: scenario.zones[scenario.zone_of(w) as usize].clone(),
@@ -87,19 +87,19 @@
     }
 
     /// Sets where the schedulers reach a worker.
-    pub fn set_addresses(&mut self, worker: u32, addresses: Vec<SocketAddr>) {
+    pub(crate) fn set_addresses(&mut self, worker: u32, addresses: Vec<SocketAddr>) {
         self.hosts[worker as usize].addresses = addresses;
     }
 
     /// Discovery learns of a change.
-    pub fn change(&mut self, worker: u32, health: Health, started_ms: u64) {
+    pub(crate) fn change(&mut self, worker: u32, health: Health, started_ms: u64) {
         self.version += 1;
         let host = &mut self.hosts[worker as usize];
         (host.health, host.started_ms, host.version) = (health, started_ms, self.version);
     }
 
     /// What has changed after a version, for a scheduler; version 0: everything.
-    pub fn since(&self, version: u64, scheduler: u32) -> MembershipUpdate {
+    pub(crate) fn since(&self, version: u64, scheduler: u32) -> MembershipUpdate {
         let complete = version == 0;
         let (mut hosts, mut availability) = (Vec::new(), Vec::new());
         for (w, host) in self.hosts.iter().enumerate() {
@@ -121,7 +121,7 @@
 }
 
 /// Listens, at an address for each scheduler.
-pub async fn open(environment: &Arc<Environment>) -> io::Result<Vec<SocketAddr>> {
+pub(crate) async fn open(environment: &Arc<Environment>) -> io::Result<Vec<SocketAddr>> {
     let mut addresses = Vec::new();
     for scheduler in 0..environment.scenario.schedulers {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/crates/replay/src/sockets/faults.rs
+++ b/crates/replay/src/sockets/faults.rs
@@ -9,7 +9,12 @@
 use std::time::Duration;
 
 /// Plays one fault from its beginning to its end. `shift` is added to its times.
-pub async fn play(environment: Arc<Environment>, fleet: Arc<Fleet>, number: usize, shift: Micros) {
+pub(crate) async fn play(
+    environment: Arc<Environment>,
+    fleet: Arc<Fleet>,
+    number: usize,
+    shift: Micros,
+) {
     let fault = &environment.scenario.faults[number];
     let us = |s: f64| (s * 1e6) as Micros;
     let begins_at = environment.scenario.from() + shift + us(fault.at_s);
--- a/crates/replay/src/sockets/http.rs
+++ b/crates/replay/src/sockets/http.rs
@@ -5,7 +5,7 @@
 use std::io::{self, ErrorKind};
 
 /// A message that was received.
-pub struct Message {
+pub(crate) struct Message {
     /// Method of a request; empty for a response.
     pub method: String,
     /// Target of a request; empty for a response.
@@ -20,7 +20,7 @@
 
 impl Message {
     /// A header's value.
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         self.headers
             .iter()
             .find(|(n, _)| n == name)
@@ -29,14 +29,14 @@
 }
 
 /// A connection, with a buffer of what was read beyond the last message.
-pub struct HttpConnection {
+pub(crate) struct HttpConnection {
     stream: TcpStream,
     buffer: Vec<u8>,
 }
 
 impl HttpConnection {
     /// Takes over a stream.
-    pub fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
         HttpConnection {
             stream,
@@ -45,12 +45,12 @@
     }
 
     /// Writes all bytes.
-    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+    pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
     }
 
     /// Waits for the first byte of the next message.
-    pub async fn wait_readable(&mut self) -> io::Result<()> {
+    pub(crate) async fn wait_readable(&mut self) -> io::Result<()> {
         if self.buffer.is_empty() {
             self.fill_buffer().await?;
         }
@@ -69,7 +69,7 @@
     }
 
     /// Reads one message, a response or a request, and skips its body.
-    pub async fn read(&mut self, response: bool) -> io::Result<Message> {
+    pub(crate) async fn read(&mut self, response: bool) -> io::Result<Message> {
         loop {
             if let Some((message, head, length)) = parse(&self.buffer, response)? {
                 while self.buffer.len() < head + length {
--- a/crates/replay/src/sockets/program.rs
+++ b/crates/replay/src/sockets/program.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// A scheduler; killed when dropped.
-pub struct Program {
+pub(crate) struct Program {
     /// Where it listens.
     pub address: SocketAddr,
     child: Child,
@@ -27,7 +27,7 @@
 }
 
 /// Starts a scheduler.
-pub fn start(
+pub(crate) fn start(
     environment: &Environment,
     program: &Path,
     me: u32,
@@ -69,7 +69,7 @@
 
 impl Program {
     /// Waits until it is ready.
-    pub async fn ready(&self, within: Duration) -> Result<(), String> {
+    pub(crate) async fn ready(&self, within: Duration) -> Result<(), String> {
         let until = Instant::now() + within;
         while Instant::now() < until {
             if let Ok(stream) = TcpStream::connect(self.address).await {
@@ -91,7 +91,7 @@
     }
 
     /// How it ended, if it did.
-    pub fn ended(&mut self) -> Option<ExitStatus> {
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
     }
 }
--- a/crates/replay/src/sockets/workers.rs
+++ b/crates/replay/src/sockets/workers.rs
@@ -35,7 +35,7 @@
 
 /// A job that a client has sent, as workers need to know it.
 #[derive(Clone, Copy, Debug)]
-pub struct SentJob {
+pub(crate) struct SentJob {
     /// Running time at speed 1.
     pub work: Micros,
     /// Slots.
@@ -84,7 +84,7 @@
 }
 
 /// All workers.
-pub struct Fleet {
+pub(crate) struct Fleet {
     environment: Arc<Environment>,
     processes: Vec<Process>,
     next_run_id: AtomicU64,
@@ -93,7 +93,7 @@
 }
 
 /// Starts all workers.
-pub async fn open(environment: &Arc<Environment>) -> io::Result<Arc<Fleet>> {
+pub(crate) async fn open(environment: &Arc<Environment>) -> io::Result<Arc<Fleet>> {
     let scenario = &environment.scenario;
     let process = |n| {
         let kind = &scenario.kinds[scenario.kind_of(n)];
@@ -119,7 +119,7 @@
     }
 
     /// Starts to send updates, once the schedulers' addresses are known.
-    pub fn start_callbacks(&self, schedulers: &[SocketAddr]) {
+    pub(crate) fn start_callbacks(&self, schedulers: &[SocketAddr]) {
         let mut senders = Vec::new();
         for scheduler in schedulers.iter().copied() {
             let (sender, updates) = unbounded::<String>();
@@ -398,26 +398,26 @@
     }
 
     /// A worker is stalled until then.
-    pub fn stall(&self, worker: u32, until: Micros) {
+    pub(crate) fn stall(&self, worker: u32, until: Micros) {
         locked(&self.process(worker).worker).stall(self.environment.now(), until);
         self.process(worker).wake();
     }
 
     /// From now on a worker has this fraction of its speed.
-    pub fn set_pace(&self, worker: u32, pace: f64) {
+    pub(crate) fn set_pace(&self, worker: u32, pace: f64) {
         locked(&self.process(worker).worker).set_pace(self.environment.now(), pace);
         self.process(worker).wake();
     }
 
     /// A worker drains.
-    pub fn drain(&self, worker: u32) {
+    pub(crate) fn drain(&self, worker: u32) {
         locked(&self.process(worker).worker).drain();
         self.process(worker).wake();
         self.report_events(worker);
     }
 
     /// A worker's process dies; the agent on its machine reports what was lost.
-    pub fn crash(&self, worker: u32) {
+    pub(crate) fn crash(&self, worker: u32) {
         let process = self.process(worker);
         process.incarnation.fetch_add(1, Ordering::SeqCst);
         locked(&process.worker).crash();
@@ -434,7 +434,7 @@
     }
 
     /// A worker's process starts again, and warms up.
-    pub async fn restart(self: &Arc<Self>, worker: u32) {
+    pub(crate) async fn restart(self: &Arc<Self>, worker: u32) {
         if locked(&self.process(worker).worker).up() {
             self.crash(worker);
         }
--- a/crates/replay/src/survey/draw.rs
+++ b/crates/replay/src/survey/draw.rs
@@ -159,6 +159,10 @@
 }
 
 /// The deployment of this number.
+#[allow(
+    clippy::too_many_lines,
+    reason = "one draw after the other: their order is part of what a seed means"
+)]
 pub fn deployment(seed: u64, number: u64) -> Scenario {
     // The order of draws is part of the survey: see [`super::VERSION`].
     let rng = &mut draw(seed, number, 0x5e4e);
@@ -303,7 +307,7 @@
     ];
     traits.extend(machine_traits(&s.machines).map(String::from));
     let faults: BTreeSet<&str> = s.faults.iter().map(|f| fault_trait(&f.what)).collect();
-    traits.extend(faults.iter().map(|name| name.to_string()));
+    traits.extend(faults.iter().map(ToString::to_string));
     if faults.is_empty() {
         traits.push("no trouble".into());
     }
--- a/crates/replay/src/survey_command.rs
+++ b/crates/replay/src/survey_command.rs
@@ -10,7 +10,7 @@
 
 /// What is asked of it.
 #[derive(Args)]
-pub struct Survey {
+pub(crate) struct Survey {
     /// Deployments.
     #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=100_000))]
     count: u64,
@@ -41,7 +41,7 @@
 }
 
 /// Plays the survey, or goes on with one.
-pub fn call(args: &Survey, json: bool) -> Result<(), Bad> {
+pub(crate) fn call(args: &Survey, json: bool) -> Result<(), Bad> {
     let mut out = std::io::stdout();
     if let Some(number) = args.scenario {
         let _ = writeln!(out, "{}", page::scenario(args.seed, number)?);
--- a/crates/replay/src/virtual_time/schedulers.rs
+++ b/crates/replay/src/virtual_time/schedulers.rs
@@ -294,7 +294,7 @@
                 }
             }
             Action::CallDiscovery(MembershipRequest::FetchAll) => {
-                self.request_membership(scheduler)
+                self.request_membership(scheduler);
             }
             Action::Answer(job, answer) => self.send_response(job, answer),
             Action::Log(text) => {
--- a/crates/replay/tests/cli.rs
+++ b/crates/replay/tests/cli.rs
@@ -25,6 +25,10 @@
 
 /// The worked example of `docs/replay.md`, with every operation.
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn the_worked_example_goes_from_logs_to_a_report() {
     let dir = tempfile::tempdir().expect("a folder");
     let at = |name: &str| dir.path().join(name).display().to_string();
@@ -125,6 +129,10 @@
 }
 
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn errors_say_what_and_where_and_have_their_exit_codes() {
     let dir = tempfile::tempdir().expect("a folder");
     let path = |name: &str| dir.path().join(name).display().to_string();
--- a/crates/replay/tests/client.rs
+++ b/crates/replay/tests/client.rs
@@ -4,6 +4,10 @@
 use indigofold_replay::scenario::{Clients, Effect};
 
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn clients_retry_as_often_and_as_late_as_they_may() {
     let clients = Clients {
         honour: 1.0,
--- a/crates/replay/tests/survey.rs
+++ b/crates/replay/tests/survey.rs
@@ -19,6 +19,10 @@
 const FEW: [Policy; 3] = [Policy::Module, Policy::Random, Policy::ByKey];
 
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn rows_are_the_same_on_any_number_of_threads_and_after_a_stop() {
     let dir = tempfile::tempdir().expect("a folder");
     let path = |name: &str| dir.path().join(name);
@@ -148,6 +152,10 @@
 }
 
 #[test]
+#[allow(
+    clippy::too_many_lines,
+    reason = "one scenario, in the order in which it happens"
+)]
 fn faults_lower_the_service_metric() {
     let calm = simple_scenario();
     let base = played(&calm, Policy::Random, 2).outcome;
--- a/crates/system-tests/src/client.rs
+++ b/crates/system-tests/src/client.rs
@@ -107,6 +107,10 @@
     }
 
     /// Submits a job, retried with the same id until it is accepted.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if it is not accepted in time, or rejected for good.
     pub fn submit(&self, queue: &Queue, job: &Job) -> Result<SubmittedJob, ClientError> {
         let submitted = SubmittedJob::new(queue);
         let what = format!("job {}", submitted.id);
@@ -116,6 +120,10 @@
     }
 
     /// One request to submit a job.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no complete response.
     pub fn submit_once(
         &self,
         edge: SocketAddr,
@@ -136,6 +144,10 @@
     }
 
     /// Sends the first `bytes` bytes of a request to submit a job, and closes the connection without a response.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if the connection cannot be opened or written to.
     pub fn submit_truncated(
         &self,
         edge: SocketAddr,
@@ -150,6 +162,10 @@
     }
 
     /// Reads a job's state; `None`: it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if no edge responds in time, or the response is none of the protocol.
     pub fn state(&self, submitted: &SubmittedJob) -> Result<Option<JobState>, ClientError> {
         let what = format!("state of {}", submitted.id);
         let request = Request::new("GET", submitted.path());
@@ -173,6 +189,10 @@
     }
 
     /// Reads a job's state until it is one that is wanted.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if it is in none of these states in time, or cannot be read.
     pub fn wait_for(
         &self,
         submitted: &SubmittedJob,
@@ -197,6 +217,10 @@
     }
 
     /// Reads a job's state until it is final.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if it has not ended in time, or cannot be read.
     pub fn wait_end(
         &self,
         submitted: &SubmittedJob,
@@ -206,6 +230,10 @@
     }
 
     /// Cancels a job, retried until that is acknowledged.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if it is not acknowledged in time.
     pub fn cancel(&self, submitted: &SubmittedJob) -> Result<(), ClientError> {
         let what = format!("cancellation of {}", submitted.id);
         self.environment.cancel_sent(&submitted.id);
@@ -217,11 +245,19 @@
     }
 
     /// One request at any edge.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no complete response.
     pub fn request(&self, request: &Request) -> Result<Response, HttpError> {
         self.request_at(self.any_edge(), request)
     }
 
     /// One request at this edge.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no complete response.
     pub fn request_at(&self, edge: SocketAddr, request: &Request) -> Result<Response, HttpError> {
         let deadline_ms = RESPONSE_TIMEOUT.as_millis().to_string();
         let request = request
--- a/crates/system-tests/src/cluster.rs
+++ b/crates/system-tests/src/cluster.rs
@@ -53,6 +53,10 @@
 
 impl Cluster {
     /// Machines on which nothing runs yet.
+    ///
+    /// # Panics
+    ///
+    /// If no addresses or folders can be reserved.
     pub fn prepare(programs: Programs, shape: Shape) -> Self {
         let (bounds, signal) = (Bounds::default(), Arc::new(Signal::default()));
         let system = System::new(programs, shape, bounds, &signal).expect("machines");
@@ -90,6 +94,10 @@
     }
 
     /// Starts a machine's process.
+    ///
+    /// # Panics
+    ///
+    /// If the process cannot be started.
     pub fn start_machine(&mut self, machine: MachineId) {
         self.system.start(machine).expect("a process starts");
     }
@@ -109,6 +117,10 @@
     }
 
     /// Stops the processes of these machines from running.
+    ///
+    /// # Panics
+    ///
+    /// If a process cannot be signalled.
     pub fn freeze_machines(&mut self, machines: &[MachineId]) {
         for machine in machines {
             self.system.freeze(*machine).expect("frozen");
@@ -116,6 +128,10 @@
     }
 
     /// Lets the processes of these machines run again.
+    ///
+    /// # Panics
+    ///
+    /// If a process cannot be signalled.
     pub fn thaw_machines(&mut self, machines: &[MachineId]) {
         for machine in machines {
             self.system.thaw(*machine).expect("thawed");
@@ -123,12 +139,20 @@
     }
 
     /// Kills a machine's process and removes all that is on its disk.
+    ///
+    /// # Panics
+    ///
+    /// If the files cannot be removed.
     pub fn kill_and_wipe(&mut self, machine: MachineId) {
         self.system.kill(machine);
         self.system.wipe(machine).expect("an empty disk");
     }
 
     /// Sends SIGTERM to a machine's process, and waits for its successful end.
+    ///
+    /// # Panics
+    ///
+    /// If the process cannot be signalled, or does not end well in time.
     pub fn terminate_and_wait(&mut self, machine: MachineId) {
         self.system.terminate(machine).expect("a signal");
         let status = self.system.wait_exit(machine).expect("an end in time");
@@ -189,12 +213,20 @@
     }
 
     /// An edge's response to a readiness check.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no complete response.
     pub fn readiness(&self, edge: MachineId) -> Result<Response, HttpError> {
         let request = Request::new("GET", "/readiness");
         request_once(self.system.readiness(edge), &request, READINESS_TIMEOUT)
     }
 
     /// The machine whose member acts as head.
+    ///
+    /// # Panics
+    ///
+    /// If no member acts as head in time.
     pub fn head(&self) -> MachineId {
         let address = self.operator.head(START_TIMEOUT).expect("a head");
         self.system.core_at(address).expect("the head's machine")
@@ -219,6 +251,10 @@
     }
 
     /// Waits for the ends of all accepted jobs that end by themselves, and checks all that has happened.
+    ///
+    /// # Panics
+    ///
+    /// If a job does not end in time, or a rule is broken.
     pub fn finish(mut self) {
         for submitted in self.jobs_to_end() {
             self.client
@@ -242,6 +278,10 @@
     }
 
     /// Checks all that has happened against the rules, and that no process has ended by itself.
+    ///
+    /// # Panics
+    ///
+    /// If a rule is broken, or a process has ended by itself.
     pub fn check(&mut self) {
         let (bounds, now) = (self.environment.bounds(), self.environment.now());
         let found = self
--- a/crates/system-tests/src/cluster/steps.rs
+++ b/crates/system-tests/src/cluster/steps.rs
@@ -11,6 +11,10 @@
 
 impl Cluster {
     /// Puts a complete configuration in force that builds on version `base`.
+    ///
+    /// # Panics
+    ///
+    /// If the configuration is not taken.
     pub fn put(&self, configuration: &Configuration, base: u64) {
         let version = configuration.version;
         let response = self
@@ -22,6 +26,10 @@
     }
 
     /// Changes named items on top of version `base`.
+    ///
+    /// # Panics
+    ///
+    /// If the change is not taken.
     pub fn patch(&self, change: &Value, base: u64) {
         let response = self.operator.patch(change, base).expect("a clear response");
         let (status, body) = (response.status, response.json());
@@ -29,11 +37,19 @@
     }
 
     /// The configuration in force.
+    ///
+    /// # Panics
+    ///
+    /// If the configuration cannot be read.
     pub fn read_configuration(&self) -> Value {
         self.operator.read().expect("the configuration")
     }
 
     /// The queue of this path prefix in the newest configuration.
+    ///
+    /// # Panics
+    ///
+    /// If no queue has this path prefix.
     pub fn queue(&self, path_prefix: &str) -> Queue {
         self.configuration
             .queue(path_prefix)
@@ -42,6 +58,10 @@
     }
 
     /// Submits a job, retried until it is accepted.
+    ///
+    /// # Panics
+    ///
+    /// If the job is not accepted in time.
     pub fn submit(&self, path_prefix: &str, job: &Job) -> SubmittedJob {
         self.client
             .submit(&self.queue(path_prefix), job)
@@ -49,6 +69,10 @@
     }
 
     /// Waits until a job is shown as completed.
+    ///
+    /// # Panics
+    ///
+    /// If the job does not complete in time.
     pub fn expect_completed(&self, submitted: &SubmittedJob) {
         let state = self
             .client
@@ -65,6 +89,10 @@
     }
 
     /// The state that a job is shown with.
+    ///
+    /// # Panics
+    ///
+    /// If the state cannot be read.
     pub fn state(&self, submitted: &SubmittedJob) -> Option<JobState> {
         self.client.state(submitted).expect("a state")
     }
@@ -79,6 +107,10 @@
     }
 
     /// Waits until `probe` yields something; `what` names it in the panic if it does not.
+    ///
+    /// # Panics
+    ///
+    /// If it yields nothing in time.
     pub fn wait_for<T>(
         &self,
         what: &str,
@@ -96,6 +128,10 @@
     }
 
     /// Waits until one of the job's tasks has started, and returns the number of the last such worker.
+    ///
+    /// # Panics
+    ///
+    /// If none has started in time.
     pub fn wait_started(&self, submitted: &SubmittedJob) -> usize {
         let name = self.wait_for_record("the start of a task", |record| {
             let last = record.starts(&submitted.id).last();
--- a/crates/system-tests/src/environment.rs
+++ b/crates/system-tests/src/environment.rs
@@ -66,6 +66,10 @@
     }
 
     /// Waits for something that the record shows.
+    ///
+    /// # Errors
+    ///
+    /// [`WaitError`](crate::wait::WaitError) if the record does not show it in time.
     pub fn wait_until<T>(
         &self,
         what: &str,
@@ -96,14 +100,14 @@
     /// A client is about to cancel a job.
     pub fn cancel_sent(&self, id: &str) {
         self.change(|state, now| {
-            state.change_job(id, |job| _ = job.cancel_sent.get_or_insert(now))
+            state.change_job(id, |job| _ = job.cancel_sent.get_or_insert(now));
         });
     }
 
     /// The cancellation of a job was acknowledged.
     pub fn cancel_acknowledged(&self, id: &str) {
         self.change(|state, now| {
-            state.change_job(id, |job| _ = job.cancel_acknowledged.get_or_insert(now))
+            state.change_job(id, |job| _ = job.cancel_acknowledged.get_or_insert(now));
         });
     }
 
--- a/crates/system-tests/src/http.rs
+++ b/crates/system-tests/src/http.rs
@@ -26,6 +26,10 @@
 
 impl Connection {
     /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if nobody listens there, or does not answer in time.
     pub fn open(peer: SocketAddr, at_most: Duration) -> Result<Self, HttpError> {
         let stream = TcpStream::connect_timeout(&peer, at_most).context(ConnectSnafu { peer })?;
         stream.set_nodelay(true).context(ConnectSnafu { peer })?;
@@ -42,6 +46,10 @@
     }
 
     /// Sends a request and waits for its complete response.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no complete response in time.
     pub fn request(&mut self, request: &Request, at_most: Duration) -> Result<Response, HttpError> {
         self.closed = true;
         self.send(&request.to_bytes(self.peer), at_most)?;
@@ -98,6 +106,10 @@
 }
 
 /// A request on a connection of its own.
+///
+/// # Errors
+///
+/// [`HttpError`] if there is no complete response in time.
 pub fn request_once(
     peer: SocketAddr,
     request: &Request,
@@ -107,6 +119,10 @@
 }
 
 /// Sends the first `bytes` bytes of a request on a connection of its own, and closes it without reading a response.
+///
+/// # Errors
+///
+/// [`HttpError`] if the connection cannot be opened or written to.
 pub fn send_truncated(
     peer: SocketAddr,
     request: &Request,
--- a/crates/system-tests/src/network.rs
+++ b/crates/system-tests/src/network.rs
@@ -44,6 +44,10 @@
 
 impl Network {
     /// Reserves a /24 that is not in use. Panics if there is none: no test can run then.
+    ///
+    /// # Panics
+    ///
+    /// If there is none: no test can run then.
     pub fn reserve() -> Self {
         let guarded = (0..ATTEMPTS_MAX).find_map(|_| {
             let subnet = [127, 1 + random::below(253) as u8, random::below(256) as u8];
--- a/crates/system-tests/src/operator.rs
+++ b/crates/system-tests/src/operator.rs
@@ -65,6 +65,10 @@
     }
 
     /// One request to one member, without following a redirection.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no complete response.
     pub fn request_once(
         &self,
         member: SocketAddr,
@@ -74,6 +78,10 @@
     }
 
     /// A request, sent unchanged to one member after another until it has a clear response.
+    ///
+    /// # Errors
+    ///
+    /// [`OperatorError`] if no member gives a clear response in time.
     pub fn request(&self, request: &Request) -> Result<Response, OperatorError> {
         let started = Instant::now();
         let mut last = String::new();
@@ -107,21 +115,37 @@
     }
 
     /// Sends a complete configuration that builds on version `base`.
+    ///
+    /// # Errors
+    ///
+    /// [`OperatorError`] if no member gives a clear response in time.
     pub fn put(&self, configuration: &Configuration, base: u64) -> Result<Response, OperatorError> {
         self.request(&put_request(&configuration.to_json(), base))
     }
 
     /// Changes named items on top of version `base`.
+    ///
+    /// # Errors
+    ///
+    /// [`OperatorError`] if no member gives a clear response in time.
     pub fn patch(&self, change: &Value, base: u64) -> Result<Response, OperatorError> {
         self.request(&config_request("PATCH", change, base))
     }
 
     /// The newest configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`OperatorError`] if no member gives a clear response in time.
     pub fn read(&self) -> Result<Value, OperatorError> {
         Ok(self.request(&read_request())?.json())
     }
 
     /// The member that acts as head, once there is one. A configuration must be in place.
+    ///
+    /// # Errors
+    ///
+    /// [`OperatorError`] if no member acts as head in time.
     pub fn head(&self, at_most: Duration) -> Result<SocketAddr, OperatorError> {
         let probe = || {
             let mut members = self.members.iter().copied();
--- a/crates/system-tests/src/process.rs
+++ b/crates/system-tests/src/process.rs
@@ -94,6 +94,10 @@
     }
 
     /// Starts it, with no more of the test's variables than the platform hands on.
+    ///
+    /// # Errors
+    ///
+    /// [`ProcessError`] if the program cannot be started.
     pub fn start(&mut self, program: &Path, settings: &Path) -> Result<(), ProcessError> {
         let mut command = Command::new(program);
         command.env_clear().env(SETTINGS_VARIABLE, settings);
@@ -150,16 +154,28 @@
     }
 
     /// Sends it SIGTERM.
+    ///
+    /// # Errors
+    ///
+    /// [`ProcessError`] if it is not running, or cannot be signalled.
     pub fn terminate(&self) -> Result<(), ProcessError> {
         self.signal_child(ProcessSignal::TERM, "-- terminated")
     }
 
     /// Stops it from running, as if its machine were frozen.
+    ///
+    /// # Errors
+    ///
+    /// [`ProcessError`] if it is not running, or cannot be signalled.
     pub fn freeze(&self) -> Result<(), ProcessError> {
         self.signal_child(ProcessSignal::STOP, "-- frozen")
     }
 
     /// Lets it run again.
+    ///
+    /// # Errors
+    ///
+    /// [`ProcessError`] if it is not running, or cannot be signalled.
     pub fn thaw(&self) -> Result<(), ProcessError> {
         self.signal_child(ProcessSignal::CONT, "-- thawed")
     }
@@ -172,6 +188,10 @@
     }
 
     /// Waits until it has ended.
+    ///
+    /// # Errors
+    ///
+    /// [`ProcessError`] if it is not running, or has not ended in time.
     pub fn wait_exit(&mut self, at_most: Duration) -> Result<ExitStatus, ProcessError> {
         let name = self.name.clone();
         let child = self
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -115,6 +115,10 @@
 
 impl System {
     /// Machines with empty disks on which nothing has been started.
+    ///
+    /// # Errors
+    ///
+    /// [`SystemError`] if folders or settings files cannot be made.
     pub fn new(
         programs: Programs,
         shape: Shape,
@@ -205,6 +209,10 @@
     }
 
     /// Starts a machine's process.
+    ///
+    /// # Errors
+    ///
+    /// [`SystemError`] if the process cannot be started.
     pub fn start(&mut self, machine: MachineId) -> Result<(), SystemError> {
         let Machine {
             settings,
@@ -230,6 +238,10 @@
     }
 
     /// Overwrites the first bytes of a core machine's database and of its write-ahead log.
+    ///
+    /// # Errors
+    ///
+    /// [`SystemError`] if the files cannot be overwritten.
     pub fn corrupt_database(&self, machine: MachineId) -> Result<(), SystemError> {
         let Some(folder) = &self.machines[machine.0].settings.data_dir else {
             return Ok(());
@@ -257,6 +269,10 @@
     }
 
     /// Removes all that is on a machine's disk.
+    ///
+    /// # Errors
+    ///
+    /// [`SystemError`] if the files cannot be removed.
     pub fn wipe(&mut self, machine: MachineId) -> Result<(), SystemError> {
         let Some(path) = &self.machines[machine.0].settings.data_dir else {
             return Ok(());
@@ -266,11 +282,19 @@
     }
 
     /// Sends SIGTERM to a machine's process.
+    ///
+    /// # Errors
+    ///
+    /// [`SystemError`] if the process cannot be signalled.
     pub fn terminate(&mut self, machine: MachineId) -> Result<(), SystemError> {
         Ok(self.machines[machine.0].process.terminate()?)
     }
 
     /// Waits for the end of a process that was sent SIGTERM, for as long as the platform does.
+    ///
+    /// # Errors
+    ///
+    /// [`SystemError`] if it has not ended in time.
     pub fn wait_exit(&mut self, machine: MachineId) -> Result<ExitStatus, SystemError> {
         let Machine {
             settings, process, ..
@@ -279,11 +303,19 @@
     }
 
     /// Stops a machine's process from running.
+    ///
+    /// # Errors
+    ///
+    /// [`SystemError`] if the process cannot be signalled.
     pub fn freeze(&mut self, machine: MachineId) -> Result<(), SystemError> {
         Ok(self.machines[machine.0].process.freeze()?)
     }
 
     /// Lets a machine's process run again.
+    ///
+    /// # Errors
+    ///
+    /// [`SystemError`] if the process cannot be signalled.
     pub fn thaw(&mut self, machine: MachineId) -> Result<(), SystemError> {
         Ok(self.machines[machine.0].process.thaw()?)
     }
--- a/crates/system-tests/src/wait.rs
+++ b/crates/system-tests/src/wait.rs
@@ -52,6 +52,10 @@
     }
 
     /// Probes a condition until it yields something, for `at_most`; `what` names it in the error.
+    ///
+    /// # Errors
+    ///
+    /// [`WaitError`] if it yields nothing in time.
     pub fn wait_until<T>(
         &self,
         what: &str,
--- a/crates/system-tests/tests/chaos_support/mod.rs
+++ b/crates/system-tests/tests/chaos_support/mod.rs
@@ -37,7 +37,7 @@
             let (client, configuration) = (cluster.client.clone(), cluster.configuration.clone());
             let (stopping, random) = (stopping.clone(), SeededRandom::new(seed * 100 + number));
             std::thread::spawn(move || {
-                jobs::submit_until(&stopping, &client, &configuration, random)
+                jobs::submit_until(&stopping, &client, &configuration, random);
             })
         })
         .collect();
--- a/crates/system-tests/tests/chaos_support/seeded_random.rs
+++ b/crates/system-tests/tests/chaos_support/seeded_random.rs
@@ -1,4 +1,4 @@
-//! Numbers that follow from a seed (SplitMix64).
+//! Numbers that follow from a seed (`SplitMix64`).
 
 /// A sequence of numbers.
 pub(super) struct SeededRandom(u64);
--- a/crates/system-tests/tests/failover.rs
+++ b/crates/system-tests/tests/failover.rs
@@ -49,7 +49,9 @@
         })
         .collect();
     cluster.wait_for("acceptances", JOB_TIMEOUT, || {
-        let count = cluster.environment.read(|record| record.count_accepted());
+        let count = cluster
+            .environment
+            .read(indigofold_system_tests::environment::Record::count_accepted);
         (count >= accepted).then_some(())
     });
     cluster.system.kill(head);
--- a/crates/traffic/benches/import.rs
+++ b/crates/traffic/benches/import.rs
@@ -59,10 +59,7 @@
         out.push('\n');
     }
     match format {
-        "har" => format!(
-            "{{\"log\":{{\"version\":\"1.2\",\"entries\":[{}{{}}]}}}}",
-            out
-        ),
+        "har" => format!("{{\"log\":{{\"version\":\"1.2\",\"entries\":[{out}{{}}]}}}}"),
         _ => out,
     }
 }
--- a/crates/traffic/src/access_log/apache.rs
+++ b/crates/traffic/src/access_log/apache.rs
@@ -1,4 +1,4 @@
-//! Apache's `LogFormat` strings (mod_log_config).
+//! Apache's `LogFormat` strings (`mod_log_config`).
 
 use super::error::FormatError;
 use super::template::{Builder, Escapes, Field, Template};
@@ -120,6 +120,7 @@
 }
 
 /// The field of a directive other than `%t`.
+#[allow(clippy::match_same_arms, reason = "a table, one entry a line")]
 fn field(directive: char, argument: Option<&str>) -> Result<Field, FormatError> {
     Ok(match (directive, argument) {
         ('h', _) => Field::Peer,
--- a/crates/traffic/src/access_log/template.rs
+++ b/crates/traffic/src/access_log/template.rs
@@ -129,9 +129,8 @@
     let mut at = 0;
     loop {
         let found = match next.len() {
-            1 => memchr(first, &rest[at..])?,
             // Literals are a few bytes: searching for the first byte alone is faster.
-            2..=8 => memchr(first, &rest[at..])?,
+            1..=8 => memchr(first, &rest[at..])?,
             _ => memmem::find(&rest[at..], next)?,
         } + at;
         let slashes = match quoted && escapes == Escapes::Backslash {
--- a/crates/traffic/src/har/splitter.rs
+++ b/crates/traffic/src/har/splitter.rs
@@ -47,7 +47,6 @@
                 ParserState::Before if self.finder.push(*byte) => {
                     self.state = ParserState::Between;
                 }
-                ParserState::Before => {}
                 ParserState::Between => self.push_between(*byte),
                 ParserState::Within if self.scanner.push(*byte) => {
                     self.state = ParserState::Between;
@@ -57,7 +56,7 @@
                     });
                     self.scanner.clear();
                 }
-                ParserState::Within => {}
+                ParserState::Before | ParserState::Within => {}
                 ParserState::After => return,
             }
         }
--- a/crates/traffic/src/import/read.rs
+++ b/crates/traffic/src/import/read.rs
@@ -92,7 +92,7 @@
                     self.read_record(&mut decoder, file.origin(line, bytes), unterminated)?;
                 }
                 RecordRead::TooLong(text) => {
-                    self.reject(Reason::TooLong, file.position(line), text)
+                    self.reject(Reason::TooLong, file.position(line), text);
                 }
                 RecordRead::BrokenOff(text) => {
                     self.reject(Reason::Truncated, file.position(line), text);
--- a/crates/traffic/src/mapping/extractor.rs
+++ b/crates/traffic/src/mapping/extractor.rs
@@ -78,7 +78,7 @@
 
 impl<'a> RecordContext<'a> {
     /// The first value that one of these rules yields.
-    pub fn first(&self, extractors: &'a [Extractor]) -> Option<Cow<'a, str>> {
+    pub(super) fn first(&self, extractors: &'a [Extractor]) -> Option<Cow<'a, str>> {
         extractors.iter().find_map(|extractor| {
             let value = self.value(&extractor.source).filter(|v| !v.is_empty())?;
             if extractor.names.is_empty() {
--- a/crates/traffic/src/recording/reader.rs
+++ b/crates/traffic/src/recording/reader.rs
@@ -43,7 +43,7 @@
         if !(1..=VERSION).contains(&header.version) {
             return Err(RecordingError::Version(header.version));
         }
-        let (names, last) = (Default::default(), Micros::MIN);
+        let (names, last) = (NameInterner::default(), Micros::MIN);
         Ok(Reader {
             from,
             header,
--- a/crates/traffic/src/timestamp.rs
+++ b/crates/traffic/src/timestamp.rs
@@ -172,7 +172,7 @@
         let with = |offset: jiff::tz::Offset| {
             offset
                 .to_timestamp(local)
-                .map(|t| t.as_microsecond())
+                .map(Timestamp::as_microsecond)
                 .map_err(|_| InvalidTimestamp)
         };
         match self.zone.to_ambiguous_timestamp(local).offset() {
--- a/crates/traffic/tests/networks.rs
+++ b/crates/traffic/tests/networks.rs
@@ -18,7 +18,7 @@
     ] {
         nets.add(net, name).expect("a network");
     }
-    let name = |text: &str| nets.find(ip(text)).map(|n| n.to_string());
+    let name = |text: &str| nets.find(ip(text)).map(ToString::to_string);
     assert_eq!(name("10.4.7.1:4711").as_deref(), Some("till"));
     assert_eq!(name("10.4.7.2").as_deref(), Some("gualtar"));
     assert_eq!(name("10.5.7.2").as_deref(), Some("all"));
--- a/crates/traffic/tests/properties.rs
+++ b/crates/traffic/tests/properties.rs
@@ -160,7 +160,7 @@
         prop_assert_eq!(&read, &jobs);
         // Cut anywhere, it is told.
         for length in (0..bytes.len() - 1).step_by(97) {
-            let read = Reader::new(&bytes[..length]).map(|r| r.collect::<Result<Vec<Job>, _>>());
+            let read = Reader::new(&bytes[..length]).map(Iterator::collect::<Result<Vec<Job>, _>>);
             prop_assert!(!matches!(read, Ok(Ok(_))), "cut at {length}");
         }
     }
