Platform front: clients and membership split by concern; no circle of imports

Change: parsing and reading of messages, the client of a discovery and the schedule of its calls are modules; the state of a connection that migrates is one that both import. Moves only, and apply_machine out of apply_membership.

--- a/crates/indigofold/src/front/faktory.rs
+++ b/crates/indigofold/src/front/faktory.rs
@@ -174,7 +174,7 @@
             match known {
                 JobState::Answered(answer) => _ = to.try_send(*answer),
                 JobState::Open(_, waiting) | JobState::Orphan(_, waiting) => {
-                    waiting.push((number, to))
+                    waiting.push((number, to));
                 }
             }
             return number;
--- a/crates/indigofold/src/front/faktory/codec.rs
+++ b/crates/indigofold/src/front/faktory/codec.rs
@@ -94,6 +94,10 @@
 
 impl Command {
     /// Parses a command without its line end. An error says what is wrong with it.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the command.
     pub fn parse(command: &[u8]) -> Result<Command, String> {
         let text = std::str::from_utf8(command).map_err(|_| "a command must be UTF-8")?;
         let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
--- a/crates/indigofold/src/front/faktory/machine.rs
+++ b/crates/indigofold/src/front/faktory/machine.rs
@@ -128,13 +128,13 @@
             // Assigned before the module had handled that the machine drains or has left.
             Order::Send(attempt, _) => {
                 self.send_to_core(CoreInput::Ended(attempt.id, Status::Moot, None))
-                    .await
+                    .await;
             }
             Order::DropWithdrawn => self
                 .waiting
                 .retain(|(attempt, parcel)| self.front.is_wanted(attempt, parcel)),
             Order::Connected(wid, start, link) => {
-                self.worker_connected(now, wid, start, link).await
+                self.worker_connected(now, wid, start, link).await;
             }
             Order::Disconnected(wid, link) => self.worker_disconnected(now, &wid, link),
             Order::Heartbeat(wid, quiet) => self.heartbeat(now, &wid, quiet).await,
@@ -150,7 +150,7 @@
             Order::CancelFetch(link) => self.fetches.retain(|f| f.link != link),
             Order::Written(assignment, true) => {
                 self.send_to_core(CoreInput::Started(assignment.attempt.id))
-                    .await
+                    .await;
             }
             Order::Written(assignment, false) => {
                 let id = assignment.attempt.id;
--- a/crates/indigofold/src/front/platform.rs
+++ b/crates/indigofold/src/front/platform.rs
@@ -1,6 +1,7 @@
 //! The platform's protocol: HTTP/1.1 with clients, job workers and discovery.
 
 pub mod clients;
+pub mod connection_state;
 pub mod membership;
 pub mod migration;
 pub mod peer_process;
@@ -8,7 +9,7 @@
 
 use super::Lifecycle;
 use crate::api::{Entry, Status, WorkerId, WorkerState};
-use crate::config::{self, JobReport, MembershipUpdate, Site};
+use crate::config::{self, JobReport, Machine as ListedMachine, MembershipUpdate, Site};
 use crate::core::actor::Mailbox;
 use crate::core::clock::Clock;
 use crate::core::metrics::Metrics;
@@ -206,28 +207,7 @@
                 "Gone" => WorkerState::Left,
                 _ => WorkerState::Draining,
             };
-            let dial = machine.dial.parse();
-            if dial.is_ok() && !self.machines.borrow().contains_key(&worker) {
-                self.start_worker(worker, &machine.host);
-            }
-            if let Some(known) = self.machines.borrow().get(&worker) {
-                known.draining.set(state != WorkerState::Active);
-            }
-            match dial {
-                Ok(dial) if !self.order(worker, Order::Address(dial)) => {
-                    log(format_args!(
-                        "machine={} is too busy to be told its address",
-                        machine.host
-                    ));
-                }
-                Err(_) if state == WorkerState::Active => {
-                    log(format_args!(
-                        "machine={} has no address that can be dialled: {:?}",
-                        machine.host, machine.dial
-                    ));
-                }
-                _ => {}
-            }
+            self.apply_machine(worker, &machine, state);
             let mut site = self.site.borrow_mut();
             entries.push(Entry {
                 worker,
@@ -242,6 +222,37 @@
         entries
     }
 
+    /// Tells a machine's actor its address, and whether it drains; starts the actor of a new machine.
+    fn apply_machine(
+        self: &Rc<Self>,
+        worker: WorkerId,
+        machine: &ListedMachine,
+        state: WorkerState,
+    ) {
+        let dial = machine.dial.parse();
+        if dial.is_ok() && !self.machines.borrow().contains_key(&worker) {
+            self.start_worker(worker, &machine.host);
+        }
+        if let Some(known) = self.machines.borrow().get(&worker) {
+            known.draining.set(state != WorkerState::Active);
+        }
+        match dial {
+            Ok(dial) if !self.order(worker, Order::Address(dial)) => {
+                log(format_args!(
+                    "machine={} is too busy to be told its address",
+                    machine.host
+                ));
+            }
+            Err(_) if state == WorkerState::Active => {
+                log(format_args!(
+                    "machine={} has no address that can be dialled: {:?}",
+                    machine.host, machine.dial
+                ));
+            }
+            _ => {}
+        }
+    }
+
     /// Starts the actor of a machine.
     fn start_worker(self: &Rc<Self>, worker: WorkerId, host: &str) {
         let ((orders, inbox), draining) = (bounded(MAX_QUEUED_ORDERS), Rc::default());
--- a/crates/indigofold/src/front/platform/clients.rs
+++ b/crates/indigofold/src/front/platform/clients.rs
@@ -1,39 +1,29 @@
 //! One actor for each accepted connection: clients with their jobs, job workers with their reports, and
-//! readiness checks.
+//! readiness checks. Children: reading a message; what it asks for.
 
-use super::migration::MigratingJob;
+mod parsing;
+mod reading;
+
+use super::connection_state::ConnectionState;
 use super::{Parcel, Platform};
-use crate::api::{ClassId, Effect, Request, Time};
-use crate::config::{self, JobReport, Site};
+use crate::api::Time;
 use crate::core::metrics::End;
 use crate::core::{Answer, CoreInput, JobId, Reply};
 use crate::net::buffer::Buffer;
-use crate::net::http::{self, Bad, Frame, Head, Kind, Progress};
+use crate::net::http::{self, Frame};
 use crate::net::set::Rank;
 use crate::net::{Link, MESSAGE_TIMEOUT, Reason, WRITE_TIMEOUT, log, within};
 use async_channel::{Receiver, bounded};
 use async_io::Async;
 use futures_lite::FutureExt;
-use std::cell::{Cell, RefCell};
+use parsing::{NewJob, ParsedRequest, parse};
+use reading::{first_byte, receive};
 use std::fmt::Display;
 use std::io::Write;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Headers of a job that may stand there once.
-const SINGLE_HEADERS: [&str; 5] = [
-    "X-Trace-Id",
-    "Idempotency-Key",
-    "X-Expires-In-Ms",
-    "X-Customer",
-    "X-Props",
-];
-/// The longest id of a job: it becomes part of a path.
-const MAX_TRACE_BYTES: usize = 128;
-/// The longest time that a client can say it waits.
-const MAX_CLIENT_WAIT_MS: u64 = 24 * 3600 * 1000;
-
 /// Accepts connections for as long as the program runs.
 pub async fn listen(front: Rc<Platform>, listener: Rc<Async<TcpListener>>) {
     front
@@ -42,35 +32,6 @@
         .await;
 }
 
-/// What a request asks for.
-enum ParsedRequest {
-    Ready,
-    JobReport(JobReport, Vec<u8>),
-    Job(NewJob),
-    Bad(u16, &'static str),
-}
-
-/// A job that a client has sent.
-struct NewJob {
-    request: Request,
-    /// The client's id for it.
-    trace: String,
-    /// The body, and after it the request line and the headers that pass on.
-    text: Buffer,
-    body_bytes: usize,
-}
-
-/// The state of a connection that its end logs, or that migrates with it.
-#[derive(Default)]
-pub(super) struct ConnectionState {
-    /// Messages read.
-    pub messages: Cell<u64>,
-    status: Cell<u16>,
-    /// The job that migrates to another process with the connection, and what has been read behind it.
-    pub migrating: RefCell<Option<MigratingJob>>,
-    rest: RefCell<Vec<u8>>,
-}
-
 /// Serves one connection to its end.
 async fn serve(front: Rc<Platform>, link: Link) {
     let state = ConnectionState::default();
@@ -148,54 +109,6 @@
     }
 }
 
-/// Waits for something to read; `false`: it is the last message to be taken. A connection that has never sent a message
-/// has until its time is up. One that is evicted as its next message comes is served once more: closed over it, it
-/// would be reset.
-async fn first_byte(
-    front: &Platform,
-    link: &Link,
-    (messages, client): (u64, bool),
-    accepted: Instant,
-) -> Result<bool, Reason> {
-    let readable = async { link.readable().await.map_err(|_| Reason::Broke) };
-    let waited = match messages {
-        0 => {
-            let wait = front
-                .net
-                .first_unless_evicted(accepted, Rank::NothingSent, readable);
-            within(
-                MESSAGE_TIMEOUT.saturating_sub(accepted.elapsed()),
-                Reason::NothingSent,
-                wait,
-            )
-            .await
-        }
-        1 => {
-            front
-                .net
-                .unless_evicted_or_drained(Rank::Once, client, readable)
-                .await
-        }
-        _ => {
-            front
-                .net
-                .unless_evicted_or_drained(Rank::Used, client, readable)
-                .await
-        }
-    };
-    let (stopping, drained) = (
-        front.lifecycle.stopping.get(),
-        front.lifecycle.closes_after_answer(),
-    );
-    match waited {
-        Ok(()) => Ok(true),
-        Err(Reason::Evicted) if (messages > 0 || stopping) && link.has_input() => Ok(false),
-        Err(Reason::Evicted) if stopping => Err(Reason::Stopping),
-        Err(Reason::Evicted) if drained => Err(Reason::Drained),
-        Err(other) => Err(other),
-    }
-}
-
 /// Serves messages; `resumed`: a client's connection that was served before, and what has been read of the next.
 async fn serve_messages(
     front: &Rc<Platform>,
@@ -357,191 +270,6 @@
     }
 }
 
-/// Reads until the buffer starts with a complete request.
-async fn receive(link: &Link, buffer: &mut Buffer) -> Result<Result<Frame, Bad>, Reason> {
-    let mut continue_sent = false;
-    loop {
-        if !buffer.filled().is_empty() {
-            match http::parse_message(buffer, Kind::Request) {
-                Err(bad) => return Ok(Err(bad)),
-                Ok(Progress::Complete(frame)) => return Ok(Ok(frame)),
-                Ok(Progress::Partial(true)) if !continue_sent => {
-                    continue_sent = true;
-                    link.send(b"HTTP/1.1 100 Continue\r\n\r\n", WRITE_TIMEOUT)
-                        .await?;
-                }
-                Ok(Progress::Partial(_)) => {}
-            }
-        }
-        let empty = buffer.filled().is_empty();
-        if buffer.spare().is_empty() {
-            return Ok(Err(Bad::BodyTooLarge)); // framing alone has filled it
-        }
-        match link.read(buffer).await {
-            Ok(0) if empty => return Err(Reason::PeerClosed),
-            Ok(0) => return Err(Reason::PeerLeft),
-            Ok(_) => {}
-            Err(_) => return Err(Reason::Broke),
-        }
-    }
-}
-
-/// What a request asks for.
-fn parse(front: &Platform, buffer: &Buffer, frame: &Frame) -> ParsedRequest {
-    let Some((head, body)) = frame.read(buffer, Kind::Request) else {
-        return ParsedRequest::Bad(400, "a header is no text\n");
-    };
-    let path = head.target.split('?').next().unwrap_or("");
-    match (head.method, path) {
-        ("GET", "/-/ready") => ParsedRequest::Ready,
-        ("POST", "/_jobs/news") => {
-            // The reader works on the text in place: on a copy, as more messages may stand behind this one.
-            let mut message = front.net.pool.take();
-            match message
-                .write_all(body)
-                .map_err(|e| e.to_string())
-                .and_then(|()| JobReport::read(message.filled_mut()))
-            {
-                Ok(report) => ParsedRequest::JobReport(report, body.to_vec()),
-                Err(_) => ParsedRequest::Bad(400, "no news\n"),
-            }
-        }
-        (_, "/-/ready" | "/_jobs/news") => ParsedRequest::Bad(405, ""),
-        ("POST", _) if !frame.sized => ParsedRequest::Bad(411, "a job's length must be said\n"),
-        // Which of two would count is anybody's guess.
-        ("POST", _) if head.repeats(&SINGLE_HEADERS) => {
-            ParsedRequest::Bad(400, "a header stands twice\n")
-        }
-        ("POST", _) => {
-            parse_job(front, &head, body, path).unwrap_or_else(|why| ParsedRequest::Bad(400, why))
-        }
-        _ => ParsedRequest::Bad(405, "jobs come by POST\n"),
-    }
-}
-
-/// What a job asks for; one of a known class that cannot be taken has failed.
-fn parse_job(
-    front: &Platform,
-    head: &Head<'_>,
-    body: &[u8],
-    path: &str,
-) -> Result<ParsedRequest, &'static str> {
-    let site = front.site.borrow();
-    let name = path.trim_start_matches('/').split('/').next().unwrap_or("");
-    let Some(class) = site.class(name) else {
-        // One that the settings had once is still counted.
-        site.classes
-            .find(name)
-            .inspect(|dropped| front.metrics.count(*dropped, End::Failed));
-        return Ok(ParsedRequest::Bad(404, "no such class of jobs\n"));
-    };
-    // What the job is about; a path without a further part does not say.
-    let subject = path
-        .trim_start_matches('/')
-        .rsplit_once('/')
-        .and_then(|(_, last)| config::subject(last));
-    let job = parse_job_of_class(front, &site, (class, subject), (head, body));
-    job.inspect_err(|_| front.metrics.count(class, End::Failed))
-}
-
-/// The job of a class; or why it is none.
-fn parse_job_of_class(
-    front: &Platform,
-    site: &Site,
-    (class, subject): (ClassId, Option<u64>),
-    (head, body): (&Head<'_>, &[u8]),
-) -> Result<ParsedRequest, &'static str> {
-    let settings = &site.settings.classes[class as usize];
-    let trace = parse_trace(head)?;
-    let key = head.header("Idempotency-Key");
-    if key.is_none() && matches!(settings.effect, Effect::Keyed { .. }) {
-        return Err("Idempotency-Key is missing\n");
-    }
-    let mut request = Request {
-        id: 0,
-        class,
-        tenant: head
-            .header("X-Customer")
-            .and_then(|name| site.tenants.find(name))
-            .unwrap_or(u32::MAX),
-        left: parse_time_left(head)?.unwrap_or(settings.deadline),
-        estimate: None,
-        slots: 1.0,
-        memory: 0.0,
-        subject,
-    };
-    parse_properties(head, &mut request);
-    let text = forwarded_message(front, head, trace, body);
-    Ok(ParsedRequest::Job(NewJob {
-        request,
-        trace: trace.to_string(),
-        text: text.map_err(|_| "the request is too large\n")?,
-        body_bytes: body.len(),
-    }))
-}
-
-/// The client's id for a job. It becomes part of a path when an attempt is given up.
-fn parse_trace<'a>(head: &Head<'a>) -> Result<&'a str, &'static str> {
-    let trace = head
-        .header("X-Trace-Id")
-        .filter(|t| !t.is_empty())
-        .ok_or("X-Trace-Id is missing\n")?;
-    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.:~".contains(&b);
-    if trace.len() > MAX_TRACE_BYTES || !trace.bytes().all(allowed) {
-        return Err("X-Trace-Id must be one word\n");
-    }
-    Ok(trace)
-}
-
-/// How long the client waits, in microseconds, if it says so.
-fn parse_time_left(head: &Head<'_>) -> Result<Option<Time>, &'static str> {
-    let Some(text) = head.header("X-Expires-In-Ms") else {
-        return Ok(None);
-    };
-    let digits = Some(text).filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()));
-    let milliseconds = digits
-        .and_then(|ms| ms.parse::<u64>().ok())
-        .ok_or("X-Expires-In-Ms must be whole milliseconds\n")?;
-    Ok(Some(milliseconds.min(MAX_CLIENT_WAIT_MS) * 1000))
-}
-
-/// What the client says that the job needs; unknown properties and values that are no numbers are skipped.
-fn parse_properties(head: &Head<'_>, request: &mut Request) {
-    let properties = head.header("X-Props").unwrap_or("");
-    for (name, value) in properties.split(',').filter_map(|p| p.split_once('=')) {
-        let value = value.trim().parse::<f64>().ok();
-        match (name.trim(), value.filter(|v| v.is_finite() && *v >= 0.0)) {
-            ("needs" | "slots", Some(v)) => request.slots = v,
-            ("mem" | "memory", Some(v)) => request.memory = v,
-            ("estimate" | "hint", Some(v)) => request.estimate = Some(v as Time),
-            _ => {}
-        }
-    }
-}
-
-/// What passes on unchanged, the body first; the time left is added when an attempt goes out.
-fn forwarded_message(
-    front: &Platform,
-    head: &Head<'_>,
-    trace: &str,
-    body: &[u8],
-) -> std::io::Result<Buffer> {
-    let mut message = front.net.pool.take();
-    message.write_all(body)?;
-    write!(message, "{} {} HTTP/1.1\r\n", head.method, head.target)?;
-    write_header(&mut message, "Host", Some("service.internal"))?;
-    write_header(&mut message, "X-Trace-Id", Some(trace))?;
-    for name in ["Idempotency-Key", "X-Customer", "X-Props", "Content-Type"] {
-        write_header(&mut message, name, head.header(name))?;
-    }
-    write!(message, "Content-Length: {}\r\n", body.len())?;
-    Ok(message)
-}
-
-fn write_header(to: &mut Buffer, name: &str, value: Option<&str>) -> std::io::Result<()> {
-    value.map_or(Ok(()), |value| write!(to, "{name}: {value}\r\n"))
-}
-
 /// A status, headers to go with it, and a body.
 type AnswerParts = (u16, String, Vec<u8>);
 
--- /dev/null
+++ b/crates/indigofold/src/front/platform/clients/reading.rs
@@ -0,0 +1,88 @@
+//! Reading a message on an accepted connection: waiting for its first byte, then for all of it.
+
+use crate::front::platform::Platform;
+use crate::net::buffer::Buffer;
+use crate::net::http::{self, Bad, Frame, Kind, Progress};
+use crate::net::set::Rank;
+use crate::net::{Link, MESSAGE_TIMEOUT, Reason, WRITE_TIMEOUT, within};
+use std::time::Instant;
+
+/// Waits for something to read; `false`: it is the last message to be taken. A connection that has never sent a message
+/// has until its time is up. One that is evicted as its next message comes is served once more: closed over it, it
+/// would be reset.
+pub(super) async fn first_byte(
+    front: &Platform,
+    link: &Link,
+    (messages, client): (u64, bool),
+    accepted: Instant,
+) -> Result<bool, Reason> {
+    let readable = async { link.readable().await.map_err(|_| Reason::Broke) };
+    let waited = match messages {
+        0 => {
+            let wait = front
+                .net
+                .first_unless_evicted(accepted, Rank::NothingSent, readable);
+            within(
+                MESSAGE_TIMEOUT.saturating_sub(accepted.elapsed()),
+                Reason::NothingSent,
+                wait,
+            )
+            .await
+        }
+        1 => {
+            front
+                .net
+                .unless_evicted_or_drained(Rank::Once, client, readable)
+                .await
+        }
+        _ => {
+            front
+                .net
+                .unless_evicted_or_drained(Rank::Used, client, readable)
+                .await
+        }
+    };
+    let (stopping, drained) = (
+        front.lifecycle.stopping.get(),
+        front.lifecycle.closes_after_answer(),
+    );
+    match waited {
+        Ok(()) => Ok(true),
+        Err(Reason::Evicted) if (messages > 0 || stopping) && link.has_input() => Ok(false),
+        Err(Reason::Evicted) if stopping => Err(Reason::Stopping),
+        Err(Reason::Evicted) if drained => Err(Reason::Drained),
+        Err(other) => Err(other),
+    }
+}
+
+/// Reads until the buffer starts with a complete request.
+pub(super) async fn receive(
+    link: &Link,
+    buffer: &mut Buffer,
+) -> Result<Result<Frame, Bad>, Reason> {
+    let mut continue_sent = false;
+    loop {
+        if !buffer.filled().is_empty() {
+            match http::parse_message(buffer, Kind::Request) {
+                Err(bad) => return Ok(Err(bad)),
+                Ok(Progress::Complete(frame)) => return Ok(Ok(frame)),
+                Ok(Progress::Partial(true)) if !continue_sent => {
+                    continue_sent = true;
+                    link.send(b"HTTP/1.1 100 Continue\r\n\r\n", WRITE_TIMEOUT)
+                        .await?;
+                }
+                Ok(Progress::Partial(_)) => {}
+            }
+        }
+        let empty = buffer.filled().is_empty();
+        if buffer.spare().is_empty() {
+            return Ok(Err(Bad::BodyTooLarge)); // framing alone has filled it
+        }
+        match link.read(buffer).await {
+            Ok(0) if empty => return Err(Reason::PeerClosed),
+            Ok(0) => return Err(Reason::PeerLeft),
+            Ok(_) => {}
+            Err(_) => return Err(Reason::Broke),
+        }
+    }
+}
--- a/crates/indigofold/src/front/platform/membership.rs
+++ b/crates/indigofold/src/front/platform/membership.rs
@@ -1,63 +1,28 @@
-//! The membership watcher: an actor that requests the membership from discovery and watches its changes.
+//! The membership watcher: an actor that requests the membership from discovery and watches its changes. Children: one
+//! connection to discovery; when calls are made.
+
+mod discovery_client;
+mod schedule;
 
 use super::Platform;
 use crate::api::Scope;
 use crate::config::MembershipUpdate;
 use crate::core::{CoreInput, MembershipRequest};
-use crate::net::http::{self, Kind, Progress};
-use crate::net::{Link, Reason, log, within};
+use crate::net::{Reason, log};
 use async_channel::{Receiver, RecvError};
-use async_io::Timer;
+use discovery_client::DiscoveryClient;
 use futures_lite::FutureExt;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::io::Write;
+use schedule::{
+    CallKind, IMMEDIATE_WAIT_MS, MANY_SCHEDULERS, MAX_FAILURE_FACTOR, NEW_DISCOVERY_TIMEOUT,
+    REPLACEMENT_SPREAD, RETRY_INTERVAL, call_timeout, retry_within, spread, wait_bounds,
+};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a call for changes may wait, at least and at most. A change missed on a broken connection must be known six
-/// seconds after it, or two after that wait: by then the call must have been repeated. Waits differ between schedulers.
-const WAIT_MS: (u64, u64) = (3_000, 30_000);
-/// Discovery serves one call after another, for all schedulers: the wait grows with their number.
-const WAIT_PER_SCHEDULER_MS: u64 = 500;
-/// From so many schedulers on, calls are spread over time: made together, most of them would be rejected.
-const MANY_SCHEDULERS: u64 = 8;
-/// Spread of calls that start a watch, for each scheduler; such a call costs discovery 20 to 60 ms ...
-const SPREAD_PER_SCHEDULER: Duration = Duration::from_millis(40);
-/// ... but at most this fraction of the time within which the membership must be requested, the rest being for the call ...
-const MAX_SPREAD_FRACTION: f64 = 0.5;
-/// ... times this at most after failed calls: discovery still works on those that it has rejected.
-const MAX_FAILURE_FACTOR: u32 = 4;
-/// Spread of calls that continue a watch: the next one must come within 200 ms of the answer, or changes are missed.
-const CONTINUE_SPREAD: Duration = Duration::from_millis(100);
-/// Spread of the first call of a process that replaces another.
-const REPLACEMENT_SPREAD: Duration = Duration::from_millis(500);
-/// Spread of calls that reopen an unresponsive watch, with many schedulers.
-const REOPEN_SPREAD: Duration = Duration::from_millis(300);
-/// Spread of the first calls to a new discovery, with many schedulers: its changes must be known four seconds after the
-/// signal.
-const NEW_DISCOVERY_SPREAD: Duration = Duration::from_millis(1_500);
-/// How long a call for changes may take beyond its wait ...
-const CALL_SLACK: Duration = Duration::from_millis(1_000);
-/// ... one to a new discovery ...
-const NEW_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// ... and any other: it queues at discovery, which gives up sooner. A call broken off is worked on all the same, and the
-/// next one would queue behind it.
-const CALL_TIMEOUT: Duration = Duration::from_millis(4_000);
-/// How long a dial may take.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Wait of a call for the changes up to now. With a membership known, a watch starts with such a call: the complete one
-/// would cost discovery more, and changes could be missed before the next call.
-const IMMEDIATE_WAIT_MS: u64 = 1;
-/// Within this time of a failed call the next one is made: changes must be known six seconds after discovery can be reached
-/// again, and the rest of that time is for queueing there.
-const RETRY_WITHIN: Duration = Duration::from_millis(4_200);
-/// Between two attempts to reach a new discovery.
-const RETRY_INTERVAL: Duration = Duration::from_millis(100);
-
 /// A command to the actor.
 pub enum Command {
     /// The core requests something of the membership.
@@ -76,69 +41,6 @@
     Command(Result<Command, RecvError>),
 }
 
-/// Why a call is made.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum CallKind {
-    /// It starts a watch, or requests the complete membership.
-    StartWatch,
-    /// It continues a watch.
-    ContinueWatch,
-    /// It reopens a watch that has become unresponsive.
-    Unresponsive,
-    /// It is the first one to a new discovery.
-    NewDiscovery,
-}
-
-/// Over how long calls are spread out, given how many call, how often they failed and how often they must be made.
-fn spread(
-    kind: CallKind,
-    schedulers: u64,
-    failure_factor: u32,
-    membership_refresh_within: Duration,
-) -> Duration {
-    match kind {
-        _ if schedulers < MANY_SCHEDULERS => Duration::ZERO,
-        CallKind::ContinueWatch => CONTINUE_SPREAD,
-        CallKind::Unresponsive => REOPEN_SPREAD,
-        CallKind::NewDiscovery => NEW_DISCOVERY_SPREAD,
-        CallKind::StartWatch => {
-            let each =
-                SPREAD_PER_SCHEDULER.saturating_mul(u32::try_from(schedulers).unwrap_or(u32::MAX));
-            each.min(membership_refresh_within.mul_f64(MAX_SPREAD_FRACTION))
-                .saturating_mul(failure_factor)
-        }
-    }
-}
-
-/// How long a call may still be put off, given how long ago the last one failed, if it did.
-fn retry_within(since_failure: Option<Duration>) -> Duration {
-    since_failure.map_or(Duration::MAX, |since| RETRY_WITHIN.saturating_sub(since))
-}
-
-/// How long a call for changes may wait, at least and at most, given how many call.
-fn wait_bounds(schedulers: u64) -> (u64, u64) {
-    let most = (WAIT_PER_SCHEDULER_MS.saturating_mul(schedulers)).clamp(WAIT_MS.0, WAIT_MS.1);
-    (most / 2, most)
-}
-
-/// How long a call may take that waits so long, or requests the complete membership.
-fn call_timeout(wait: Option<u64>) -> Duration {
-    wait.filter(|wait| *wait != IMMEDIATE_WAIT_MS)
-        .map_or(CALL_TIMEOUT, |wait| {
-            CALL_SLACK + Duration::from_millis(wait)
-        })
-}
-
-/// The connection to a discovery, and the version of its membership that is known, if any.
-struct DiscoveryClient {
-    front: Rc<Platform>,
-    discovery: SocketAddr,
-    link: Option<Link>,
-    seq: Option<u64>,
-    /// Its last answer was older than the version known: the complete membership is requested, and is applied.
-    older: bool,
-}
-
 /// The membership that a scheduler has when it starts.
 #[derive(Clone, Copy, Debug)]
 pub struct InitialMembership {
@@ -295,6 +197,7 @@
     }
 
     /// Runs for as long as somebody may send commands.
+    #[allow(clippy::too_many_lines, reason = "one loop over what it waits for")]
     pub async fn run(mut self, inbox: Receiver<Command>) {
         loop {
             let wakeup = self.next_wakeup(&inbox).await;
@@ -365,13 +268,7 @@
     }
 
     fn client(&self, discovery: SocketAddr) -> DiscoveryClient {
-        DiscoveryClient {
-            front: self.front.clone(),
-            discovery,
-            link: None,
-            seq: None,
-            older: false,
-        }
+        DiscoveryClient::new(self.front.clone(), discovery)
     }
 
     fn handle_request(&mut self, request: MembershipRequest) {
@@ -494,86 +391,3 @@
         }
     }
 }
-
-impl Drop for DiscoveryClient {
-    fn drop(&mut self) {
-        self.drop_link(Reason::Done);
-    }
-}
-
-impl DiscoveryClient {
-    fn drop_link(&mut self, reason: Reason) {
-        if let Some(link) = self.link.take() {
-            link.end("list", reason, "");
-        }
-    }
-
-    /// One call.
-    async fn call(
-        mut self,
-        wait: Option<u64>,
-        put_off: Duration,
-        limit: Duration,
-    ) -> (DiscoveryClient, Result<MembershipUpdate, Reason>) {
-        if !put_off.is_zero() {
-            Timer::after(put_off).await;
-        }
-        let answer = self.exchange(wait, limit).await;
-        (self, answer)
-    }
-
-    async fn exchange(
-        &mut self,
-        wait: Option<u64>,
-        limit: Duration,
-    ) -> Result<MembershipUpdate, Reason> {
-        if self.link.as_ref().is_some_and(Link::stale) {
-            self.drop_link(Reason::PeerClosed);
-        }
-        if self.link.is_none() {
-            self.link = Some(self.front.net.dial(self.discovery, DIAL_TIMEOUT).await?);
-        }
-        let Some(link) = &self.link else {
-            return Err(Reason::Broke);
-        };
-        let buffer = &mut self.front.net.pool.take();
-        let host = self.discovery;
-        let _ = match wait {
-            None => write!(buffer, "GET /api/targets HTTP/1.1\r\nHost: {host}\r\n\r\n"),
-            Some(wait) => write!(
-                buffer,
-                "GET /api/targets?index={}&wait={wait} HTTP/1.1\r\nHost: {host}\r\n\r\n",
-                self.seq.unwrap_or(0)
-            ),
-        };
-        let exchange = async {
-            link.send(buffer.filled(), DIAL_TIMEOUT).await?;
-            buffer.clear();
-            loop {
-                if let Progress::Complete(frame) =
-                    http::parse_message(buffer, Kind::Answer).map_err(|_| Reason::Malformed)?
-                {
-                    return Ok(frame);
-                }
-                match link.read(buffer).await {
-                    Ok(0) => return Err(Reason::PeerLeft),
-                    Ok(_) => {}
-                    Err(_) => return Err(Reason::Broke),
-                }
-            }
-        };
-        let frame = within(limit, Reason::Unanswered, exchange).await?;
-        let (head, body) = frame.read(buffer, Kind::Answer).ok_or(Reason::Malformed)?;
-        if head.status != 200 {
-            return Err(Reason::Rejected);
-        }
-        let update = MembershipUpdate::read(&mut body.to_vec()).map_err(|_| Reason::Malformed)?;
-        if !frame.keep {
-            self.drop_link(Reason::Done);
-        }
-        Ok(update)
-    }
-}
-
-#[cfg(test)]
-mod tests;
--- a/crates/indigofold/src/front/platform/migration.rs
+++ b/crates/indigofold/src/front/platform/migration.rs
@@ -2,11 +2,11 @@
 //! knows of the job. A job goes once none of its attempts is on its way to a machine: those that a machine has taken need
 //! no connection, as it reports their ends to any process that accepts.
 
-use super::clients::{self, ConnectionState, ResumedJob};
+use super::clients::{self, ResumedJob};
+use super::connection_state::{ConnectionState, MigratingJob};
 use super::peer_process::{HandoverMessage, PeerProcess};
 use super::workers::{AttemptState, Order, Stage};
 use super::{Parcel, Platform};
-use crate::api::Time;
 use crate::config::JobReport;
 use crate::core::{AttemptId, CoreInput, JobId, Reply};
 use crate::net::set::{Direction, Seat};
@@ -14,7 +14,6 @@
 use crate::transferred_job::TransferredJob;
 use async_channel::{Receiver, SendError, Sender, bounded};
 use async_io::{Async, Timer};
-use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::io::Write;
@@ -25,19 +24,6 @@
 /// Between two attempts to release a job that has an attempt on its way.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
-/// A job and its client's connection, but for the descriptor.
-#[derive(Serialize, Deserialize)]
-pub struct MigratingJob {
-    trace: String,
-    text: Vec<u8>,
-    body: usize,
-    until: Time,
-    keep: bool,
-    rest: Vec<u8>,
-    messages: u64,
-    job: TransferredJob<String>,
-}
-
 /// State of the migration of open jobs.
 pub struct Migration {
     target: RefCell<Option<Rc<PeerProcess>>>,
--- a/crates/indigofold/src/front/platform/workers.rs
+++ b/crates/indigofold/src/front/platform/workers.rs
@@ -97,7 +97,10 @@
     }
 
     /// Carries an attempt to the machine; what ends it before it is taken is returned.
-    // Longer than most: its closures borrow the attempt's state while the exchange runs.
+    #[allow(
+        clippy::too_many_lines,
+        reason = "its closures borrow the attempt's state while the exchange runs"
+    )]
     async fn carry(
         &self,
         attempt: Attempt,
@@ -226,6 +229,10 @@
 }
 
 /// How an attempt ended before its machine took it; `None`: the machine has taken it. `went_out`: its last byte was sent.
+#[allow(
+    clippy::match_same_arms,
+    reason = "the arms are in the order in which they are decided"
+)]
 fn end_of_attempt(
     reply: Option<WorkerReply>,
     ended: Result<(), Reason>,
--- a/crates/indigofold/src/front/platform/workers/attempt.rs
+++ b/crates/indigofold/src/front/platform/workers/attempt.rs
@@ -84,6 +84,6 @@
             self.waker.replace(Some(context.waker().clone()));
             Poll::Pending
         })
-        .await
+        .await;
     }
 }
--- a/crates/indigofold/src/front/platform/workers/connections.rs
+++ b/crates/indigofold/src/front/platform/workers/connections.rs
@@ -121,7 +121,10 @@
 
     /// Sends a message and reads the answer's head and body, both left in the buffer. `on_head` is called as
     /// soon as the answer's head is there: its body may be cut off, or never end. Returned with how long the connection then rests.
-    // Longer than most: its loops share the deadline and what the head has said.
+    #[allow(
+        clippy::too_many_lines,
+        reason = "its loops share the deadline and what the head has said"
+    )]
     async fn exchange_on(
         &self,
         link: &Link,
@@ -192,9 +195,9 @@
         let mut guard = self.connect(fresh).await?;
         if let Err(reason) = prepare(buffer) {
             if self.draining.get() {
-                guard.end(reason)
+                guard.end(reason);
             } else {
-                guard.keep(Duration::ZERO)
+                guard.keep(Duration::ZERO);
             }
             return Err(reason);
         }
@@ -204,7 +207,7 @@
         let exchange = self.exchange_on(link, buffer, observers).await;
         match &exchange {
             Ok((frame, after)) if frame.keep && frame.total == buffer.filled().len() => {
-                guard.keep(*after)
+                guard.keep(*after);
             }
             Ok(_) => guard.end(Reason::Done),
             Err(reason) => guard.end(*reason),
