--- a/crates/indigofold/src/config.rs
+++ b/crates/indigofold/src/config.rs
@@ -1,6 +1,7 @@
 //! Environment, configuration and memberships, parsed once into the values that are used.
 
 mod discovery;
+mod error;
 mod faktory;
 mod json;
 mod platform;
@@ -8,13 +9,16 @@
 mod site;
 
 pub use discovery::{JobReport, Machine, MembershipUpdate};
+pub use error::ConfigError;
+use error::{DocumentSnafu, JsonSnafu, TooDeepSnafu};
 pub use faktory::{Faktory, FaktoryMachine};
 pub use platform::Platform;
 use serde::Deserialize;
 pub use site::{Names, Site};
+use snafu::ResultExt;
 
 /// A parsed value, or what was expected and not found.
-pub type Parse<T> = Result<T, String>;
+pub type Parse<T> = Result<T, ConfigError>;
 
 /// Memory that the process may use by default, in megabytes.
 pub const MEMORY_MB: usize = 192;
@@ -40,10 +44,20 @@
             _ => {}
         }
         if depth > DEPTH {
-            return Err("brackets too deep within each other".into());
+            return TooDeepSnafu.fail();
         }
     }
-    simd_json::serde::from_slice(text).map_err(|e| e.to_string())
+    simd_json::serde::from_slice(text).context(JsonSnafu)
+}
+
+/// As [`decode`]; an error begins with the name of the document.
+fn decode_document<T: for<'a> Deserialize<'a>>(
+    text: &mut [u8],
+    document: &'static str,
+) -> Parse<T> {
+    decode(text)
+        .map_err(Box::new)
+        .context(DocumentSnafu { document })
 }
 
 /// The number that stands for what a job says it is about, whatever its length and bytes; nothing: `None`. Two that
--- a/crates/indigofold/src/config/discovery.rs
+++ b/crates/indigofold/src/config/discovery.rs
@@ -1,6 +1,6 @@
 //! JSON forms of what discovery and job workers send: the membership, and reports on jobs.
 
-use super::{Parse, decode};
+use super::{Parse, decode_document};
 use serde::Deserialize;
 use simd_json::OwnedValue;
 
@@ -56,7 +56,7 @@
     ///
     /// The text is no JSON, or not of this form.
     pub fn read(text: &mut [u8]) -> Parse<Self> {
-        decode(text).map_err(|e| format!("no machine list: {e}"))
+        decode_document(text, "no machine list")
     }
 }
 
@@ -88,6 +88,6 @@
     ///
     /// The text is no JSON, or not of this form.
     pub fn read(text: &mut [u8]) -> Parse<Self> {
-        decode(text).map_err(|e| format!("no news: {e}"))
+        decode_document(text, "no news")
     }
 }
--- a/crates/indigofold/src/config/faktory.rs
+++ b/crates/indigofold/src/config/faktory.rs
@@ -1,6 +1,7 @@
 //! The operator's file for the Faktory front.
 
-use super::{MEMORY_MB, Parse, Site, decode};
+use super::error::DuplicateWorkerSnafu;
+use super::{MEMORY_MB, Parse, Site, decode_document};
 use crate::api::{Reports, Time};
 use serde::Deserialize;
 use simd_json::OwnedValue;
@@ -73,11 +74,11 @@
     ///
     /// Names the first entry that is missing or not allowed, and what is allowed.
     pub fn read(mut text: Vec<u8>) -> Parse<Self> {
-        let raw: RawFaktory = decode(&mut text).map_err(|e| format!("no Faktory front: {e}"))?;
+        let raw: RawFaktory = decode_document(&mut text, "no Faktory front")?;
         let mut wids: Vec<&String> = raw.machines.iter().flat_map(|m| &m.wids).collect();
         wids.sort();
         if let Some(pair) = wids.windows(2).find(|w| w[0] == w[1]) {
-            return Err(format!("wid {:?} stands on two machines", pair[0]));
+            return DuplicateWorkerSnafu { wid: pair[0] }.fail();
         }
         let mut site = Site::from_value(&raw.settings)?;
         // What this protocol has: job workers report a start by fetching the job, and no progress; there
--- a/crates/indigofold/src/config/json.rs
+++ b/crates/indigofold/src/config/json.rs
@@ -1,9 +1,11 @@
 //! Values of a JSON document, taken out one by one with errors that name them.
 
 use super::Parse;
+use super::error::{NegativeRuleSnafu, NoNumberSnafu, OutOfRangeSnafu, UnknownChoiceSnafu};
 use crate::ids::Time;
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
+use snafu::{OptionExt, ensure};
 
 /// A value in a JSON document that may not be there.
 #[derive(Clone, Copy)]
@@ -43,9 +45,7 @@
     }
 
     pub(super) fn need(self, key: &str) -> Parse<f64> {
-        self.at(key)
-            .number()
-            .ok_or_else(|| format!("settings lack a number '{key}'"))
+        self.at(key).number().context(NoNumberSnafu { key })
     }
 
     pub(super) fn time(self, key: &str) -> Parse<Time> {
@@ -54,16 +54,17 @@
 
     /// A number that must be there and within bounds.
     pub(super) fn within(self, key: &str, least: f64, most: f64) -> Parse<f64> {
-        let number = self.need(key)?;
-        let to = if most.is_finite() {
-            format!("to {most}")
-        } else {
-            "up".into()
-        };
-        let bad = || format!("setting '{key}' must be a number from {least} {to}, got {number}");
-        Some(number)
-            .filter(|n| (least..=most).contains(n))
-            .ok_or_else(bad)
+        let found = self.need(key)?;
+        ensure!(
+            (least..=most).contains(&found),
+            OutOfRangeSnafu {
+                key,
+                least,
+                most,
+                found
+            }
+        );
+        Ok(found)
     }
 
     /// A value as an error names it.
@@ -80,17 +81,13 @@
             .iter()
             .find(|(choice, _)| value.as_str() == Some(choice))
             .map(|(_, meant)| *meant);
-        let all = || {
-            choices
-                .iter()
-                .map(|(choice, _)| format!("'{choice}'"))
-                .collect::<Vec<_>>()
-                .join(", ")
-        };
-        let shown = Self::shown(value);
-        found
-            .map(Some)
-            .ok_or_else(|| format!("setting '{key}' must be one of {}, got {shown}", all()))
+        let quoted = choices.iter().map(|(choice, _)| format!("'{choice}'"));
+        let meant = found.with_context(|| UnknownChoiceSnafu {
+            key,
+            choices: quoted.collect::<Vec<_>>(),
+            found: Self::shown(value),
+        })?;
+        Ok(Some(meant))
     }
 
     pub(super) fn number_or(self, key: &str, or: f64) -> f64 {
@@ -103,8 +100,10 @@
             return Ok(None);
         };
         let number = Json(Some(value)).number().filter(|v| *v >= 0.0);
-        let shown = Self::shown(value);
-        let bad = || format!("setting 'rules.{key}' must be a number from 0 up, got '{shown}'");
-        number.map(Some).ok_or_else(bad)
+        let number = number.with_context(|| NegativeRuleSnafu {
+            key,
+            found: Self::shown(value),
+        })?;
+        Ok(Some(number))
     }
 }
--- a/crates/indigofold/src/config/platform.rs
+++ b/crates/indigofold/src/config/platform.rs
@@ -1,7 +1,10 @@
 //! The configuration of the platform's front, and what a file that replaces it must have.
 
 use super::discovery::MembershipUpdate;
-use super::{MEMORY_MB, Parse, Site, decode, hash};
+use super::error::{
+    ChangedKeySnafu, ClassNameSnafu, NoAttemptsSnafu, NoClassesSnafu, NoDeadlineSnafu,
+};
+use super::{MEMORY_MB, Parse, Site, decode_document, hash};
 use serde::Deserialize;
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
@@ -64,9 +67,8 @@
     ///
     /// Names the first entry that is missing or not allowed, and what is allowed.
     pub fn read(mut text: Vec<u8>, env: impl Fn(&str) -> Option<String>) -> Parse<Self> {
-        let document: OwnedValue =
-            decode(&mut text.clone()).map_err(|e| format!("no configuration: {e}"))?;
-        let raw: Raw = decode(&mut text).map_err(|e| format!("no configuration: {e}"))?;
+        let document: OwnedValue = decode_document(&mut text.clone(), "no configuration")?;
+        let raw: Raw = decode_document(&mut text, "no configuration")?;
         let or = |name: &str, value: String| env(name).filter(|v| !v.is_empty()).unwrap_or(value);
         let seed = raw
             .seed
@@ -101,9 +103,10 @@
     pub fn reread(&self, text: Vec<u8>) -> Parse<Self> {
         // The environment is that of the start: a changed file takes precedence over it.
         let new = Platform::read(text, |_| None)?;
-        missing_key(&self.document, &new.document).map_or(Ok(new), |key| {
-            Err(format!("'{key}' is missing or of another kind"))
-        })
+        match missing_key(&self.document, &new.document) {
+            None => Ok(new),
+            Some(key) => ChangedKeySnafu { key }.fail(),
+        }
     }
 }
 
@@ -157,15 +160,10 @@
         let names: Vec<&str> = self.classes.all().collect();
         let unnamed = |n: &usize| names[*n].is_empty() || names[..*n].contains(&names[*n]);
         match () {
-            () if settings.classes.is_empty() => Err("there are no classes ('profiles')".into()),
-            () if settings.limits.attempts == 0 => Err("'attemptsCap' must be over 0".into()),
-            () if let Some(n) = timeless => Err(format!(
-                "the deadline of class {:?} must be over 0",
-                names[n]
-            )),
-            () if (0..names.len()).any(|n| unnamed(&n)) => {
-                Err("each class must have a name of its own".into())
-            }
+            () if settings.classes.is_empty() => NoClassesSnafu.fail(),
+            () if settings.limits.attempts == 0 => NoAttemptsSnafu.fail(),
+            () if let Some(n) = timeless => NoDeadlineSnafu { class: names[n] }.fail(),
+            () if (0..names.len()).any(|n| unnamed(&n)) => ClassNameSnafu.fail(),
             () => Ok(self),
         }
     }
--- a/crates/indigofold/src/config/settings.rs
+++ b/crates/indigofold/src/config/settings.rs
@@ -1,12 +1,14 @@
 //! The settings of the decision module, read from the settings object.
 
 use super::Parse;
+use super::error::{ClassSnafu, MissingSnafu, NoFlagSnafu};
 use super::json::Json;
 use crate::api::{
     Charges, Class, Effect, Group, KindId, Limits, Reports, ResendBudget, Rules, Settings, Tenant,
     Time, ZoneId,
 };
 use simd_json::prelude::*;
+use snafu::{OptionExt, ResultExt};
 
 /// Reads the settings object; what a rule or a limit rests on must be there, the rest has defaults.
 pub(super) fn settings(env: Json<'_>, zone: ZoneId) -> Parse<Settings> {
@@ -15,7 +17,11 @@
     for (i, c) in env.at("profiles").items().enumerate() {
         let name = c.at("name").text().unwrap_or("");
         let class = class(i, c, domain);
-        classes.push(class.map_err(|why| format!("profiles[{i}] {name:?}: {why}"))?);
+        classes.push(
+            class
+                .map_err(Box::new)
+                .context(ClassSnafu { index: i, name })?,
+        );
     }
     let sources = [
         ("inline", Reports::WithResults),
@@ -85,14 +91,14 @@
         Some(1) => {
             let group = c
                 .one_of("group", &groups)?
-                .ok_or("setting 'group' is missing")?;
+                .context(MissingSnafu { key: "group" })?;
             Ok(Effect::Keyed {
                 group,
                 ttl: c.time("keyTtl")?,
             })
         }
         Some(_) => Ok(Effect::Unsafe),
-        None => Err("setting 'effect' is missing".into()),
+        None => MissingSnafu { key: "effect" }.fail(),
     }
 }
 
@@ -134,9 +140,9 @@
         close_idle_within: rules.optional("letGoIn")?.map(|v| v as Time),
         full_may_have_run: match rules.at("fullMayHaveRun").0 {
             None => false,
-            Some(v) => v
-                .as_bool()
-                .ok_or("setting 'rules.fullMayHaveRun' must be true or false")?,
+            Some(v) => v.as_bool().context(NoFlagSnafu {
+                key: "rules.fullMayHaveRun",
+            })?,
         },
     })
 }
--- a/crates/indigofold/src/config/site.rs
+++ b/crates/indigofold/src/config/site.rs
@@ -2,7 +2,7 @@
 
 use super::json::Json;
 use super::settings::settings;
-use super::{Parse, decode};
+use super::{Parse, decode, decode_document};
 use crate::api::{ClassId, Load, Settings, Time};
 use simd_json::OwnedValue;
 use simd_json::prelude::*;
@@ -69,8 +69,7 @@
     ///
     /// As [`Site::from_value`], or the text is no JSON.
     pub fn read(mut text: Vec<u8>) -> Parse<Self> {
-        let value = decode::<OwnedValue>(&mut text)
-            .map_err(|e| format!("the settings must be a JSON object: {e}"))?;
+        let value: OwnedValue = decode_document(&mut text, "the settings must be a JSON object")?;
         Site::from_value(&value)
     }
 
--- a/crates/indigofold/src/front/platform/clients/parsing.rs
+++ b/crates/indigofold/src/front/platform/clients/parsing.rs
@@ -54,13 +54,11 @@
         ("POST", "/_jobs/news") => {
             // The reader works on the text in place: on a copy, as more messages may stand behind this one.
             let mut message = front.net.pool.take();
-            match message
-                .write_all(body)
-                .map_err(|e| e.to_string())
-                .and_then(|()| JobReport::read(message.filled_mut()))
-            {
-                Ok(report) => ParsedRequest::JobReport(report, body.to_vec()),
-                Err(_) => ParsedRequest::Bad(400, "no news\n"),
+            let copied = message.write_all(body).is_ok();
+            let report = copied.then(|| JobReport::read(message.filled_mut()));
+            match report {
+                Some(Ok(report)) => ParsedRequest::JobReport(report, body.to_vec()),
+                _ => ParsedRequest::Bad(400, "no news\n"),
             }
         }
         (_, "/-/ready" | "/_jobs/news") => ParsedRequest::Bad(405, ""),
--- a/crates/indigofold/src/program/reload.rs
+++ b/crates/indigofold/src/program/reload.rs
@@ -32,7 +32,7 @@
 fn reread(used: &config::Platform) -> Result<(SocketAddr, config::Platform), String> {
     let path = std::env::var_os("GW_CONFIG").unwrap_or_default();
     let text = std::fs::read(path).map_err(|e| e.to_string())?;
-    let new = used.reread(text)?;
+    let new = used.reread(text).map_err(|e| e.to_string())?;
     let discovery = new.in_file.parse::<SocketAddr>();
     let discovery = discovery.map_err(|e| format!("discovery {:?}: {e}", new.in_file))?;
     Ok((discovery, new))
--- a/crates/replay/src/scenario/settings.rs
+++ b/crates/replay/src/scenario/settings.rs
@@ -67,7 +67,8 @@
     /// # Errors
     /// What the scheduler does not take.
     pub fn site(&self, me: u32) -> Result<Site, String> {
-        let mut site = Site::read(self.settings(me).to_string().into_bytes())?;
+        let text = self.settings(me).to_string().into_bytes();
+        let mut site = Site::read(text).map_err(|error| error.to_string())?;
         // As the program does on sockets.
         site.settings.limits.open = Some(self.limits.sockets as usize / 4);
         Ok(site)
