Quick start in one command: the tool runs the daemons itself where they are not beside it

Cause: the daemons had to be built before, in a command of their own. Change: what the daemons' programs do is in their libraries; indigofold-ctl daemon control|data runs it, which quickstart uses where the programs are missing. Measured: tests of a tool that stands alone in a folder, and of its daemons' exit codes; the tests of ctl pass.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,7 +1,8 @@
 //! A member of the core: replicates the control state in a chain with the other members and, while it is the acting head,
 //! decides changes of the configuration and runs the schedulers.
 //!
-//! [`node::CoreMember`] is the member as a state machine; [`driver`] connects it with sockets, disk, clocks and signals.
+//! [`core_member::CoreMember`] is the member as a state machine; [`driver`] connects it with sockets, disk, clocks and signals,
+//! [`program`] is the program around both.
 
 #![forbid(unsafe_code)]
 
@@ -15,5 +16,6 @@
 pub mod inspection;
 pub mod operator;
 pub mod peers;
+pub mod program;
 pub mod sessions;
 pub mod storage_thread;
--- a/crates/ctl/src/help.rs
+++ b/crates/ctl/src/help.rs
@@ -100,7 +100,7 @@
   --members N     core members: 1 (default) or 3
   --once          end after the first job
   --programs DIR  folder of indigofold-control and indigofold-data (default: the
-                  folder of this program)
+                  folder of this program, or this program itself in their place)
 
 All state is in a temporary folder that is removed at the end.
 ";
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,11 +7,18 @@
 use indigofold_ctl::{
     check_config, check_deploy, check_settings, job, quickstart, replicas, status,
 };
+use std::ffi::{OsStr, OsString};
 use std::io::Write;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let code = match command_line::parse(std::env::args_os().skip(1).collect()) {
+    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    if let [first, second, rest @ ..] = &arguments[..]
+        && first == quickstart::DAEMON
+    {
+        return daemon(second, rest.to_vec());
+    }
+    let code = match command_line::parse(arguments) {
         Ok(Command::Help(text)) => print(text, EXIT_OK),
         Ok(Command::Version) => print(
             concat!("indigofold-ctl ", env!("CARGO_PKG_VERSION"), "\n"),
@@ -26,6 +33,18 @@
     ExitCode::from(code)
 }
 
+/// Runs as a daemon of `quickstart`, which starts this program so where the daemons' own programs are not beside it.
+fn daemon(name: &OsStr, arguments: Vec<OsString>) -> ExitCode {
+    if name == quickstart::CONTROL {
+        indigofold_control_plane::program::run(arguments)
+    } else if name == quickstart::DATA {
+        indigofold_data_plane::program::run(arguments)
+    } else {
+        eprintln!("indigofold-ctl: the daemons are `control` and `data`");
+        ExitCode::from(EXIT_INPUT)
+    }
+}
+
 fn run(verb: Verb, json: bool) -> u8 {
     match report(verb) {
         Ok(report) if json => print(&format!("{}\n", report.json()), report.exit_code()),
--- a/crates/ctl/src/quickstart.rs
+++ b/crates/ctl/src/quickstart.rs
@@ -12,7 +12,7 @@
 mod workload;
 
 pub use error::{AttemptError, QuickstartError};
-pub use programs::Programs;
+pub use programs::{CONTROL, DAEMON, DATA, Programs};
 pub use stand_in::{StandInWorker, WorkerLimits};
 
 use crate::report::Report;
--- a/crates/ctl/src/quickstart/children.rs
+++ b/crates/ctl/src/quickstart/children.rs
@@ -1,7 +1,7 @@
 //! The daemons as child processes. They are ended by their process ids, and never outlive [`Children`].
 
 use super::error::{FilesSnafu, QuickstartError, StartSnafu};
-use super::layout::{Layout, Machine, MachineClass};
+use super::layout::{Layout, Machine};
 use super::programs::Programs;
 use super::settings_file;
 use rustix::process::{Pid, Signal, kill_process};
@@ -30,7 +30,7 @@
 impl Daemon {
     /// Writes its settings file and starts it; both that file and its log are in `folder`.
     fn start(
-        program: &Path,
+        programs: &Programs,
         machine: &Machine,
         settings: &str,
         folder: &Path,
@@ -39,8 +39,10 @@
         fs::write(&path, settings).context(FilesSnafu { path: &path })?;
         let log = folder.join(format!("{}.log", machine.name));
         let output = File::create(&log).context(FilesSnafu { path: &log })?;
+        let (program, arguments) = programs.of(machine.class);
         let mut command = Command::new(program);
         command
+            .args(arguments)
             .env(indigofold_settings::CONFIG_VARIABLE, &path)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -72,12 +74,8 @@
             daemons: Vec::new(),
         };
         for machine in &layout.machines {
-            let program = match machine.class {
-                MachineClass::Core => &programs.control,
-                MachineClass::Edge | MachineClass::Side => &programs.data,
-            };
             let settings = settings_file::text(layout, machine, folder);
-            let daemon = Daemon::start(program, machine, &settings, folder)?;
+            let daemon = Daemon::start(programs, machine, &settings, folder)?;
             children.daemons.push(daemon);
         }
         Ok(children)
--- a/crates/ctl/tests/daemons.rs
+++ b/crates/ctl/tests/daemons.rs
@@ -12,6 +12,7 @@
     Programs {
         control: env!("CARGO_BIN_EXE_ctl-test-control").into(),
         data: env!("CARGO_BIN_EXE_ctl-test-data").into(),
+        are_this_program: false,
     }
 }
 
@@ -29,7 +30,7 @@
 /// A folder in which the daemons have their usual names.
 fn program_folder() -> tempfile::TempDir {
     let folder = tempfile::tempdir().expect("a folder");
-    let Programs { control, data } = programs();
+    let Programs { control, data, .. } = programs();
     let link = |from: &Path, to: &str| std::os::unix::fs::symlink(from, folder.path().join(to));
     link(&control, "indigofold-control")
         .and(link(&data, "indigofold-data"))
@@ -178,6 +179,45 @@
     assert_eq!(tool(&["status", "--at", &member]).status.code(), Some(3));
 }
 
+/// So one command on a fresh clone starts a cluster: no other program has to be built first.
+#[test]
+fn quickstart_needs_no_program_beside_the_tool() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let alone = folder.path().join("indigofold-ctl");
+    std::fs::copy(env!("CARGO_BIN_EXE_indigofold-ctl"), &alone).expect("a copy");
+    let output = Command::new(&alone).args(["quickstart", "--once"]).output();
+    let output = output.expect("the tool runs");
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    assert!(
+        text(&output).to_lowercase().contains("completed"),
+        "{}",
+        text(&output)
+    );
+}
+
+#[rstest]
+#[case::unknown("edge", 2, "the daemons are `control` and `data`")]
+#[case::control_without_settings("control", 2, "indigofold-control: ")]
+#[case::data_without_settings("data", 2, "indigofold-data: ")]
+fn the_tool_runs_as_a_daemon_that_is_named(
+    #[case] daemon: &str,
+    #[case] code: i32,
+    #[case] message: &str,
+) {
+    let output = Command::new(env!("CARGO_BIN_EXE_indigofold-ctl"))
+        .args(["daemon", daemon])
+        .env_remove("INDIGOFOLD_CONFIG")
+        .output()
+        .expect("the tool runs");
+    assert_eq!(output.status.code(), Some(code));
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains(message), "{error}");
+}
+
 #[test]
 fn an_error_names_the_missing_program() {
     let programs = Programs::in_folder(&PathBuf::from("/nowhere"));
