Placement: weighted sums are a type with named parts

Cause: Sum was a pair whose order each caller had to know. Change: WeightedSum with weight, sum, add and faded; EstimatedRuns for run times with their estimates. Stored as the pairs they were. Measured: tests of placement, decisions and scheduler pass, the stored form of statistics among them.

--- a/crates/decisions/src/affinity.rs
+++ b/crates/decisions/src/affinity.rs
@@ -3,7 +3,7 @@
 //! job's data fetches it while the job holds its slot. Nothing here decides; the dispatcher asks.
 
 use crate::ids::{Time, WorkerId};
-use crate::runs::{self, Sum};
+use crate::runs::WeightedSum;
 use crate::transferred_job::Progress;
 use serde::{Deserialize, Serialize};
 
@@ -92,29 +92,29 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fetches {
     /// Weight and sum of the fetch times of jobs sent elsewhere, in microseconds.
-    away: Sum,
+    away: WeightedSum,
 }
 
 impl Fetches {
     /// Counts a job that was sent elsewhere and fetched its data for `took` microseconds.
     pub fn sent_away(&mut self, took: f64) {
-        runs::add(&mut self.away, FETCH_KEEP, took);
+        self.away.add(FETCH_KEEP, took);
     }
 
     /// Mean fetch time of a job sent elsewhere, in microseconds; 0 while none is known.
     pub fn cost(&self) -> f64 {
-        self.away.1 / self.away.0.max(1.0)
+        self.away.sum / self.away.weight.max(1.0)
     }
 
     /// The same cost with this fraction of its weight.
     pub fn faded(self, keep: f64) -> Self {
         Fetches {
-            away: (self.away.0 * keep, self.away.1 * keep),
+            away: self.away.faded(keep),
         }
     }
 
     /// Whether it is known that jobs with this mean run time, in microseconds, fetch nothing.
     pub fn none(&self, run: f64) -> bool {
-        self.away.0 >= FREE_FETCH_SAMPLES && self.cost() < FETCH_NOISE * run
+        self.away.weight >= FREE_FETCH_SAMPLES && self.cost() < FETCH_NOISE * run
     }
 }
--- a/crates/decisions/src/dispatcher.rs
+++ b/crates/decisions/src/dispatcher.rs
@@ -33,7 +33,7 @@
 use crate::affinity::{Fetches, SmoothedWeights};
 use crate::api::{Action, Class, Event, Load, RequestId, Settings, Status, Time, WorkerId};
 use crate::arrivals::Arrivals;
-use crate::runs::Sum;
+use crate::runs::WeightedSum;
 pub use crate::solve::solve;
 use crate::statistics::Demand;
 use rand_core::{Rng, SeedableRng};
@@ -77,7 +77,7 @@
     /// ... and how many may wait in workers' queues at once.
     wait_window: f64,
     /// Weight and sum of run times at mean speed, over all classes.
-    run_times: Sum,
+    run_times: WeightedSum,
     /// What jobs sent away from their home worker cost.
     fetches: Fetches,
     arrivals: Arrivals,
--- a/crates/decisions/src/dispatcher/attempts.rs
+++ b/crates/decisions/src/dispatcher/attempts.rs
@@ -179,10 +179,10 @@
         let index = attempt.worker;
         let wait = now.saturating_sub(attempt.sent) as f64;
         self.rejection_rate -= LATE_STEP * self.rejection_rate;
-        if self.run_times.0 > 0.0 {
+        if self.run_times.weight > 0.0 {
             // Long waits are a sign of shared queues: queue more requests here, where the most valuable go first.
             let capacity = self.capacity(&self.workers[index]);
-            let target = LATE_START_WAIT * self.run_times.1 / self.run_times.0 / capacity;
+            let target = LATE_START_WAIT * self.run_times.sum / self.run_times.weight / capacity;
             self.count_start(index, wait >= target);
         }
         self.release_slots(now, index, id, 0.0);
--- a/crates/decisions/src/dispatcher/health.rs
+++ b/crates/decisions/src/dispatcher/health.rs
@@ -23,7 +23,8 @@
             Status::Timeout => self.workers[index].record_failure(now, TIMEOUT_STEP, true),
             Status::Full => {
                 // A slot frees within about a run time.
-                let run = (self.run_times.1 / self.run_times.0).min(FULL_EJECTION_MAX) as Time;
+                let run =
+                    (self.run_times.sum / self.run_times.weight).min(FULL_EJECTION_MAX) as Time;
                 let worker = &mut self.workers[index];
                 worker.ejected_until = worker.ejected_until.max(now + run);
                 self.count_start(index, true);
--- a/crates/decisions/src/dispatcher/membership.rs
+++ b/crates/decisions/src/dispatcher/membership.rs
@@ -75,7 +75,7 @@
             self.workers.push(Worker::new(Entry::default()));
         }
         // All dispatchers learn of a start together: each begins to accumulate its budget at a random offset.
-        let owed = -unit(&mut self.rng) * self.run_times.1 / self.run_times.0.max(1.0);
+        let owed = -unit(&mut self.rng) * self.run_times.sum / self.run_times.weight.max(1.0);
         let worker = &mut self.workers[index];
         if entry.ready_at > worker.listed.ready_at {
             worker.warm_up_budget = Timed {
--- a/crates/decisions/src/dispatcher/observations.rs
+++ b/crates/decisions/src/dispatcher/observations.rs
@@ -24,7 +24,8 @@
     /// jobs are few among all.
     pub(super) fn probe(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let own_fraction = SAMPLE_SIZE as f64 / self.settings.dispatchers as f64;
-        let jobs_per_report = REPORT_AGE * self.run_times.0.max(1.0) / self.run_times.1.max(1.0);
+        let jobs_per_report =
+            REPORT_AGE * self.run_times.weight.max(1.0) / self.run_times.sum.max(1.0);
         let age = (jobs_per_report.max(own_fraction).min(1.0) * PROBE_AGE as f64) as Time;
         let sample = self.sample(now, id);
         let Some(open) = self.open.get_mut(&id) else {
--- a/crates/decisions/src/dispatcher/sampling.rs
+++ b/crates/decisions/src/dispatcher/sampling.rs
@@ -211,7 +211,7 @@
 
     /// The request's affinity, unless it is known that such requests fetch nothing.
     fn affinity_of(&self, open: &OpenRequest) -> Option<u64> {
-        let mean_run = self.run_times.1 / self.run_times.0.max(1.0);
+        let mean_run = self.run_times.sum / self.run_times.weight.max(1.0);
         open.affinity.filter(|_| !self.fetches.none(mean_run))
     }
 
@@ -248,7 +248,8 @@
 
     /// Jobs that a worker completes in the time of one fetch elsewhere.
     fn fetch_slots(&self, worker: &Worker) -> f64 {
-        self.fetches.cost() * self.capacity(worker) * self.run_times.0 / self.run_times.1.max(1.0)
+        self.fetches.cost() * self.capacity(worker) * self.run_times.weight
+            / self.run_times.sum.max(1.0)
     }
 
     /// Whether this worker may get this request now, apart from its load.
--- a/crates/decisions/src/dispatcher/statistics_merge.rs
+++ b/crates/decisions/src/dispatcher/statistics_merge.rs
@@ -131,7 +131,8 @@
         if self.settings.rules.resends.is_some() {
             self.retries.merge(now, other.retried_at);
         }
-        let has_more_samples = |pace: &Pace| pace.run_times.0 * run_weight > self.run_times.0;
+        let has_more_samples =
+            |pace: &Pace| pace.run_times.weight * run_weight > self.run_times.weight;
         if let Some(pace) = other.pace.filter(has_more_samples) {
             self.take_pace(now, &pace, run_weight, pace_weight);
             for (tenant, fraction) in &other.tenants {
@@ -176,7 +177,7 @@
     }
 
     fn take_pace(&mut self, now: Time, pace: &Pace, run_weight: f64, pace_weight: f64) {
-        self.run_times = (pace.run_times.0 * run_weight, pace.run_times.1 * run_weight);
+        self.run_times = pace.run_times.faded(run_weight);
         self.fetches = pace.fetches.faded(run_weight);
         self.arrivals.resume(now, pace.arrivals, pace_weight);
         self.zone_preference
--- a/crates/decisions/src/dispatcher/warm_up.rs
+++ b/crates/decisions/src/dispatcher/warm_up.rs
@@ -35,7 +35,7 @@
         let dispatchers = u64::from(self.settings.dispatchers);
         let budget = rules.tip_multiple * WARM_UP_USE * self.capacity(worker);
         let least = budget * rules.initial_capacity * rules.tip_window as f64 / WARM_UP_JOBS;
-        let jobs = (least * self.run_times.0 / self.run_times.1.max(1.0)) as u64;
+        let jobs = (least * self.run_times.weight / self.run_times.sum.max(1.0)) as u64;
         let parts = jobs.max(SAMPLE_SIZE as u64).min(dispatchers);
         // The parts of each worker begin at another dispatcher; all dispatchers compute the same one.
         let first = u64::from(worker.listed.worker).wrapping_mul(SPREAD) >> 32;
--- a/crates/decisions/src/statistics.rs
+++ b/crates/decisions/src/statistics.rs
@@ -9,7 +9,7 @@
 use crate::affinity::Fetches;
 use crate::arrivals::Rates;
 use crate::ids::Time;
-use crate::runs::{Speed, Sum, Work};
+use crate::runs::{Speed, WeightedSum, Work};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
@@ -107,7 +107,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Pace {
     /// Weight and sum of run times at mean speed.
-    pub run_times: Sum,
+    pub run_times: WeightedSum,
     /// Cost of fetches.
     pub fetches: Fetches,
     /// Rates of arrival.
@@ -313,7 +313,7 @@
 
 impl Pace {
     fn check(&self) -> Result<(), ReadError> {
-        let (weight, sum) = self.run_times;
+        let WeightedSum { weight, sum } = self.run_times;
         within("weight of all runs", weight, COUNT)?;
         within("sum of all runs", sum, 0.0..=COUNT_MAX * DURATION_MAX)?;
         within("cost of a fetch", self.fetches.cost(), DURATION)?;
--- a/crates/decisions/tests/serialized_form.rs
+++ b/crates/decisions/tests/serialized_form.rs
@@ -80,7 +80,7 @@
 
 fn pace(fetches: Fetches) -> Pace {
     Pace {
-        run_times: (40.0, 8e6),
+        run_times: (40.0, 8e6).into(),
         fetches,
         arrivals: Rates {
             work: 2.0,
--- a/crates/placement/src/runs.rs
+++ b/crates/placement/src/runs.rs
@@ -19,19 +19,70 @@
     (1.0 - now.saturating_sub(since) as f64 / UPDATE_AGE_MAX_US as f64).max(0.0)
 }
 
-/// Weight and sum of measured values; older ones weigh less.
-pub type Sum = (f64, f64);
+/// Weight and sum of measured values; older ones weigh less. Stored as a pair.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "(f64, f64)", into = "(f64, f64)")]
+pub struct WeightedSum {
+    /// Number of values, each with its weight.
+    pub weight: f64,
+    /// Sum of the values, each with its weight.
+    pub sum: f64,
+}
+
+impl From<(f64, f64)> for WeightedSum {
+    fn from((weight, sum): (f64, f64)) -> Self {
+        WeightedSum { weight, sum }
+    }
+}
+
+impl From<WeightedSum> for (f64, f64) {
+    fn from(value: WeightedSum) -> Self {
+        (value.weight, value.sum)
+    }
+}
+
+impl WeightedSum {
+    /// Adds a value; the weight of older ones is multiplied by `keep`.
+    pub fn add(&mut self, keep: f64, value: f64) {
+        self.weight = self.weight * keep + 1.0;
+        self.sum = self.sum * keep + value;
+    }
+
+    /// The same values with their weight multiplied by `keep`.
+    #[must_use]
+    pub fn faded(self, keep: f64) -> Self {
+        WeightedSum {
+            weight: self.weight * keep,
+            sum: self.sum * keep,
+        }
+    }
+}
 
-/// Adds a value; the weight of older ones is multiplied by `keep`.
-pub fn add(to: &mut Sum, keep: f64, value: f64) {
-    *to = (to.0 * keep + 1.0, to.1 * keep + value);
+/// Sums of run times at mean speed and of their estimates (1 where there are none). Stored as a pair.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "(f64, f64)", into = "(f64, f64)")]
+struct EstimatedRuns {
+    run: f64,
+    estimate: f64,
+}
+
+impl From<(f64, f64)> for EstimatedRuns {
+    fn from((run, estimate): (f64, f64)) -> Self {
+        EstimatedRuns { run, estimate }
+    }
+}
+
+impl From<EstimatedRuns> for (f64, f64) {
+    fn from(value: EstimatedRuns) -> Self {
+        (value.run, value.estimate)
+    }
 }
 
 /// How fast the workers of a kind are.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Speed {
     /// Logarithms of run times relative to the class's mean.
-    log: Sum,
+    log: WeightedSum,
     /// The speed relative to all kinds that follows from `log`.
     pub speed: f64,
 }
@@ -39,7 +90,7 @@
 impl Default for Speed {
     fn default() -> Self {
         Speed {
-            log: (0.0, 0.0),
+            log: WeightedSum::default(),
             speed: 1.0,
         }
     }
@@ -49,22 +100,22 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Work {
     /// Logarithms of run times at mean speed, less the logarithm of the estimate.
-    log: Sum,
-    /// Sums of run times at mean speed and of their estimates (1 where there are none).
-    work: Sum,
+    log: WeightedSum,
+    /// Run times at mean speed and their estimates.
+    work: EstimatedRuns,
 }
 
 impl Speed {
     /// Weight of the run times observed, in run times.
     pub fn weight(&self) -> f64 {
-        self.log.0
+        self.log.weight
     }
 
     /// The same speed with its weight multiplied by `keep`.
     #[must_use]
     pub fn faded(self, keep: f64) -> Self {
         Speed {
-            log: (self.log.0 * keep, self.log.1 * keep),
+            log: self.log.faded(keep),
             ..self
         }
     }
@@ -73,23 +124,28 @@
 impl Work {
     /// Weight of the run times observed, in run times.
     pub fn weight(&self) -> f64 {
-        self.log.0
+        self.log.weight
     }
 
     /// The same run times with their weight multiplied by `keep`.
     #[must_use]
     pub fn faded(self, keep: f64) -> Self {
-        let scaled = |sum: Sum| (sum.0 * keep, sum.1 * keep);
         Work {
-            log: scaled(self.log),
-            work: scaled(self.work),
+            log: self.log.faded(keep),
+            work: EstimatedRuns {
+                run: self.work.run * keep,
+                estimate: self.work.estimate * keep,
+            },
         }
     }
 
     /// The prior for a class without observed run times: its jobs take `run` microseconds.
     pub fn of(run: Time) -> Self {
         Work {
-            work: (run.max(1) as f64, 1.0),
+            work: EstimatedRuns {
+                run: run.max(1) as f64,
+                estimate: 1.0,
+            },
             ..Default::default()
         }
     }
@@ -97,26 +153,34 @@
     /// Mean run time at mean speed, in microseconds, of a job with the client's `estimate`.
     pub fn mean(&self, estimate: Option<Time>) -> f64 {
         match estimate {
-            Some(e) if self.log.0 == 0.0 => e as f64,
-            e => e.unwrap_or(1) as f64 * self.work.0 / self.work.1,
+            Some(e) if self.log.weight == 0.0 => e as f64,
+            e => e.unwrap_or(1) as f64 * self.work.run / self.work.estimate,
         }
     }
 }
 
 /// Updates the estimators with a run of a job of `class`, with the client's `estimate`, on a worker of `kind`.
 /// `all` sums up run times at mean speed.
-pub fn learn(kind: &mut Speed, class: &mut Work, all: &mut Sum, estimate: Option<Time>, run: Time) {
+pub fn learn(
+    kind: &mut Speed,
+    class: &mut Work,
+    all: &mut WeightedSum,
+    estimate: Option<Time>,
+    run: Time,
+) {
     let (speed, base) = (kind.speed, estimate.map_or(1.0, |e| e as f64));
     let (log, at_mean_speed) = ((run.max(1) as f64 / base).ln(), run as f64 * speed);
-    let known = (class.work, class.log.1 / class.log.0);
-    let (old, mean) = if class.log.0 == 0.0 {
-        ((0.0, 0.0), log + speed.ln())
+    let (old, mean) = if class.log.weight == 0.0 {
+        (EstimatedRuns::default(), log + speed.ln())
     } else {
-        known
+        (class.work, class.log.sum / class.log.weight)
+    };
+    class.work = EstimatedRuns {
+        run: old.run * KEEP + at_mean_speed,
+        estimate: old.estimate * KEEP + base,
     };
-    class.work = (old.0 * KEEP + at_mean_speed, old.1 * KEEP + base);
-    add(&mut class.log, KEEP, log + speed.ln());
-    add(all, KEEP, at_mean_speed);
-    add(&mut kind.log, KEEP, log - mean);
-    kind.speed = (-kind.log.1 / (kind.log.0 + PRIOR_WEIGHT)).exp();
+    class.log.add(KEEP, log + speed.ln());
+    all.add(KEEP, at_mean_speed);
+    kind.log.add(KEEP, log - mean);
+    kind.speed = (-kind.log.sum / (kind.log.weight + PRIOR_WEIGHT)).exp();
 }
--- a/crates/placement/tests/runs.rs
+++ b/crates/placement/tests/runs.rs
@@ -1,6 +1,6 @@
 //! The estimators of run times.
 
-use indigofold_placement::runs::{Speed, Sum, Work, add, fresh, learn};
+use indigofold_placement::runs::{Speed, WeightedSum, Work, fresh, learn};
 
 /// Runs learned in each test.
 const RUNS: usize = 400;
@@ -21,19 +21,19 @@
 
 #[test]
 fn the_mean_of_a_class_follows_its_runs() {
-    let (mut kind, mut class, mut all) = (Speed::default(), Work::of(1), Sum::default());
+    let (mut kind, mut class, mut all) = (Speed::default(), Work::of(1), WeightedSum::default());
     for _ in 0..RUNS {
         learn(&mut kind, &mut class, &mut all, None, RUN_US);
     }
     assert!((class.mean(None) / RUN_US as f64 - 1.0).abs() < 1e-9);
-    assert!((all.1 / all.0 / RUN_US as f64 - 1.0).abs() < 1e-9);
+    assert!((all.sum / all.weight / RUN_US as f64 - 1.0).abs() < 1e-9);
     assert!((kind.speed - 1.0).abs() < 1e-9);
 }
 
 #[test]
 fn a_kind_that_runs_faster_has_a_higher_speed() {
     let (mut fast, mut slow) = (Speed::default(), Speed::default());
-    let (mut class, mut all) = (Work::of(RUN_US), Sum::default());
+    let (mut class, mut all) = (Work::of(RUN_US), WeightedSum::default());
     for _ in 0..RUNS {
         learn(&mut fast, &mut class, &mut all, None, RUN_US / 2);
         learn(&mut slow, &mut class, &mut all, None, RUN_US * 2);
@@ -43,7 +43,7 @@
 
 #[test]
 fn fading_scales_the_weight_and_keeps_the_estimates() {
-    let (mut kind, mut class, mut all) = (Speed::default(), Work::of(1), Sum::default());
+    let (mut kind, mut class, mut all) = (Speed::default(), Work::of(1), WeightedSum::default());
     for _ in 0..RUNS {
         learn(&mut kind, &mut class, &mut all, Some(RUN_US / 2), RUN_US);
     }
@@ -56,10 +56,10 @@
 
 #[test]
 fn older_values_of_a_sum_weigh_less() {
-    let mut sum = Sum::default();
-    add(&mut sum, 0.5, 8.0);
-    add(&mut sum, 0.5, 2.0);
-    assert_eq!(sum, (1.5, 6.0));
+    let mut sum = WeightedSum::default();
+    sum.add(0.5, 8.0);
+    sum.add(0.5, 2.0);
+    assert_eq!(sum, WeightedSum::from((1.5, 6.0)));
 }
 
 #[test]
--- a/crates/scheduler/src/kinds.rs
+++ b/crates/scheduler/src/kinds.rs
@@ -3,7 +3,7 @@
 
 use crate::worker::{Worker, WorkerId, is_rack};
 use crate::workers::Workers;
-use indigofold_placement::runs::{KEEP, Speed, Sum, Work, add, learn};
+use indigofold_placement::runs::{KEEP, Speed, WeightedSum, Work, learn};
 use indigofold_placement::solve::solve;
 use indigofold_protocol::job::Resources;
 use indigofold_protocol::task::TaskName;
@@ -46,8 +46,8 @@
     by_estimate: Work,
     by_mean: Work,
     /// Squared errors (of logarithms) that each of the two has made.
-    errors_by_estimate: Sum,
-    errors_by_mean: Sum,
+    errors_by_estimate: WeightedSum,
+    errors_by_mean: WeightedSum,
 }
 
 /// The kinds of one service.
@@ -56,7 +56,7 @@
     kinds: Vec<Kind>,
     kind_of: FxHashMap<WorkerId, usize>,
     classes: FxHashMap<Class, ClassWork>,
-    all: Sum,
+    all: WeightedSum,
     load: f64,
 }
 
@@ -366,25 +366,25 @@
     fn judge(&mut self, estimate: Option<u64>, run: f64) {
         let error = |predicted: f64| (predicted.max(1.0) / run.max(1.0)).ln().powi(2);
         if self.by_mean.weight() > 0.0 {
-            add(
-                &mut self.errors_by_mean,
-                KEEP,
-                error(self.by_mean.mean(None)),
-            );
+            let error = error(self.by_mean.mean(None));
+            self.errors_by_mean.add(KEEP, error);
         }
         if self.by_estimate.weight() > 0.0 && estimate.is_some() {
-            add(
-                &mut self.errors_by_estimate,
-                KEEP,
-                error(self.by_estimate.mean(estimate)),
-            );
+            let error = error(self.by_estimate.mean(estimate));
+            self.errors_by_estimate.add(KEEP, error);
         }
     }
 
     /// Run time at mean speed, in microseconds, once something is known.
     fn mean(&self, estimate: Option<u64>) -> Option<f64> {
         let known = self.by_mean.weight() > 0.0;
-        let mean = |(weight, sum): Sum| if weight > 0.0 { sum / weight } else { 0.0 };
+        let mean = |errors: WeightedSum| {
+            if errors.weight > 0.0 {
+                errors.sum / errors.weight
+            } else {
+                0.0
+            }
+        };
         let estimates_are_better = mean(self.errors_by_estimate) <= mean(self.errors_by_mean);
         match estimate {
             Some(_) if estimates_are_better => {
--- a/crates/scheduler/src/value.rs
+++ b/crates/scheduler/src/value.rs
@@ -1,7 +1,7 @@
 //! The value of jobs in relation to the work that they still need: under overload, the order by which most is earned.
 
 use crate::queue::Prospect;
-use indigofold_placement::runs::{KEEP, Sum, add};
+use indigofold_placement::runs::{KEEP, WeightedSum};
 use indigofold_protocol::job::{Resources, Step};
 use rustc_hash::FxHashMap;
 
@@ -20,13 +20,13 @@
 
 /// Work of a queue's jobs, old ones fading: weight, weighted sum.
 #[derive(Debug, Default)]
-struct MeanWork(Sum);
+struct MeanWork(WeightedSum);
 
 impl MeanWork {
     /// Adds a job's work to the mean; returns the job's value in relation to the others of its queue.
     fn value(&mut self, work: f64) -> f64 {
-        add(&mut self.0, KEEP, work);
-        let mean = self.0.1 / self.0.0;
+        self.0.add(KEEP, work);
+        let mean = self.0.sum / self.0.weight;
         let relative_work = if mean > 0.0 { work / mean } else { 1.0 };
         (VALUE_BASE + VALUE_BY_WORK * relative_work).min(VALUE_MAX)
     }
