Scheduler: record_placement in place of place; links of two doc comments

Cause: a placed run is recorded there, not placed; two comments named a type that does not exist. Change: renames and comments only.

--- a/crates/scheduler/src/cluster/runs.rs
+++ b/crates/scheduler/src/cluster/runs.rs
@@ -13,7 +13,10 @@
     /// Places a run of a waiting task, or a speculative run; its order leaves once this is committed.
     pub(crate) fn place_run(&mut self, task: TaskName, attempt: u32, placement: Placement) {
         let now_ms = self.clock.now_ms();
-        let Some(resources) = self.jobs.place(task, attempt, &placement, now_ms) else {
+        let Some(resources) = self
+            .jobs
+            .record_placement(task, attempt, &placement, now_ms)
+        else {
             return;
         };
         if let Some(worker) = self.workers.get_mut(placement.worker) {
--- a/crates/scheduler/src/jobs/runs.rs
+++ b/crates/scheduler/src/jobs/runs.rs
@@ -26,7 +26,7 @@
     }
 
     /// Places a run of a waiting task, or a speculative run; returns what it takes of its worker.
-    pub(crate) fn place(
+    pub(crate) fn record_placement(
         &mut self,
         task: TaskName,
         attempt: u32,
@@ -36,7 +36,7 @@
         let job = self.by_id.get_mut(&task.job)?;
         let resources = job.step(task.step).map(Step::resources)?;
         let state = job.step_state_mut(StepRef::of(&task))?;
-        state.place(task.index, attempt, placement, now_ms);
+        state.record_placement(task.index, attempt, placement, now_ms);
         if job.run_placed() {
             self.load.job_no_longer_pending(job.route());
         }
--- a/crates/scheduler/src/jobs/step.rs
+++ b/crates/scheduler/src/jobs/step.rs
@@ -197,7 +197,13 @@
     }
 
     /// A run of a task is placed.
-    pub(crate) fn place(&mut self, index: u32, attempt: u32, placement: &Placement, now_ms: u64) {
+    pub(crate) fn record_placement(
+        &mut self,
+        index: u32,
+        attempt: u32,
+        placement: &Placement,
+        now_ms: u64,
+    ) {
         let waited = self.waiting.remove(&index);
         let waits = self.waits;
         let Some(task) = self.task_mut(index) else {
--- a/crates/scheduler/src/jobs/tests.rs
+++ b/crates/scheduler/src/jobs/tests.rs
@@ -48,7 +48,7 @@
             ..one_task()
         },
     ]);
-    let (first, second) = (stage.place(0, 0), stage.place(0, 1));
+    let (first, second) = (stage.place_first(0, 0), stage.place_first(0, 1));
     assert_eq!(
         stage.jobs.pending("route"),
         0,
@@ -65,7 +65,7 @@
 fn a_job_whose_last_task_is_done_has_completed_and_is_closed() {
     let mut stage = Stage::new();
     stage.accept(vec![one_task()]);
-    let run = stage.place(0, 0);
+    let run = stage.place_first(0, 0);
     let events = stage.end(run, DONE);
     assert_eq!(stage.end_state(), Some(JobState::Completed));
     assert!(events.contains(&JobEvent::Closed(JOB)));
@@ -79,7 +79,7 @@
         count: 2,
         ..one_task()
     }]);
-    let run = stage.place(0, 0);
+    let run = stage.place_first(0, 0);
     assert!(stage.try_end(run, DONE).is_some());
     assert!(stage.try_end(run, DONE).is_none());
     assert_eq!(stage.step(0).open_tasks(), 1);
@@ -95,7 +95,7 @@
     let mut stage = Stage::new();
     stage.accept(vec![one_task()]);
     for attempt in 1..=5 {
-        let run = stage.place(0, 0);
+        let run = stage.place_first(0, 0);
         assert_eq!(run.attempt, attempt);
         let events = stage.end(run, result);
         assert!(
@@ -113,9 +113,9 @@
         count: 2,
         ..one_task()
     }]);
-    let other = stage.place(0, 1);
+    let other = stage.place_first(0, 1);
     for failure in 1..=builder::MAX_RETRIES {
-        let run = stage.place(0, 0);
+        let run = stage.place_first(0, 0);
         let events = stage.end(run, FAILED);
         let stop = JobEvent::StopOnceCommitted(other);
         assert_eq!(events.contains(&stop), failure == builder::MAX_RETRIES);
@@ -176,7 +176,7 @@
             ..one_task()
         },
     ]);
-    let (first, second) = (stage.place(0, 0), stage.place(0, 0));
+    let (first, second) = (stage.place_first(0, 0), stage.place_first(0, 0));
     let events = stage.end(second, DONE);
     assert!(events.contains(&JobEvent::StopTask(first.task)));
     assert_eq!(stage.jobs.attempts(&first.task), vec![first.attempt]);
@@ -186,9 +186,9 @@
 fn a_done_of_a_run_that_counted_as_lost_stops_the_run_that_replaced_it() {
     let mut stage = Stage::new();
     stage.accept(vec![one_task()]);
-    let lost = stage.place(0, 0);
+    let lost = stage.place_first(0, 0);
     stage.end(lost, RunResult::Lost);
-    let replacement = stage.place(0, 0);
+    let replacement = stage.place_first(0, 0);
     let events = stage.late_done(lost.task);
     assert!(events.contains(&JobEvent::StopTask(replacement.task)));
     assert_eq!(stage.end_state(), Some(JobState::Completed));
@@ -253,7 +253,7 @@
         count: 2,
         ..one_task()
     }]);
-    let run = stage.place(0, 0);
+    let run = stage.place_first(0, 0);
     assert!(stage.jobs.start_order(run).is_some());
     assert!(
         stage
--- a/crates/scheduler/src/jobs/tests/builder.rs
+++ b/crates/scheduler/src/jobs/tests/builder.rs
@@ -95,7 +95,7 @@
     }
 
     /// Places a run of a task on worker 1.
-    pub(super) fn place(&mut self, step: u32, index: u32) -> RunId {
+    pub(super) fn place_first(&mut self, step: u32, index: u32) -> RunId {
         self.place_at(step, index, 1)
     }
 
@@ -124,7 +124,9 @@
             bound: false,
             remote_factor: 1.0,
         };
-        let taken = self.jobs.place(task, attempt, &placement, self.now_ms);
+        let taken = self
+            .jobs
+            .record_placement(task, attempt, &placement, self.now_ms);
         assert!(taken.is_some(), "the run is placed");
         let waiting = self.step(task.step).waiting();
         if waiting.is_empty() {
--- a/crates/system-tests/src/environment.rs
+++ b/crates/system-tests/src/environment.rs
@@ -69,7 +69,7 @@
     ///
     /// # Errors
     ///
-    /// [`WaitError`](crate::wait::WaitError) if the record does not show it in time.
+    /// [`TimedOut`] if the record does not show it in time.
     pub fn wait_until<T>(
         &self,
         what: &str,
--- a/crates/system-tests/src/wait.rs
+++ b/crates/system-tests/src/wait.rs
@@ -55,7 +55,7 @@
     ///
     /// # Errors
     ///
-    /// [`WaitError`] if it yields nothing in time.
+    /// [`TimedOut`] if it yields nothing in time.
     pub fn wait_until<T>(
         &self,
         what: &str,
