--- a/crates/control-plane/src/acting_head.rs
+++ b/crates/control-plane/src/acting_head.rs
@@ -8,8 +8,8 @@
 use crate::storage_thread::StoredRow;
 use indigofold_protocol::config::Config;
 use indigofold_protocol::internal::{AgentOrders, ClientReply};
-use indigofold_replication::RowChange;
-use indigofold_scheduler::{Bounds, Effect, Event, LateEnd, RowError, Scheduler, WriteId};
+use indigofold_replication::{RowChange, SubmissionId, ViewNumber};
+use indigofold_scheduler::{Bounds, Effect, Epoch, Event, LateEnd, RowError, Scheduler, WriteId};
 use snafu::{ResultExt, Snafu};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -20,7 +20,7 @@
     /// Write these rows; the commit is to be reported by [`ActingHead::committed`].
     Submit {
         /// Id of the write.
-        write_id: u64,
+        write_id: SubmissionId,
         /// The rows.
         changes: Vec<RowChange>,
     },
@@ -82,9 +82,9 @@
 #[derive(Debug)]
 pub struct UncommittedWrites {
     /// Id of the first write of a later head.
-    pub next_write_id: u64,
+    pub next_write_id: SubmissionId,
     /// Writes without a result.
-    pub write_ids: Vec<u64>,
+    pub write_ids: Vec<SubmissionId>,
 }
 
 /// State of the head, once its rows are loaded.
@@ -92,21 +92,21 @@
     scheduler: Scheduler,
     authority: ConfigAuthority,
     /// Writes without a result, by id.
-    writers: HashMap<u64, Writer>,
+    writers: HashMap<SubmissionId, Writer>,
     /// Id of the next write; also counted on by later heads of this process.
-    next_write_id: u64,
+    next_write_id: SubmissionId,
 }
 
 impl ActingHead {
-    /// The head of view `epoch`, from all stored rows. The ids of its writes count from `first_write_id`.
+    /// The head of a view, from all stored rows. The number of the view is the epoch of its orders. The ids of its writes count from `first_write_id`.
     ///
     /// # Errors
     ///
     /// A row has another form than this program writes.
     pub fn load(
         bounds: Bounds,
-        epoch: u64,
-        first_write_id: u64,
+        view: ViewNumber,
+        first_write_id: SubmissionId,
         clocks: Clocks,
         rows: Vec<StoredRow>,
     ) -> Result<Self, HeadError> {
@@ -114,7 +114,8 @@
             .iter()
             .filter_map(|row| Some((str::from_utf8(&row.key).ok()?, row.value.as_slice())));
         let authority = ConfigAuthority::load(texts).context(ConfigSnafu)?;
-        let mut scheduler = Scheduler::new(bounds, epoch, epoch, clocks.steady_ms, clocks.wall_ms);
+        let (epoch, seed) = (Epoch(view.0), view.0);
+        let mut scheduler = Scheduler::new(bounds, epoch, seed, clocks.steady_ms, clocks.wall_ms);
         let rows = rows.into_iter().filter(|row| Scheduler::is_row(&row.key));
         let rows = rows.map(|row| (row.key, row.value));
         scheduler.load(rows).context(SchedulerSnafu)?;
@@ -175,7 +176,12 @@
     }
 
     /// A write is on the disks of the whole chain.
-    pub fn committed(&mut self, clocks: Clocks, write_id: u64, outputs: &mut Vec<HeadOutput>) {
+    pub fn committed(
+        &mut self,
+        clocks: Clocks,
+        write_id: SubmissionId,
+        outputs: &mut Vec<HeadOutput>,
+    ) {
         match self.writers.remove(&write_id) {
             Some(Writer::Scheduler(write)) => {
                 self.handle_event(clocks, Event::Committed(write), outputs);
@@ -190,7 +196,7 @@
     }
 
     /// Whether this is one of its writes without a result.
-    pub fn waits_for(&self, write_id: u64) -> bool {
+    pub fn waits_for(&self, write_id: SubmissionId) -> bool {
         self.writers.contains_key(&write_id)
     }
 
@@ -256,7 +262,7 @@
     /// Numbers a write and records who waits for it.
     fn submit(&mut self, writer: Writer, changes: Vec<RowChange>) -> HeadOutput {
         let write_id = self.next_write_id;
-        self.next_write_id += 1;
+        self.next_write_id = SubmissionId(write_id.0 + 1);
         self.writers.insert(write_id, writer);
         HeadOutput::Submit { write_id, changes }
     }
--- a/crates/control-plane/src/core_member/head_role.rs
+++ b/crates/control-plane/src/core_member/head_role.rs
@@ -4,6 +4,7 @@
 use crate::acting_head::{ActingHead, HeadError, HeadOutput};
 use crate::clocks::Clocks;
 use crate::storage_thread::StoredRow;
+use indigofold_replication::{SubmissionId, ViewNumber};
 use indigofold_scheduler::Bounds;
 use std::collections::BTreeSet;
 
@@ -15,7 +16,7 @@
     Follower,
     /// Head of `view` that reads its rows. At `retry_ms` it requests them once more; [`u64::MAX`] while a request is
     /// open.
-    Loading { view: u64, retry_ms: u64 },
+    Loading { view: ViewNumber, retry_ms: u64 },
     /// A head with its rows.
     Leading(Box<ActingHead>),
 }
@@ -24,16 +25,16 @@
 pub(super) struct HeadRole {
     state: HeadState,
     /// Number of the first write of the next [`ActingHead`].
-    next_write_id: u64,
+    next_write_id: SubmissionId,
     /// Writes of former [`ActingHead`]s of this process without a result yet. Rows are loaded only once there is none.
-    pending_writes: BTreeSet<u64>,
+    pending_writes: BTreeSet<SubmissionId>,
 }
 
 impl Default for HeadRole {
     fn default() -> Self {
         HeadRole {
             state: HeadState::Follower,
-            next_write_id: 1,
+            next_write_id: SubmissionId(1),
             pending_writes: BTreeSet::new(),
         }
     }
@@ -46,7 +47,7 @@
     }
 
     /// Whether this member loads the rows of `view`.
-    pub(super) fn is_loading(&self, view: u64) -> bool {
+    pub(super) fn is_loading(&self, view: ViewNumber) -> bool {
         matches!(self.state, HeadState::Loading { view: loading, .. } if loading == view)
     }
 
@@ -67,7 +68,7 @@
     }
 
     /// Becomes the head of `view`; its rows may be requested at once.
-    pub(super) fn start_loading(&mut self, view: u64, now_ms: u64) {
+    pub(super) fn start_loading(&mut self, view: ViewNumber, now_ms: u64) {
         self.state = HeadState::Loading {
             view,
             retry_ms: now_ms,
@@ -75,12 +76,12 @@
     }
 
     /// Becomes the head of `view`; its rows may be requested after a wait.
-    pub(super) fn start_loading_later(&mut self, view: u64, now_ms: u64) {
+    pub(super) fn start_loading_later(&mut self, view: ViewNumber, now_ms: u64) {
         self.start_loading(view, now_ms + LOAD_RETRY_MS);
     }
 
     /// The view has changed to `view` with the same head.
-    pub(super) fn renew(&mut self, view: u64) {
+    pub(super) fn renew(&mut self, view: ViewNumber) {
         if let HeadState::Loading { view: loading, .. } = &mut self.state {
             *loading = view;
         }
@@ -96,7 +97,7 @@
 
     /// The view whose rows are to be requested; `None` if there is nothing to load, or as long as writes have no result
     /// (then it is due once more after a wait).
-    pub(super) fn poll_load(&mut self, now_ms: u64) -> Option<u64> {
+    pub(super) fn poll_load(&mut self, now_ms: u64) -> Option<ViewNumber> {
         let HeadState::Loading { view, retry_ms } = &mut self.state else {
             return None;
         };
@@ -109,7 +110,7 @@
     }
 
     /// The rows of `view` could not be loaded: they are requested once more after a wait.
-    pub(super) fn load_failed(&mut self, view: u64, now_ms: u64) {
+    pub(super) fn load_failed(&mut self, view: ViewNumber, now_ms: u64) {
         if let HeadState::Loading {
             view: loading,
             retry_ms,
@@ -128,7 +129,7 @@
     pub(super) fn lead(
         &mut self,
         bounds: Bounds,
-        view: u64,
+        view: ViewNumber,
         clocks: Clocks,
         rows: Vec<StoredRow>,
         outputs: &mut Vec<HeadOutput>,
@@ -152,7 +153,7 @@
     }
 
     /// The result of a write is known.
-    pub(super) fn write_resolved(&mut self, write_id: u64) {
+    pub(super) fn write_resolved(&mut self, write_id: SubmissionId) {
         self.pending_writes.remove(&write_id);
     }
 }
--- a/crates/control-plane/src/core_member/head_transitions.rs
+++ b/crates/control-plane/src/core_member/head_transitions.rs
@@ -4,6 +4,7 @@
 use crate::acting_head::ActingHead;
 use crate::clocks::Clocks;
 use crate::storage_thread::{StorageRequest, StoredRow};
+use indigofold_replication::{SubmissionId, ViewNumber};
 use indigofold_scheduler::Event;
 use std::fmt;
 
@@ -30,7 +31,7 @@
 
 impl CoreMember {
     /// This member has become the head of `view`.
-    pub(super) fn head_gained(&mut self, clocks: Clocks, view: u64) {
+    pub(super) fn head_gained(&mut self, clocks: Clocks, view: ViewNumber) {
         if self.is_head() {
             self.head_lost(clocks, HeadLossReason::Regained);
         }
@@ -40,7 +41,7 @@
     }
 
     /// The view has changed to `view`, and this member is still its head.
-    pub(super) fn head_renewed(&mut self, clocks: Clocks, view: u64) {
+    pub(super) fn head_renewed(&mut self, clocks: Clocks, view: ViewNumber) {
         log::info!("still head after a view change view={view}");
         self.head_role.renew(view);
         self.request_rows(clocks);
@@ -69,7 +70,7 @@
     }
 
     /// The rows for the head of `view` are read: this member acts from now on, while its lease holds.
-    pub(super) fn rows_loaded(&mut self, clocks: Clocks, view: u64, rows: Vec<StoredRow>) {
+    pub(super) fn rows_loaded(&mut self, clocks: Clocks, view: ViewNumber, rows: Vec<StoredRow>) {
         if !self.head_role.is_loading(view) {
             return;
         }
@@ -90,7 +91,7 @@
     }
 
     /// A write is on the disks of the whole chain.
-    pub(super) fn write_committed(&mut self, clocks: Clocks, write_id: u64) {
+    pub(super) fn write_committed(&mut self, clocks: Clocks, write_id: SubmissionId) {
         self.head_role.write_resolved(write_id);
         let Some(head) = self.head_role.leading_mut() else {
             return;
@@ -102,7 +103,7 @@
 
     /// A write will not be confirmed. If it is one of the current head, the head's decisions since may differ from the
     /// stored rows: it loads them anew, once all its other writes have a result.
-    pub(super) fn write_lost(&mut self, clocks: Clocks, write_id: u64) {
+    pub(super) fn write_lost(&mut self, clocks: Clocks, write_id: SubmissionId) {
         let is_own = |head: &ActingHead| head.waits_for(write_id);
         if self.head_role.leading().is_some_and(is_own) {
             self.head_lost(clocks, HeadLossReason::WriteLost);
--- a/crates/control-plane/src/core_member/inspect.rs
+++ b/crates/control-plane/src/core_member/inspect.rs
@@ -115,7 +115,7 @@
             head: self.replica.head(clocks.steady_ms),
             acting: self.is_acting(clocks.steady_ms),
             stored: StoredState {
-                view: viewstamp.view,
+                view: viewstamp.view.0,
                 seq: viewstamp.seq,
             },
             storage_failing: self.storage_failing,
@@ -166,7 +166,7 @@
 fn view_status(view: &View, agreed: bool) -> ViewStatus {
     let addresses = |members: &[Member]| members.iter().map(|member| member.internal).collect();
     ViewStatus {
-        number: view.number,
+        number: view.number.0,
         agreed,
         voters: addresses(&view.voters),
         chain: addresses(&view.chain),
--- a/crates/control-plane/src/core_member/membership.rs
+++ b/crates/control-plane/src/core_member/membership.rs
@@ -22,7 +22,7 @@
     pub(super) fn refresh_announcement(&mut self, now_ms: u64) {
         let acting = self.is_acting(now_ms);
         let config_version = self.config_version();
-        let view = self.replica.view();
+        let view = self.replica.view().0;
         if !self
             .announcement
             .poll_refresh(now_ms, view, acting, config_version)
@@ -60,7 +60,7 @@
         let head = self.head_role.leading();
         let config = head.and_then(|head| head.config());
         Welcome {
-            view: self.replica.view(),
+            view: self.replica.view().0,
             head: self.replica.head(now_ms),
             members: self.all_members(),
             acting,
--- a/crates/control-plane/src/storage_thread.rs
+++ b/crates/control-plane/src/storage_thread.rs
@@ -3,7 +3,7 @@
 use crate::inspection::TableSummary;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use indigofold_protocol::task::JobId;
-use indigofold_replication::{RowsChunk, Storage, StorageError, StoreRequest};
+use indigofold_replication::{RowsChunk, Storage, StorageError, StoreRequest, ViewNumber};
 use snafu::{ResultExt, Snafu};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -43,7 +43,7 @@
     /// Read all rows, for the head of this view.
     Load {
         /// Number of the view.
-        view: u64,
+        view: ViewNumber,
     },
     /// Compare some rows with their checksums.
     Scrub {
@@ -81,7 +81,7 @@
     /// All rows.
     Load {
         /// Number of the view.
-        view: u64,
+        view: ViewNumber,
         /// The rows.
         result: Result<Vec<StoredRow>, StorageError>,
     },
--- a/crates/control-plane/tests/control_plane/test_head.rs
+++ b/crates/control-plane/tests/control_plane/test_head.rs
@@ -14,6 +14,7 @@
 use indigofold_protocol::job::{JobSpec, Resources};
 use indigofold_protocol::task::JobId;
 use indigofold_protocol::worker::WorkerState;
+use indigofold_replication::{SubmissionId, ViewNumber};
 use indigofold_scheduler::{AgentId, Bounds, CallerId, Event};
 use std::collections::BTreeMap;
 
@@ -34,8 +35,14 @@
     /// A head with a configuration and no worker.
     pub(crate) fn new() -> TestHead {
         let clocks = clocks(START_MS);
-        let head =
-            ActingHead::load(Bounds::default(), 1, 1, clocks, Vec::new()).expect("no rows to read");
+        let head = ActingHead::load(
+            Bounds::default(),
+            ViewNumber(1),
+            SubmissionId(1),
+            clocks,
+            Vec::new(),
+        )
+        .expect("no rows to read");
         let mut test = TestHead {
             head,
             rows: BTreeMap::new(),
--- a/crates/ctl/src/replicas/history.rs
+++ b/crates/ctl/src/replicas/history.rs
@@ -1,6 +1,6 @@
 //! Which writes two replicas have in common.
 
-use indigofold_replication::ViewStart;
+use indigofold_replication::{ViewNumber, ViewStart};
 
 /// Which writes a replica has taken: those of its views, up to its last write.
 #[derive(Clone, Copy, Debug)]
@@ -13,7 +13,7 @@
 
 impl WriteHistory<'_> {
     /// Sequence number of the last write that it took up to the end of a view.
-    fn end_of(&self, view: u64) -> u64 {
+    fn end_of(&self, view: ViewNumber) -> u64 {
         let successor = self.views.iter().find(|start| start.view > view);
         successor.map_or(self.last_seq, |start| start.seq.min(self.last_seq))
     }
--- a/crates/ctl/src/replicas/replica.rs
+++ b/crates/ctl/src/replicas/replica.rs
@@ -1,7 +1,7 @@
 //! The replica in one member's database, read without a change to its folder.
 
 use super::history::WriteHistory;
-use indigofold_replication::{Row, Storage, StorageError, ViewStart};
+use indigofold_replication::{Row, Storage, StorageError, ViewNumber, ViewStart};
 use serde::{Serialize, Serializer};
 use snafu::{ResultExt, Snafu, ensure};
 use std::collections::BTreeMap;
@@ -65,9 +65,9 @@
     /// The member's internal address; none in an empty database.
     pub member: Option<SocketAddr>,
     /// The view that it accepted last.
-    pub view: Option<u64>,
+    pub view: Option<ViewNumber>,
     /// Number of the view that ordered its last write.
-    pub stored_view: u64,
+    pub stored_view: ViewNumber,
     /// Sequence number of its last write.
     pub stored_seq: u64,
     /// Up to this sequence number the tombstones of deleted rows may have been dropped.
--- a/crates/ctl/tests/replicas.rs
+++ b/crates/ctl/tests/replicas.rs
@@ -5,7 +5,8 @@
 use indigofold_ctl::replicas::{Replica, WriteHistory, common_seq, compare, run};
 use indigofold_protocol::internal::MemberAddress;
 use indigofold_replication::{
-    Batch, Durable, Member, RowChange, Storage, StoreOperation, StoreRequest, ViewStart, Viewstamp,
+    Batch, Durable, Member, RowChange, Storage, StoreOperation, StoreRequest, ViewNumber,
+    ViewStart, Viewstamp,
 };
 use rstest::rstest;
 use std::sync::Arc;
@@ -50,11 +51,17 @@
     let internal = ([10, 0, 0, 1], 7380).into();
     let durable = Durable {
         member: Member { internal, disk: 0 },
-        promised: 1,
+        promised: ViewNumber(1),
         view: None,
         agreed: false,
-        viewstamp: Viewstamp { view: 1, seq },
-        history: vec![ViewStart { view: 1, seq: 0 }],
+        viewstamp: Viewstamp {
+            view: ViewNumber(1),
+            seq,
+        },
+        history: vec![ViewStart {
+            view: ViewNumber(1),
+            seq: 0,
+        }],
         trimmed: 0,
         addresses: Vec::<MemberAddress>::new(),
     };
@@ -151,7 +158,10 @@
     let history = |views: &[(u64, u64)]| -> Vec<ViewStart> {
         views
             .iter()
-            .map(|&(view, seq)| ViewStart { view, seq })
+            .map(|&(view, seq)| ViewStart {
+                view: ViewNumber(view),
+                seq,
+            })
             .collect()
     };
     let (left, right) = (history(left), history(right));
--- a/crates/replication/src/durable.rs
+++ b/crates/replication/src/durable.rs
@@ -1,7 +1,7 @@
 //! What a member keeps on disk beside the rows, and how both are changed.
 
 use crate::timing::ADDRESSES_MAX;
-use crate::types::{Batch, Member, Row, View, ViewStart, Viewstamp};
+use crate::types::{Batch, Member, Row, View, ViewNumber, ViewStart, Viewstamp};
 use indigofold_protocol::internal::MemberAddress;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
     /// The member itself.
     pub member: Member,
     /// It takes part in no view below this number.
-    pub promised: u64,
+    pub promised: ViewNumber,
     /// The view accepted last.
     pub view: Option<View>,
     /// That view is known to be agreed: accepted by majorities of its electorates.
@@ -29,9 +29,11 @@
 }
 
 impl Durable {
-    /// Number of the view accepted last; 0 before the first.
-    pub fn view_number(&self) -> u64 {
-        self.view.as_ref().map_or(0, |view| view.number)
+    /// Number of the view accepted last; [`ViewNumber::NONE`](crate::types::ViewNumber::NONE) before the first.
+    pub fn view_number(&self) -> ViewNumber {
+        self.view
+            .as_ref()
+            .map_or(ViewNumber::NONE, |view| view.number)
     }
 
     /// Internal addresses of the voters of the view accepted last.
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -40,4 +40,6 @@
 pub use message::{Envelope, Message};
 pub use replica::{Input, Output, Replica, Settings};
 pub use storage::{Opened, Storage, StorageError};
-pub use types::{Batch, Member, Row, RowChange, RowsChunk, View, ViewStart, Viewstamp};
+pub use types::{
+    Batch, Member, Row, RowChange, RowsChunk, SubmissionId, View, ViewNumber, ViewStart, Viewstamp,
+};
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -2,7 +2,7 @@
 //!
 //! They are encoded with postcard: the order of variants and fields is the wire format, names are not part of it.
 
-use crate::types::{Batch, Member, Row, View, ViewStart, Viewstamp};
+use crate::types::{Batch, Member, Row, View, ViewNumber, ViewStart, Viewstamp};
 use indigofold_protocol::internal::MemberAddress;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -37,9 +37,9 @@
     /// Asks for the promise to take part in no view below this number (Paxos, first phase).
     Prepare {
         /// Number of the view to come.
-        number: u64,
+        number: ViewNumber,
         /// Number of the view on the sender's disk, if the sender is its head; 0 otherwise.
-        headed_view: u64,
+        headed_view: ViewNumber,
     },
     /// Answer to [`Message::Prepare`].
     PrepareOk(PrepareOk),
@@ -47,9 +47,9 @@
     /// is bound to another head.
     PrepareReject {
         /// The number that is rejected.
-        number: u64,
+        number: ViewNumber,
         /// Highest number that the sender has promised.
-        promised: u64,
+        promised: ViewNumber,
     },
     /// Asks to accept a view (Paxos, second phase).
     Accept {
@@ -59,7 +59,7 @@
     /// Answer to [`Message::Accept`], sent once the view is on disk.
     Accepted {
         /// The view's number.
-        number: u64,
+        number: ViewNumber,
     },
     /// The head leads.
     Heartbeat(Heartbeat),
@@ -68,12 +68,12 @@
     /// The head gives its lease back.
     Release {
         /// Number of its view.
-        number: u64,
+        number: ViewNumber,
     },
     /// Asks the receiver to campaign at once (`TimeoutNow` in the Raft thesis, section 3.10).
     CampaignNow {
         /// Number of the view that ends.
-        number: u64,
+        number: ViewNumber,
     },
     /// Writes on their way down the chain.
     Write(Write),
@@ -101,7 +101,7 @@
     /// State of the sender's rows.
     pub viewstamp: Viewstamp,
     /// Number of the view on the sender's disk, if the sender is its head; 0 otherwise.
-    pub headed_view: u64,
+    pub headed_view: ViewNumber,
 }
 
 /// Answer to [`PreVote`].
@@ -112,7 +112,7 @@
     /// Whether the sender would vote for the candidate now.
     pub granted: bool,
     /// Highest number that it has promised.
-    pub promised: u64,
+    pub promised: ViewNumber,
     /// The view it accepted last.
     pub view: Option<View>,
     /// That view is known to be agreed.
@@ -123,7 +123,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrepareOk {
     /// The number promised.
-    pub number: u64,
+    pub number: ViewNumber,
     /// The view accepted last.
     pub view: Option<View>,
     /// That view is known to be agreed.
@@ -151,7 +151,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// The view's number.
-    pub number: u64,
+    pub number: ViewNumber,
     /// The heartbeat's `sent_ms`.
     pub sent_ms: u64,
     /// State that the sender has on disk.
@@ -168,7 +168,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Write {
     /// The view's number.
-    pub number: u64,
+    pub number: ViewNumber,
     /// The writes, in order.
     pub batches: Vec<Arc<Batch>>,
     /// The receiver has to relay them to the next member of the chain.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -30,7 +30,7 @@
 use crate::durable::Durable;
 use crate::message::{Envelope, Message};
 use crate::timing::{LEASE_MS, RESUME_CAMPAIGN_MS};
-use crate::types::{Member, View, Viewstamp};
+use crate::types::{Member, View, ViewNumber, Viewstamp};
 use candidate::Candidate;
 use context::Context;
 use follower::Follower;
@@ -107,8 +107,8 @@
         due.into_iter().flatten().min().unwrap_or(u64::MAX)
     }
 
-    /// Number of the view that this member follows; 0 before the first.
-    pub fn view(&self) -> u64 {
+    /// Number of the view that this member follows; [`ViewNumber::NONE`](crate::types::ViewNumber::NONE) before the first.
+    pub fn view(&self) -> ViewNumber {
         self.context.record.view_number()
     }
 
--- a/crates/replication/src/replica/candidate.rs
+++ b/crates/replication/src/replica/candidate.rs
@@ -13,7 +13,7 @@
     BACKOFF_MS, BACKOFF_OUTSIDE_CHAIN_MS, BACKOFF_SPREAD_MS, PHASE_MS, PRE_VOTE_GRANTED_MS,
     PRE_VOTE_MS, PREPARED_DEFER_MS, RESUME_CAMPAIGN_MS, RESUME_PRE_VOTE_MS,
 };
-use crate::types::{Member, View, Viewstamp};
+use crate::types::{Member, View, ViewNumber, Viewstamp};
 use campaign::Campaign;
 use proposal::next_view;
 use std::collections::BTreeSet;
@@ -24,9 +24,12 @@
     /// It waits for answers.
     Wait,
     /// A majority would vote for this member: promises for this number are to be asked for, on top of this view.
-    Prepare { number: u64, known: View },
+    Prepare { number: ViewNumber, known: View },
     /// The newest state has to be fetched from another member.
-    Fetch { number: u64, newest: NewestState },
+    Fetch {
+        number: ViewNumber,
+        newest: NewestState,
+    },
     /// No majority comes together: it is to be given up.
     Fail,
 }
@@ -54,7 +57,7 @@
     }
 
     /// The number that the campaign under way has prepared.
-    pub(super) fn number(&self) -> Option<u64> {
+    pub(super) fn number(&self) -> Option<ViewNumber> {
         self.campaign.as_ref().map(Campaign::number)
     }
 
@@ -197,7 +200,7 @@
     pub(super) fn prepare(
         &mut self,
         context: &mut Context,
-        number: u64,
+        number: ViewNumber,
         known: View,
         plan: Option<Plan>,
     ) {
@@ -245,7 +248,11 @@
     }
 
     /// The state that was fetched for the view `number` is on disk.
-    pub(super) fn handle_fetched(&mut self, context: &mut Context, number: u64) -> CampaignStep {
+    pub(super) fn handle_fetched(
+        &mut self,
+        context: &mut Context,
+        number: ViewNumber,
+    ) -> CampaignStep {
         let campaign = self.campaign.as_ref();
         if campaign.is_some_and(|campaign| campaign.is_fetching(number)) {
             self.propose(context, context.record.viewstamp)
@@ -258,7 +265,7 @@
     pub(super) fn handle_accepted(
         &mut self,
         from: Member,
-        number: u64,
+        number: ViewNumber,
         own: Member,
     ) -> Option<View> {
         let view = self
@@ -273,8 +280,8 @@
     pub(super) fn handle_reject(
         &mut self,
         from: Member,
-        number: u64,
-        promised: u64,
+        number: ViewNumber,
+        promised: ViewNumber,
         now_ms: u64,
     ) -> CampaignStep {
         let Some(campaign) = &mut self.campaign else {
--- a/crates/replication/src/replica/candidate/campaign.rs
+++ b/crates/replication/src/replica/candidate/campaign.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{Message, PreVote, PreVoteReply, PrepareOk};
 use crate::timing::{MORE_PREPARE_OKS_MS, REJECTED_WAIT_MS};
-use crate::types::{Member, View, Viewstamp, majority};
+use crate::types::{Member, View, ViewNumber, Viewstamp, majority};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a candidate waits for.
@@ -47,11 +47,11 @@
 pub(super) struct Campaign {
     phase: Phase,
     /// Number of the next view; 0 before the phase [`Phase::Prepare`].
-    number: u64,
+    number: ViewNumber,
     /// Highest view that the candidate knows to have been accepted; rises with the answers.
     known: View,
     /// Highest number that anybody has promised, as far as the candidate knows.
-    promised: u64,
+    promised: ViewNumber,
     /// Voters that this phase's request was sent to, and the candidate.
     requested: BTreeSet<Member>,
     /// Members that have agreed in this phase.
@@ -69,10 +69,15 @@
 
 impl Campaign {
     /// A campaign that begins with a pre-vote.
-    pub(super) fn pre_vote(own: Member, known: View, promised: u64, request_id: u64) -> Campaign {
+    pub(super) fn pre_vote(
+        own: Member,
+        known: View,
+        promised: ViewNumber,
+        request_id: u64,
+    ) -> Campaign {
         Campaign {
             phase: Phase::PreVote { request_id },
-            number: 0,
+            number: ViewNumber::NONE,
             known,
             promised,
             requested: BTreeSet::from([own]),
@@ -89,8 +94,8 @@
     pub(super) fn prepare(
         own: Member,
         known: View,
-        promised: u64,
-        number: u64,
+        promised: ViewNumber,
+        number: ViewNumber,
         plan: Option<Plan>,
     ) -> Campaign {
         Campaign {
@@ -106,7 +111,7 @@
         self.deadline_ms = deadline_ms;
     }
 
-    pub(super) fn number(&self) -> u64 {
+    pub(super) fn number(&self) -> ViewNumber {
         self.number
     }
 
@@ -127,7 +132,7 @@
     }
 
     /// The newest state has to be fetched for the view `number`.
-    pub(super) fn is_fetching(&self, number: u64) -> bool {
+    pub(super) fn is_fetching(&self, number: ViewNumber) -> bool {
         self.number == number && self.phase == Phase::Fetch
     }
 
@@ -146,7 +151,7 @@
     pub(super) fn next_requests(
         &mut self,
         viewstamp: Viewstamp,
-        headed_view: u64,
+        headed_view: ViewNumber,
     ) -> Option<(Message, Vec<Member>)> {
         let message = match self.phase {
             Phase::PreVote { request_id } => Message::PreVote(PreVote {
@@ -190,8 +195,8 @@
     }
 
     /// The number to prepare after the pre-vote: above each that the candidate knows of.
-    pub(super) fn next_number(&self) -> u64 {
-        self.promised.max(self.known.number) + 1
+    pub(super) fn next_number(&self) -> ViewNumber {
+        self.promised.max(self.known.number).next()
     }
 
     /// Takes a promise; `false` if it is for another number, or comes too late.
@@ -256,7 +261,7 @@
     pub(super) fn receive_accepted(
         &mut self,
         from: Member,
-        number: u64,
+        number: ViewNumber,
         own: Member,
     ) -> Option<View> {
         let Phase::Propose { view } = &self.phase else {
@@ -276,8 +281,8 @@
     pub(super) fn receive_reject(
         &mut self,
         from: Member,
-        number: u64,
-        promised: u64,
+        number: ViewNumber,
+        promised: ViewNumber,
         now_ms: u64,
     ) -> bool {
         if self.number != number {
--- a/crates/replication/src/replica/chain.rs
+++ b/crates/replication/src/replica/chain.rs
@@ -7,7 +7,7 @@
 use super::context::Context;
 use crate::durable::StoreOperation;
 use crate::message::{Message, Write};
-use crate::types::Batch;
+use crate::types::{Batch, ViewNumber};
 use std::sync::Arc;
 
 /// A write has come down the chain to a member that does not lead.
@@ -54,7 +54,7 @@
 }
 
 /// This member is in the chain of the view, has its first state, and has promised no later one.
-fn takes_writes(context: &Context, number: u64) -> bool {
+fn takes_writes(context: &Context, number: ViewNumber) -> bool {
     let record = &context.record;
     let Some(view) = &record.view else {
         return false;
@@ -65,7 +65,7 @@
         && view.chain.contains(&record.member)
 }
 
-fn relay_batches(context: &mut Context, number: u64, batches: Vec<Arc<Batch>>) {
+fn relay_batches(context: &mut Context, number: ViewNumber, batches: Vec<Arc<Batch>>) {
     let view = context.record.view.as_ref();
     let successor = view.and_then(|view| view.successor(context.own()));
     if let Some(successor) = successor {
--- a/crates/replication/src/replica/context.rs
+++ b/crates/replication/src/replica/context.rs
@@ -5,7 +5,7 @@
 use crate::durable::Durable;
 use crate::message::{Envelope, Message};
 use crate::timing::HISTORY_MAX;
-use crate::types::{Member, SEED_DISK, View, ViewStart, Viewstamp};
+use crate::types::{Member, SEED_DISK, View, ViewNumber, ViewStart, Viewstamp};
 use indigofold_protocol::internal::MemberAddress;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -128,7 +128,7 @@
     }
 
     /// Says that this member has promised a higher number, or is bound to another head.
-    pub(super) fn reject(&mut self, from: Member, number: u64) {
+    pub(super) fn reject(&mut self, from: Member, number: ViewNumber) {
         let promised = self.record.promised;
         self.send(from.internal, Message::PrepareReject { number, promised });
     }
@@ -143,12 +143,12 @@
     }
 
     /// Number of the view accepted last, if this member heads it; 0 otherwise.
-    pub(super) fn headed_view(&self) -> u64 {
+    pub(super) fn headed_view(&self) -> ViewNumber {
         let head = self.record.view.as_ref().and_then(View::head);
         if head == Some(self.own()) {
             self.record.view_number()
         } else {
-            0
+            ViewNumber::NONE
         }
     }
 
--- a/crates/replication/src/replica/follower.rs
+++ b/crates/replication/src/replica/follower.rs
@@ -10,7 +10,7 @@
 use super::store_queue::AfterStore;
 use crate::message::{Grant, Message, PreVote, PreVoteReply};
 use crate::timing::{ANNOUNCE_INTERVAL_MS, LEASE_MS, UNRESPONSIVE_HEAD_MS};
-use crate::types::{Member, View};
+use crate::types::{Member, View, ViewNumber};
 use std::net::SocketAddr;
 use voter::{Lease, Voter};
 
@@ -42,7 +42,7 @@
     }
 
     /// The head of this view gives its lease back; `false` if another head's is in force.
-    pub(super) fn handle_release(&mut self, head: Member, number: u64) -> bool {
+    pub(super) fn handle_release(&mut self, head: Member, number: ViewNumber) -> bool {
         self.voter.release_lease(head, number)
     }
 
@@ -104,7 +104,7 @@
         &self,
         context: &Context,
         candidate: Member,
-        headed_view: u64,
+        headed_view: ViewNumber,
     ) -> bool {
         let now_ms = context.now_ms();
         let may_be_leased = self.voter.may_have_unknown_lease(now_ms)
@@ -156,7 +156,7 @@
 /// Whether a lease that this member granted before its start can only have been `candidate`'s, which campaigns again. Leases
 /// are granted once their view is on disk, so that none can have been granted in a later view than that one; heads of
 /// earlier views lost theirs when a majority promised for it. `headed_view` is what the candidate says of its own disk.
-fn granted_to_none_but(context: &Context, candidate: Member, headed_view: u64) -> bool {
+fn granted_to_none_but(context: &Context, candidate: Member, headed_view: ViewNumber) -> bool {
     let view = context.record.view.as_ref();
     view.is_some_and(|view| view.number == headed_view && view.head() == Some(candidate))
 }
--- a/crates/replication/src/replica/follower/voter.rs
+++ b/crates/replication/src/replica/follower/voter.rs
@@ -4,14 +4,14 @@
 //! Nothing of this is on disk. A voter that was started again therefore counts as bound for a whole lease after its start.
 
 use crate::timing::PRE_VOTE_GRANTED_MS;
-use crate::types::Member;
+use crate::types::{Member, ViewNumber};
 
 /// A promise to vote for no candidate but `head` for a time.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::replica) struct Lease {
     pub head: Member,
     /// Number of the head's view.
-    pub number: u64,
+    pub number: ViewNumber,
     /// The heartbeat's `sent_ms`; the answer carries it.
     pub sent_ms: u64,
     /// On this member's clock.
@@ -61,7 +61,7 @@
     }
 
     /// Forgets the lease of this head and view; `false` if it is another's.
-    pub(in crate::replica) fn release_lease(&mut self, head: Member, number: u64) -> bool {
+    pub(in crate::replica) fn release_lease(&mut self, head: Member, number: ViewNumber) -> bool {
         let is_released = |lease: &mut Lease| lease.head == head && lease.number == number;
         self.lease.take_if(is_released).is_some()
     }
--- a/crates/replication/src/replica/head.rs
+++ b/crates/replication/src/replica/head.rs
@@ -15,7 +15,7 @@
 use crate::timing::{
     DRAIN_WAIT_MS, HEARTBEAT_INTERVAL_MS, LEADERSHIP_MIN_MS, LEASE_MS, SLOW_HEAD_MS, SLOW_MEMBER_MS,
 };
-use crate::types::{Member, View};
+use crate::types::{Member, View, ViewNumber};
 use leadership::Leadership;
 use peer::{Peer, PeerReport};
 use reconfiguration::Reconfiguration;
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub(super) struct Handover {
     /// Number of the view that the head gives up.
-    pub number: u64,
+    pub number: ViewNumber,
     /// Internal address of the member that is to campaign.
     pub successor: SocketAddr,
     /// Internal addresses of the others.
@@ -147,8 +147,8 @@
         &mut self,
         context: &mut Context,
         from: Member,
-        number: u64,
-        promised: u64,
+        number: ViewNumber,
+        promised: ViewNumber,
     ) {
         let now_ms = context.now_ms();
         let has_lease = self.may_act(now_ms);
--- a/crates/replication/src/replica/head/leadership.rs
+++ b/crates/replication/src/replica/head/leadership.rs
@@ -3,7 +3,7 @@
 use super::peer::Peer;
 use super::write_queue::{Outstanding, WriteQueue};
 use crate::timing::{FORGET_NEWCOMER_MS, HEARTBEAT_INTERVAL_MS, LEASE_MS, LEASE_USED_PERCENT};
-use crate::types::{Member, View, Viewstamp, majority};
+use crate::types::{Member, View, ViewNumber, Viewstamp, majority};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -11,9 +11,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HeadReport {
     /// This member is the head from this view on.
-    Gained { view: u64 },
+    Gained { view: ViewNumber },
     /// It is still the head, in a later view.
-    Renewed { view: u64 },
+    Renewed { view: ViewNumber },
 }
 
 /// What a head knows while it leads, over one or more views that follow each other.
@@ -22,7 +22,7 @@
     /// The head.
     own: Member,
     /// Number of its first view.
-    first_view: u64,
+    first_view: ViewNumber,
     /// The view that it leads now.
     view: View,
     view_since_ms: u64,
@@ -30,7 +30,7 @@
     /// The whole chain has taken over the view's first state.
     is_synchronized: bool,
     /// Number of the view that was reported to the driver last; `None` until this member has been reported as the head.
-    reported_view: Option<u64>,
+    reported_view: Option<ViewNumber>,
     peers: BTreeMap<Member, Peer>,
     writes: WriteQueue,
     /// When the next heartbeats are due.
@@ -129,7 +129,7 @@
     }
 
     /// Whether it has led the view of this number.
-    pub(super) fn has_led(&self, number: u64) -> bool {
+    pub(super) fn has_led(&self, number: ViewNumber) -> bool {
         (self.first_view..=self.view.number).contains(&number)
     }
 
--- a/crates/replication/src/replica/head/planner.rs
+++ b/crates/replication/src/replica/head/planner.rs
@@ -13,7 +13,7 @@
     REJOIN_LAG_WRITES, REJOIN_STORE_AGE_MS, REMOVE_AFTER_MS, REMOVE_LONE_AFTER_MS,
     REPLACE_AFTER_MS, SLOW_MEMBER_MS, SYNCHRONIZE_MS, UNRESPONSIVE_MEMBER_MS, VOTERS_MAX,
 };
-use crate::types::Member;
+use crate::types::{Member, ViewNumber};
 
 /// One change of the voters.
 enum VoterChange {
@@ -30,7 +30,7 @@
     /// The head.
     pub own: Member,
     /// Highest number that the head has promised.
-    pub promised: u64,
+    pub promised: ViewNumber,
     /// Sequence number of the head's last write.
     pub head_seq: u64,
     pub now_ms: u64,
--- a/crates/replication/src/replica/head/reconfiguration.rs
+++ b/crates/replication/src/replica/head/reconfiguration.rs
@@ -5,6 +5,7 @@
 use crate::replica::candidate::Plan;
 use crate::replica::context::Context;
 use crate::timing::RECONFIGURE_MS;
+use crate::types::ViewNumber;
 
 /// When the view may be changed next, and above which number.
 #[derive(Debug, Default)]
@@ -12,7 +13,7 @@
     /// Set when a leadership begins, and pushed back by each attempt.
     due_ms: u64,
     /// The next number that this member prepares as a head is above this: what others are known to have promised.
-    number_floor: u64,
+    number_floor: ViewNumber,
 }
 
 impl Reconfiguration {
@@ -22,7 +23,7 @@
     }
 
     /// A member has promised this number.
-    pub(super) fn raise_number(&mut self, promised: u64) {
+    pub(super) fn raise_number(&mut self, promised: ViewNumber) {
         self.number_floor = self.number_floor.max(promised);
     }
 }
@@ -31,7 +32,7 @@
 #[derive(Debug)]
 pub(in crate::replica) struct ViewChange {
     /// Number of the new view.
-    pub number: u64,
+    pub number: ViewNumber,
     /// What it is to become.
     pub plan: Plan,
 }
@@ -54,7 +55,7 @@
         };
         let plan = planner.plan()?;
         let promised = context.record.promised.max(leadership.view().number);
-        let number = promised.max(self.reconfiguration.number_floor) + 1;
+        let number = promised.max(self.reconfiguration.number_floor).next();
         let dropped = leadership.view().chain.clone().into_iter();
         for member in dropped.filter(|member| !plan.chain.contains(member)) {
             if let Some(peer) = leadership.peer_mut(member) {
--- a/crates/replication/src/replica/head/write_queue.rs
+++ b/crates/replication/src/replica/head/write_queue.rs
@@ -1,14 +1,14 @@
 //! The writes of a head: those that wait for the next batch, and the batches on their way down the chain.
 
 use crate::timing::PENDING_BYTES_MAX;
-use crate::types::{Batch, RowChange, Viewstamp};
+use crate::types::{Batch, RowChange, SubmissionId, ViewNumber, Viewstamp};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 /// Row changes that wait for the next batch.
 #[derive(Debug)]
 struct Pending {
-    write_id: u64,
+    write_id: SubmissionId,
     changes: Vec<RowChange>,
 }
 
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub(super) struct Outstanding {
     pub batch: Arc<Batch>,
-    pub write_ids: Vec<u64>,
+    pub write_ids: Vec<SubmissionId>,
     /// When it was sent down the chain.
     pub sent_ms: u64,
 }
@@ -25,9 +25,9 @@
 #[derive(Debug)]
 pub(super) struct Unfinished {
     /// Sent down the chain: they may or may not be kept.
-    pub unknown: Vec<u64>,
+    pub unknown: Vec<SubmissionId>,
     /// Never sent.
-    pub unsent: Vec<u64>,
+    pub unsent: Vec<SubmissionId>,
 }
 
 /// The writes of a head, in the order in which they were submitted.
@@ -40,7 +40,7 @@
 
 impl WriteQueue {
     /// Takes a write into the next batch; `false` where too much waits already.
-    pub(super) fn submit(&mut self, write_id: u64, changes: Vec<RowChange>) -> bool {
+    pub(super) fn submit(&mut self, write_id: SubmissionId, changes: Vec<RowChange>) -> bool {
         let bytes: usize = changes.iter().map(bytes_of).sum();
         if self.pending_bytes + bytes > PENDING_BYTES_MAX {
             return false;
@@ -63,7 +63,7 @@
     /// Makes a batch of all that waits.
     pub(super) fn next_batch(&mut self, seq: u64, now_ms: u64) -> Arc<Batch> {
         self.pending_bytes = 0;
-        let (write_ids, changes): (Vec<u64>, Vec<Vec<RowChange>>) = self
+        let (write_ids, changes): (Vec<SubmissionId>, Vec<Vec<RowChange>>) = self
             .pending
             .drain(..)
             .map(|pending| (pending.write_id, pending.changes))
@@ -84,7 +84,11 @@
     }
 
     /// The oldest batch that a member at `viewstamp` has not stored, in the view `number`.
-    pub(super) fn oldest_lacking(&self, viewstamp: Viewstamp, number: u64) -> Option<&Outstanding> {
+    pub(super) fn oldest_lacking(
+        &self,
+        viewstamp: Viewstamp,
+        number: ViewNumber,
+    ) -> Option<&Outstanding> {
         self.outstanding
             .iter()
             .find(|o| viewstamp.view != number || o.batch.seq > viewstamp.seq)
@@ -97,7 +101,7 @@
     }
 
     /// Removes the batches up to the sequence number `stored` and returns their writes.
-    pub(super) fn commit(&mut self, stored: u64) -> Vec<u64> {
+    pub(super) fn commit(&mut self, stored: u64) -> Vec<SubmissionId> {
         let is_later = |o: &Outstanding| o.batch.seq > stored;
         let count = self.outstanding.iter().position(is_later);
         let committed = self
--- a/crates/replication/src/replica/head/writes.rs
+++ b/crates/replication/src/replica/head/writes.rs
@@ -7,7 +7,7 @@
 use crate::replica::context::Context;
 use crate::replica::io::Output;
 use crate::timing::RESEND_MS;
-use crate::types::{Batch, Member, RowChange, Viewstamp};
+use crate::types::{Batch, Member, RowChange, SubmissionId, Viewstamp};
 use std::sync::Arc;
 
 impl Head {
@@ -15,7 +15,7 @@
     pub(in crate::replica) fn handle_submit(
         &mut self,
         context: &mut Context,
-        write_id: u64,
+        write_id: SubmissionId,
         changes: Vec<RowChange>,
     ) {
         let accepts = !context.is_draining() && !context.stores.is_failing();
--- a/crates/replication/src/replica/io.rs
+++ b/crates/replication/src/replica/io.rs
@@ -2,7 +2,7 @@
 
 use crate::durable::StoreRequest;
 use crate::message::Envelope;
-use crate::types::{RowChange, RowsChunk, majority};
+use crate::types::{RowChange, RowsChunk, SubmissionId, ViewNumber, majority};
 use indigofold_protocol::internal::MemberAddress;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -65,7 +65,7 @@
     /// Write these rows, all together.
     Submit {
         /// Chosen by the driver; the output that ends the write carries it.
-        write_id: u64,
+        write_id: SubmissionId,
         /// The rows.
         changes: Vec<RowChange>,
     },
@@ -109,27 +109,27 @@
     /// The write is on the disks of the whole chain.
     Committed {
         /// The write's id.
-        write_id: u64,
+        write_id: SubmissionId,
     },
     /// This member is no longer the head, and whether the write is kept is unknown.
     Aborted {
         /// The write's id.
-        write_id: u64,
+        write_id: SubmissionId,
     },
     /// The write has not been made and never will be.
     Rejected {
         /// The write's id.
-        write_id: u64,
+        write_id: SubmissionId,
     },
     /// This member is the head of an agreed view; all rows are on its disk.
     HeadGained {
         /// The view's number.
-        view: u64,
+        view: ViewNumber,
     },
     /// This member is still the head, under a new number; its rows are as they were.
     HeadRenewed {
         /// The view's number.
-        view: u64,
+        view: ViewNumber,
     },
     /// This member is no longer the head.
     HeadLost,
--- a/crates/replication/src/replica/roles.rs
+++ b/crates/replication/src/replica/roles.rs
@@ -7,7 +7,7 @@
 use super::transfers::TransferOutcome;
 use crate::message::{Heartbeat, Message, PreVote, PrepareOk, Rows};
 use crate::timing::{BACKOFF_MS, BACKOFF_SPREAD_MS, LEASE_MS, RESIGNED_DEFER_MS};
-use crate::types::{Member, View};
+use crate::types::{Member, View, ViewNumber};
 
 impl Replica {
     // Following.
@@ -52,7 +52,7 @@
         self.context.stores.request_store();
     }
 
-    pub(super) fn handle_release(&mut self, from: Member, number: u64) {
+    pub(super) fn handle_release(&mut self, from: Member, number: ViewNumber) {
         if self.follower.handle_release(from, number) {
             let from_ms = self.context.now_ms() + BACKOFF_SPREAD_MS;
             self.candidate.postpone_beyond(&mut self.context, from_ms);
@@ -61,7 +61,7 @@
 
     /// Whether this member is bound to a head other than `candidate`, as a voter or as that head itself. `headed_view`:
     /// the view that the candidate heads on its disk (0: none).
-    fn is_bound_against(&self, candidate: Member, headed_view: u64) -> bool {
+    fn is_bound_against(&self, candidate: Member, headed_view: ViewNumber) -> bool {
         let context = &self.context;
         let is_acting = candidate != context.own() && self.head.may_act(context.now_ms());
         let follower = &self.follower;
@@ -87,7 +87,12 @@
             .answer_pre_vote(context, from, pre_vote, granted);
     }
 
-    pub(super) fn handle_prepare(&mut self, from: Member, number: u64, headed_view: u64) {
+    pub(super) fn handle_prepare(
+        &mut self,
+        from: Member,
+        number: ViewNumber,
+        headed_view: ViewNumber,
+    ) {
         let is_superseded = number <= self.context.record.promised;
         if is_superseded || self.is_bound_against(from, headed_view) {
             return self.context.reject(from, number);
@@ -113,7 +118,7 @@
     }
 
     /// Takes part in no view below `number` any more, and leaves its candidate time.
-    fn adopt_number(&mut self, number: u64) {
+    fn adopt_number(&mut self, number: ViewNumber) {
         self.abandon_leadership_and_campaign();
         self.context.record.promised = number;
         self.transfers.abandon();
@@ -121,7 +126,7 @@
     }
 
     /// This member's promise for `number`, with what it has accepted and the state of its rows.
-    fn prepare_ok(&self, number: u64, draining: bool) -> PrepareOk {
+    fn prepare_ok(&self, number: ViewNumber, draining: bool) -> PrepareOk {
         let record = &self.context.record;
         PrepareOk {
             number,
@@ -138,7 +143,7 @@
     /// which ended with its process, can run in that view.
     pub(super) fn is_resuming(&self) -> bool {
         let voter = self.follower.voter();
-        self.context.headed_view() > 0
+        self.context.headed_view() > ViewNumber::NONE
             && !self.head.is_leading()
             && voter.may_have_unknown_lease(self.context.now_ms())
     }
@@ -189,7 +194,7 @@
         self.handle_campaign_step(step);
     }
 
-    pub(super) fn handle_campaign_now(&mut self, from: Member, number: u64) {
+    pub(super) fn handle_campaign_now(&mut self, from: Member, number: ViewNumber) {
         let is_busy = self.candidate.is_campaigning() || self.head.is_leading();
         if self.context.record.view_number() != number || is_busy {
             return;
@@ -216,7 +221,7 @@
         }
     }
 
-    fn prepare(&mut self, number: u64, known: View, plan: Option<Plan>) {
+    fn prepare(&mut self, number: ViewNumber, known: View, plan: Option<Plan>) {
         self.transfers.abandon();
         self.candidate
             .prepare(&mut self.context, number, known, plan);
@@ -231,7 +236,7 @@
     }
 
     /// This member's own promise is on its disk.
-    pub(super) fn handle_own_prepare_ok(&mut self, number: u64) {
+    pub(super) fn handle_own_prepare_ok(&mut self, number: ViewNumber) {
         let prepare_ok = self.prepare_ok(number, false);
         self.handle_prepare_ok(self.context.own(), prepare_ok);
     }
@@ -242,7 +247,12 @@
         self.handle_campaign_step(step);
     }
 
-    pub(super) fn handle_prepare_reject(&mut self, from: Member, number: u64, promised: u64) {
+    pub(super) fn handle_prepare_reject(
+        &mut self,
+        from: Member,
+        number: ViewNumber,
+        promised: ViewNumber,
+    ) {
         let context = &mut self.context;
         self.head.handle_reject(context, from, number, promised);
         let now_ms = context.now_ms();
@@ -261,7 +271,7 @@
 
     // Leading.
 
-    pub(super) fn handle_accepted(&mut self, from: Member, number: u64) {
+    pub(super) fn handle_accepted(&mut self, from: Member, number: ViewNumber) {
         let own = self.context.own();
         if let Some(view) = self.candidate.handle_accepted(from, number, own) {
             self.follower.clear_lease();
--- a/crates/replication/src/replica/store_queue.rs
+++ b/crates/replication/src/replica/store_queue.rs
@@ -4,7 +4,7 @@
 use crate::durable::{Durable, StoreOperation, StoreRequest};
 use crate::message::Message;
 use crate::timing::STORE_RETRY_MS;
-use crate::types::Viewstamp;
+use crate::types::{ViewNumber, Viewstamp};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,11 +17,11 @@
         message: Box<Message>,
     },
     /// Count this member's own promise in its campaign.
-    OwnPrepareOk { number: u64 },
+    OwnPrepareOk { number: ViewNumber },
     /// Count this member's own acceptance of its view.
-    OwnAccepted { number: u64 },
+    OwnAccepted { number: ViewNumber },
     /// Propose a view on top of the state that a candidate has fetched.
-    TransferStored { number: u64 },
+    TransferStored { number: ViewNumber },
     /// Grant the lease to the head of the view that is on disk now.
     Grant,
 }
@@ -50,7 +50,7 @@
     /// The state of the rows on disk.
     stored_viewstamp: Viewstamp,
     /// Number of the view accepted last, as it is on disk; 0 before the first.
-    stored_view: u64,
+    stored_view: ViewNumber,
     last_store: u64,
     in_flight: Option<InFlight>,
     operations: Vec<StoreOperation>,
@@ -63,7 +63,7 @@
     pub(super) fn new(durable: Option<&Durable>) -> StoreQueue {
         StoreQueue {
             stored_viewstamp: durable.map_or(Viewstamp::default(), |d| d.viewstamp),
-            stored_view: durable.map_or(0, Durable::view_number),
+            stored_view: durable.map_or(ViewNumber::NONE, Durable::view_number),
             last_store: 0,
             in_flight: None,
             operations: Vec::new(),
@@ -78,7 +78,7 @@
     }
 
     /// Number of the view accepted last, as it is on disk; 0 before the first.
-    pub(super) fn stored_view(&self) -> u64 {
+    pub(super) fn stored_view(&self) -> ViewNumber {
         self.stored_view
     }
 
--- a/crates/replication/src/replica/transfers.rs
+++ b/crates/replication/src/replica/transfers.rs
@@ -11,7 +11,7 @@
 use crate::durable::{Durable, StoreOperation};
 use crate::message::{Fetch, Message, Rows};
 use crate::timing::TRANSFER_BYTES;
-use crate::types::{Member, RowsChunk, View, ViewStart, Viewstamp};
+use crate::types::{Member, RowsChunk, View, ViewNumber, ViewStart, Viewstamp};
 use rows_server::{RowsRequest, RowsServer};
 use state_transfer::{Progress, Purpose, StateTransfer};
 use trim_schedule::TrimSchedule;
@@ -75,7 +75,7 @@
         &mut self,
         context: &mut Context,
         source: Member,
-        number: u64,
+        number: ViewNumber,
         newest: Viewstamp,
     ) {
         self.start(context, source, Purpose::Candidate { number, newest });
@@ -153,7 +153,7 @@
         context: &mut Context,
         from: Member,
         mut rows: Rows,
-        campaign: Option<u64>,
+        campaign: Option<ViewNumber>,
     ) -> TransferOutcome {
         let Some(transfer) = &mut self.transfer else {
             return TransferOutcome::Pending;
@@ -206,7 +206,7 @@
         context: &mut Context,
         viewstamp: Viewstamp,
         history: Vec<ViewStart>,
-        campaign: Option<u64>,
+        campaign: Option<ViewNumber>,
     ) -> TransferOutcome {
         let Some(transfer) = self.transfer.take() else {
             return TransferOutcome::Pending;
@@ -243,7 +243,7 @@
     context: &Context,
     purpose: Purpose,
     viewstamp: Viewstamp,
-    campaign: Option<u64>,
+    campaign: Option<ViewNumber>,
 ) -> bool {
     let record = &context.record;
     let is_expected = match purpose {
@@ -258,7 +258,7 @@
 /// Whether the state `viewstamp` is a prefix of the state of `durable`, so that a member that has it lacks only later
 /// rows.
 fn is_earlier_state_of(viewstamp: Viewstamp, durable: &Durable) -> bool {
-    if viewstamp.seq < durable.trimmed || viewstamp.view == 0 {
+    if viewstamp.seq < durable.trimmed || viewstamp.view == ViewNumber::NONE {
         return false;
     }
     if viewstamp.view == durable.viewstamp.view {
--- a/crates/replication/src/replica/transfers/rows_server.rs
+++ b/crates/replication/src/replica/transfers/rows_server.rs
@@ -1,6 +1,6 @@
 //! Requests of other members for rows, while the driver reads these from the disk.
 
-use crate::types::Member;
+use crate::types::{Member, ViewNumber};
 use std::collections::BTreeMap;
 
 /// A request that waits for its rows.
@@ -15,7 +15,7 @@
     /// The receiver has to drop its rows first.
     pub clear: bool,
     /// Number of the view that the rows were in when the request came.
-    pub view: u64,
+    pub view: ViewNumber,
 }
 
 /// The requests under way, at most one of each member.
--- a/crates/replication/src/replica/transfers/state_transfer.rs
+++ b/crates/replication/src/replica/transfers/state_transfer.rs
@@ -6,15 +6,18 @@
 use crate::durable::StoreOperation;
 use crate::message::{Fetch, Message, Rows};
 use crate::timing::{FETCH_RETRY_MS, TRANSFER_TIMEOUT_MS};
-use crate::types::{Member, Row, Viewstamp};
+use crate::types::{Member, Row, ViewNumber, Viewstamp};
 
 /// What the rows are for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Purpose {
     /// To follow the head of this view.
-    Follow { number: u64 },
+    Follow { number: ViewNumber },
     /// To propose a view on top of the newest state.
-    Candidate { number: u64, newest: Viewstamp },
+    Candidate {
+        number: ViewNumber,
+        newest: Viewstamp,
+    },
 }
 
 /// What a chunk has led to.
--- a/crates/replication/src/types.rs
+++ b/crates/replication/src/types.rs
@@ -1,6 +1,7 @@
 //! Members, views, and the rows that they keep.
 
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 
 /// One disk at one address. A machine that has lost its disk comes back as another member, because promises on the lost
@@ -16,6 +17,34 @@
 /// The disk of a seed that takes part in the cluster's very first start.
 pub const SEED_DISK: u64 = 0;
 
+/// Number of a view; rises from view to view. It is the epoch that fences the orders of the view's head.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ViewNumber(pub u64);
+
+impl ViewNumber {
+    /// Stands for no view: below the number of the first one.
+    pub const NONE: ViewNumber = ViewNumber(0);
+
+    /// The number above this one.
+    #[must_use]
+    pub fn next(self) -> ViewNumber {
+        ViewNumber(self.0 + 1)
+    }
+}
+
+impl fmt::Display for ViewNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+/// A write as its driver knows it: chosen by the driver, carried by the output that ends the write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SubmissionId(pub u64);
+
 /// A state of the table: all writes up to `seq`, as the view of this number ordered them (Oki and Liskov, Viewstamped
 /// Replication). States are compared by view first.
 #[derive(
@@ -23,7 +52,7 @@
 )]
 pub struct Viewstamp {
     /// Number of the view.
-    pub view: u64,
+    pub view: ViewNumber,
     /// Sequence number of the last write.
     pub seq: u64,
 }
@@ -32,7 +61,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewStart {
     /// Number of the view.
-    pub view: u64,
+    pub view: ViewNumber,
     /// Sequence number of the last write before it.
     pub seq: u64,
 }
@@ -41,7 +70,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
     /// Its number; rises from view to view.
-    pub number: u64,
+    pub number: ViewNumber,
     /// Members whose majorities agree on views and grant leases.
     pub voters: Vec<Member>,
     /// Voters of the last established view before it: a majority of them has to promise and accept too, until the whole
@@ -102,7 +131,7 @@
 }
 
 /// Number of the first view.
-pub const FIRST_VIEW: u64 = 1;
+pub const FIRST_VIEW: ViewNumber = ViewNumber(1);
 
 /// How many of `count` voters are a majority.
 pub fn majority(count: usize) -> usize {
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -4,8 +4,8 @@
 use indigofold_replication::message::{Grant, Heartbeat, PreVote, PreVoteReply, PrepareOk, Write};
 use indigofold_replication::timing::{LEASE_MS, LEASE_USED_PERCENT};
 use indigofold_replication::{
-    Batch, Durable, Envelope, Input, Member, Message, Output, Replica, RowChange, Settings, View,
-    ViewStart, Viewstamp,
+    Batch, Durable, Envelope, Input, Member, Message, Output, Replica, RowChange, Settings,
+    SubmissionId, View, ViewNumber, ViewStart, Viewstamp,
 };
 use rstest::rstest;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -43,12 +43,12 @@
 /// Member 0 leads it; members 0 and 1 are its chain.
 fn view(number: u64, voters: &[u8], previous: &[u8]) -> View {
     View {
-        number,
+        number: ViewNumber(number),
         voters: members(voters),
         previous_voters: members(previous),
         chain: members(&[0, 1]),
         base: Viewstamp {
-            view: number - 1,
+            view: ViewNumber(number - 1),
             seq: SEQ,
         },
     }
@@ -68,7 +68,7 @@
     /// Member `own`, with this view and the state of view [`VIEW`] on its disk.
     fn restarted(own: u8, view: View) -> Harness {
         let viewstamp = Viewstamp {
-            view: VIEW,
+            view: ViewNumber(VIEW),
             seq: SEQ,
         };
         let durable = Durable {
@@ -76,7 +76,10 @@
             promised: view.number,
             agreed: true,
             viewstamp,
-            history: vec![ViewStart { view: VIEW, seq: 0 }],
+            history: vec![ViewStart {
+                view: ViewNumber(VIEW),
+                seq: 0,
+            }],
             view: Some(view),
             trimmed: 0,
             addresses: (0..4).map(address).collect(),
@@ -160,14 +163,15 @@
     /// Member `from` asks for a promise.
     fn prepare(&mut self, from: u8, number: u64, headed_view: u64) {
         let prepare = Message::Prepare {
-            number,
-            headed_view,
+            number: ViewNumber(number),
+            headed_view: ViewNumber(headed_view),
         };
         self.message(from, prepare);
     }
 
     /// Member `from` reports a state that it has on disk.
     fn has_stored(&mut self, from: u8, view: u64, seq: u64) {
+        let view = ViewNumber(view);
         let viewstamp = Viewstamp { view, seq };
         self.message(from, Message::Stored { viewstamp });
     }
@@ -245,7 +249,7 @@
             value: None,
         }];
         Message::Write(Write {
-            number: VIEW,
+            number: ViewNumber(VIEW),
             batches: vec![Arc::new(Batch { seq, changes })],
             relay: false,
         })
@@ -275,10 +279,10 @@
         Message::PreVote(PreVote {
             request_id: 1,
             viewstamp: Viewstamp {
-                view: VIEW,
+                view: ViewNumber(VIEW),
                 seq: SEQ + 9,
             },
-            headed_view: 0,
+            headed_view: ViewNumber(0),
         }),
     );
     let is_granted = |message: &Message| {
@@ -378,13 +382,13 @@
     harness.store_all();
     let number = VIEW + 1;
     let viewstamp = Viewstamp {
-        view: VIEW,
+        view: ViewNumber(VIEW),
         seq: SEQ,
     };
     harness.message(
         1,
         Message::PrepareOk(PrepareOk {
-            number,
+            number: ViewNumber(number),
             view: Some(same_voters()),
             agreed: true,
             viewstamp,
@@ -394,14 +398,19 @@
     harness.now_ms += 100;
     harness.input(Input::Timer);
     harness.store_all();
-    harness.message(1, Message::Accepted { number });
+    harness.message(
+        1,
+        Message::Accepted {
+            number: ViewNumber(number),
+        },
+    );
     harness.store_all();
     harness
 }
 
 fn grant(number: u64, sent_ms: u64, viewstamp: Viewstamp) -> Message {
     Message::Grant(Grant {
-        number,
+        number: ViewNumber(number),
         sent_ms,
         viewstamp,
         store_age_ms: 0,
@@ -412,7 +421,7 @@
 
 fn installed() -> Viewstamp {
     Viewstamp {
-        view: VIEW + 1,
+        view: ViewNumber(VIEW + 1),
         seq: SEQ,
     }
 }
@@ -431,7 +440,7 @@
 #[case::of_a_view_before_its_time(VIEW, 0, installed())]
 #[case::of_a_view_never_given_out(VIEW + 2, 0, installed())]
 #[case::for_a_heartbeat_not_sent_yet(VIEW + 1, 100_000, installed())]
-#[case::without_the_first_state(VIEW + 1, 0, Viewstamp { view: VIEW, seq: SEQ })]
+#[case::without_the_first_state(VIEW + 1, 0, Viewstamp { view: ViewNumber(VIEW), seq: SEQ })]
 fn a_grant_without_a_matching_heartbeat_gives_no_lease(
     #[case] number: u64,
     #[case] later_ms: u64,
@@ -452,15 +461,19 @@
         value: Some(b"value".to_vec()),
     }];
     harness.input(Input::Submit {
-        write_id: 7,
+        write_id: SubmissionId(7),
         changes,
     });
     harness.store_all();
     let is_committed = |harness: &Harness| {
-        harness
-            .others
-            .iter()
-            .any(|output| matches!(output, Output::Committed { write_id: 7 }))
+        harness.others.iter().any(|output| {
+            matches!(
+                output,
+                Output::Committed {
+                    write_id: SubmissionId(7)
+                }
+            )
+        })
     };
     harness.has_stored(1, VIEW + 1, SEQ + 2);
     harness.has_stored(1, VIEW + 9, SEQ + 1);
--- a/crates/replication/tests/simulation/cluster.rs
+++ b/crates/replication/tests/simulation/cluster.rs
@@ -3,7 +3,8 @@
 use super::events::{Event, EventQueue};
 use super::node::{DiskTask, InFlight, Node, Presence, index_of};
 use indigofold_replication::{
-    Envelope, Input, Member, Output, RowChange, StoreRequest, View, message,
+    Envelope, Input, Member, Output, Replica, RowChange, StoreRequest, SubmissionId, View,
+    ViewNumber, message,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -36,7 +37,7 @@
 pub(crate) struct HeadGained {
     pub at_ms: u64,
     pub node: usize,
-    pub view: u64,
+    pub view: ViewNumber,
 }
 
 /// The cluster.
@@ -270,6 +271,7 @@
                 value: deleted_value,
             },
         ];
+        let write_id = SubmissionId(write_id);
         self.input(node, Input::Submit { write_id, changes });
     }
 
@@ -395,11 +397,13 @@
                     .tasks
                     .push_back(DiskTask::Read { read, since });
             }
-            Output::Committed { write_id } => {
+            Output::Committed {
+                write_id: SubmissionId(write_id),
+            } => {
                 let view = self.nodes[index]
                     .replica
                     .as_ref()
-                    .map_or(0, indigofold_replication::Replica::view);
+                    .map_or(ViewNumber::NONE, Replica::view);
                 self.log_event(&format!(
                     "write {write_id} committed by {index} in view {view}"
                 ));
@@ -469,7 +473,7 @@
             .disk
             .durable
             .as_ref()
-            .map_or(0, |durable| durable.viewstamp.view);
+            .map_or(ViewNumber::NONE, |durable| durable.viewstamp.view);
         if request.durable.viewstamp.view != known {
             self.log_event(&format!("{index} enters {:?}", request.durable.viewstamp));
         }
--- a/crates/replication/tests/simulation/scenarios.rs
+++ b/crates/replication/tests/simulation/scenarios.rs
@@ -2,6 +2,7 @@
 
 use super::cluster::Cluster;
 use super::{SUBMIT_INTERVAL_MS, started};
+use indigofold_replication::{Replica, ViewNumber};
 use rstest::rstest;
 
 const SEEDS: u64 = 30;
@@ -361,7 +362,7 @@
 }
 
 /// Runs until the head has had a new view agreed.
-fn run_until_next_view(cluster: &mut Cluster, head: usize, former: u64) {
+fn run_until_next_view(cluster: &mut Cluster, head: usize, former: ViewNumber) {
     let agreed = |cluster: &Cluster| {
         let view = cluster.nodes[head]
             .replica
@@ -386,7 +387,7 @@
         let former = cluster.nodes[head]
             .replica
             .as_ref()
-            .map_or(0, indigofold_replication::Replica::view);
+            .map_or(ViewNumber::NONE, Replica::view);
         [head, lost]
             .into_iter()
             .for_each(|other| cluster.block_both(other, third));
--- a/crates/replication/tests/storage.rs
+++ b/crates/replication/tests/storage.rs
@@ -3,7 +3,7 @@
 mod stored;
 
 use indigofold_replication::{
-    Batch, Row, RowChange, Storage, StoreOperation, StoreRequest, Viewstamp,
+    Batch, Row, RowChange, Storage, StoreOperation, StoreRequest, ViewNumber, Viewstamp,
 };
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -94,7 +94,13 @@
     let mut seqs = Vec::new();
     loop {
         let chunk = storage.rows_since(after, 10).expect("read");
-        assert_eq!(chunk.viewstamp, Viewstamp { view: 3, seq: 5 });
+        assert_eq!(
+            chunk.viewstamp,
+            Viewstamp {
+                view: ViewNumber(3),
+                seq: 5
+            }
+        );
         assert_eq!(chunk.rows.len() % 3, 0, "a write is not cut");
         seqs.extend(chunk.rows.iter().map(|row| row.seq));
         after = chunk.rows.last().map_or(after, |row| row.seq);
--- a/crates/replication/tests/stored/mod.rs
+++ b/crates/replication/tests/stored/mod.rs
@@ -1,6 +1,6 @@
 //! What the tests of the storage keep in their databases.
 
-use indigofold_replication::{Durable, Member, View, ViewStart, Viewstamp};
+use indigofold_replication::{Durable, Member, View, ViewNumber, ViewStart, Viewstamp};
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// The database's file.
@@ -11,11 +11,17 @@
     let internal = SocketAddr::from((Ipv4Addr::LOCALHOST, 7380));
     Durable {
         member: Member { internal, disk: 7 },
-        promised: 3,
+        promised: ViewNumber(3),
         view: Some(View::first(&[internal])),
         agreed: true,
-        viewstamp: Viewstamp { view: 3, seq },
-        history: vec![ViewStart { view: 3, seq: 0 }],
+        viewstamp: Viewstamp {
+            view: ViewNumber(3),
+            seq,
+        },
+        history: vec![ViewStart {
+            view: ViewNumber(3),
+            seq: 0,
+        }],
         trimmed: 0,
         addresses: Vec::new(),
     }
--- a/crates/replication/tests/stored_forms.rs
+++ b/crates/replication/tests/stored_forms.rs
@@ -9,7 +9,7 @@
 };
 use indigofold_replication::{
     Batch, Durable, Envelope, Member, Message, Row, RowChange, Storage, StoreRequest, View,
-    ViewStart, Viewstamp,
+    ViewNumber, ViewStart, Viewstamp,
 };
 use std::collections::BTreeMap;
 use std::fs;
@@ -41,26 +41,38 @@
 
 fn view() -> View {
     View {
-        number: 300,
+        number: ViewNumber(300),
         voters: vec![member(1), member(2), member(3)],
         previous_voters: vec![member(1), member(2), member(4)],
         chain: vec![member(2), member(1)],
-        base: Viewstamp { view: 299, seq: 20 },
+        base: Viewstamp {
+            view: ViewNumber(299),
+            seq: 20,
+        },
     }
 }
 
 fn viewstamp() -> Viewstamp {
     Viewstamp {
-        view: 300,
+        view: ViewNumber(300),
         seq: LAST_SEQ,
     }
 }
 
 fn history() -> Vec<ViewStart> {
     vec![
-        ViewStart { view: 1, seq: 0 },
-        ViewStart { view: 299, seq: 7 },
-        ViewStart { view: 300, seq: 20 },
+        ViewStart {
+            view: ViewNumber(1),
+            seq: 0,
+        },
+        ViewStart {
+            view: ViewNumber(299),
+            seq: 7,
+        },
+        ViewStart {
+            view: ViewNumber(300),
+            seq: 20,
+        },
     ]
 }
 
@@ -68,7 +80,7 @@
 fn record() -> Durable {
     Durable {
         member: member(2),
-        promised: 301,
+        promised: ViewNumber(301),
         view: Some(view()),
         agreed: true,
         viewstamp: viewstamp(),
@@ -144,32 +156,34 @@
         Message::PreVote(PreVote {
             request_id: 70_000,
             viewstamp: viewstamp(),
-            headed_view: 300,
+            headed_view: ViewNumber(300),
         }),
         Message::PreVoteReply(PreVoteReply {
             request_id: 70_000,
             granted: true,
-            promised: 301,
+            promised: ViewNumber(301),
             view: Some(view()),
             agreed: false,
         }),
         Message::Prepare {
-            number: 302,
-            headed_view: 0,
+            number: ViewNumber(302),
+            headed_view: ViewNumber(0),
         },
         Message::PrepareOk(PrepareOk {
-            number: 302,
+            number: ViewNumber(302),
             view: None,
             agreed: true,
             viewstamp: viewstamp(),
             draining: false,
         }),
         Message::PrepareReject {
-            number: 302,
-            promised: 303,
+            number: ViewNumber(302),
+            promised: ViewNumber(303),
         },
         Message::Accept { view: view() },
-        Message::Accepted { number: 302 },
+        Message::Accepted {
+            number: ViewNumber(302),
+        },
         Message::Heartbeat(Heartbeat {
             view: view(),
             sent_ms: 1_234_567,
@@ -177,17 +191,21 @@
             address: address(2),
         }),
         Message::Grant(Grant {
-            number: 300,
+            number: ViewNumber(300),
             sent_ms: 1_234_567,
             viewstamp: viewstamp(),
             store_age_ms: 17,
             draining: true,
             address: address(3),
         }),
-        Message::Release { number: 300 },
-        Message::CampaignNow { number: 300 },
+        Message::Release {
+            number: ViewNumber(300),
+        },
+        Message::CampaignNow {
+            number: ViewNumber(300),
+        },
         Message::Write(Write {
-            number: 300,
+            number: ViewNumber(300),
             batches: vec![batch()],
             relay: true,
         }),
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -13,6 +13,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AgentId(pub u64);
 
+/// Fencing token of all orders of one head: number of the view in which it took over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Epoch(pub u64);
+
 /// Number of a write, counted from 1 by the scheduler. Writes are to be committed in the order of their numbers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WriteId(pub u64);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -59,7 +59,7 @@
 mod worker;
 mod workers;
 
-pub use api::{AgentId, Bounds, CallerId, Effect, Event, RowChange, WriteId};
+pub use api::{AgentId, Bounds, CallerId, Effect, Epoch, Event, RowChange, WriteId};
 pub use kinds::{PlacementTrace, Reason, SampledWorker};
 pub use latency::{Cause, LateEnd, LatencyBreakdown};
 pub use rows::RowError;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,6 +1,6 @@
 //! How an event passes through the scheduler, and what leaves it.
 
-use crate::api::{Bounds, Effect, Event};
+use crate::api::{Bounds, Effect, Epoch, Event};
 use crate::client_calls::ClientCalls;
 use crate::cluster::Cluster;
 use crate::instance_rows::instance_of;
@@ -25,7 +25,7 @@
 /// The scheduler. See the crate's documentation.
 pub struct Scheduler {
     /// Fencing token of all orders: number of the view under whose head the scheduler acts.
-    epoch: u64,
+    epoch: Epoch,
     cluster: Cluster,
     calls: ClientCalls,
     reports: Reports,
@@ -39,7 +39,7 @@
 impl Scheduler {
     /// A scheduler that knows no job yet. `epoch` is the number of the view under whose head it acts: the fencing
     /// token of its orders. `now_ms` is a reading of the steady clock, `wall_ms` the time of day since 1970.
-    pub fn new(bounds: Bounds, epoch: u64, seed: u64, now_ms: u64, wall_ms: u64) -> Self {
+    pub fn new(bounds: Bounds, epoch: Epoch, seed: u64, now_ms: u64, wall_ms: u64) -> Self {
         Scheduler {
             epoch,
             cluster: Cluster::new(bounds, now_ms, wall_ms),
@@ -183,7 +183,7 @@
 
     /// The orders of the present event, by worker, then the answers to node agents without one.
     fn send_orders(&mut self, effects: &mut Vec<Effect>) {
-        let epoch = self.epoch;
+        let epoch = self.epoch.0;
         for (id, orders) in self.cluster.outbox_mut().take_orders() {
             let Some(worker) = self.cluster.workers().get(id) else {
                 continue;
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -15,7 +15,7 @@
 use indigofold_protocol::job::{JobSpec, JobState};
 use indigofold_protocol::task::{JobId, TaskName};
 use indigofold_protocol::worker::RunEnd;
-use indigofold_scheduler::{AgentId, Effect, Event, LateEnd, RowChange, Scheduler, WriteId};
+use indigofold_scheduler::{AgentId, Effect, Epoch, Event, LateEnd, RowChange, Scheduler, WriteId};
 use node::Node;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -141,7 +141,7 @@
         let mut cluster = Cluster {
             now_ms: 1_000,
             rng: TestRng(seed.wrapping_mul(77) + 5),
-            scheduler: Scheduler::new(bounds(), 1, seed, 1_000, WALL_MS + 1_000),
+            scheduler: Scheduler::new(bounds(), Epoch(1), seed, 1_000, WALL_MS + 1_000),
             epoch: 1,
             rows: BTreeMap::new(),
             writes: VecDeque::new(),
@@ -239,7 +239,7 @@
         self.connections.clear();
         self.calls.clear();
         let (now_ms, wall_ms) = (self.now_ms, self.wall_ms());
-        self.scheduler = Scheduler::new(bounds(), self.epoch, self.epoch, now_ms, wall_ms);
+        self.scheduler = Scheduler::new(bounds(), Epoch(self.epoch), self.epoch, now_ms, wall_ms);
         self.scheduler
             .load(self.rows.clone())
             .expect("rows are readable");
