Replay: one error enum in place of texts

Cause: the functions of the laboratory gave their errors as String, so that a caller could only print them and a source was lost. Change: ReplayError (snafu), one variant a kind of fault with path or place and source; the texts are as before, and the tests compare them through Display. The check of a survey's first line is a function of its own. No decision is touched.

--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod check;
 pub mod client;
 pub mod compare;
+pub mod error;
 pub mod export;
 pub mod load;
 pub mod object_store;
--- a/crates/replay/src/play_command.rs
+++ b/crates/replay/src/play_command.rs
@@ -3,8 +3,9 @@
 use crate::Bad;
 use crate::cli::{Live, Replay, Results};
 use crate::files::{bar, open, text_of};
+use indigofold_replay::error::ReplayError;
 use indigofold_replay::export::{self, Log, LogDamage};
-use indigofold_replay::load::{Made, Recorded};
+use indigofold_replay::load::{Arrival, Made, Recorded};
 use indigofold_replay::scenario::{self, Scenario};
 use indigofold_replay::service::Outcome;
 use indigofold_replay::virtual_time::{LoggedRequest, Retries, Run, Simulation};
@@ -82,16 +83,15 @@
     }
     let until = args.seconds.map(|s| scenario.from() + (s * 1e6) as u64);
     let begin = Instant::now();
-    let in_time = move |a: &Result<indigofold_replay::load::Arrival, String>| {
+    let in_time = move |a: &Result<Arrival, ReplayError>| {
         a.as_ref().is_ok_and(|a| until.is_none_or(|u| a.at < u)) || a.is_err()
     };
-    let arrivals: Box<dyn Iterator<Item = Result<indigofold_replay::load::Arrival, String>> + '_> =
-        match &args.recording {
-            Some(path) => {
-                Box::new(Recorded::new(&scenario, open(path)?, seed)?.take_while(in_time))
-            }
-            None => Box::new(Made::new(&scenario, seed)?),
-        };
+    let arrivals: Box<dyn Iterator<Item = Result<Arrival, ReplayError>> + '_> = match &args
+        .recording
+    {
+        Some(path) => Box::new(Recorded::new(&scenario, open(path)?, seed)?.take_while(in_time)),
+        None => Box::new(Made::new(&scenario, seed)?),
+    };
     let bar = bar(
         (scenario.load.rate * scenario.load.seconds) as u64,
         "playing",
--- a/crates/replay/src/retry_folding.rs
+++ b/crates/replay/src/retry_folding.rs
@@ -1,5 +1,6 @@
 //! How well retries are folded: traffic is made whose truth is known, and what identifies a retry is removed step by step.
 
+use crate::error::ReplayError;
 use crate::load::Made;
 use crate::scenario::{Effect, Scenario};
 use crate::virtual_time::{LoggedRequest, Retries, Simulation};
@@ -108,12 +109,16 @@
 ///
 /// # Errors
 /// The scenario cannot be played.
-pub fn check(scenario: &Scenario, seeds: u64) -> Result<Vec<Row>, String> {
+pub fn check(scenario: &Scenario, seeds: u64) -> Result<Vec<Row>, ReplayError> {
     let mut counts = [FoldCounts::default(); RECORD_KINDS.len()];
     for seed in 1..=seeds {
         let records = play(scenario, seed)?;
         for (kind, counts) in RECORD_KINDS.iter().zip(&mut counts) {
-            counts.add(fold(scenario, &records, kind, seed).map_err(|e| e.to_string())?);
+            counts.add(
+                fold(scenario, &records, kind, seed).map_err(|e| ReplayError::Fold {
+                    reason: e.to_string(),
+                })?,
+            );
         }
     }
     let rows = RECORD_KINDS.iter().zip(counts);
@@ -121,7 +126,7 @@
 }
 
 /// Plays a scenario, and records each request of its clients.
-fn play(scenario: &Scenario, seed: u64) -> Result<Vec<LabelledRecord>, String> {
+fn play(scenario: &Scenario, seed: u64) -> Result<Vec<LabelledRecord>, ReplayError> {
     let classes: Vec<Arc<str>> = scenario
         .classes
         .iter()
--- a/crates/replay/src/scenario.rs
+++ b/crates/replay/src/scenario.rs
@@ -4,6 +4,7 @@
 mod settings;
 mod validation;
 
+use crate::error::{ReplayError, ScenarioSnafu};
 pub use form::*;
 use indigofold_traffic::document;
 
@@ -19,14 +20,16 @@
 ///
 /// # Errors
 /// Each thing that is wrong, with its place.
-pub fn read(text: &str) -> Result<Scenario, String> {
+pub fn read(text: &str) -> Result<Scenario, ReplayError> {
     let scenario: Scenario =
-        document::read("scenario", text).map_err(|errors| errors.to_string())?;
+        document::read("scenario", text).map_err(|errors| ReplayError::Scenario {
+            errors: vec![errors.to_string()],
+        })?;
     let errors = scenario.validation_errors();
     if errors.is_empty() {
         Ok(scenario)
     } else {
-        Err(errors.join("\n"))
+        ScenarioSnafu { errors }.fail()
     }
 }
 
--- a/crates/replay/src/scenario/settings.rs
+++ b/crates/replay/src/scenario/settings.rs
@@ -1,8 +1,10 @@
 //! The settings of a scheduler, as the platform would write them.
 
 use super::{Class, Effect, Scenario};
+use crate::error::{ReplayError, SettingsSnafu};
 use indigofold::config::Site;
 use serde_json::{Value, json};
+use snafu::ResultExt;
 
 /// A class in the platform's form; times are in microseconds.
 fn profile(class: &Class) -> Value {
@@ -66,9 +68,9 @@
     ///
     /// # Errors
     /// What the scheduler does not take.
-    pub fn site(&self, me: u32) -> Result<Site, String> {
+    pub fn site(&self, me: u32) -> Result<Site, ReplayError> {
         let text = self.settings(me).to_string().into_bytes();
-        let mut site = Site::read(text).map_err(|error| error.to_string())?;
+        let mut site = Site::read(text).context(SettingsSnafu)?;
         // As the program does on sockets.
         site.settings.limits.open = Some(self.limits.sockets as usize / 4);
         Ok(site)
--- a/crates/replay/src/sockets.rs
+++ b/crates/replay/src/sockets.rs
@@ -13,12 +13,14 @@
 mod workers;
 
 use crate::check::{Checker, Observation};
+use crate::error::{ReplayError, SchedulerEndedSnafu, StandInSnafu, VirtualTimeOnlySnafu};
 use crate::load::Arrival;
 use crate::scenario::{Micros, Scenario};
 use crate::service::Service;
 use crate::virtual_time::{Retries, Run};
 use discovery::Membership;
 use smol::Executor;
+use snafu::ResultExt;
 use std::collections::HashMap;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -125,13 +127,11 @@
     seed: u64,
     retries: Retries,
     program: &Path,
-    arrivals: impl Iterator<Item = Result<Arrival, String>>,
-) -> Result<Run, String> {
+    arrivals: impl Iterator<Item = Result<Arrival, ReplayError>>,
+) -> Result<Run, ReplayError> {
     let machines = &scenario.machines;
     if machines.things.is_some() || machines.cancel || !machines.speculative_runs {
-        return Err(
-            "at /machines: 'things', 'cancel' and 'copies' are played in virtual time only".into(),
-        );
+        return VirtualTimeOnlySnafu.fail();
     }
     let environment = Arc::new(Environment::new(scenario, seed, retries));
     let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -155,14 +155,14 @@
 async fn play_in(
     environment: &Arc<Environment>,
     program: &Path,
-    arrivals: impl Iterator<Item = Result<Arrival, String>>,
-) -> Result<(), String> {
-    let discovery = discovery::open(environment)
-        .await
-        .map_err(|e| format!("discovery: {e}"))?;
-    let fleet = workers::open(environment)
-        .await
-        .map_err(|e| format!("job workers: {e}"))?;
+    arrivals: impl Iterator<Item = Result<Arrival, ReplayError>>,
+) -> Result<(), ReplayError> {
+    let discovery = discovery::open(environment).await.context(StandInSnafu {
+        stand_in: "discovery",
+    })?;
+    let fleet = workers::open(environment).await.context(StandInSnafu {
+        stand_in: "job workers",
+    })?;
     let mut schedulers = Vec::new();
     for me in 0..environment.scenario.schedulers {
         let discovery = &discovery[me as usize];
@@ -181,7 +181,7 @@
     let sent = clients::send(environment, arrivals, &addresses, shift).await;
     for scheduler in &mut schedulers {
         if let Some(status) = scheduler.ended() {
-            return Err(format!("a scheduler ended while it was needed: {status}"));
+            return SchedulerEndedSnafu { status }.fail();
         }
     }
     sent
--- a/crates/replay/src/sockets/clients.rs
+++ b/crates/replay/src/sockets/clients.rs
@@ -5,6 +5,7 @@
 use super::{Environment, locked};
 use crate::check::Observation;
 use crate::client::{ClientResponse, next_retry};
+use crate::error::ReplayError;
 use crate::load::Arrival;
 use crate::scenario::{Class, Effect, Micros};
 use crate::service::{EndedJob, JobEnd};
@@ -51,10 +52,10 @@
 /// Sends all arrivals, and waits until their jobs have ended. `shift` is added to each arrival's time.
 pub(crate) async fn send(
     environment: &Arc<Environment>,
-    arrivals: impl Iterator<Item = Result<Arrival, String>>,
+    arrivals: impl Iterator<Item = Result<Arrival, ReplayError>>,
     addresses: &[SocketAddr],
     shift: Micros,
-) -> Result<(), String> {
+) -> Result<(), ReplayError> {
     let clients = Arc::new(Clients {
         environment: environment.clone(),
         addresses: addresses.to_vec(),
--- a/crates/replay/src/sockets/program.rs
+++ b/crates/replay/src/sockets/program.rs
@@ -2,9 +2,11 @@
 
 use super::http::HttpConnection;
 use super::{Environment, locked};
+use crate::error::{FileSnafu, NoPortSnafu, NotReadySnafu, ReplayError};
 use serde_json::json;
 use smol::Timer;
 use smol::net::TcpStream;
+use snafu::ResultExt;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -32,13 +34,13 @@
     program: &Path,
     me: u32,
     discovery: &SocketAddr,
-) -> Result<Program, String> {
+) -> Result<Program, ReplayError> {
     let dir = std::env::temp_dir().join(format!("indigofold-replay-{}-{me}", std::process::id()));
-    std::fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    std::fs::create_dir_all(&dir).context(FileSnafu { path: &dir })?;
     // A port that is free now; it is taken again at once.
     let free = TcpListener::bind("127.0.0.1:0")
         .and_then(|l| l.local_addr())
-        .map_err(|e| e.to_string())?;
+        .context(NoPortSnafu)?;
     let limits = &environment.scenario.limits;
     let known = locked(&environment.membership).since(0, me).body;
     let config = json!({"name": format!("n{me}"), "listen": free.to_string(), "discovery": discovery.to_string(),
@@ -46,8 +48,9 @@
         "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
         "known": known, "settings": environment.scenario.settings(me)});
     let path = dir.join("config.json");
-    std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
-    let log = std::fs::File::create(dir.join("log")).map_err(|e| e.to_string())?;
+    std::fs::write(&path, config.to_string()).context(FileSnafu { path: &path })?;
+    let log = dir.join("log");
+    let log = std::fs::File::create(&log).context(FileSnafu { path: &log })?;
     let run = format!("ulimit -n {}; exec \"$0\"", limits.sockets);
     let child = Command::new("/bin/sh")
         .args(["-c", &run])
@@ -59,7 +62,7 @@
         .stdout(Stdio::null())
         .stderr(log)
         .spawn()
-        .map_err(|e| format!("{}: {e}", program.display()))?;
+        .context(FileSnafu { path: program })?;
     Ok(Program {
         address: free,
         child,
@@ -69,7 +72,7 @@
 
 impl Program {
     /// Waits until it is ready.
-    pub(crate) async fn ready(&self, within: Duration) -> Result<(), String> {
+    pub(crate) async fn ready(&self, within: Duration) -> Result<(), ReplayError> {
         let until = Instant::now() + within;
         while Instant::now() < until {
             if let Ok(stream) = TcpStream::connect(self.address).await {
@@ -84,10 +87,9 @@
             Timer::after(Duration::from_millis(20)).await;
         }
         let log = std::fs::read_to_string(self.dir.join("log")).unwrap_or_default();
-        let last: Vec<&str> = log.lines().rev().take(5).collect();
-        Err(format!(
-            "a scheduler was not ready within {within:?}; its last lines: {last:#?}"
-        ))
+        let last = log.lines().rev().take(5).map(str::to_owned);
+        let log: Vec<String> = last.collect();
+        NotReadySnafu { within, log }.fail()
     }
 
     /// How it ended, if it did.
--- a/crates/replay/src/survey.rs
+++ b/crates/replay/src/survey.rs
@@ -9,9 +9,14 @@
 pub mod page;
 
 use crate::baseline::Policy;
+use crate::error::{
+    DeploymentSnafu, FileSnafu, NoComparisonSnafu, NoSurveySnafu, OtherSurveySnafu, ReplayError,
+    RowSnafu, RunsSnafu,
+};
 use crate::load::Made;
 use crate::virtual_time::{Retries, Run, Simulation};
 use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, ResultExt, ensure};
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Seek, SeekFrom, Write};
@@ -120,7 +125,11 @@
     }
 }
 
-fn play(scenario: &crate::scenario::Scenario, policy: Policy, seed: u64) -> Result<Run, String> {
+fn play(
+    scenario: &crate::scenario::Scenario,
+    policy: Policy,
+    seed: u64,
+) -> Result<Run, ReplayError> {
     let simulation = Simulation::with_policy(scenario, seed, Retries::Model, policy)?;
     simulation.play(Made::new(scenario, seed)?, |_| {}, |_| {})
 }
@@ -129,7 +138,7 @@
 ///
 /// # Errors
 /// The scenario cannot be played.
-pub fn row(plan: &Plan, number: u64) -> Result<Row, String> {
+pub fn row(plan: &Plan, number: u64) -> Result<Row, ReplayError> {
     let scenario = draw::deployment(plan.seed, number);
     let mut played = BTreeMap::new();
     for policy in &plan.policies {
@@ -141,7 +150,11 @@
                 *policy,
                 plan.seed ^ (number << 8) ^ u64::from(n) << 56,
             )
-            .map_err(|e| format!("deployment {number}, {}: {e}", policy.name()))?;
+            .map_err(Box::new)
+            .context(DeploymentSnafu {
+                number,
+                policy: policy.name(),
+            })?;
             of.metrics.push(run.outcome.service_metric);
             for (rule, count) in &run.verdict.breaches {
                 *of.breaches.entry(format!("{rule:?}")).or_default() += count;
@@ -171,32 +184,38 @@
     })
 }
 
+/// Checks that the first line of a file names the same plan.
+fn check_first_line(path: &Path, plan: &Plan, line: &[u8]) -> Result<(), ReplayError> {
+    let other: Plan = serde_json::from_slice(line)
+        .ok()
+        .context(NoSurveySnafu { path })?;
+    ensure!(
+        other == *plan,
+        OtherSurveySnafu {
+            path,
+            seed: other.seed,
+            runs: other.runs,
+            version: other.version,
+        }
+    );
+    Ok(())
+}
+
 /// The rows that a file holds already, and the file, at its end. An incomplete last line is dropped.
-fn resume(path: &Path, plan: &Plan) -> Result<(BTreeMap<u64, Row>, File), String> {
-    let say = |e: std::io::Error| format!("{}: {e}", path.display());
+fn resume(path: &Path, plan: &Plan) -> Result<(BTreeMap<u64, Row>, File), ReplayError> {
     let mut file = OpenOptions::new()
         .read(true)
         .write(true)
         .create(true)
         .truncate(false)
         .open(path)
-        .map_err(say)?;
+        .context(FileSnafu { path })?;
     let (mut rows, mut complete_bytes, mut first) = (BTreeMap::new(), 0, true);
     for line in BufReader::new(&file).split(b'\n') {
-        let line = line.map_err(say)?;
+        let line = line.context(FileSnafu { path })?;
         if first {
             first = false;
-            let other: Plan = serde_json::from_slice(&line)
-                .map_err(|_| format!("{}: it is no survey; name another file", path.display()))?;
-            if other != *plan {
-                return Err(format!(
-                    "{}: it holds another survey (seed {}, {} runs, version {}); name another file",
-                    path.display(),
-                    other.seed,
-                    other.runs,
-                    other.version
-                ));
-            }
+            check_first_line(path, plan, &line)?;
         } else {
             let Ok(row) = serde_json::from_slice::<Row>(&line) else {
                 break;
@@ -206,12 +225,12 @@
         complete_bytes += line.len() as u64 + 1;
     }
     if first {
-        let mut line = serde_json::to_vec(plan).map_err(|e| e.to_string())?;
+        let mut line = serde_json::to_vec(plan).context(RowSnafu)?;
         line.push(b'\n');
-        file.write_all(&line).map_err(say)?;
+        file.write_all(&line).context(FileSnafu { path })?;
     } else {
-        file.set_len(complete_bytes).map_err(say)?;
-        file.seek(SeekFrom::End(0)).map_err(say)?;
+        file.set_len(complete_bytes).context(FileSnafu { path })?;
+        file.seek(SeekFrom::End(0)).context(FileSnafu { path })?;
     }
     Ok((rows, file))
 }
@@ -227,7 +246,7 @@
     threads: usize,
     path: &Path,
     progress: impl Fn(u64) + Sync,
-) -> Result<Vec<Row>, String> {
+) -> Result<Vec<Row>, ReplayError> {
     plan.check()?;
     let (rows, file) = resume(path, plan)?;
     let done = AtomicU64::new(rows.len() as u64);
@@ -266,17 +285,15 @@
 }
 
 impl Plan {
-    fn check(&self) -> Result<(), String> {
+    fn check(&self) -> Result<(), ReplayError> {
         let (fewest, most) = RUNS;
         if !(fewest..=most).contains(&self.runs) {
-            return Err(format!(
-                "{} runs given, {fewest} to {most} are allowed",
-                self.runs
-            ));
+            let runs = self.runs;
+            return RunsSnafu { runs, fewest, most }.fail();
         }
         let only_module = self.policies.iter().all(|p| *p == Policy::Module);
         if !self.policies.contains(&Policy::Module) || only_module {
-            return Err("the module and one more policy at least are wanted".into());
+            return NoComparisonSnafu.fail();
         }
         Ok(())
     }
@@ -288,12 +305,12 @@
     file: File,
     rows: BTreeMap<u64, Row>,
     /// The first error.
-    error: Option<String>,
+    error: Option<ReplayError>,
 }
 
 impl Results<'_> {
     /// Writes a row, or keeps its error; false where the survey cannot go on.
-    fn add(&mut self, row: Result<Row, String>) -> bool {
+    fn add(&mut self, row: Result<Row, ReplayError>) -> bool {
         match row.and_then(|row| self.write(row)) {
             Ok(()) => true,
             Err(error) => {
@@ -303,11 +320,11 @@
         }
     }
 
-    fn write(&mut self, row: Row) -> Result<(), String> {
-        let mut line = serde_json::to_vec(&row).map_err(|e| e.to_string())?;
+    fn write(&mut self, row: Row) -> Result<(), ReplayError> {
+        let mut line = serde_json::to_vec(&row).context(RowSnafu)?;
         line.push(b'\n');
         let written = self.file.write_all(&line);
-        written.map_err(|e| format!("{}: {e}", self.path.display()))?;
+        written.context(FileSnafu { path: self.path })?;
         self.rows.insert(row.number, row);
         Ok(())
     }
--- a/crates/replay/src/virtual_time.rs
+++ b/crates/replay/src/virtual_time.rs
@@ -3,6 +3,7 @@
 
 use crate::baseline::{BaselineScheduler, Policy};
 use crate::check::{Checker, Verdict};
+use crate::error::ReplayError;
 use crate::load::Arrival;
 use crate::object_store::{ObjectCache, ObjectStore};
 use crate::sampling::{draw, unit};
@@ -152,7 +153,7 @@
     ///
     /// # Errors
     /// What the scheduler rejects of the scenario.
-    pub fn new(scenario: &'a Scenario, seed: u64, retries: Retries) -> Result<Self, String> {
+    pub fn new(scenario: &'a Scenario, seed: u64, retries: Retries) -> Result<Self, ReplayError> {
         Self::with_policy(scenario, seed, retries, Policy::Module)
     }
 
@@ -165,7 +166,7 @@
         seed: u64,
         retries: Retries,
         policy: Policy,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, ReplayError> {
         let mut network_rng = draw(seed, u64::MAX - 1, 0x9047d);
         let things = scenario.machines.things.as_ref();
         let store = ObjectStore::new(things.map_or(1.0, |t| t.at_once));
@@ -249,10 +250,10 @@
     /// An arrival that cannot be read or made.
     pub fn play(
         mut self,
-        mut arrivals: impl Iterator<Item = Result<Arrival, String>>,
+        mut arrivals: impl Iterator<Item = Result<Arrival, ReplayError>>,
         mut log: impl FnMut(LoggedRequest<'_>),
         mut progress: impl FnMut(u64),
-    ) -> Result<Run, String> {
+    ) -> Result<Run, ReplayError> {
         let mut next = arrivals.next().transpose()?;
         if let Some(first) = &next {
             self.schedule(first.at.max(self.now), Event::Arrival);
@@ -312,7 +313,7 @@
     scenario: &Scenario,
     policy: Policy,
     rng: &mut Pcg64Mcg,
-) -> Result<Vec<Scheduler>, String> {
+) -> Result<Vec<Scheduler>, ReplayError> {
     let mut schedulers = Vec::new();
     for number in 0..scenario.schedulers {
         let module = scenario.site(number)?.settings;
--- a/crates/replay/tests/survey.rs
+++ b/crates/replay/tests/survey.rs
@@ -54,20 +54,25 @@
         seed: 4,
         ..plan.clone()
     };
-    let why = survey::survey(&other, 5, 1, &path("one"), |_| {}).expect_err("another");
+    let why = survey::survey(&other, 5, 1, &path("one"), |_| {})
+        .expect_err("another")
+        .to_string();
     assert!(
         why.contains("it holds another survey (seed 3, 2 runs, version 1)"),
         "{why}"
     );
     std::fs::write(path("notes"), "my notes\n").expect("written");
-    let why = survey::survey(&plan, 5, 1, &path("notes"), |_| {}).expect_err("no survey");
+    let why = survey::survey(&plan, 5, 1, &path("notes"), |_| {})
+        .expect_err("no survey")
+        .to_string();
     assert!(why.contains("it is no survey"), "{why}");
     assert_eq!(
         std::fs::read_to_string(path("notes")).expect("there"),
         "my notes\n"
     );
-    let why =
-        survey::survey(&Plan { runs: 1, ..plan }, 5, 1, &path("x"), |_| {}).expect_err("too few");
+    let why = survey::survey(&Plan { runs: 1, ..plan }, 5, 1, &path("x"), |_| {})
+        .expect_err("too few")
+        .to_string();
     assert_eq!(why, "1 runs given, 2 to 16 are allowed");
     // What is shown of it.
     let summary = survey::summary(&complete, 2);
@@ -257,7 +262,9 @@
     );
     let wrong = |from: &str, to: &str| {
         assert!(text.contains(from), "{from}");
-        scenario::read(&text.replace(from, to)).expect_err("wrong")
+        scenario::read(&text.replace(from, to))
+            .expect_err("wrong")
+            .to_string()
     };
     assert!(wrong("\"at-once\":4.0", "\"at-once\":0.0").contains("at /machines/things"));
     assert!(wrong("\"whatever-fits\"", "\"any\"").contains("/machines/order"));
@@ -267,7 +274,9 @@
         workers: vec![0],
         what: FaultKind::Slow { times: 0.5 },
     }];
-    let why = scenario::read(&serde_json::to_string(&s).expect("JSON")).expect_err("faster");
+    let why = scenario::read(&serde_json::to_string(&s).expect("JSON"))
+        .expect_err("faster")
+        .to_string();
     assert!(
         why.contains("at /troubles/0/what/slow/times: 0.5 given, over 1 and up to 1000"),
         "{why}"
--- a/crates/replay/tests/virtual_time.rs
+++ b/crates/replay/tests/virtual_time.rs
@@ -229,7 +229,9 @@
     let text = include_str!("../../../examples/replay/ten-minutes.json");
     let error = |from: &str, to: &str| {
         assert!(text.contains(from), "{from}");
-        scenario::read(&text.replacen(from, to, 1)).expect_err(to)
+        scenario::read(&text.replacen(from, to, 1))
+            .expect_err(to)
+            .to_string()
     };
     assert!(error("\"cores\": 7", "\"cores\": 0").contains("/kinds/0/cores"));
     assert!(error("\"cores\": 7", "\"core\": 7").contains("core"));
