The core of the single-process scheduler as a crate of its own

Cause: jobs, attempts and answers know no protocol, but stood as a module among the fronts, where nothing kept them from importing one. Change: crates/core (indigofold-core) with the module's files and its two test files; it depends on the decision module only.

--- a/crates/indigofold/src/core/actor.rs
+++ b/crates/core/src/actor.rs
@@ -4,10 +4,10 @@
 use super::engine::Engine;
 use super::metrics::Metrics;
 use super::{CoreInput, Settings, Transport};
-use crate::api::Time;
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Timer;
 use futures_lite::FutureExt;
+use indigofold_decisions::api::Time;
 use std::rc::Rc;
 
 /// Messages that may wait for the module; fronts wait beyond that.
--- a/crates/indigofold/src/core/clock.rs
+++ b/crates/core/src/clock.rs
@@ -1,7 +1,7 @@
 //! The clock: Unix time in microseconds that never runs backwards, so that a machine's start, reported in
 //! Unix time, can be compared with it.
 
-use crate::api::Time;
+use indigofold_decisions::api::Time;
 use std::time::{Instant, SystemTime};
 
 /// Reads the system's clock once and counts on from there.
--- a/crates/indigofold/src/core/engine.rs
+++ b/crates/core/src/engine.rs
@@ -6,10 +6,10 @@
 use super::job_table::JobTable;
 use super::metrics::Metrics;
 use super::{CoreInput, JobId, Released, Settings, StatisticsScope, Transport};
-use crate::api::{self, Action, Event, Time};
-use crate::dispatcher::{Dispatcher, WorkerCounts};
-use crate::statistics::Statistics;
-use crate::transferred_job::TransferredJob;
+use indigofold_decisions::api::{self, Action, Event, Time};
+use indigofold_decisions::dispatcher::{Dispatcher, WorkerCounts};
+use indigofold_decisions::statistics::Statistics;
+use indigofold_decisions::transferred_job::TransferredJob;
 use std::collections::BTreeSet;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
--- a/crates/indigofold/src/core/job_table.rs
+++ b/crates/core/src/job_table.rs
@@ -4,8 +4,10 @@
 use super::{
     Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Reply, Transport,
 };
-use crate::api::{Action, ClassId, Event, Load, Request, Scope, Status, Time, WorkerId};
-use crate::transferred_job::{self, TransferredJob};
+use indigofold_decisions::api::{
+    Action, ClassId, Event, Load, Request, Scope, Status, Time, WorkerId,
+};
+use indigofold_decisions::transferred_job::{self, TransferredJob};
 use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/crates/indigofold/src/core.rs
+++ b/crates/core/src/lib.rs
@@ -1,5 +1,9 @@
-//! The core: jobs, attempts and the one answer that each job gets. It knows no protocol: no bytes, no sockets, no
-//! JSON. A front reports what happened ([`CoreInput`]) and carries out what it asks for ([`Transport`]).
+//! The core of the single-process scheduler: jobs, attempts and the one answer that each job gets. It knows no protocol:
+//! no bytes, no sockets, no JSON. A front reports what happened ([`CoreInput`]) and carries out what it asks for
+//! ([`Transport`]). [`engine`] drives the decision module, [`job_table`] keeps the open jobs, [`actor`] feeds the engine
+//! from a queue.
+
+#![forbid(unsafe_code)]
 
 pub mod actor;
 pub mod clock;
@@ -7,10 +11,10 @@
 pub mod job_table;
 pub mod metrics;
 
-use crate::api::{Entry, Load, Request, RequestId, Scope, Status, Time, WorkerId};
-use crate::statistics::Statistics;
-use crate::transferred_job::TransferredJob;
 use async_channel::Sender;
+use indigofold_decisions::api::{Entry, Load, Request, RequestId, Scope, Status, Time, WorkerId};
+use indigofold_decisions::statistics::Statistics;
+use indigofold_decisions::transferred_job::TransferredJob;
 
 /// A job's number, unique in one process.
 pub type JobId = RequestId;
@@ -76,7 +80,7 @@
     /// An update of the membership.
     Membership(Scope, Vec<Entry>),
     /// Other settings of the module from now on.
-    Settings(Box<crate::api::Settings>),
+    Settings(Box<indigofold_decisions::api::Settings>),
     /// The statistics of another process of this scheduler, under this one's ids.
     Statistics(Box<Statistics<u32>>),
     /// An open job is asked for, to be given away: it is forgotten here. `None` where it cannot go now: something has
@@ -160,7 +164,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Those of the decision module.
-    pub module: crate::api::Settings,
+    pub module: indigofold_decisions::api::Settings,
     /// Random numbers start here.
     pub seed: u64,
     /// How long before the client's time is up a job is answered at the latest.
--- a/crates/indigofold/src/core/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics: each event is counted once, where it happens, and no counter is reset.
 
-use crate::api::ClassId;
-use crate::dispatcher::WorkerCounts;
+use indigofold_decisions::api::ClassId;
+use indigofold_decisions::dispatcher::WorkerCounts;
 use std::cell::{Cell, RefCell};
 
 /// How a job ended.
--- a/crates/indigofold/tests/job_table.rs
+++ b/crates/core/tests/job_table.rs
@@ -1,12 +1,12 @@
 //! One answer each, in time.
 
 use async_channel::{Receiver, bounded};
-use indigofold::api::Request;
-use indigofold::api::{Action, Status, Time, WorkerId};
-use indigofold::core::job_table::JobTable;
-use indigofold::core::{
+use indigofold_core::job_table::JobTable;
+use indigofold_core::{
     Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Reply, Transport,
 };
+use indigofold_decisions::api::Request;
+use indigofold_decisions::api::{Action, Status, Time, WorkerId};
 use std::cell::RefCell;
 use std::rc::Rc;
 
--- a/crates/indigofold/tests/replacement.rs
+++ b/crates/core/tests/replacement.rs
@@ -1,12 +1,12 @@
 //! Replacements of many schedulers in virtual time: each has an engine that is replaced, again and again, while its jobs
 //! are open, with workers that fail, lose jobs and fall silent. What must hold always is checked over all of them.
 
-use indigofold::api::*;
-use indigofold::core::engine::Engine;
-use indigofold::core::{
+use indigofold_core::engine::Engine;
+use indigofold_core::{
     Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Reply, Settings,
     StatisticsScope, Transport,
 };
+use indigofold_decisions::api::*;
 use proptest::prelude::*;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -167,7 +167,7 @@
     fn log_event(&self, _: &str) {}
 }
 
-fn engine(settings: &indigofold::api::Settings, now: Time, seed: u64) -> Engine {
+fn engine(settings: &indigofold_decisions::api::Settings, now: Time, seed: u64) -> Engine {
     Engine::new(
         Settings {
             module: settings.clone(),
--- a/crates/indigofold/src/admin.rs
+++ b/crates/indigofold/src/admin.rs
@@ -1,13 +1,13 @@
 //! The admin endpoint: a listener of its own, one request a connection, one answer. It shares neither descriptors nor
 //! buffers with the fronts, so that what happens there does not delay an answer here.
 
-use crate::core::metrics::Metrics;
 use crate::dispatcher::WorkerCounts;
 use crate::front::Lifecycle;
 use crate::net::{Net, log};
 use async_executor::Task;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use indigofold_core::metrics::Metrics;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fmt::Write;
--- a/crates/indigofold/src/front/faktory.rs
+++ b/crates/indigofold/src/front/faktory.rs
@@ -8,15 +8,15 @@
 use super::Lifecycle;
 use crate::api::{Entry, Request, Scope, Status, Time, WorkerId, WorkerState};
 use crate::config::{self, Faktory as File};
-use crate::core::actor::Mailbox;
-use crate::core::clock::Clock;
-use crate::core::{
-    Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Reply, Transport,
-};
 use crate::net::buffer::Buffer;
 use crate::net::{Net, log};
 use async_channel::{Sender, bounded};
 use async_io::Timer;
+use indigofold_core::actor::Mailbox;
+use indigofold_core::clock::Clock;
+use indigofold_core::{
+    Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Reply, Transport,
+};
 use machine::{Machine, Order};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
--- a/crates/indigofold/src/front/faktory/machine.rs
+++ b/crates/indigofold/src/front/faktory/machine.rs
@@ -3,11 +3,11 @@
 
 use super::{Faktory, Parcel};
 use crate::api::{Entry, Scope, Status, Time, WorkerState};
-use crate::core::{Attempt, CoreInput};
 use crate::net::log;
 use async_channel::{Receiver, RecvError, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
+use indigofold_core::{Attempt, CoreInput};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
--- a/crates/indigofold/src/front/platform.rs
+++ b/crates/indigofold/src/front/platform.rs
@@ -10,16 +10,16 @@
 use super::Lifecycle;
 use crate::api::{Entry, Status, WorkerId, WorkerState};
 use crate::config::{self, JobReport, Machine as ListedMachine, MembershipUpdate, Site};
-use crate::core::actor::Mailbox;
-use crate::core::clock::Clock;
-use crate::core::metrics::Metrics;
-use crate::core::{
-    Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Transport,
-};
 use crate::net::buffer::Buffer;
 use crate::net::{Net, log};
 use async_channel::{Sender, TrySendError, WeakSender, bounded};
 use futures_lite::future::yield_now;
+use indigofold_core::actor::Mailbox;
+use indigofold_core::clock::Clock;
+use indigofold_core::metrics::Metrics;
+use indigofold_core::{
+    Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Transport,
+};
 use peer_process::PeerProcess;
 use simd_json::prelude::{ValueAsScalar, Writable};
 use std::cell::{Cell, RefCell};
--- a/crates/indigofold/src/front/platform/clients/parsing.rs
+++ b/crates/indigofold/src/front/platform/clients/parsing.rs
@@ -2,10 +2,10 @@
 
 use crate::api::{ClassId, Effect, Request, Time};
 use crate::config::{self, JobReport, Site};
-use crate::core::metrics::End;
 use crate::front::platform::Platform;
 use crate::net::buffer::Buffer;
 use crate::net::http::{Frame, Head, Kind};
+use indigofold_core::metrics::End;
 use std::io::Write;
 
 /// Headers of a job that may stand there once.
--- a/crates/indigofold/src/front/platform/membership.rs
+++ b/crates/indigofold/src/front/platform/membership.rs
@@ -7,11 +7,11 @@
 use super::Platform;
 use crate::api::Scope;
 use crate::config::MembershipUpdate;
-use crate::core::{CoreInput, MembershipRequest};
 use crate::net::{Reason, log};
 use async_channel::{Receiver, RecvError};
 use discovery_client::DiscoveryClient;
 use futures_lite::FutureExt;
+use indigofold_core::{CoreInput, MembershipRequest};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use schedule::{
--- a/crates/indigofold/src/front/platform/peer_process.rs
+++ b/crates/indigofold/src/front/platform/peer_process.rs
@@ -2,10 +2,10 @@
 
 use super::Platform;
 use crate::config::{JobReport, Names};
-use crate::core::{CoreInput, StatisticsScope};
 use crate::net::log;
 use crate::statistics::Statistics;
 use async_channel::{Receiver, Sender, bounded};
+use indigofold_core::{CoreInput, StatisticsScope};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::TcpStream;
--- a/crates/indigofold/src/front/platform/workers.rs
+++ b/crates/indigofold/src/front/platform/workers.rs
@@ -2,8 +2,6 @@
 
 use super::{Parcel, Platform};
 use crate::api::{Load, Status, WorkerId};
-use crate::core::metrics::add;
-use crate::core::{Attempt, AttemptId, CoreInput};
 use crate::net::buffer::Buffer;
 use crate::net::http::{Head, Kind};
 use crate::net::{Reason, within};
@@ -13,6 +11,8 @@
 pub use attempt::{AttemptState, Stage};
 use connections::WorkerConnections;
 use futures_lite::FutureExt;
+use indigofold_core::metrics::add;
+use indigofold_core::{Attempt, AttemptId, CoreInput};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::Write;
--- a/crates/indigofold/src/handover.rs
+++ b/crates/indigofold/src/handover.rs
@@ -4,7 +4,6 @@
 //! A frame on the link is a byte that names it, the length of its payload (four bytes, little-endian), and the payload.
 
 use crate::config::{self, JobReport};
-use crate::core::StatisticsScope;
 use crate::front::platform::Platform;
 use crate::front::platform::peer_process::{HandoverMessage, PeerProcess};
 use crate::net::{Reason, log, within};
@@ -12,6 +11,7 @@
 use async_executor::Task;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, FutureExt};
+use indigofold_core::StatisticsScope;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags, recvmsg, sendmsg,
--- a/crates/indigofold/src/lib.rs
+++ b/crates/indigofold/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`dispatcher::Dispatcher`] is the decision module. It takes [`api::Event`]s and answers with
 //! [`api::Action`]s; it does no I/O and reads no clock. [`wire`] translates a text protocol for the simulator.
-//! Around the module are [`core`], which knows no protocol, [`net`] and the fronts in [`front`];
+//! Around the module are [`indigofold_core`], which knows no protocol, [`net`] and the fronts in [`front`];
 //! operators call at the [`admin`], [`handover`] replaces the process, and [`program`] connects the parts.
 
 #![forbid(unsafe_code)]
@@ -10,7 +10,6 @@
 
 pub mod admin;
 pub mod config;
-pub mod core;
 pub mod front;
 pub mod handover;
 pub mod net;
--- a/crates/indigofold/src/wire/instance.rs
+++ b/crates/indigofold/src/wire/instance.rs
@@ -5,9 +5,9 @@
     Action, Entry, Event, Load, Request, RequestId, Status, Time, WorkerId, WorkerState,
 };
 use crate::config::{self, Site};
-use crate::core::engine::Module;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use indigofold_core::engine::Module;
 use rustc_hash::FxHashMap;
 use std::fmt::Write;
 
--- a/crates/replay/src/baseline.rs
+++ b/crates/replay/src/baseline.rs
@@ -10,7 +10,7 @@
 use crate::scenario::Micros;
 use indigofold::affinity;
 use indigofold::api::{Effect, Entry, Request, Scope, Settings, Status, WorkerId, WorkerState};
-use indigofold::core::{Answer, Attempt, AttemptId, CoreInput, JobId, Transport};
+use indigofold_core::{Answer, Attempt, AttemptId, CoreInput, JobId, Transport};
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
--- a/crates/replay/src/virtual_time/clients.rs
+++ b/crates/replay/src/virtual_time/clients.rs
@@ -7,7 +7,7 @@
 use crate::load::Arrival;
 use crate::scenario::Micros;
 use crate::service::{EndedJob, JobEnd};
-use indigofold::core::JobId;
+use indigofold_core::JobId;
 use smallvec::SmallVec;
 
 /// A client's job.
--- a/crates/replay/src/virtual_time/discovery.rs
+++ b/crates/replay/src/virtual_time/discovery.rs
@@ -6,7 +6,7 @@
 use crate::scenario::Micros;
 use crate::worker::id;
 use indigofold::api::{Entry, Scope, WorkerState};
-use indigofold::core::CoreInput;
+use indigofold_core::CoreInput;
 
 /// What discovery knows of a worker.
 #[derive(Clone, Copy)]
--- a/crates/replay/src/virtual_time/events.rs
+++ b/crates/replay/src/virtual_time/events.rs
@@ -5,7 +5,7 @@
 use crate::scenario::Micros;
 use crate::worker::{self, RunId};
 use indigofold::api::{Status, WorkerState};
-use indigofold::core::JobId;
+use indigofold_core::JobId;
 
 /// Something that happens at a time. Schedulers, workers and faults are numbers from 0, client jobs are slots.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/replay/src/virtual_time/schedulers.rs
+++ b/crates/replay/src/virtual_time/schedulers.rs
@@ -9,8 +9,8 @@
 use crate::worker::{self, RunId, id};
 use indigofold::api::{Load, Request, Status, WorkerId};
 use indigofold::config::subject;
-use indigofold::core::engine::Engine;
-use indigofold::core::{
+use indigofold_core::engine::Engine;
+use indigofold_core::{
     Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Reply, Transport,
 };
 use std::cell::RefCell;
--- a/crates/replay/tests/baseline.rs
+++ b/crates/replay/tests/baseline.rs
@@ -1,7 +1,7 @@
 //! Baseline schedulers: where attempts go, and when jobs are answered.
 
 use indigofold::api::{Effect, Entry, Request, Scope, Settings, Status, WorkerId, WorkerState};
-use indigofold::core::{
+use indigofold_core::{
     Answer, Attempt, AttemptId, CoreInput, GivenUp, JobId, MembershipRequest, Reply, Transport,
 };
 use indigofold_replay::baseline::{BaselineScheduler, Policy};
