Fronts: private fields of Platform and Faktory behind methods

Cause: the handover, the reload and the program read and wrote the fields of both fronts. Change: net, lifecycle, metrics, has_membership, longest_deadline and class_names in their place.

--- a/crates/indigofold/src/front/faktory.rs
+++ b/crates/indigofold/src/front/faktory.rs
@@ -54,19 +54,19 @@
 /// State that the actors of this front share.
 pub struct Faktory {
     /// The network.
-    pub net: Net,
+    net: Net,
     /// The clock.
-    pub clock: Clock,
+    clock: Clock,
     /// The program's lifecycle.
-    pub lifecycle: Rc<Lifecycle>,
+    lifecycle: Rc<Lifecycle>,
     /// The operator's file.
-    pub file: File,
+    file: File,
     /// The way to the core.
-    pub core: Mailbox,
+    core: Mailbox,
     /// When the front was set up.
-    pub since: Time,
+    since: Time,
     /// Commands taken, jobs served, jobs failed.
-    pub counts: [Cell<u64>; 3],
+    counts: [Cell<u64>; 3],
     parcels: RefCell<HashMap<JobId, Rc<Parcel>>>,
     known: RefCell<HashMap<String, JobState>>,
     answered: RefCell<VecDeque<String>>, // job ids with an answer, the oldest first
--- a/crates/indigofold/src/front/platform.rs
+++ b/crates/indigofold/src/front/platform.rs
@@ -8,7 +8,7 @@
 pub mod workers;
 
 use super::Lifecycle;
-use crate::api::{Entry, Status, WorkerId, WorkerState};
+use crate::api::{Entry, Status, Time, WorkerId, WorkerState};
 use crate::config::{self, JobReport, Machine as ListedMachine, MembershipUpdate, Site};
 use crate::net::buffer::Buffer;
 use crate::net::{Net, log};
@@ -63,19 +63,19 @@
 /// State that the actors of this front share.
 pub struct Platform {
     /// The network.
-    pub net: Net,
+    net: Net,
     /// The clock.
-    pub clock: Clock,
+    clock: Clock,
     /// The site and its names.
-    pub site: RefCell<Site>,
+    site: RefCell<Site>,
     /// The way to the core.
-    pub core: Mailbox,
+    core: Mailbox,
     /// There is a membership, so that jobs can be sent.
-    pub ready: Cell<bool>,
+    ready: Cell<bool>,
     /// The program's lifecycle.
-    pub lifecycle: Rc<Lifecycle>,
+    lifecycle: Rc<Lifecycle>,
     /// What is counted.
-    pub metrics: Rc<Metrics>,
+    metrics: Rc<Metrics>,
     parcels: RefCell<HashMap<JobId, Rc<Parcel>>>,
     traces: RefCell<HashMap<String, JobId>>,
     next_job: Cell<JobId>,
@@ -160,6 +160,37 @@
         *self.site.borrow_mut() = site;
     }
 
+    /// The network.
+    pub fn net(&self) -> &Net {
+        &self.net
+    }
+
+    /// The program's lifecycle.
+    pub fn lifecycle(&self) -> &Rc<Lifecycle> {
+        &self.lifecycle
+    }
+
+    /// What is counted.
+    pub fn metrics(&self) -> &Rc<Metrics> {
+        &self.metrics
+    }
+
+    /// Whether there is a membership, so that jobs can be sent.
+    pub fn has_membership(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// The longest deadline of the site's classes.
+    pub fn longest_deadline(&self) -> Time {
+        self.site.borrow().longest_deadline()
+    }
+
+    /// The names of the site's classes, by id.
+    pub fn class_names(&self) -> Vec<String> {
+        let site = self.site.borrow();
+        site.classes.all().map(str::to_string).collect()
+    }
+
     /// Jobs whose answer is reply or on its way.
     pub fn open_jobs(&self) -> usize {
         self.parcels.borrow().len()
--- a/crates/indigofold/src/handover.rs
+++ b/crates/indigofold/src/handover.rs
@@ -220,14 +220,14 @@
         };
         let (peer, messages) = self.front.add_peer();
         let (this, old) = (self.clone(), peer.clone());
-        self.front.net.spawn(async move {
+        self.front.net().spawn(async move {
             // The old one's first statistics show that it knows such messages.
             this.exchange_messages(&link, &old, messages, false).await;
             this.front.remove_peer(&old);
             log("handover: the old process has ended");
-            this.front.net.set_limits(this.limits.0, this.limits.1);
+            this.front.net().set_limits(this.limits.0, this.limits.1);
         });
-        while !self.front.ready.get() {
+        while !self.front.has_membership() {
             Timer::after(CHECK_INTERVAL).await;
         }
         self.open();
@@ -238,7 +238,7 @@
 
     fn open(&self) {
         self.accepting.replace((self.accept)());
-        self.front.lifecycle.accepting.set(true);
+        self.front.lifecycle().accepting.set(true);
     }
 
     /// Answers a new process from now on, in place of whoever did so before. What an ended process has left is
@@ -264,10 +264,10 @@
             }
         };
         let this = self.clone();
-        let answering = self.front.net.spawn_scoped(async move {
+        let answering = self.front.net().spawn_scoped(async move {
             loop {
                 match listener.accept().await {
-                    Ok((link, _)) => this.front.net.spawn(this.clone().serve_successor(link)),
+                    Ok((link, _)) => this.front.net().spawn(this.clone().serve_successor(link)),
                     Err(_) => _ = Timer::after(ANSWER_TIMEOUT).await,
                 }
             }
@@ -286,11 +286,11 @@
         let Ok((b'H', capabilities)) = hello else {
             return;
         };
-        if self.front.lifecycle.superseded.get() {
+        if self.front.lifecycle().superseded.get() {
             return;
         }
         // Both together stay within the limits; this one keeps what it has, and a few for new connections.
-        let (net, lifecycle) = (&self.front.net, &self.front.lifecycle);
+        let (net, lifecycle) = (self.front.net(), self.front.lifecycle());
         let mine = (net.set.descriptors() + SPARE_DESCRIPTORS).min(self.limits.0 * 3 / 4);
         let descriptors = self.limits.0 - mine;
         if self.send_listeners(&link, descriptors).await.is_err() {
@@ -350,7 +350,7 @@
 
     /// The new process serves: this one takes nobody new, and closes what it has, each connection after its answer.
     fn stop_accepting(&self) {
-        let lifecycle = &self.front.lifecycle;
+        let lifecycle = self.front.lifecycle();
         if lifecycle.superseded.replace(true) {
             return;
         }
@@ -358,8 +358,8 @@
         self.accepting.take();
         self.answering.take();
         log("handover: the new process serves");
-        let (set, since) = (self.front.net.set.clone(), Instant::now());
-        let closing = self.front.net.spawn_scoped(async move {
+        let (set, since) = (self.front.net().set.clone(), Instant::now());
+        let closing = self.front.net().spawn_scoped(async move {
             loop {
                 set.evict_idle_clients(if since.elapsed() > CLOSE_ALL_IDLE_AFTER {
                     Duration::ZERO
--- a/crates/indigofold/src/program.rs
+++ b/crates/indigofold/src/program.rs
@@ -192,7 +192,7 @@
         let (jobs, site, accept) = (front.clone(), front.clone(), front.clone());
         self.open_jobs.push(Box::new(move || jobs.open_jobs()));
         self.longest_deadlines
-            .push(Box::new(move || site.site.borrow().longest_deadline()));
+            .push(Box::new(move || site.longest_deadline()));
         self.listeners.push(("platform", listener.clone()));
         self.accepts.push(Box::new(move |net| {
             net.spawn_scoped(clients::listen(accept.clone(), listener.clone()))
--- a/crates/indigofold/src/program/platform.rs
+++ b/crates/indigofold/src/program/platform.rs
@@ -78,7 +78,7 @@
         Err(why) if replaces => {
             log(format_args!("door: {why}, tried again"));
             let (front, address) = (front.clone(), address.to_string());
-            front.net.clone().spawn(async move {
+            front.net().clone().spawn(async move {
                 let listener = loop {
                     Timer::after(RETRY_INTERVAL).await;
                     if let Ok(listener) = bind(&address) {
@@ -100,23 +100,17 @@
         listener.get_ref().local_addr()?
     ));
     let (net, lifecycle, metrics) = (
-        front.net.clone(),
-        front.lifecycle.clone(),
-        front.metrics.clone(),
+        front.net().clone(),
+        front.lifecycle().clone(),
+        front.metrics().clone(),
     );
     let (serving, named) = (front.clone(), front.clone());
     let serves = Box::new(move || {
-        serving.ready.get() && serving.lifecycle.accepting.get() && !serving.lifecycle.drained.get()
-    });
-    let classes = Box::new(move || {
-        named
-            .site
-            .borrow()
-            .classes
-            .all()
-            .map(str::to_string)
-            .collect()
+        serving.has_membership()
+            && serving.lifecycle().accepting.get()
+            && !serving.lifecycle().drained.get()
     });
+    let classes = Box::new(move || named.class_names());
     let admin = AdminEndpoint {
         net,
         lifecycle,
@@ -125,6 +119,6 @@
         classes,
         draining: RefCell::default(),
     };
-    front.net.spawn(admin::listen(Rc::new(admin), listener));
+    front.net().spawn(admin::listen(Rc::new(admin), listener));
     Ok(())
 }
--- a/crates/indigofold/src/program/reload.rs
+++ b/crates/indigofold/src/program/reload.rs
@@ -13,15 +13,15 @@
 /// as it was.
 pub(super) async fn reload(mut hangups: Signals, front: Rc<Platform>, mut used: config::Platform) {
     while hangups.next().await.is_some() {
-        let (applied, rejected) = front.metrics.config_files.get();
+        let (applied, rejected) = front.metrics().config_files.get();
         match reread(&used) {
             Err(why) => {
-                front.metrics.config_files.set((applied, rejected + 1));
+                front.metrics().config_files.set((applied, rejected + 1));
                 log(format_args!("reload failed, all stays as it was: {why}"));
             }
             Ok((discovery, new)) => {
                 apply(&front, &used, &new, discovery).await;
-                front.metrics.config_files.set((applied + 1, rejected));
+                front.metrics().config_files.set((applied + 1, rejected));
                 used = new;
             }
         }
