Text protocol of the simulator's adapter: typed errors

Change: LineError (snafu), one variant a kind of fault with message, field and what is allowed; WireError has the line and the source. Texts now name the field in one form (field 'scope' must be D, F, C or X, got ...).

--- a/crates/indigofold/src/wire.rs
+++ b/crates/indigofold/src/wire.rs
@@ -6,31 +6,21 @@
 
 use crate::api::{Action, Entry, Event, Scope, Time};
 use crate::config::Site;
+use error::{
+    EndInBatchSnafu, NoInstanceSnafu, OutOfRangeSnafu, OutsideBatchSnafu, RowExpectedSnafu,
+    RowOutsideListSnafu, SettingsSnafu, TickInBatchSnafu, WireSnafu,
+};
+pub use error::{LineError, WireError};
 use fields::{Fields, Parse, head};
 use instance::Instance;
+use snafu::{OptionExt, ResultExt, ensure};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
+mod error;
 mod fields;
 mod instance;
 
-/// A line that could not be understood.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WireError {
-    /// Number of the line, from 1.
-    pub line: u64,
-    /// What was expected.
-    pub message: String,
-}
-
-impl std::fmt::Display for WireError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "line {}: {}", self.line, self.message)
-    }
-}
-
-impl std::error::Error for WireError {}
-
 struct PendingMembership {
     scope: Scope,
     left: u64,
@@ -133,14 +123,12 @@
     ///
     /// [`WireError`] if the input stops inside a batch.
     pub fn finish(&self) -> Result<(), WireError> {
-        if self.in_batch {
-            let message = "input ended inside a batch; expected EOB".to_string();
-            return Err(WireError {
-                line: self.line,
-                message,
-            });
-        }
-        Ok(())
+        let end = if self.in_batch {
+            EndInBatchSnafu.fail()
+        } else {
+            Ok(())
+        };
+        end.context(WireSnafu { line: self.line })
     }
 
     /// Takes one line (without its line break). Returns the reply when the line ends a batch.
@@ -154,10 +142,8 @@
         if text.is_empty() {
             return Ok(None);
         }
-        self.message(text).map_err(|message| WireError {
-            line: self.line,
-            message,
-        })
+        let reply = self.message(text);
+        reply.context(WireSnafu { line: self.line })
     }
 
     fn warn(&mut self, about: String) {
@@ -180,12 +166,11 @@
             self.begin_batch(&fields)?;
             return Ok(None);
         }
-        if !self.in_batch {
-            return Err(format!("{name} outside a batch; expected TICK"));
-        }
-        if self.pending_list.is_some() && name != "ROW" {
-            return Err(format!("{name} where a ROW of the list was expected"));
-        }
+        ensure!(self.in_batch, OutsideBatchSnafu { message: name });
+        ensure!(
+            self.pending_list.is_none() || name == "ROW",
+            RowExpectedSnafu { message: name }
+        );
         match name {
             "EOB" => {
                 self.in_batch = false;
@@ -199,11 +184,13 @@
     }
 
     fn begin_batch(&mut self, fields: &Fields) -> Parse<()> {
-        if self.in_batch {
-            return Err("TICK inside a batch; expected EOB first".into());
-        }
-        let now = u64::try_from(fields.need_integer("wall")?)
-            .map_err(|_| "TICK: field 'wall' must not be negative".to_string())?;
+        ensure!(!self.in_batch, TickInBatchSnafu);
+        let now = u64::try_from(fields.need_integer("wall")?).ok();
+        let now = now.context(OutOfRangeSnafu {
+            message: fields.message,
+            field: "wall",
+            allowed: "0 to 2^63 - 1",
+        })?;
         self.now = self.now.max(now);
         self.in_batch = true;
         self.current = None;
@@ -214,9 +201,7 @@
     /// A message for the instance that the batch has named last.
     fn instance_message(&mut self, fields: &Fields) -> Parse<()> {
         let name = fields.message;
-        let who = self
-            .current
-            .ok_or_else(|| format!("{name} before any INSTANCE line of its batch"))?;
+        let who = self.current.context(NoInstanceSnafu { message: name })?;
         match name {
             "BOOT" => return self.boot(who, fields),
             "CRASH_NOW" => {
@@ -247,14 +232,11 @@
 
     fn boot(&mut self, who: u32, fields: &Fields) -> Parse<()> {
         let seed = fields.need("randomSeed")?;
-        let seed = seed.parse::<i128>().map_err(|_| {
-            format!(
-                "BOOT: field 'randomSeed' must be an integer, got '{}'",
-                head(seed)
-            )
-        })? as u64;
+        let seed =
+            seed.parse::<i128>()
+                .map_err(|_| fields.invalid("randomSeed", "an integer", seed))? as u64;
         let env = fields.need("env")?.as_bytes().to_vec();
-        let site = Site::read(env).map_err(|e| format!("BOOT: {e}"))?;
+        let site = Site::read(env).context(SettingsSnafu)?;
         self.instances
             .insert(who, Instance::new(site, seed, self.now));
         Ok(())
@@ -268,10 +250,7 @@
             "C" => Scope::Cached,
             "X" => Scope::Failed,
             other => {
-                return Err(format!(
-                    "REGISTRY: scope must be D, F, C or X, got '{}'",
-                    head(other)
-                ));
+                return Err(fields.invalid("scope", "D, F, C or X", other));
             }
         };
         let (left, entries) = (fields.time("hosts")?, Vec::new());
@@ -288,9 +267,7 @@
 
     /// Adds a row; the last one completes the membership.
     fn add_row(&mut self, entry: Entry) -> Parse<Option<Event>> {
-        let Some(pending) = &mut self.pending_list else {
-            return Err("ROW outside a list".into());
-        };
+        let pending = self.pending_list.as_mut().context(RowOutsideListSnafu)?;
         pending.entries.push(entry);
         pending.left -= 1;
         if pending.left > 0 {
--- a/crates/indigofold/src/wire/fields.rs
+++ b/crates/indigofold/src/wire/fields.rs
@@ -1,7 +1,9 @@
 //! One line of the protocol, taken apart into its message and its fields.
 
+use super::error::{InvalidFieldSnafu, LineError, MissingFieldSnafu, NoPairSnafu, OutOfRangeSnafu};
 use crate::ids::Time;
 use smallvec::SmallVec;
+use snafu::{OptionExt, ensure};
 
 /// The fields of one line.
 pub(super) struct Fields<'a> {
@@ -9,7 +11,7 @@
     pairs: SmallVec<[(&'a str, &'a str); 12]>,
 }
 
-pub(super) type Parse<T> = Result<T, String>;
+pub(super) type Parse<T> = Result<T, LineError>;
 
 impl<'a> Fields<'a> {
     pub(super) fn new(text: &'a str) -> Parse<Self> {
@@ -24,12 +26,10 @@
                 .bytes()
                 .position(|b| b == b'=' || b == b' ')
                 .unwrap_or(0);
-            if end == 0 || rest.as_bytes()[end] != b'=' {
-                return Err(format!(
-                    "{message}: expected name=value, got '{}'",
-                    head(rest)
-                ));
-            }
+            ensure!(
+                end > 0 && rest.as_bytes()[end] == b'=',
+                NoPairSnafu { message, got: rest }
+            );
             let (name, after) = (&rest[..end], &rest[end + 1..]);
             // A text or object value runs to the end of the line.
             let runs_on = name == "env" || name == "noteText";
@@ -50,8 +50,21 @@
     }
 
     pub(super) fn need(&self, name: &str) -> Parse<&'a str> {
-        self.text(name)
-            .ok_or_else(|| format!("{}: missing field '{name}'", self.message))
+        self.text(name).context(MissingFieldSnafu {
+            message: self.message,
+            field: name,
+        })
+    }
+
+    /// The error of a field whose value is none of those allowed.
+    pub(super) fn invalid(&self, field: &str, allowed: &'static str, got: &str) -> LineError {
+        InvalidFieldSnafu {
+            message: self.message,
+            field,
+            allowed,
+            got,
+        }
+        .build()
     }
 
     pub(super) fn number(&self, name: &str) -> Parse<Option<f64>> {
@@ -59,12 +72,8 @@
             return Ok(None);
         };
         match text.parse::<f64>() {
-            Ok(v) if v.is_finite() => Ok(Some(v)),
-            _ => Err(format!(
-                "{}: field '{name}' must be a number, got '{}'",
-                self.message,
-                head(text)
-            )),
+            Ok(value) if value.is_finite() => Ok(Some(value)),
+            _ => Err(self.invalid(name, "a number", text)),
         }
     }
 
@@ -73,12 +82,8 @@
             return Ok(None);
         };
         match text.parse::<i64>() {
-            Ok(v) => Ok(Some(v)),
-            Err(_) => Err(format!(
-                "{}: field '{name}' must be an integer, got '{}'",
-                self.message,
-                head(text)
-            )),
+            Ok(value) => Ok(Some(value)),
+            Err(_) => Err(self.invalid(name, "an integer", text)),
         }
     }
 
@@ -88,8 +93,12 @@
     }
 
     pub(super) fn small(&self, name: &str) -> Parse<u32> {
-        u32::try_from(self.need_integer(name)?)
-            .map_err(|_| format!("{}: field '{name}' must lie in 0 to 2^32 - 1", self.message))
+        let value = u32::try_from(self.need_integer(name)?).ok();
+        value.context(OutOfRangeSnafu {
+            message: self.message,
+            field: name,
+            allowed: "0 to 2^32 - 1",
+        })
     }
 
     pub(super) fn time(&self, name: &str) -> Parse<Time> {
--- a/crates/indigofold/src/wire/instance.rs
+++ b/crates/indigofold/src/wire/instance.rs
@@ -1,6 +1,6 @@
 //! One instance: lines to events, actions to lines, and the names of its requests.
 
-use super::fields::{Fields, Parse, head};
+use super::fields::{Fields, Parse};
 use crate::api::{
     Action, Entry, Event, Load, Request, RequestId, Status, Time, WorkerId, WorkerState,
 };
@@ -47,11 +47,8 @@
                 "active" => WorkerState::Active,
                 "leaving" => WorkerState::Draining,
                 "left" => WorkerState::Left,
-                o => {
-                    return Err(format!(
-                        "ROW: stageState must be active, leaving or left, got '{}'",
-                        head(o)
-                    ));
+                other => {
+                    return Err(f.invalid("stageState", "active, leaving or left", other));
                 }
             },
             power: f.number("powerHint")?.unwrap_or(1.0),
@@ -65,13 +62,7 @@
         };
         let mut load = Load::default();
         for pair in text.split(',').filter(|p| !p.is_empty() && *p != "-") {
-            let bad = || {
-                format!(
-                    "{}: feedback must be name:value pairs, got '{}'",
-                    f.message,
-                    head(pair)
-                )
-            };
+            let bad = || f.invalid("feedback", "name:value pairs", pair);
             let (name, value) = pair.split_once(':').ok_or_else(bad)?;
             let value = value
                 .parse::<f64>()
@@ -107,13 +98,10 @@
             }
             "DUE" => {
                 let text = f.need("name")?;
-                let bad = |_| {
-                    format!(
-                        "DUE: field 'name' must be a whole number, got '{}'",
-                        head(text)
-                    )
-                };
-                Some(Event::Timer(text.parse::<u64>().map_err(bad)?))
+                let timer = text.parse::<u64>();
+                Some(Event::Timer(
+                    timer.map_err(|_| f.invalid("name", "a whole number", text))?,
+                ))
             }
             "ECHO" => Some(Event::Probed {
                 worker: f.small("worker")?,
@@ -294,7 +282,7 @@
         "-" => Vec::new(),
         text => STANDARD
             .decode(text)
-            .map_err(|_| "MAIL: field 'content' must be base64".to_string())?,
+            .map_err(|_| f.invalid("content", "base64", text))?,
     };
     let entry = |b: &[u8]| (u32::from_le_bytes([b[0], b[1], b[2], b[3]]), b[4]);
     let in_flight = bytes.chunks_exact(5).map(entry).collect();
@@ -314,12 +302,6 @@
         "R" => Status::Reset,
         "X" => Status::Cancelled,
         "N" => Status::Moot,
-        o => {
-            return Err(format!(
-                "{}: result must be one of S E F T C R X N, got '{}'",
-                f.message,
-                head(o)
-            ));
-        }
+        other => return Err(f.invalid("result", "one of S E F T C R X N", other)),
     })
 }
--- a/crates/indigofold/tests/wire.rs
+++ b/crates/indigofold/tests/wire.rs
@@ -347,7 +347,8 @@
                 Ok(reply) => prop_assert!(!reply.unwrap_or_default().contains("FAULT"), "{line}"),
                 Err(error) => {
                     prop_assert_eq!(error.line, 7 + n as u64, "{}", line);
-                    prop_assert!(!error.message.is_empty() && !error.message.contains('\n'), "{}", error);
+                    let message = error.source.to_string();
+                    prop_assert!(!message.is_empty() && !message.contains('\n'), "{}", error);
                     return Ok(());
                 }
             }
