Dispatcher: queues, reviews, overhead, displacement and weights as parts with private state

Cause: 30 fields of one record, open to 18 files, so that nothing showed which file changes which. Change: RequestQueues, Reviews, Overhead, Displacement, WaitWindow, ConnectionTrust, KindWeights and MembershipRequest own their fields and change them by their own methods. Every expression is as it was.

--- a/crates/decisions/src/dispatcher.rs
+++ b/crates/decisions/src/dispatcher.rs
@@ -14,35 +14,50 @@
 mod admission;
 mod adoption;
 mod attempts;
+mod connection_trust;
 mod consistency;
+mod displacement;
 mod draw;
 mod health;
+mod kind_weights;
 mod load;
 mod membership;
+mod membership_request;
 mod observations;
+mod overhead;
 mod reconfigure;
+mod request_queues;
 mod retry_budget;
+mod reviews;
 mod sampling;
 mod state;
 mod statistics_merge;
 mod stragglers;
 mod tuning;
+mod wait_window;
 mod warm_up;
 mod zone_preference;
 
-use crate::affinity::{Fetches, SmoothedWeights};
+use crate::affinity::Fetches;
 use crate::api::{Action, Class, Event, Load, RequestId, Settings, Status, Time, WorkerId};
 use crate::arrivals::Arrivals;
 use crate::runs::WeightedSum;
 pub use crate::solve::solve;
-use crate::statistics::Demand;
+use connection_trust::ConnectionTrust;
+use displacement::Displacement;
+use kind_weights::KindWeights;
+use membership_request::MembershipRequest;
+use overhead::Overhead;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use request_queues::RequestQueues;
 use retry_budget::RetryHistory;
-use state::{AttemptId, ClassStats, Kind, MembershipRequest, OpenRequest, QueueIndex, Worker};
+use reviews::Reviews;
+use state::{AttemptId, ClassStats, Kind, OpenRequest, Worker};
 pub use statistics_merge::WorkerCounts;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use tuning::{IDLE_GROWTH, MEMBERSHIP_BACKOFF_FIRST, SOLVE_TICKS, TICK_GRANULARITIES, TICK_MIN};
+use std::collections::{BTreeMap, BTreeSet};
+use tuning::{SOLVE_TICKS, TICK_GRANULARITIES, TICK_MIN};
+use wait_window::WaitWindow;
 use zone_preference::ZonePreference;
 
 /// One dispatcher: keeps what its own events have shown, and decides where requests go.
@@ -58,14 +73,9 @@
     kinds: Vec<Kind>,
     classes: Vec<ClassStats>,
     open: BTreeMap<RequestId, OpenRequest>,
-    /// Queued requests by [`QueueIndex`], in the order queued.
-    queued: Vec<VecDeque<RequestId>>,
-    /// When to look at a request again.
-    due: BTreeSet<(Time, RequestId)>,
-    /// `p_k` of problem (1).
-    kind_weights: Vec<f64>,
-    /// `p_k` averaged for longer: requests with an affinity seldom move.
-    affinity_weights: SmoothedWeights,
+    queues: RequestQueues,
+    reviews: Reviews,
+    kind_weights: KindWeights,
     /// Active workers by group (see `tuning::group`) and kind: no event walks the whole fleet.
     groups: Vec<Vec<usize>>,
     /// Workers with own slots in flight.
@@ -75,27 +85,18 @@
     /// Own attempts whose start has not been reported ...
     unstarted_count: usize,
     /// ... and how many may wait in workers' queues at once.
-    wait_window: f64,
+    wait_window: WaitWindow,
     /// Weight and sum of run times at mean speed, over all classes.
     run_times: WeightedSum,
     /// What jobs sent away from their home worker cost.
     fetches: Fetches,
     arrivals: Arrivals,
-    /// What probes and peer updates may cost now.
-    overhead_budget: f64,
-    /// Probes without an answer.
-    probes_in_flight: usize,
-    /// The last update to the peers.
-    last_peer_update: Vec<(WorkerId, u8)>,
+    overhead: Overhead,
     /// Name of the timer that is live.
     timer: u64,
     zone_preference: ZonePreference,
-    /// Connections idle for longer than this are not trusted.
-    trusted_idle: f64,
-    /// Recent value and work of the requests.
-    demand: Demand,
-    /// Recent fraction of attempts rejected for lack of capacity.
-    rejection_rate: f64,
+    connection_trust: ConnectionTrust,
+    displacement: Displacement,
     membership_request: MembershipRequest,
     /// What the retry budget has been used for.
     retries: RetryHistory,
@@ -108,24 +109,13 @@
         // Requests of a class that the settings lack have the strictest rules.
         settings.classes.push(Class::UNKNOWN);
         settings.dispatchers = settings.dispatchers.max(1);
-        let queues = settings.classes.len() * QueueIndex::PER_CLASS;
         let tenants = settings.tenants.iter().map(|tenant| tenant.fraction);
         Dispatcher {
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
             classes: settings.classes.iter().map(ClassStats::of).collect(),
-            queued: vec![VecDeque::new(); queues],
-            // Finite, and cut to the number of workers by the first start.
-            wait_window: f64::MAX,
+            queues: RequestQueues::of_classes(settings.classes.len()),
             arrivals: Arrivals::new(tenants, now),
-            trusted_idle: f64::MAX,
-            membership_request: MembershipRequest {
-                due: if settings.membership_pushed {
-                    Time::MAX
-                } else {
-                    now
-                },
-                backoff: MEMBERSHIP_BACKOFF_FIRST,
-            },
+            membership_request: MembershipRequest::new(now, settings.membership_pushed),
             class_of,
             settings,
             ..Default::default()
@@ -228,7 +218,7 @@
         self.update_peers(out);
         if self.timer % SOLVE_TICKS == 0 {
             self.solve_draw(now);
-            self.trusted_idle *= IDLE_GROWTH;
+            self.connection_trust.grow();
             self.decay_failures(now);
         }
         self.review(now, out);
@@ -241,7 +231,7 @@
         load: Option<Load>,
         out: &mut Vec<Action>,
     ) {
-        self.probes_in_flight = self.probes_in_flight.saturating_sub(1);
+        self.overhead.end_probe();
         if let Some(&index) = self.index.get(&worker) {
             load.iter()
                 .for_each(|load| self.handle_load(now, index, load));
--- a/crates/decisions/src/dispatcher/admission.rs
+++ b/crates/decisions/src/dispatcher/admission.rs
@@ -1,15 +1,11 @@
 //! Life of a request: accepted, placed or queued, reviewed when due, answered once.
 
 use super::state::{OpenRequest, QueueIndex};
-use super::tuning::{
-    CROWDING, HOME_SCAN_MISSES_MAX, LATE_MARGIN, OVERHEAD_MAX, OVERHEAD_PER_REQUEST,
-    SCAN_MISSES_MAX,
-};
+use super::tuning::{CROWDING, HOME_SCAN_MISSES_MAX, LATE_MARGIN, SCAN_MISSES_MAX};
 use super::{Dispatcher, unit};
 use crate::api::{
     Action, AttemptNo, Class, Effect, Group, Reports, Request, RequestId, Tenant, TenantId, Time,
 };
-use crate::runs::KEEP;
 
 /// Least work of a request, in microseconds, where value is divided by work.
 const WORK_MIN: f64 = 1e-9;
@@ -28,7 +24,7 @@
             return self.answer(now, id, out);
         }
         self.evict_least_valuable(now, out);
-        self.overhead_budget = (self.overhead_budget + OVERHEAD_PER_REQUEST).min(OVERHEAD_MAX);
+        self.overhead.record_request();
         if self.settings.limits.probes && self.settings.reports != Reports::Off {
             self.probe(now, id, out);
         }
@@ -86,10 +82,8 @@
     fn is_displaced(&mut self, class: usize, over_quota: bool, work: f64, slots: f64) -> bool {
         let value = work * self.density(QueueIndex::new(class, over_quota, false));
         let mean = work * self.density(QueueIndex::new(class, false, false));
-        self.demand.value = self.demand.value * KEEP + mean;
-        self.demand.work = self.demand.work * KEEP + work * slots;
-        let displaced =
-            self.rejection_rate.sqrt() * self.demand.value / self.demand.work * work * slots;
+        self.displacement.record_request(mean, work * slots);
+        let displaced = self.displacement.displaced_value(work, slots);
         unit(&mut self.rng) * displaced > value
     }
 
@@ -100,19 +94,13 @@
         if limit.is_none_or(|limit| self.open.len() <= limit) {
             return;
         }
-        let queues = self.queues_in_use().into_iter();
+        let queues = self.queues.in_use().into_iter();
         if let Some(queue) = queues.min_by(|a, b| self.density(*a).total_cmp(&self.density(*b))) {
-            let id = self.queued[queue.0].pop_front().unwrap_or_default();
+            let id = self.queues.pop_oldest(queue).unwrap_or_default();
             self.answer(now, id, out);
         }
     }
 
-    /// Queues that are not empty, in the order of their indices.
-    fn queues_in_use(&self) -> Vec<QueueIndex> {
-        let indices = (0..self.queued.len()).filter(|index| !self.queued[*index].is_empty());
-        indices.map(QueueIndex).collect()
-    }
-
     /// Continues with a request of which nothing is in flight: sends, queues or closes it.
     pub(super) fn send_or_queue(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let is_idle =
@@ -154,13 +142,13 @@
         } else {
             until.min(open.late_from + 1)
         };
-        self.due.insert((due, id));
-        self.queued[queue.0].push_back(id);
+        self.reviews.schedule(due, id);
+        self.queues.push(queue, id);
     }
 
     /// Sends queued requests while workers have capacity: the most valuable for their work first, then the newest.
     pub(super) fn send_queued(&mut self, now: Time, out: &mut Vec<Action>) {
-        let mut order = self.queues_in_use();
+        let mut order = self.queues.in_use();
         if order.is_empty() || !self.may_wait(false) || !self.has_free_worker(now) {
             return;
         }
@@ -192,11 +180,11 @@
         } else {
             SCAN_MISSES_MAX
         };
-        let mut next = self.queued[queue.0].len();
+        let mut next = self.queues.len(queue);
         let mut misses = 0;
         while next > 0 && misses < misses_max {
             next -= 1;
-            let id = self.queued[queue.0][next];
+            let id = self.queues.at(queue, next);
             let is_queued = |open: &OpenRequest| !open.closed && open.queued_in == Some(queue);
             let waits = self.open.get(&id).is_some_and(is_queued);
             let worker = match (waits, home_only) {
@@ -211,7 +199,7 @@
             if worker.is_some_and(|worker| !self.send(now, id, worker, out)) {
                 self.answer(now, id, out);
             }
-            self.queued[queue.0].remove(next);
+            self.queues.remove_at(queue, next);
         }
     }
 
@@ -239,15 +227,14 @@
     /// Reviews the requests that are due: answers those that can earn nothing more, also while they wait at a worker,
     /// requeues late ones as late, and finds overdue attempts.
     pub(super) fn review(&mut self, now: Time, out: &mut Vec<Action>) {
-        while let Some(&(at, id)) = self.due.first().filter(|due| due.0 <= now) {
-            self.due.remove(&(at, id));
+        while let Some(id) = self.reviews.take_due(now) {
             let Some(open) = self.open.get(&id).filter(|open| !open.closed) else {
                 continue;
             };
             let earns_late = self.settings.classes[open.class].late_value > 0.0;
             let is_worthless = !earns_late && now > open.late_from;
             if let Some(queue) = open.queued_in {
-                self.queued[queue.0].retain(|other| *other != id);
+                self.queues.remove(queue, id);
                 self.enqueue(now, id, out);
             } else if is_worthless && open.attempts.iter().all(|a| a.started.is_none()) {
                 self.answer(now, id, out);
--- a/crates/decisions/src/dispatcher/adoption.rs
+++ b/crates/decisions/src/dispatcher/adoption.rs
@@ -13,9 +13,9 @@
         let rules = self.open.get(&id).filter(|open| !open.closed)?.class;
         let class = self.class_of.iter().position(|index| *index == rules)? as u32;
         let open = self.open.remove(&id)?;
-        self.due.retain(|due| due.1 != id);
+        self.reviews.forget(id);
         if let Some(queue) = open.queued_in {
-            self.queued[queue.0].retain(|other| *other != id);
+            self.queues.remove(queue, id);
         }
         for (number, attempt) in open.attempts.iter().enumerate() {
             if attempt.done {
@@ -76,7 +76,7 @@
             open.attempts.push(attempt);
         }
         if self.settings.classes[class].late_value <= 0.0 {
-            self.due.insert((open.late_from + 1, id));
+            self.reviews.schedule(open.late_from + 1, id);
         }
         self.open.insert(id, open);
         self.send_or_queue(now, id, out);
@@ -115,14 +115,15 @@
                     slots,
                 });
                 self.unstarted_count += 1;
-                let move_due = self.move_due(attempt.sent);
-                let moves = self.settings.limits.moves();
-                self.due.extend(moves.then_some((move_due, id.request)));
+                if self.settings.limits.moves() {
+                    let move_due = self.move_due(attempt.sent);
+                    self.reviews.schedule(move_due, id.request);
+                }
             }
         }
         if attempt.started.is_some() {
             let due = self.overdue_at(attempt);
-            self.due.insert((due, id.request));
+            self.reviews.schedule(due, id.request);
         }
     }
 }
--- a/crates/decisions/src/dispatcher/attempts.rs
+++ b/crates/decisions/src/dispatcher/attempts.rs
@@ -2,9 +2,7 @@
 
 use super::Dispatcher;
 use super::state::{Attempt, AttemptId, OpenRequest, Timed, UnstartedAttempt, Worker};
-use super::tuning::{
-    IDLE_TRUSTED, LATE_MARGIN, LATE_START_WAIT, LATE_STEP, MOVE_FETCHES, MOVE_WAIT,
-};
+use super::tuning::{LATE_MARGIN, LATE_START_WAIT, MOVE_FETCHES, MOVE_WAIT};
 use crate::affinity;
 use crate::api::{Action, AttemptNo, Effect, Group, Load, RequestId, Status, Time};
 use crate::runs::{self, fresh};
@@ -61,7 +59,7 @@
     fn take_connection(&mut self, now: Time, index: usize, out: &mut Vec<Action>) -> Time {
         let worker = &mut self.workers[index];
         let idle = worker.idle_since.first().map_or(0, |since| now - since);
-        if idle as f64 > self.trusted_idle {
+        if !self.connection_trust.includes(idle) {
             worker.idle_since.clear();
             out.push(Action::Disconnect {
                 worker: worker.listed.worker,
@@ -115,10 +113,10 @@
             return;
         };
         if self.settings.limits.moves() {
-            self.due.insert((self.move_due(now), id));
+            self.reviews.schedule(self.move_due(now), id);
         }
         if self.settings.classes[open.class].late_value <= 0.0 {
-            self.due.insert((open.late_from + 1, id));
+            self.reviews.schedule(open.late_from + 1, id);
         }
     }
 
@@ -178,7 +176,7 @@
         attempt.started = Some(now);
         let index = attempt.worker;
         let wait = now.saturating_sub(attempt.sent) as f64;
-        self.rejection_rate -= LATE_STEP * self.rejection_rate;
+        self.displacement.record_start();
         if self.run_times.weight > 0.0 {
             // Long waits are a sign of shared queues: queue more requests here, where the most valuable go first.
             let capacity = self.capacity(&self.workers[index]);
@@ -236,7 +234,9 @@
         }
         let open = self.open.get(&id.request);
         let due = open.map(|open| self.overdue_at(&open.attempts[id.attempt as usize]));
-        self.due.extend(due.map(|due| (due, id.request)));
+        if let Some(due) = due {
+            self.reviews.schedule(due, id.request);
+        }
     }
 
     fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
@@ -325,8 +325,7 @@
         let was_idle = ended.connection_idle > 0;
         if status == Status::Reset && ended.started.is_none() && was_idle {
             // Reset before the start on an idle connection: that is a fault of the connection, not of the worker.
-            let trusted = ended.connection_idle as f64 * IDLE_TRUSTED;
-            self.trusted_idle = self.trusted_idle.min(trusted);
+            self.connection_trust.record_reset(ended.connection_idle);
         } else if status != Status::Timeout {
             // A time-out was recorded when the attempt was overdue.
             self.record_outcome(now, ended.worker, status);
--- /dev/null
+++ b/crates/decisions/src/dispatcher/displacement.rs
@@ -0,0 +1,53 @@
+//! What a request displaces while workers reject attempts, by Erlang's loss formula.
+
+use super::tuning::LATE_STEP;
+use crate::runs::KEEP;
+use crate::statistics::Demand;
+
+/// Recent demand, and how often attempts are rejected.
+#[derive(Default)]
+pub(super) struct Displacement {
+    /// Recent value and work of the requests.
+    demand: Demand,
+    /// Recent fraction of attempts rejected for lack of capacity.
+    rejection_rate: f64,
+}
+
+impl Displacement {
+    /// Counts a request of this value and this work times slots.
+    pub(super) fn record_request(&mut self, value: f64, work: f64) {
+        self.demand.value = self.demand.value * KEEP + value;
+        self.demand.work = self.demand.work * KEEP + work;
+    }
+
+    /// Expected value of the requests that one displaces: the probability follows from the rejection rate.
+    pub(super) fn displaced_value(&self, work: f64, slots: f64) -> f64 {
+        self.rejection_rate.sqrt() * self.demand.value / self.demand.work * work * slots
+    }
+
+    /// A worker has begun an attempt.
+    pub(super) fn record_start(&mut self) {
+        self.rejection_rate -= LATE_STEP * self.rejection_rate;
+    }
+
+    /// A worker has rejected an attempt for lack of capacity.
+    pub(super) fn record_rejection(&mut self) {
+        self.rejection_rate += LATE_STEP * (1.0 - self.rejection_rate);
+    }
+
+    /// Recent value and work of the requests.
+    pub(super) fn demand(&self) -> Demand {
+        self.demand
+    }
+
+    /// Recent fraction of attempts rejected for lack of capacity.
+    pub(super) fn rejection_rate(&self) -> f64 {
+        self.rejection_rate
+    }
+
+    /// Continues from the values of another dispatcher, the rate at this fraction of its weight.
+    pub(super) fn resume(&mut self, demand: Demand, rejection_rate: f64, keep: f64) {
+        self.rejection_rate = rejection_rate * keep;
+        self.demand = demand;
+    }
+}
--- a/crates/decisions/src/dispatcher/draw.rs
+++ b/crates/decisions/src/dispatcher/draw.rs
@@ -51,8 +51,8 @@
         let capacity: f64 = by_kind.map(|(slots, speed)| slots * speed).sum();
         let arriving = self.settings.dispatchers as f64 * self.arrivals.latest().unbound;
         let load = arriving / capacity.max(CAPACITY_MIN);
-        self.kind_weights = solve(&slots, &speeds, load, SAMPLE_SIZE as u32);
-        self.affinity_weights.follow(&self.kind_weights);
+        let solved = solve(&slots, &speeds, load, SAMPLE_SIZE as u32);
+        self.kind_weights.update(solved);
     }
 
     /// Groups the active workers by zone, preference and kind.
--- a/crates/decisions/src/dispatcher/health.rs
+++ b/crates/decisions/src/dispatcher/health.rs
@@ -3,7 +3,7 @@
 use super::Dispatcher;
 use super::state::{OpenRequest, Worker};
 use super::tuning::{
-    EJECTION_BASE, EJECTION_MAX, FAILURE_DECAY, FAILURE_STEP, FULL_EJECTION_MAX, LATE_STEP,
+    EJECTION_BASE, EJECTION_MAX, FAILURE_DECAY, FAILURE_STEP, FULL_EJECTION_MAX,
     PROBATION_FAILURE_RATE, TIMEOUT_STEP,
 };
 use crate::api::{Effect, Status, Time};
@@ -28,7 +28,7 @@
                 let worker = &mut self.workers[index];
                 worker.ejected_until = worker.ejected_until.max(now + run);
                 self.count_start(index, true);
-                self.rejection_rate += LATE_STEP * (1.0 - self.rejection_rate);
+                self.displacement.record_rejection();
             }
             Status::Cancelled | Status::Moot => {}
         }
--- a/crates/decisions/src/dispatcher/load.rs
+++ b/crates/decisions/src/dispatcher/load.rs
@@ -2,7 +2,7 @@
 
 use super::Dispatcher;
 use super::state::Worker;
-use super::tuning::{WAIT_LOAD, WINDOW_DECREASE, group};
+use super::tuning::{WAIT_LOAD, group};
 use crate::api::Time;
 use crate::runs::fresh;
 use crate::statistics::LateStartRate;
@@ -18,9 +18,9 @@
     /// to many dispatchers at once.
     pub(super) fn may_wait(&self, is_unlikely: bool) -> bool {
         let limit = if is_unlikely {
-            self.wait_window
+            self.wait_window.attempts()
         } else {
-            LOOKS_FREE_WINDOWS * self.wait_window
+            LOOKS_FREE_WINDOWS * self.wait_window.attempts()
                 + LOOKS_FREE_MIN
                 + WAIT_LOAD * self.arrivals.latest().work
         };
@@ -90,12 +90,7 @@
 
     /// Adapts the wait window and the preference for the own zone to a prompt or a late start.
     pub(super) fn count_start(&mut self, index: usize, is_late: bool) {
-        let change = if is_late {
-            -WINDOW_DECREASE * self.wait_window
-        } else {
-            1.0 / self.wait_window
-        };
-        self.wait_window = (self.wait_window + change).clamp(1.0, self.workers.len() as f64);
+        self.wait_window.record_start(is_late, self.workers.len());
         let is_home = self.is_home(&self.workers[index]);
         self.zone_preference
             .record_start(is_home, is_late, self.settings.charges.cross_zone);
--- a/crates/decisions/src/dispatcher/membership.rs
+++ b/crates/decisions/src/dispatcher/membership.rs
@@ -1,7 +1,7 @@
 //! The membership list: which workers there are, and connections to those that drain.
 
-use super::state::{Kind, MembershipRequest, Timed, Worker};
-use super::tuning::{KINDS_MAX, MEMBERSHIP_BACKOFF_FIRST, MEMBERSHIP_BACKOFF_MAX};
+use super::state::{Kind, Timed, Worker};
+use super::tuning::KINDS_MAX;
 use super::{Dispatcher, unit};
 use crate::api::{Action, Entry, Scope, Time, WorkerState};
 
@@ -14,7 +14,9 @@
         entries: Vec<Entry>,
         out: &mut Vec<Action>,
     ) {
-        self.schedule_membership_request(now, scope);
+        let refresh_within = self.settings.rules.membership_refresh_within;
+        self.membership_request
+            .handle_answer(now, scope, refresh_within);
         if matches!(scope, Scope::Full | Scope::Cached) {
             for worker in &mut self.workers {
                 worker.active = false;
@@ -35,23 +37,6 @@
         self.request_membership(now, out);
     }
 
-    fn schedule_membership_request(&mut self, now: Time, scope: Scope) {
-        let backoff = self.membership_request.backoff;
-        self.membership_request = match scope {
-            Scope::Failed => MembershipRequest {
-                due: now + backoff,
-                backoff: (2 * backoff)
-                    .min(MEMBERSHIP_BACKOFF_MAX)
-                    .min(self.settings.rules.membership_refresh_within),
-            },
-            Scope::Cached => self.membership_request,
-            _ => MembershipRequest {
-                due: Time::MAX,
-                backoff: MEMBERSHIP_BACKOFF_FIRST,
-            },
-        };
-    }
-
     /// An attempt or a probe has ended at a worker: closes idle connections there if it drains, where the settings
     /// say so.
     pub(super) fn close_idle(&mut self, index: usize, out: &mut Vec<Action>) {
@@ -91,8 +76,8 @@
 
     /// Subscribes to the membership list where it must be requested; one event answers each request.
     pub(super) fn request_membership(&mut self, now: Time, out: &mut Vec<Action>) {
-        if now >= self.membership_request.due {
-            self.membership_request.due = now + self.settings.rules.membership_refresh_within;
+        let refresh_within = self.settings.rules.membership_refresh_within;
+        if self.membership_request.take_due(now, refresh_within) {
             out.push(Action::Watch(true));
         }
     }
--- a/crates/decisions/src/dispatcher/observations.rs
+++ b/crates/decisions/src/dispatcher/observations.rs
@@ -36,9 +36,8 @@
             let worker = &mut self.workers[*index];
             let known_at = worker.load_updated_at.unwrap_or(0).max(worker.probed_at);
             let is_recent = known_at + age > now;
-            if !is_recent && self.overhead_budget >= self.settings.charges.probe {
-                self.overhead_budget -= self.settings.charges.probe;
-                self.probes_in_flight += 1;
+            if !is_recent && self.overhead.covers(self.settings.charges.probe) {
+                self.overhead.start_probe(self.settings.charges.probe);
                 worker.probed_at = now;
                 open.wait_until = now + (target as f64 * PROBE_WAIT) as Time;
                 out.push(Action::Probe {
@@ -56,7 +55,7 @@
         let bytes =
             (PEER_UPDATE_WORKER_BYTES * workers + PEER_UPDATE_REST_BYTES) as f64 * peers as f64;
         let price = PEER_UPDATE_PRICE_FACTOR * self.settings.charges.peer * bytes / PRICED_BYTES;
-        if !self.settings.limits.peers || self.overhead_budget < price {
+        if !self.settings.limits.peers || !self.overhead.covers(price) {
             return;
         }
         let busy = self.busy.iter().map(|index| &self.workers[*index]);
@@ -65,9 +64,7 @@
             .take(PEER_UPDATE_MAX)
             .map(|worker| (worker.listed.worker, worker.own_slots.round() as u8))
             .collect();
-        if in_flight != self.last_peer_update {
-            self.overhead_budget -= price;
-            self.last_peer_update.clone_from(&in_flight);
+        if self.overhead.pay_for_update(price, &in_flight) {
             out.push(Action::UpdatePeers { in_flight });
         }
     }
--- a/crates/decisions/src/dispatcher/reconfigure.rs
+++ b/crates/decisions/src/dispatcher/reconfigure.rs
@@ -1,9 +1,8 @@
 //! New settings while requests are open: these keep the rules of their class, and statistics stay.
 
 use super::Dispatcher;
-use super::state::{ClassStats, QueueIndex};
+use super::state::ClassStats;
 use crate::api::{Class, Settings};
-use std::collections::VecDeque;
 
 impl Dispatcher {
     /// Applies new settings.
@@ -33,8 +32,7 @@
         let classes = self.classes.len().max(index + 1);
         self.classes.resize(classes, ClassStats::default());
         self.settings.classes.resize(classes, Class::UNKNOWN);
-        let queues = QueueIndex::PER_CLASS * classes;
-        self.queued.resize(queues, VecDeque::new());
+        self.queues.resize(classes);
         let ids = self.class_of.len().max(id + 1);
         self.class_of.resize(ids, index);
         self.classes[index] = stats;
--- a/crates/decisions/src/dispatcher/sampling.rs
+++ b/crates/decisions/src/dispatcher/sampling.rs
@@ -36,7 +36,7 @@
     pub(super) fn choose(&mut self, now: Time, id: RequestId) -> Option<usize> {
         let may_go = |open: &&OpenRequest| {
             now < self.sendable_until(open)
-                && (now >= open.wait_until || self.probes_in_flight == 0)
+                && (now >= open.wait_until || !self.overhead.awaits_probes())
         };
         let open = self.open.get(&id).filter(may_go)?;
         let work = self.work(open.class, open.estimate);
@@ -129,9 +129,9 @@
         kinds: &mut Vec<usize>,
     ) -> usize {
         let solved = if affinity.is_some() {
-            self.affinity_weights.as_slice()
+            self.kind_weights.smoothed()
         } else {
-            &self.kind_weights[..]
+            self.kind_weights.solved()
         };
         let weight = |kind: &usize| {
             let of_kind = &self.kinds[*kind];
@@ -222,9 +222,9 @@
         let bound_kind = self.settings.classes[open.class].kind;
         let weight = |kind: usize| match bound_kind {
             Some(bound) if bound as usize != kind => 0.0,
-            _ => self.affinity_weights.as_slice()[kind],
+            _ => self.kind_weights.smoothed()[kind],
         };
-        let kinds = 0..self.kind_weights.len();
+        let kinds = 0..self.kind_weights.solved().len();
         let kind = affinity::draw(affinity, kinds.map(|kind| (kind as u64, weight(kind))))?;
         let rank = |index: &usize| affinity::rank(affinity, self.workers[*index].listed.worker);
         let of_kind = self.groups.iter().skip(kind).step_by(self.kinds.len());
--- a/crates/decisions/src/dispatcher/state.rs
+++ b/crates/decisions/src/dispatcher/state.rs
@@ -209,11 +209,3 @@
     /// Its attempts so far, in order.
     pub attempts: Vec<Attempt>,
 }
-
-/// When the membership list is requested next.
-#[derive(Clone, Copy, Default)]
-pub(super) struct MembershipRequest {
-    pub due: Time,
-    /// Wait after the next failure.
-    pub backoff: Time,
-}
--- a/crates/decisions/src/dispatcher/statistics_merge.rs
+++ b/crates/decisions/src/dispatcher/statistics_merge.rs
@@ -77,7 +77,7 @@
 
     fn kind_statistics(&self, id: usize) -> statistics::Kind {
         let kind = &self.kinds[id];
-        let weight = self.affinity_weights.get(id);
+        let weight = self.kind_weights.smoothed_of(id);
         statistics::Kind {
             slots: kind.slots,
             slots_reported: kind.slots_reported,
@@ -93,10 +93,10 @@
             arrivals: self.arrivals.rates(now),
             home_preference: self.zone_preference.home(),
             late_start_rate: self.zone_preference.late_starts(),
-            wait_window: self.wait_window.min(statistics::UNLIMITED),
-            trusted_idle: self.trusted_idle.min(statistics::UNLIMITED),
-            demand: self.demand,
-            rejection_rate: self.rejection_rate,
+            wait_window: self.wait_window.attempts().min(statistics::UNLIMITED),
+            trusted_idle: self.connection_trust.longest().min(statistics::UNLIMITED),
+            demand: self.displacement.demand(),
+            rejection_rate: self.displacement.rejection_rate(),
         }
     }
 
@@ -139,7 +139,7 @@
                 self.arrivals.set_fraction(*tenant, *fraction);
             }
             if age < PACE_LASTS {
-                self.wait_window = self.wait_window.min(pace.wait_window);
+                self.wait_window.restrict(pace.wait_window);
             }
         }
         self.solve_draw(now);
@@ -162,7 +162,7 @@
         if other.speed.weight() * run_weight > kind.speed.weight() {
             kind.speed = other.speed.faded(run_weight);
         }
-        self.affinity_weights.set(id, kinds, other.weight);
+        self.kind_weights.set_smoothed(id, kinds, other.weight);
     }
 
     fn merge_class(&mut self, id: usize, other: statistics::Class, run_weight: f64) {
@@ -182,9 +182,9 @@
         self.arrivals.resume(now, pace.arrivals, pace_weight);
         self.zone_preference
             .resume(pace.home_preference, pace.late_start_rate, pace_weight);
-        self.rejection_rate = pace.rejection_rate * pace_weight;
-        self.demand = pace.demand;
-        self.trusted_idle = self.trusted_idle.min(pace.trusted_idle);
+        self.displacement
+            .resume(pace.demand, pace.rejection_rate, pace_weight);
+        self.connection_trust.restrict(pace.trusted_idle);
     }
 }
 
--- a/crates/decisions/src/dispatcher/stragglers.rs
+++ b/crates/decisions/src/dispatcher/stragglers.rs
@@ -57,7 +57,7 @@
                 attempt: made as AttemptNo - 1,
             });
         } else {
-            self.due.insert((now + REVIEW_TICKS * self.tick(), id));
+            self.reviews.schedule(now + REVIEW_TICKS * self.tick(), id);
         }
     }
 
@@ -119,7 +119,7 @@
             .is_some_and(|open| has_none_in_time(&open.attempts));
         let may_double = may_retry && self.settings.limits.duplicates;
         if needs_another && may_double && !self.send_now(now, id, out) {
-            self.due.insert((now + REVIEW_TICKS * self.tick(), id));
+            self.reviews.schedule(now + REVIEW_TICKS * self.tick(), id);
         }
     }
 
