Dispatcher: the fleet owns workers, slots, groups and the claims of peers

Cause: slots in flight, attempts that wait, groups and claims were changed in nine files, and a check after each event was all that kept them in agreement. Change: Fleet holds them; a worker's slots, waiting attempts and claims change through it only. The check is its method.

--- a/crates/decisions/src/dispatcher.rs
+++ b/crates/decisions/src/dispatcher.rs
@@ -5,19 +5,21 @@
 //! slots in flight. The further rules, which the paper does without, are in `docs/design.md`. The dispatcher reads no
 //! clock, does no I/O and draws from a seeded generator.
 //!
-//! [`Dispatcher`] holds the state. The files beside this one each hold one concern of it: `admission` (accept, queue,
-//! answer), `attempts` (send, start, end), `retry_budget`, `sampling`, `load`, `draw` and `zone_preference` (which
-//! worker), `warm_up` (workers that have just started), `health` (ejection), `stragglers` (attempts that hang),
-//! `observations` (reports, probes, peers), `membership` (the list), `statistics_merge`, `adoption` and `reconfigure`
-//! (another process or other settings).
+//! [`Dispatcher`] joins the parts. Those with private state are `fleet` (workers, kinds, slots and groups),
+//! `request_queues` and `reviews` (queued requests, and when one is looked at again), `kind_weights` (`p_k`),
+//! `wait_window`, `zone_preference`, `displacement`, `connection_trust`, `overhead` (probes and peer updates),
+//! `retry_budget` and `membership_request`. The others each hold the rules of one concern: `admission` (accept, queue,
+//! answer), `attempts` (send, start, end), `sampling`, `load` and `draw` (which worker), `warm_up` (workers that have
+//! just started), `health` (ejection), `stragglers` (attempts that hang), `observations` (reports, probes, peers),
+//! `membership` (the list), `statistics_merge`, `adoption` and `reconfigure` (another process or other settings).
 
 mod admission;
 mod adoption;
 mod attempts;
 mod connection_trust;
-mod consistency;
 mod displacement;
 mod draw;
+mod fleet;
 mod health;
 mod kind_weights;
 mod load;
@@ -45,6 +47,7 @@
 pub use crate::solve::solve;
 use connection_trust::ConnectionTrust;
 use displacement::Displacement;
+use fleet::Fleet;
 use kind_weights::KindWeights;
 use membership_request::MembershipRequest;
 use overhead::Overhead;
@@ -53,9 +56,9 @@
 use request_queues::RequestQueues;
 use retry_budget::RetryHistory;
 use reviews::Reviews;
-use state::{AttemptId, ClassStats, Kind, OpenRequest, Worker};
+use state::{AttemptId, ClassStats, OpenRequest};
 pub use statistics_merge::WorkerCounts;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use tuning::{SOLVE_TICKS, TICK_GRANULARITIES, TICK_MIN};
 use wait_window::WaitWindow;
 use zone_preference::ZonePreference;
@@ -67,24 +70,13 @@
     /// Index of each class's present rules; other entries of the tables are of classes before a change of settings.
     class_of: Vec<usize>,
     rng: Option<Pcg64Mcg>,
-    workers: Vec<Worker>,
-    /// Index of each worker in `workers`.
-    index: BTreeMap<WorkerId, usize>,
-    kinds: Vec<Kind>,
+    fleet: Fleet,
     classes: Vec<ClassStats>,
     open: BTreeMap<RequestId, OpenRequest>,
     queues: RequestQueues,
     reviews: Reviews,
     kind_weights: KindWeights,
-    /// Active workers by group (see `tuning::group`) and kind: no event walks the whole fleet.
-    groups: Vec<Vec<usize>>,
-    /// Workers with own slots in flight.
-    busy: BTreeSet<usize>,
-    /// Workers that each peer has claimed slots at.
-    claimed: BTreeMap<u32, Vec<usize>>,
-    /// Own attempts whose start has not been reported ...
-    unstarted_count: usize,
-    /// ... and how many may wait in workers' queues at once.
+    /// How many own attempts may wait in workers' queues at once.
     wait_window: WaitWindow,
     /// Weight and sum of run times at mean speed, over all classes.
     run_times: WeightedSum,
@@ -134,7 +126,7 @@
         if self.handle_event(now, event, out) {
             self.send_queued(now, out);
             debug_assert!(
-                self.is_consistent(),
+                self.fleet.is_consistent(),
                 "what is kept must agree with a fresh count"
             );
         }
@@ -185,7 +177,7 @@
             Event::Statistics(other) => self.merge_statistics(now, *other),
             Event::Adopted(id, job) => self.adopt(now, id, *job, out),
             Event::Peer { from, in_flight } => {
-                self.handle_peer_update(now, from, &in_flight);
+                self.fleet.replace_claims(now, from, &in_flight);
                 return false;
             }
             Event::Progress {
@@ -232,7 +224,7 @@
         out: &mut Vec<Action>,
     ) {
         self.overhead.end_probe();
-        if let Some(&index) = self.index.get(&worker) {
+        if let Some(index) = self.fleet.index_of(worker) {
             load.iter()
                 .for_each(|load| self.handle_load(now, index, load));
             self.close_idle(index, out);
--- a/crates/decisions/src/dispatcher/adoption.rs
+++ b/crates/decisions/src/dispatcher/adoption.rs
@@ -1,8 +1,9 @@
 //! Open requests that are transferred to the process that takes over: released there, adopted here.
 
 use super::Dispatcher;
-use super::state::{Attempt, AttemptId, Kind, OpenRequest, UnstartedAttempt, Worker};
-use crate::api::{Action, AttemptNo, Entry, RequestId, Time};
+use super::fleet::UnstartedAttempt;
+use super::state::{Attempt, AttemptId, OpenRequest};
+use crate::api::{Action, AttemptNo, RequestId, Time};
 use crate::transferred_job::TransferredJob;
 
 impl Dispatcher {
@@ -26,9 +27,9 @@
                 request: id,
                 attempt: number as AttemptNo,
             };
-            self.release_slots(now, attempt.worker, of, slots);
+            self.fleet.release_slots(now, attempt.worker, of, slots);
         }
-        let worker = |index: usize| self.workers[index].listed.worker;
+        let worker = |index: usize| self.fleet[index].listed.worker;
         let attempts = open.attempts.into_iter();
         Some(TransferredJob {
             class,
@@ -84,15 +85,9 @@
 
     /// Index of a worker in the table. A worker that the membership list lacks is added, and gets nothing new.
     fn worker_index(&mut self, now: Time, worker: u32) -> usize {
-        let next = self.workers.len();
-        let index = *self.index.entry(worker).or_insert(next);
-        if index == next {
-            self.workers.push(Worker::new(Entry {
-                worker,
-                ..Entry::default()
-            }));
-            let kinds = self.kinds.len().max(1);
-            self.kinds.resize(kinds, Kind::default());
+        let (index, is_new) = self.fleet.find_or_add(worker);
+        if is_new {
+            self.fleet.extend_kinds(1);
             self.solve_draw(now);
         }
         index
@@ -104,17 +99,15 @@
             return;
         }
         if !attempt.timed_out {
-            let worker = &mut self.workers[attempt.worker];
-            worker.running(now);
-            worker.own_slots += slots;
-            self.busy.insert(attempt.worker);
+            self.fleet[attempt.worker].running(now);
+            self.fleet.add_slots(attempt.worker, slots);
             if attempt.started.is_none() && self.settings.reports_start {
-                worker.unstarted.push(UnstartedAttempt {
+                let unstarted = UnstartedAttempt {
                     sent: attempt.sent,
                     id,
                     slots,
-                });
-                self.unstarted_count += 1;
+                };
+                self.fleet.add_unstarted(attempt.worker, unstarted);
                 if self.settings.limits.moves() {
                     let move_due = self.move_due(attempt.sent);
                     self.reviews.schedule(move_due, id.request);
--- a/crates/decisions/src/dispatcher/attempts.rs
+++ b/crates/decisions/src/dispatcher/attempts.rs
@@ -1,7 +1,8 @@
 //! Life of an attempt: sent within every limit, started, progressing, ended.
 
 use super::Dispatcher;
-use super::state::{Attempt, AttemptId, OpenRequest, Timed, UnstartedAttempt, Worker};
+use super::fleet::{Timed, UnstartedAttempt, Worker};
+use super::state::{Attempt, AttemptId, OpenRequest};
 use super::tuning::{LATE_MARGIN, LATE_START_WAIT, MOVE_FETCHES, MOVE_WAIT};
 use crate::affinity;
 use crate::api::{Action, AttemptNo, Effect, Group, Load, RequestId, Status, Time};
@@ -25,7 +26,7 @@
         let Some(open) = self.open.get(&id) else {
             return false;
         };
-        let worker = &self.workers[index];
+        let worker = &self.fleet[index];
         let work = self.work(open.class, open.estimate);
         let budget_left = self.warm_up_allowance(now, worker, work) - work;
         let by = self.sendable_until(open);
@@ -38,7 +39,7 @@
         if !allowed {
             return false;
         }
-        self.workers[index].warm_up_budget = Timed {
+        self.fleet[index].warm_up_budget = Timed {
             value: budget_left,
             at: now,
         };
@@ -46,7 +47,7 @@
         self.record_send(now, id, index, connection_idle);
         out.push(Action::Send {
             request: id,
-            worker: self.workers[index].listed.worker,
+            worker: self.fleet[index].listed.worker,
             timeout: 0,
             by,
         });
@@ -57,7 +58,7 @@
     /// Takes the connection that was used last; returns for how long the oldest one has been idle. A connection that
     /// was dropped unnoticed would fail the attempt: where that was observed, old connections are closed first.
     fn take_connection(&mut self, now: Time, index: usize, out: &mut Vec<Action>) -> Time {
-        let worker = &mut self.workers[index];
+        let worker = &mut self.fleet[index];
         let idle = worker.idle_since.first().map_or(0, |since| now - since);
         if !self.connection_trust.includes(idle) {
             worker.idle_since.clear();
@@ -76,26 +77,26 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        let worker = &mut self.workers[index];
+        let is_idle = self.fleet[index].own_slots() == 0.0;
         let attempt = open.attempts.len() as AttemptNo;
         let reports_start = self.settings.reports_start;
-        let started = (!reports_start && worker.own_slots == 0.0).then_some(now);
+        let started = (!reports_start && is_idle).then_some(now);
         if reports_start {
-            worker.unstarted.push(UnstartedAttempt {
+            let id = AttemptId {
+                request: id,
+                attempt,
+            };
+            let unstarted = UnstartedAttempt {
                 sent: now,
-                id: AttemptId {
-                    request: id,
-                    attempt,
-                },
+                id,
                 slots: open.slots,
-            });
-            self.unstarted_count += 1;
+            };
+            self.fleet.add_unstarted(index, unstarted);
         }
         if attempt > 0 {
             self.retries.record_retry(now, self.settings.rules.resends);
         }
-        worker.own_slots += open.slots;
-        self.busy.insert(index);
+        self.fleet.add_slots(index, open.slots);
         open.queued_in = None;
         open.attempts.push(Attempt {
             worker: index,
@@ -153,7 +154,7 @@
         let Some(first) = open.attempts.iter().find(|a| !a.never_ran) else {
             return true;
         };
-        let of = &self.workers[first.worker].listed;
+        let of = &self.fleet[first.worker].listed;
         match self.settings.classes[open.class].effect {
             Effect::Keyed {
                 group: Group::Zone, ..
@@ -179,11 +180,11 @@
         self.displacement.record_start();
         if self.run_times.weight > 0.0 {
             // Long waits are a sign of shared queues: queue more requests here, where the most valuable go first.
-            let capacity = self.capacity(&self.workers[index]);
+            let capacity = self.capacity(&self.fleet[index]);
             let target = LATE_START_WAIT * self.run_times.sum / self.run_times.weight / capacity;
             self.count_start(index, wait >= target);
         }
-        self.release_slots(now, index, id, 0.0);
+        self.fleet.release_slots(now, index, id, 0.0);
         self.handle_progress(now, id, 0.0);
         self.learn_from_start(now, index, wait);
     }
@@ -191,8 +192,7 @@
     /// Updates the load of others by a start: a late one shows that all slots were occupied, a prompt one that one was
     /// free.
     fn learn_from_start(&mut self, now: Time, index: usize, wait: f64) {
-        let worker = &mut self.workers[index];
-        let kind = &mut self.kinds[worker.kind];
+        let (worker, kind) = self.fleet.worker_and_kind_mut(index);
         let started_slots = worker.started_slots();
         let rest = (kind.slots - started_slots).max(0.0);
         let is_late = worker.is_late_start(wait, self.settings.granularity);
@@ -244,19 +244,6 @@
         open.attempts.get_mut(id.attempt as usize)
     }
 
-    /// An own attempt no longer waits at its worker and releases this many slots there.
-    pub(super) fn release_slots(&mut self, now: Time, index: usize, id: AttemptId, slots: f64) {
-        let worker = &mut self.workers[index];
-        worker.running(now);
-        worker.own_slots = (worker.own_slots - slots).max(0.0);
-        self.unstarted_count -= worker.unstarted.len();
-        worker.unstarted.retain(|unstarted| unstarted.id != id);
-        self.unstarted_count += worker.unstarted.len();
-        if worker.own_slots <= 0.0 {
-            self.busy.remove(&index);
-        }
-    }
-
     /// An attempt has ended. Returns its worker; `None` if nothing of the kind was in flight.
     pub(super) fn handle_outcome(
         &mut self,
@@ -288,8 +275,8 @@
         if let Some(took) = fetched.filter(|_| was_sent_away) {
             self.fetches.sent_away(took);
         }
-        self.release_slots(now, ended.worker, id, slots);
-        self.workers[ended.worker].idle_since.push(now);
+        self.fleet.release_slots(now, ended.worker, id, slots);
+        self.fleet[ended.worker].idle_since.push(now);
         load.iter()
             .for_each(|load| self.handle_load(now, ended.worker, load));
         self.learn_from_status(now, &ended, status);
@@ -314,8 +301,8 @@
 
     /// Updates the run times of a class and the speed of a worker's kind by one run.
     fn learn_run_time(&mut self, index: usize, class: usize, estimate: Option<Time>, run: Time) {
-        let kind = self.workers[index].kind;
-        let speed = &mut self.kinds[kind].speed;
+        let (_, kind) = self.fleet.worker_and_kind_mut(index);
+        let speed = &mut kind.speed;
         let run_time = &mut self.classes[class].run_time;
         runs::learn(speed, run_time, &mut self.run_times, estimate, run);
     }
--- a/crates/decisions/src/dispatcher/draw.rs
+++ b/crates/decisions/src/dispatcher/draw.rs
@@ -1,7 +1,7 @@
 //! The draw of kinds: preferred workers of each kind, and `p_k` of problem (1).
 
 use super::Dispatcher;
-use super::state::Worker;
+use super::fleet::Worker;
 use super::tuning::{
     INITIAL_ZONE_LOAD, PREFERRED_LOAD, PROBATION_FAILURE_RATE, SAMPLE_SIZE, group,
 };
@@ -37,14 +37,19 @@
     /// Groups the workers anew and solves problem (1).
     pub(super) fn solve_draw(&mut self, now: Time) {
         self.group_workers(now);
-        let speeds: Vec<f64> = self.kinds.iter().map(|kind| kind.speed.speed).collect();
+        let speeds: Vec<f64> = self
+            .fleet
+            .kinds()
+            .iter()
+            .map(|kind| kind.speed.speed)
+            .collect();
         let mut slots = vec![0.0; speeds.len()];
         let is_ready = |worker: &&Worker| {
             worker.active
                 && worker.ejected_until <= now
                 && worker.failure_rate <= PROBATION_FAILURE_RATE
         };
-        for worker in self.workers.iter().filter(is_ready) {
+        for worker in self.fleet.workers().iter().filter(is_ready) {
             slots[worker.kind] += self.slots(worker) * self.warm_up_fraction(now, worker);
         }
         let by_kind = slots.iter().zip(&speeds);
@@ -57,18 +62,18 @@
 
     /// Groups the active workers by zone, preference and kind.
     fn group_workers(&mut self, now: Time) {
-        self.groups = vec![Vec::new(); group::COUNT * self.kinds.len()];
+        self.fleet.clear_groups();
         for locality in LOCALITIES {
             let is_in = |index: &usize| {
-                let worker = &self.workers[*index];
+                let worker = &self.fleet[*index];
                 worker.active && self.is_home(worker) == locality.is_home
             };
-            let pool: Vec<usize> = self.index.values().copied().filter(is_in).collect();
+            let pool: Vec<usize> = self.fleet.indices_by_id().filter(is_in).collect();
             if locality.is_home && self.zone_preference.is_unobserved() {
                 self.assume_home_preference(pool.len());
             }
             let fraction = self.preferred_fraction(&pool);
-            for kind in 0..self.kinds.len() {
+            for kind in 0..self.fleet.kinds().len() {
                 self.group_kind(now, locality, kind, &pool, fraction);
             }
         }
@@ -77,20 +82,19 @@
     /// Until starts have been observed, assumes a high load and as many dispatchers in every zone.
     fn assume_home_preference(&mut self, at_home: usize) {
         let zones: BTreeSet<_> = self
-            .workers
+            .fleet
+            .workers()
             .iter()
             .map(|worker| worker.listed.zone)
             .collect();
         let of_all = (at_home * zones.len()) as f64;
-        let preference = of_all / INITIAL_ZONE_LOAD / self.workers.len() as f64;
+        let preference = of_all / INITIAL_ZONE_LOAD / self.fleet.workers().len() as f64;
         self.zone_preference.assume(preference);
     }
 
     /// Fraction of these workers that the own traffic loads to [`PREFERRED_LOAD`].
     fn preferred_fraction(&self, pool: &[usize]) -> f64 {
-        let capacities = pool
-            .iter()
-            .map(|index| self.capacity(&self.workers[*index]));
+        let capacities = pool.iter().map(|index| self.capacity(&self.fleet[*index]));
         let capacity: f64 = capacities.sum();
         let least = SAMPLE_SIZE as f64 / pool.len().max(1) as f64;
         let filled = self.arrivals.latest().work / PREFERRED_LOAD / capacity.max(CAPACITY_MIN);
@@ -108,13 +112,13 @@
         pool: &[usize],
         fraction: f64,
     ) {
-        let is_of_kind = |index: &usize| self.workers[*index].kind == kind;
+        let is_of_kind = |index: &usize| self.fleet[*index].kind == kind;
         let all: Vec<usize> = pool.iter().copied().filter(is_of_kind).collect();
         let count = all.len();
         let first = count * self.settings.me as usize / self.settings.dispatchers as usize;
         let preferred_count = (fraction * count as f64).ceil() as usize;
         for (position, &index) in all.iter().enumerate() {
-            let warm_up_rate = self.warm_up_rate(now, &self.workers[index]);
+            let warm_up_rate = self.warm_up_rate(now, &self.fleet[index]);
             let from_first = (position + count - first % count) % count;
             let is_preferred = warm_up_rate.is_some() || from_first < preferred_count;
             let group = if is_preferred {
@@ -123,7 +127,7 @@
                 locality.other
             };
             if warm_up_rate != Some(0.0) {
-                self.groups[group * self.kinds.len() + kind].push(index);
+                self.fleet.add_to_group(group, kind, index);
             }
         }
     }
--- a/crates/decisions/src/dispatcher/health.rs
+++ b/crates/decisions/src/dispatcher/health.rs
@@ -1,7 +1,8 @@
 //! Health of workers by the results of their attempts: failure rates, ejection, probation.
 
 use super::Dispatcher;
-use super::state::{OpenRequest, Worker};
+use super::fleet::Worker;
+use super::state::OpenRequest;
 use super::tuning::{
     EJECTION_BASE, EJECTION_MAX, FAILURE_DECAY, FAILURE_STEP, FULL_EJECTION_MAX,
     PROBATION_FAILURE_RATE, TIMEOUT_STEP,
@@ -13,19 +14,19 @@
     pub(super) fn record_outcome(&mut self, now: Time, index: usize, status: Status) {
         match status {
             Status::Ok => {
-                let worker = &mut self.workers[index];
+                let worker = &mut self.fleet[index];
                 worker.failure_rate -= FAILURE_STEP * worker.failure_rate;
                 self.record_progress(now, index);
             }
             Status::Error | Status::Reset | Status::ConnectFailed => {
-                self.workers[index].record_failure(now, FAILURE_STEP, false);
+                self.fleet[index].record_failure(now, FAILURE_STEP, false);
             }
-            Status::Timeout => self.workers[index].record_failure(now, TIMEOUT_STEP, true),
+            Status::Timeout => self.fleet[index].record_failure(now, TIMEOUT_STEP, true),
             Status::Full => {
                 // A slot frees within about a run time.
                 let run =
                     (self.run_times.sum / self.run_times.weight).min(FULL_EJECTION_MAX) as Time;
-                let worker = &mut self.workers[index];
+                let worker = &mut self.fleet[index];
                 worker.ejected_until = worker.ejected_until.max(now + run);
                 self.count_start(index, true);
                 self.displacement.record_rejection();
@@ -36,7 +37,7 @@
 
     /// The worker makes progress: an ejection for being unresponsive ends.
     pub(super) fn record_progress(&mut self, now: Time, index: usize) {
-        let worker = &mut self.workers[index];
+        let worker = &mut self.fleet[index];
         if std::mem::take(&mut worker.timeouts_in_a_row) > 0 {
             worker.ejected_until = worker.ejected_until.min(now);
         }
@@ -44,12 +45,12 @@
 
     /// Whether a worker on probation may get this request: one at a time, and only a retryable one.
     pub(super) fn may_probe_health(&self, worker: &Worker, open: &OpenRequest) -> bool {
-        worker.own_slots == 0.0 && self.settings.classes[open.class].effect != Effect::Unsafe
+        worker.own_slots() == 0.0 && self.settings.classes[open.class].effect != Effect::Unsafe
     }
 
     /// Failure rates decay with time: where no class is retryable, nothing else would end a probation.
     pub(super) fn decay_failures(&mut self, now: Time) {
-        let listed = self.workers.iter_mut();
+        let listed = self.fleet.workers_mut().iter_mut();
         listed
             .filter(|worker| worker.ejected_until <= now)
             .for_each(|worker| worker.failure_rate *= FAILURE_DECAY);
--- a/crates/decisions/src/dispatcher/membership.rs
+++ b/crates/decisions/src/dispatcher/membership.rs
@@ -1,6 +1,6 @@
 //! The membership list: which workers there are, and connections to those that drain.
 
-use super::state::{Kind, Timed, Worker};
+use super::fleet::{Timed, Worker};
 use super::tuning::KINDS_MAX;
 use super::{Dispatcher, unit};
 use crate::api::{Action, Entry, Scope, Time, WorkerState};
@@ -18,7 +18,7 @@
         self.membership_request
             .handle_answer(now, scope, refresh_within);
         if matches!(scope, Scope::Full | Scope::Cached) {
-            for worker in &mut self.workers {
+            for worker in self.fleet.workers_mut() {
                 worker.active = false;
                 worker.listed.state = WorkerState::Left;
             }
@@ -27,8 +27,8 @@
             self.update_entry(now, entry);
         }
         let must_disconnect = |worker: &Worker| !worker.active && worker.has_connections;
-        let disconnecting: Vec<usize> = (0..self.workers.len())
-            .filter(|index| must_disconnect(&self.workers[*index]))
+        let disconnecting: Vec<usize> = (0..self.fleet.workers().len())
+            .filter(|index| must_disconnect(&self.fleet[*index]))
             .collect();
         for index in disconnecting {
             self.close_idle(index, out);
@@ -40,7 +40,7 @@
     /// An attempt or a probe has ended at a worker: closes idle connections there if it drains, where the settings
     /// say so.
     pub(super) fn close_idle(&mut self, index: usize, out: &mut Vec<Action>) {
-        let worker = &mut self.workers[index];
+        let worker = &mut self.fleet[index];
         worker.has_connections = worker.active || self.settings.rules.close_idle_within.is_none();
         if !worker.has_connections {
             worker.idle_since.clear();
@@ -52,16 +52,11 @@
 
     fn update_entry(&mut self, now: Time, entry: Entry) {
         let kind = (entry.kind as usize).min(KINDS_MAX);
-        let kinds = self.kinds.len().max(kind + 1);
-        self.kinds.resize(kinds, Kind::default());
-        let next = self.workers.len();
-        let index = *self.index.entry(entry.worker).or_insert(next);
-        if index == next {
-            self.workers.push(Worker::new(Entry::default()));
-        }
+        self.fleet.extend_kinds(kind + 1);
+        let (index, _) = self.fleet.find_or_add(entry.worker);
         // All dispatchers learn of a start together: each begins to accumulate its budget at a random offset.
         let owed = -unit(&mut self.rng) * self.run_times.sum / self.run_times.weight.max(1.0);
-        let worker = &mut self.workers[index];
+        let worker = &mut self.fleet[index];
         if entry.ready_at > worker.listed.ready_at {
             worker.warm_up_budget = Timed {
                 value: owed,
--- a/crates/decisions/src/dispatcher/observations.rs
+++ b/crates/decisions/src/dispatcher/observations.rs
@@ -1,7 +1,6 @@
 //! Load of workers by their reports, by probes and by updates from peers.
 
 use super::Dispatcher;
-use super::state::PeerClaim;
 use super::tuning::{PEER_UPDATE_MAX, PROBE_AGE, PROBE_WAIT, REPORT_AGE, SAMPLE_SIZE};
 use crate::api::{Action, Load, RequestId, Time, WorkerId};
 
@@ -33,7 +32,7 @@
         };
         let target = self.settings.classes[open.class].latency_target;
         for index in &sample {
-            let worker = &mut self.workers[*index];
+            let worker = &mut self.fleet[*index];
             let known_at = worker.load_updated_at.unwrap_or(0).max(worker.probed_at);
             let is_recent = known_at + age > now;
             if !is_recent && self.overhead.covers(self.settings.charges.probe) {
@@ -50,7 +49,7 @@
 
     /// Reports the slots in flight at each worker to the peers, as often as the price allows.
     pub(super) fn update_peers(&mut self, out: &mut Vec<Action>) {
-        let workers = self.busy.len().min(PEER_UPDATE_MAX);
+        let workers = self.fleet.busy_count().min(PEER_UPDATE_MAX);
         let peers = self.settings.dispatchers - 1;
         let bytes =
             (PEER_UPDATE_WORKER_BYTES * workers + PEER_UPDATE_REST_BYTES) as f64 * peers as f64;
@@ -58,46 +57,21 @@
         if !self.settings.limits.peers || !self.overhead.covers(price) {
             return;
         }
-        let busy = self.busy.iter().map(|index| &self.workers[*index]);
-        let in_flight: Vec<(WorkerId, u8)> = busy
+        let in_flight: Vec<(WorkerId, u8)> = self
+            .fleet
+            .busy()
             .filter(|worker| worker.active)
             .take(PEER_UPDATE_MAX)
-            .map(|worker| (worker.listed.worker, worker.own_slots.round() as u8))
+            .map(|worker| (worker.listed.worker, worker.own_slots().round() as u8))
             .collect();
         if self.overhead.pay_for_update(price, &in_flight) {
             out.push(Action::UpdatePeers { in_flight });
         }
     }
 
-    /// Replaces the slots that a peer has claimed before.
-    pub(super) fn handle_peer_update(
-        &mut self,
-        now: Time,
-        peer: u32,
-        in_flight: &[(WorkerId, u8)],
-    ) {
-        let claimed = self.claimed.entry(peer).or_default();
-        for index in claimed.drain(..) {
-            let claims = &mut self.workers[index].peer_claims;
-            claims.retain(|claim| claim.peer != peer);
-        }
-        for (worker, slots) in in_flight {
-            let Some(&index) = self.index.get(worker) else {
-                continue;
-            };
-            self.workers[index].peer_claims.push(PeerClaim {
-                peer,
-                slots: f64::from(*slots),
-                at: now,
-            });
-            claimed.push(index);
-        }
-    }
-
     /// Updates the slots of a kind, and the slots of others at a worker, by its load report.
     pub(super) fn handle_load(&mut self, now: Time, index: usize, load: &Load) {
-        let worker = &mut self.workers[index];
-        let kind = &mut self.kinds[worker.kind];
+        let (worker, kind) = self.fleet.worker_and_kind_mut(index);
         let nothing_waits = load.queue.is_none_or(|queue| queue < EMPTY_QUEUE);
         let free = load.free_slots.filter(|free| *free >= FREE_SLOTS_MIN);
         if let Some(free) = free.filter(|_| nothing_waits) {
--- a/crates/decisions/src/dispatcher/sampling.rs
+++ b/crates/decisions/src/dispatcher/sampling.rs
@@ -1,6 +1,7 @@
 //! Which workers are sampled for a request (SQ(d)), and which of them it is sent to.
 
-use super::state::{Attempt, OpenRequest, Worker};
+use super::fleet::Worker;
+use super::state::{Attempt, OpenRequest};
 use super::tuning::{
     AFFINITY_TIERS, ANY_ZONE_TIERS, HOME_FIRST_TIERS, PROBATION_FAILURE_RATE, SAMPLE_SIZE, Tier,
 };
@@ -43,7 +44,7 @@
         let has_affinity = self.affinity_of(open).is_some();
         let is_free = |index: &usize| {
             self.is_eligible(now, *index, open, work)
-                && !self.is_crowded(now, &self.workers[*index], 0.0)
+                && !self.is_crowded(now, &self.fleet[*index], 0.0)
         };
         let mut candidates: Vec<usize> = open.probed.iter().copied().filter(is_free).collect();
         if candidates.is_empty() {
@@ -53,7 +54,7 @@
             // Candidates are in the order of their ranks for the affinity.
             return candidates.first().copied();
         }
-        let load = |index: &usize| self.load(now, &self.workers[*index]);
+        let load = |index: &usize| self.load(now, &self.fleet[*index]);
         candidates
             .into_iter()
             .min_by(|a, b| load(a).total_cmp(&load(b)))
@@ -105,7 +106,7 @@
         let is_candidate = |kind: &usize| {
             request.bound_kind.is_none_or(|bound| bound == *kind) && self.tier_size(tier, *kind) > 0
         };
-        let mut kinds: Vec<usize> = (0..self.kinds.len()).filter(is_candidate).collect();
+        let mut kinds: Vec<usize> = (0..self.fleet.kinds().len()).filter(is_candidate).collect();
         let mut found = Vec::new();
         while found.is_empty() && !kinds.is_empty() {
             let kind = self.draw_kind(rng, request.affinity, tier, &mut kinds);
@@ -134,7 +135,7 @@
             self.kind_weights.solved()
         };
         let weight = |kind: &usize| {
-            let of_kind = &self.kinds[*kind];
+            let of_kind = &self.fleet.kinds()[*kind];
             let capacity = of_kind.slots.max(1.0) * of_kind.speed.speed * CAPACITY_WEIGHT;
             solved.get(*kind).copied().unwrap_or(0.0)
                 + self.tier_size(tier, *kind) as f64 * capacity
@@ -171,9 +172,9 @@
             } else {
                 pool.swap_remove(drawn)
             };
-            let worker = &self.workers[index];
+            let worker = &self.fleet[index];
             let has_capacity = match capacity {
-                Capacity::FreeQueue => worker.unstarted.is_empty(),
+                Capacity::FreeQueue => worker.unstarted().is_empty(),
                 Capacity::FreeSlot if request.home_worker == Some(index) => {
                     !self.is_crowded(now, worker, self.fetch_slots(worker))
                 }
@@ -190,23 +191,21 @@
     fn pool(&self, tier: &Tier, kind: usize, affinity: Option<u64>) -> Vec<usize> {
         let groups = tier.groups.iter();
         let mut pool: Vec<usize> = groups
-            .flat_map(|group| self.group(*group, kind))
+            .flat_map(|group| self.fleet.group(*group, kind))
             .copied()
             .collect();
         if let Some(affinity) = affinity {
-            let rank = |index: &usize| affinity::rank(affinity, self.workers[*index].listed.worker);
+            let rank = |index: &usize| affinity::rank(affinity, self.fleet[*index].listed.worker);
             pool.sort_by(|a, b| rank(a).total_cmp(&rank(b)));
         }
         pool
     }
 
-    fn group(&self, group: usize, kind: usize) -> &[usize] {
-        &self.groups[group * self.kinds.len() + kind]
-    }
-
     fn tier_size(&self, tier: &Tier, kind: usize) -> usize {
         let groups = tier.groups.iter();
-        groups.map(|group| self.group(*group, kind).len()).sum()
+        groups
+            .map(|group| self.fleet.group(*group, kind).len())
+            .sum()
     }
 
     /// The request's affinity, unless it is known that such requests fetch nothing.
@@ -226,11 +225,9 @@
         };
         let kinds = 0..self.kind_weights.solved().len();
         let kind = affinity::draw(affinity, kinds.map(|kind| (kind as u64, weight(kind))))?;
-        let rank = |index: &usize| affinity::rank(affinity, self.workers[*index].listed.worker);
-        let of_kind = self.groups.iter().skip(kind).step_by(self.kinds.len());
-        of_kind
-            .flatten()
-            .copied()
+        let rank = |index: &usize| affinity::rank(affinity, self.fleet[*index].listed.worker);
+        self.fleet
+            .grouped_of_kind(kind)
             .min_by(|a, b| rank(a).total_cmp(&rank(b)))
     }
 
@@ -240,7 +237,7 @@
         let open = self.open.get(&id).filter(may_go)?;
         let work = self.work(open.class, open.estimate);
         let home = self.home_worker(open)?;
-        let worker = &self.workers[home];
+        let worker = &self.fleet[home];
         let takes = self.is_eligible(now, home, open, work)
             && !self.is_crowded(now, worker, self.fetch_slots(worker));
         takes.then_some(home)
@@ -254,7 +251,7 @@
 
     /// Whether this worker may get this request now, apart from its load.
     fn is_eligible(&self, now: Time, index: usize, open: &OpenRequest, work: f64) -> bool {
-        let worker = &self.workers[index];
+        let worker = &self.fleet[index];
         let is_healthy = worker.failure_rate <= PROBATION_FAILURE_RATE;
         let may_have_run_there = |a: &Attempt| a.worker == index && !a.never_ran;
         worker.active
--- a/crates/decisions/src/dispatcher/statistics_merge.rs
+++ b/crates/decisions/src/dispatcher/statistics_merge.rs
@@ -3,7 +3,7 @@
 //! permits (a budget of a worker that warms up, a place in the membership list) is neither written nor taken.
 
 use super::Dispatcher;
-use super::state::{Kind, Worker};
+use super::fleet::Worker;
 use super::tuning::{EJECTION_MAX, KINDS_MAX, PROBATION_FAILURE_RATE};
 use crate::api::{Time, WorkerId, WorkerState};
 use crate::statistics::{self, Pace, Statistics, aged};
@@ -40,7 +40,7 @@
     }
 
     fn listed_workers(&self) -> impl Iterator<Item = &Worker> {
-        let workers = self.workers.iter();
+        let workers = self.fleet.workers().iter();
         workers.filter(|worker| worker.listed.state != WorkerState::Left)
     }
 
@@ -54,7 +54,7 @@
             };
             (id as u32, of)
         };
-        let kinds = 0..self.kinds.len();
+        let kinds = 0..self.fleet.kinds().len();
         let tenants = (0..).map_while(|tenant| Some((tenant, self.arrivals.fraction(tenant)?)));
         Statistics {
             at: now,
@@ -76,7 +76,7 @@
     }
 
     fn kind_statistics(&self, id: usize) -> statistics::Kind {
-        let kind = &self.kinds[id];
+        let kind = &self.fleet.kinds()[id];
         let weight = self.kind_weights.smoothed_of(id);
         statistics::Kind {
             slots: kind.slots,
@@ -102,8 +102,8 @@
 
     /// Slots that its jobs occupy at each worker now.
     pub fn slots_in_flight(&self) -> Vec<(WorkerId, f64)> {
-        let busy = self.busy.iter().map(|index| &self.workers[*index]);
-        busy.map(|worker| (worker.listed.worker, worker.own_slots))
+        let busy = self.fleet.busy();
+        busy.map(|worker| (worker.listed.worker, worker.own_slots()))
             .collect()
     }
 
@@ -119,7 +119,7 @@
             self.merge_class(id as usize, class, run_weight);
         }
         for (id, worker) in other.workers {
-            let known = self.index.get(&id).map(|index| &mut self.workers[*index]);
+            let known = self.fleet.index_of(id).map(|index| &mut self.fleet[index]);
             // Another instance counts as another worker.
             if let Some(known) = known.filter(|known| known.listed.ready_at == worker.started_at) {
                 known.merge(now, &worker, pace_weight);
@@ -127,7 +127,8 @@
         }
         let slots = |(id, slots): &(u32, f64)| (*id, slots.round().min(SLOTS_REPORTED_MAX) as u8);
         let in_flight: Vec<_> = other.in_flight.iter().map(slots).collect();
-        self.handle_peer_update(other.at.min(now), self.settings.me, &in_flight);
+        self.fleet
+            .replace_claims(other.at.min(now), self.settings.me, &in_flight);
         if self.settings.rules.resends.is_some() {
             self.retries.merge(now, other.retried_at);
         }
@@ -147,9 +148,9 @@
 
     fn merge_kind(&mut self, id: usize, other: statistics::Kind, run_weight: f64) {
         let id = id.min(KINDS_MAX);
-        let kinds = self.kinds.len().max(id + 1);
-        self.kinds.resize(kinds, Kind::default());
-        let kind = &mut self.kinds[id];
+        self.fleet.extend_kinds(id + 1);
+        let kinds = self.fleet.kinds().len();
+        let kind = self.fleet.kind_mut(id);
         // Reported slots replace observed ones; of two observations the larger counts.
         match (kind.slots_reported, other.slots_reported) {
             (true, false) => {}
--- a/crates/decisions/src/dispatcher/stragglers.rs
+++ b/crates/decisions/src/dispatcher/stragglers.rs
@@ -50,7 +50,7 @@
         }
         let sample = self.sample(now, id);
         let is_better =
-            |index: &usize| *index != from && !self.is_crowded(now, &self.workers[*index], 0.0);
+            |index: &usize| *index != from && !self.is_crowded(now, &self.fleet[*index], 0.0);
         if sample.iter().any(is_better) {
             out.push(Action::Cancel {
                 request: id,
@@ -133,10 +133,10 @@
         attempt.timed_out = true;
         let index = attempt.worker;
         let waited = now - attempt.sent.max(attempt.last_progress.at);
-        self.release_slots(now, index, id, slots);
+        self.fleet.release_slots(now, index, id, slots);
         if self.settings.limits.moves() {
             // Cancelled, it cannot show when the worker responds again: eject it for as long as this took to notice.
-            let worker = &mut self.workers[index];
+            let worker = &mut self.fleet[index];
             worker.timeouts_in_a_row += u32::from(now >= worker.ejected_until);
             let ejection = waited
                 .saturating_mul(worker.timeouts_in_a_row.into())
--- a/crates/decisions/src/dispatcher/warm_up.rs
+++ b/crates/decisions/src/dispatcher/warm_up.rs
@@ -2,7 +2,7 @@
 //! limits this is a budget of work in any window (`tip_multiple`, `tip_window` of the settings).
 
 use super::Dispatcher;
-use super::state::Worker;
+use super::fleet::Worker;
 use super::tuning::{SAMPLE_SIZE, WARM_UP_JOBS, WARM_UP_USE};
 use crate::api::Time;
 
