Import of HAR: plain bytes of strings are taken in one step

Change: within a string the bytes up to the next quote or backslash are copied at once, up to the limits of string and entry.

--- a/crates/traffic/src/har/entry_scanner.rs
+++ b/crates/traffic/src/har/entry_scanner.rs
@@ -1,5 +1,7 @@
 //! The text of one entry, with long strings truncated so that memory is bounded whatever the document holds.
 
+use memchr::memchr2;
+
 /// What is kept of a string in an entry, in bytes.
 const MAX_TEXT_BYTES: usize = 8 * 1024;
 /// The longest entry once its strings are truncated.
@@ -53,6 +55,22 @@
         self.entry.shrink_to(KEPT_CAPACITY_BYTES);
     }
 
+    /// Takes the plain bytes of a string up to the next quote or backslash, as far as the limits of string and entry
+    /// allow, and returns how many: most of a document is such bytes. [`Self::push`] takes the others.
+    pub(super) fn push_plain(&mut self, bytes: &[u8]) -> usize {
+        if !self.quoted || self.escaped || self.hex > 0 || self.truncated {
+            return 0;
+        }
+        let allowed = MAX_TEXT_BYTES
+            .saturating_sub(self.text_bytes)
+            .min(MAX_ENTRY_BYTES - self.entry.len());
+        let bytes = &bytes[..bytes.len().min(allowed)];
+        let plain = memchr2(b'"', b'\\', bytes).unwrap_or(bytes.len());
+        self.entry.extend_from_slice(&bytes[..plain]);
+        self.text_bytes += plain;
+        plain
+    }
+
     /// Takes a byte. `true`: it ends the entry.
     pub(super) fn push(&mut self, byte: u8) -> bool {
         let keep = match self.quoted {
--- a/crates/traffic/src/har/splitter.rs
+++ b/crates/traffic/src/har/splitter.rs
@@ -42,26 +42,40 @@
 impl Splitter {
     /// Takes a chunk of the document and hands out the entries that end in it.
     pub fn push(&mut self, bytes: &[u8], mut each: impl FnMut(Element<'_>)) {
-        for byte in bytes {
+        let mut rest = bytes;
+        while let Some((&byte, after)) = rest.split_first() {
             match self.state {
-                ParserState::Before if self.finder.push(*byte) => {
+                ParserState::Before if self.finder.push(byte) => {
                     self.state = ParserState::Between;
                 }
-                ParserState::Between => self.push_between(*byte),
-                ParserState::Within if self.scanner.push(*byte) => {
-                    self.state = ParserState::Between;
-                    each(match self.scanner.is_too_long() {
-                        false => Element::Entry(self.scanner.text()),
-                        true => Element::TooLong(self.scanner.text()),
-                    });
-                    self.scanner.clear();
+                ParserState::Between => self.push_between(byte),
+                ParserState::Within => {
+                    let plain = self.scanner.push_plain(rest);
+                    if plain > 0 {
+                        rest = &rest[plain..];
+                        continue;
+                    }
+                    if self.scanner.push(byte) {
+                        self.end_entry(&mut each);
+                    }
                 }
-                ParserState::Before | ParserState::Within => {}
+                ParserState::Before => {}
                 ParserState::After => return,
             }
+            rest = after;
         }
     }
 
+    /// Hands out the entry that has ended.
+    fn end_entry(&mut self, each: &mut impl FnMut(Element<'_>)) {
+        self.state = ParserState::Between;
+        each(match self.scanner.is_too_long() {
+            false => Element::Entry(self.scanner.text()),
+            true => Element::TooLong(self.scanner.text()),
+        });
+        self.scanner.clear();
+    }
+
     fn push_between(&mut self, byte: u8) {
         match byte {
             b']' => self.state = ParserState::After,
