Dispatcher: an open request holds the job that a transfer carries

Cause: the eight fields of an open job stood in OpenRequest and in TransferredJob, and release and adopt copied them one by one; the second copy ended in defaults, so that a new field would have been dropped in silence. Change: OpenRequest has the TransferredJob of worker indices; both ways are its renamed. When a job is adopted all its workers are looked up before its attempts are counted; a new worker's draw does not read slots in flight.

--- a/crates/decisions/src/dispatcher/admission.rs
+++ b/crates/decisions/src/dispatcher/admission.rs
@@ -6,6 +6,7 @@
 use crate::api::{
     Action, AttemptNo, Class, Effect, Group, Reports, Request, RequestId, Tenant, TenantId, Time,
 };
+use crate::transferred_job::TransferredJob;
 
 /// Least work of a request, in microseconds, where value is divided by work.
 const WORK_MIN: f64 = 1e-9;
@@ -15,8 +16,8 @@
     pub(super) fn accept(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         let open = self.open_request(now, request);
-        let work = self.work(open.class, open.estimate);
-        let (class, over_quota, slots) = (open.class, open.over_quota, open.slots);
+        let work = self.work(open.job.class, open.job.estimate);
+        let (class, over_quota, slots) = (open.job.class, open.job.over_quota, open.job.slots);
         self.retries
             .record_accepted(now, self.settings.rules.resends);
         self.open.insert(id, open);
@@ -52,7 +53,7 @@
         let late_from = arrived
             .saturating_add(rules.latency_target)
             .saturating_add_signed(((rules.stretch - LATE_MARGIN) * work) as i64);
-        OpenRequest {
+        let job = TransferredJob {
             class,
             late_from,
             deadline: now.saturating_add(request.left),
@@ -61,6 +62,10 @@
             slots,
             attempt_limit: self.settings.limits.attempts as usize,
             over_quota,
+            attempts: Vec::new(),
+        };
+        OpenRequest {
+            job,
             ..OpenRequest::default()
         }
     }
@@ -103,8 +108,9 @@
 
     /// Continues with a request of which nothing is in flight: sends, queues or closes it.
     pub(super) fn send_or_queue(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
-        let is_idle =
-            |open: &&OpenRequest| open.queued_in.is_none() && open.attempts.iter().all(|a| a.done);
+        let is_idle = |open: &&OpenRequest| {
+            open.queued_in.is_none() && open.job.attempts.iter().all(|a| a.done)
+        };
         match self.open.get(&id).filter(is_idle).map(|open| open.closed) {
             Some(true) => self.close(id, out),
             Some(false) if !self.send_now(now, id, out) => self.enqueue(now, id, out),
@@ -124,23 +130,23 @@
         let Some(open) = self.open.get(&id) else {
             return;
         };
-        let is_late = now > open.late_from;
-        let last_tick = open.deadline.saturating_sub(2 * self.tick());
+        let is_late = now > open.job.late_from;
+        let last_tick = open.job.deadline.saturating_sub(2 * self.tick());
         let until = self.sendable_until(open).min(last_tick);
-        let is_worthless = is_late && self.settings.classes[open.class].late_value <= 0.0;
-        let has_no_retry = !open.attempts.is_empty() && retries < 1.0;
+        let is_worthless = is_late && self.settings.classes[open.job.class].late_value <= 0.0;
+        let has_no_retry = !open.job.attempts.is_empty() && retries < 1.0;
         if now >= until || is_worthless || has_no_retry {
             return self.answer(now, id, out);
         }
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        let queue = QueueIndex::new(open.class, open.over_quota, is_late);
+        let queue = QueueIndex::new(open.job.class, open.job.over_quota, is_late);
         open.queued_in = Some(queue);
         let due = if is_late {
             until
         } else {
-            until.min(open.late_from + 1)
+            until.min(open.job.late_from + 1)
         };
         self.reviews.schedule(due, id);
         self.queues.push(queue, id);
@@ -231,12 +237,12 @@
             let Some(open) = self.open.get(&id).filter(|open| !open.closed) else {
                 continue;
             };
-            let earns_late = self.settings.classes[open.class].late_value > 0.0;
-            let is_worthless = !earns_late && now > open.late_from;
+            let earns_late = self.settings.classes[open.job.class].late_value > 0.0;
+            let is_worthless = !earns_late && now > open.job.late_from;
             if let Some(queue) = open.queued_in {
                 self.queues.remove(queue, id);
                 self.enqueue(now, id, out);
-            } else if is_worthless && open.attempts.iter().all(|a| a.started.is_none()) {
+            } else if is_worthless && open.job.attempts.iter().all(|a| a.started.is_none()) {
                 self.answer(now, id, out);
             } else {
                 self.handle_overdue(now, id, out);
@@ -249,12 +255,12 @@
         let Some(open) = self.open.get(&id).filter(|open| !open.closed) else {
             return;
         };
-        let is_idempotent = match self.settings.classes[open.class].effect {
+        let is_idempotent = match self.settings.classes[open.job.class].effect {
             Effect::Safe => true,
             Effect::Keyed { group, .. } => group == Group::All,
             Effect::Unsafe => false,
         };
-        let is_harmless = is_idempotent || open.attempts.iter().all(|a| a.never_ran);
+        let is_harmless = is_idempotent || open.job.attempts.iter().all(|a| a.never_ran);
         let retry_after = self.retry_after(now, open);
         out.push(if is_harmless {
             Action::Refuse {
@@ -275,14 +281,14 @@
         } else {
             0
         };
-        let wanted = if now > open.late_from {
+        let wanted = if now > open.job.late_from {
             longest
         } else {
             self.tick()
         };
         wanted
             .min(longest)
-            .min(open.deadline.saturating_sub(now) / 2)
+            .min(open.job.deadline.saturating_sub(now) / 2)
     }
 
     /// Closes a request: cancels its attempts in flight and removes it once all their results are in.
@@ -290,7 +296,12 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        let in_flight = open.attempts.iter().enumerate().filter(|(_, a)| !a.done);
+        let in_flight = open
+            .job
+            .attempts
+            .iter()
+            .enumerate()
+            .filter(|(_, a)| !a.done);
         if !open.closed && self.settings.limits.cancel {
             out.extend(in_flight.map(|(n, _)| Action::Cancel {
                 request: id,
@@ -298,7 +309,7 @@
             }));
         }
         open.closed = true;
-        if open.attempts.iter().all(|a| a.done) {
+        if open.job.attempts.iter().all(|a| a.done) {
             self.open.remove(&id);
         }
     }
--- a/crates/decisions/src/dispatcher/adoption.rs
+++ b/crates/decisions/src/dispatcher/adoption.rs
@@ -11,37 +11,30 @@
     /// `None` if there is no such request, it has its final answer, or the settings have changed the rules that it
     /// came with: then it stays here.
     pub fn release(&mut self, now: Time, id: RequestId) -> Option<TransferredJob<u32>> {
-        let rules = self.open.get(&id).filter(|open| !open.closed)?.class;
+        let rules = self.open.get(&id).filter(|open| !open.closed)?.job.class;
         let class = self.class_of.iter().position(|index| *index == rules)? as u32;
         let open = self.open.remove(&id)?;
         self.reviews.forget(id);
         if let Some(queue) = open.queued_in {
             self.queues.remove(queue, id);
         }
-        for (number, attempt) in open.attempts.iter().enumerate() {
+        for (number, attempt) in open.job.attempts.iter().enumerate() {
             if attempt.done {
                 continue;
             }
-            let slots = if attempt.timed_out { 0.0 } else { open.slots };
+            let slots = if attempt.timed_out {
+                0.0
+            } else {
+                open.job.slots
+            };
             let of = AttemptId {
                 request: id,
                 attempt: number as AttemptNo,
             };
             self.fleet.release_slots(now, attempt.worker, of, slots);
         }
-        let worker = |index: usize| self.fleet[index].listed.worker;
-        let attempts = open.attempts.into_iter();
-        Some(TransferredJob {
-            class,
-            late_from: open.late_from,
-            deadline: open.deadline,
-            estimate: open.estimate,
-            affinity: open.affinity,
-            slots: open.slots,
-            attempt_limit: open.attempt_limit,
-            over_quota: open.over_quota,
-            attempts: attempts.map(|attempt| attempt.at(worker)).collect(),
-        })
+        let worker = |index: &usize| self.fleet[*index].listed.worker;
+        open.job.renamed(|_| Some(class), worker)
     }
 
     /// Continues a request that another process has released.
@@ -55,29 +48,23 @@
         let Some(class) = self.class_of.get(job.class as usize).copied() else {
             return;
         };
-        let mut open = OpenRequest {
-            class,
-            late_from: job.late_from,
-            deadline: job.deadline,
-            estimate: job.estimate,
-            affinity: job.affinity,
-            slots: job.slots,
-            attempt_limit: job.attempt_limit,
-            over_quota: job.over_quota,
-            ..OpenRequest::default()
+        let index_of = |worker: &u32| self.worker_index(now, *worker);
+        let Some(job) = job.renamed(|_| Some(class), index_of) else {
+            return;
         };
-        for (number, attempt) in job.attempts.into_iter().enumerate() {
-            let index = self.worker_index(now, attempt.worker);
-            let attempt = attempt.at(|_| index);
+        for (number, attempt) in job.attempts.iter().enumerate() {
             let of = AttemptId {
                 request: id,
                 attempt: number as AttemptNo,
             };
-            self.adopt_attempt(now, of, &attempt, open.slots);
-            open.attempts.push(attempt);
+            self.adopt_attempt(now, of, attempt, job.slots);
         }
+        let open = OpenRequest {
+            job,
+            ..OpenRequest::default()
+        };
         if self.settings.classes[class].late_value <= 0.0 {
-            self.reviews.schedule(open.late_from + 1, id);
+            self.reviews.schedule(open.job.late_from + 1, id);
         }
         self.open.insert(id, open);
         self.send_or_queue(now, id, out);
--- a/crates/decisions/src/dispatcher/attempts.rs
+++ b/crates/decisions/src/dispatcher/attempts.rs
@@ -27,12 +27,12 @@
             return false;
         };
         let worker = &self.fleet[index];
-        let work = self.work(open.class, open.estimate);
+        let work = self.work(open.job.class, open.job.estimate);
         let budget_left = self.warm_up_allowance(now, worker, work) - work;
         let by = self.sendable_until(open);
         let allowed = now < by
-            && (open.attempts.is_empty() || retries >= 1.0)
-            && (self.settings.limits.duplicates || open.attempts.iter().all(|a| a.done))
+            && (open.job.attempts.is_empty() || retries >= 1.0)
+            && (self.settings.limits.duplicates || open.job.attempts.iter().all(|a| a.done))
             && worker.active
             && self.effect_allows(open, worker)
             && budget_left >= 0.0;
@@ -78,7 +78,7 @@
             return;
         };
         let is_idle = self.fleet[index].own_slots() == 0.0;
-        let attempt = open.attempts.len() as AttemptNo;
+        let attempt = open.job.attempts.len() as AttemptNo;
         let reports_start = self.settings.reports_start;
         let started = (!reports_start && is_idle).then_some(now);
         if reports_start {
@@ -89,16 +89,16 @@
             let unstarted = UnstartedAttempt {
                 sent: now,
                 id,
-                slots: open.slots,
+                slots: open.job.slots,
             };
             self.fleet.add_unstarted(index, unstarted);
         }
         if attempt > 0 {
             self.retries.record_retry(now, self.settings.rules.resends);
         }
-        self.fleet.add_slots(index, open.slots);
+        self.fleet.add_slots(index, open.job.slots);
         open.queued_in = None;
-        open.attempts.push(Attempt {
+        open.job.attempts.push(Attempt {
             worker: index,
             sent: now,
             connection_idle,
@@ -116,8 +116,8 @@
         if self.settings.limits.moves() {
             self.reviews.schedule(self.move_due(now), id);
         }
-        if self.settings.classes[open.class].late_value <= 0.0 {
-            self.reviews.schedule(open.late_from + 1, id);
+        if self.settings.classes[open.job.class].late_value <= 0.0 {
+            self.reviews.schedule(open.job.late_from + 1, id);
         }
     }
 
@@ -128,16 +128,17 @@
 
     /// From this time on no rule allows one more attempt, or it would hardly be done by the deadline.
     pub(super) fn sendable_until(&self, open: &OpenRequest) -> Time {
-        let runs = (LATE_MARGIN * self.work(open.class, open.estimate)) as Time;
-        let margin = runs.min(self.classes[open.class].longest_patience / 2);
-        let last = open.deadline.saturating_sub(margin);
+        let runs = (LATE_MARGIN * self.work(open.job.class, open.job.estimate)) as Time;
+        let margin = runs.min(self.classes[open.job.class].longest_patience / 2);
+        let last = open.job.deadline.saturating_sub(margin);
         let limit = open
+            .job
             .attempt_limit
             .min(self.settings.limits.attempts as usize);
-        let may_have_run = open.attempts.iter().find(|a| !a.never_ran);
+        let may_have_run = open.job.attempts.iter().find(|a| !a.never_ran);
         let until = |end: Time| end.saturating_sub(self.tick()).min(last);
-        match (may_have_run, self.settings.classes[open.class].effect) {
-            _ if open.closed || open.attempts.len() >= limit => 0,
+        match (may_have_run, self.settings.classes[open.job.class].effect) {
+            _ if open.closed || open.job.attempts.len() >= limit => 0,
             (Some(_), Effect::Unsafe) => 0,
             (Some(first), Effect::Keyed { ttl, .. }) => until(first.sent.saturating_add(ttl)),
             _ => last,
@@ -151,11 +152,11 @@
 
     /// Whether the class's effect permits a further attempt on this worker.
     pub(super) fn effect_allows(&self, open: &OpenRequest, worker: &Worker) -> bool {
-        let Some(first) = open.attempts.iter().find(|a| !a.never_ran) else {
+        let Some(first) = open.job.attempts.iter().find(|a| !a.never_ran) else {
             return true;
         };
         let of = &self.fleet[first.worker].listed;
-        match self.settings.classes[open.class].effect {
+        match self.settings.classes[open.job.class].effect {
             Effect::Keyed {
                 group: Group::Zone, ..
             } => of.zone == worker.listed.zone,
@@ -233,7 +234,7 @@
             self.record_progress(now, index);
         }
         let open = self.open.get(&id.request);
-        let due = open.map(|open| self.overdue_at(&open.attempts[id.attempt as usize]));
+        let due = open.map(|open| self.overdue_at(&open.job.attempts[id.attempt as usize]));
         if let Some(due) = due {
             self.reviews.schedule(due, id.request);
         }
@@ -241,7 +242,7 @@
 
     fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
         let open = self.open.get_mut(&id.request)?;
-        open.attempts.get_mut(id.attempt as usize)
+        open.job.attempts.get_mut(id.attempt as usize)
     }
 
     /// An attempt has ended. Returns its worker; `None` if nothing of the kind was in flight.
@@ -255,15 +256,16 @@
         let never_ran = self.never_ran(status);
         let open = self.open.get_mut(&id.request)?;
         let attempt = open
+            .job
             .attempts
             .get_mut(id.attempt as usize)
             .filter(|attempt| !attempt.done)?;
         attempt.done = true;
         attempt.never_ran = never_ran;
         let ended = attempt.clone();
-        let (class, estimate) = (open.class, open.estimate);
-        let has_affinity = open.affinity.is_some();
-        let slots = if ended.timed_out { 0.0 } else { open.slots };
+        let (class, estimate) = (open.job.class, open.job.estimate);
+        let has_affinity = open.job.affinity.is_some();
+        let slots = if ended.timed_out { 0.0 } else { open.job.slots };
         if status == Status::Moot && id.attempt > 0 {
             self.retries.take_back(ended.sent);
         }
--- a/crates/decisions/src/dispatcher/health.rs
+++ b/crates/decisions/src/dispatcher/health.rs
@@ -45,7 +45,7 @@
 
     /// Whether a worker on probation may get this request: one at a time, and only a retryable one.
     pub(super) fn may_probe_health(&self, worker: &Worker, open: &OpenRequest) -> bool {
-        worker.own_slots() == 0.0 && self.settings.classes[open.class].effect != Effect::Unsafe
+        worker.own_slots() == 0.0 && self.settings.classes[open.job.class].effect != Effect::Unsafe
     }
 
     /// Failure rates decay with time: where no class is retryable, nothing else would end a probation.
--- a/crates/decisions/src/dispatcher/observations.rs
+++ b/crates/decisions/src/dispatcher/observations.rs
@@ -30,7 +30,7 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        let target = self.settings.classes[open.class].latency_target;
+        let target = self.settings.classes[open.job.class].latency_target;
         for index in &sample {
             let worker = &mut self.fleet[*index];
             let known_at = worker.load_updated_at.unwrap_or(0).max(worker.probed_at);
--- a/crates/decisions/src/dispatcher/reconfigure.rs
+++ b/crates/decisions/src/dispatcher/reconfigure.rs
@@ -43,7 +43,7 @@
     /// The first entry that no class and no open request uses, or one past the last.
     fn spare_class(&self) -> usize {
         let is_used = |index: &usize| {
-            self.class_of.contains(index) || self.open.values().any(|open| open.class == *index)
+            self.class_of.contains(index) || self.open.values().any(|open| open.job.class == *index)
         };
         let is_spare =
             |index: &usize| !is_used(index) && self.settings.classes[*index] != Class::UNKNOWN;
--- a/crates/decisions/src/dispatcher/sampling.rs
+++ b/crates/decisions/src/dispatcher/sampling.rs
@@ -40,7 +40,7 @@
                 && (now >= open.wait_until || !self.overhead.awaits_probes())
         };
         let open = self.open.get(&id).filter(may_go)?;
-        let work = self.work(open.class, open.estimate);
+        let work = self.work(open.job.class, open.job.estimate);
         let has_affinity = self.affinity_of(open).is_some();
         let is_free = |index: &usize| {
             self.is_eligible(now, *index, open, work)
@@ -69,8 +69,8 @@
         };
         let request = Sampled {
             open,
-            work: self.work(open.class, open.estimate),
-            bound_kind: self.settings.classes[open.class]
+            work: self.work(open.job.class, open.job.estimate),
+            bound_kind: self.settings.classes[open.job.class]
                 .kind
                 .map(|kind| kind as usize),
             affinity: self.affinity_of(open),
@@ -211,14 +211,14 @@
     /// The request's affinity, unless it is known that such requests fetch nothing.
     fn affinity_of(&self, open: &OpenRequest) -> Option<u64> {
         let mean_run = self.run_times.sum / self.run_times.weight.max(1.0);
-        open.affinity.filter(|_| !self.fetches.none(mean_run))
+        open.job.affinity.filter(|_| !self.fetches.none(mean_run))
     }
 
     /// The worker where requests with the same affinity go first: the best-ranked one of the kind that the affinity
     /// draws.
     pub(super) fn home_worker(&self, open: &OpenRequest) -> Option<usize> {
         let affinity = self.affinity_of(open)?;
-        let bound_kind = self.settings.classes[open.class].kind;
+        let bound_kind = self.settings.classes[open.job.class].kind;
         let weight = |kind: usize| match bound_kind {
             Some(bound) if bound as usize != kind => 0.0,
             _ => self.kind_weights.smoothed()[kind],
@@ -235,7 +235,7 @@
     pub(super) fn choose_home(&self, now: Time, id: RequestId) -> Option<usize> {
         let may_go = |open: &&OpenRequest| now < self.sendable_until(open) && self.may_wait(false);
         let open = self.open.get(&id).filter(may_go)?;
-        let work = self.work(open.class, open.estimate);
+        let work = self.work(open.job.class, open.job.estimate);
         let home = self.home_worker(open)?;
         let worker = &self.fleet[home];
         let takes = self.is_eligible(now, home, open, work)
@@ -257,7 +257,7 @@
         worker.active
             && now >= worker.ejected_until
             && (is_healthy || self.may_probe_health(worker, open))
-            && !open.attempts.iter().any(may_have_run_there)
+            && !open.job.attempts.iter().any(may_have_run_there)
             && self.effect_allows(open, worker)
             && self.warm_up_allowance(now, worker, work) >= work
     }
--- a/crates/decisions/src/dispatcher/state.rs
+++ b/crates/decisions/src/dispatcher/state.rs
@@ -2,7 +2,7 @@
 
 use crate::api::{AttemptNo, Class, RequestId, Time};
 use crate::runs::Work;
-use crate::transferred_job;
+use crate::transferred_job::{self, TransferredJob};
 
 /// One attempt of an open request; its worker is an index into the table of workers.
 pub(super) type Attempt = transferred_job::Attempt<usize>;
@@ -65,22 +65,8 @@
 /// A request that has no final answer, or whose attempts have not all ended.
 #[derive(Default)]
 pub(super) struct OpenRequest {
-    /// Index of its class's rules.
-    pub class: usize,
-    /// Started after this, it would likely end after its latency target.
-    pub late_from: Time,
-    /// When its client gives up.
-    pub deadline: Time,
-    /// Its expected work, where the client gave one.
-    pub estimate: Option<Time>,
-    /// What it is about: requests with the same affinity go to the same worker first.
-    pub affinity: Option<u64>,
-    /// Slots, or memory where that is more: a worker has about one unit for each slot.
-    pub slots: f64,
-    /// Attempts that it may have at most.
-    pub attempt_limit: usize,
-    /// It is beyond its tenant's quota.
-    pub over_quota: bool,
+    /// What is known of it: index of its class's rules, its limits, and its attempts with the indices of their workers.
+    pub job: TransferredJob<usize>,
     /// It has its final answer.
     pub closed: bool,
     /// The queue that it is in.
@@ -89,6 +75,4 @@
     pub probed: Vec<usize>,
     /// Until when it waits for the results of the probes.
     pub wait_until: Time,
-    /// Its attempts so far, in order.
-    pub attempts: Vec<Attempt>,
 }
--- a/crates/decisions/src/dispatcher/stragglers.rs
+++ b/crates/decisions/src/dispatcher/stragglers.rs
@@ -21,7 +21,7 @@
         out: &mut Vec<Action>,
     ) {
         let open = self.open.get_mut(&id.request);
-        let attempt = open.and_then(|open| open.attempts.get_mut(id.attempt as usize));
+        let attempt = open.and_then(|open| open.job.attempts.get_mut(id.attempt as usize));
         if let Some(attempt) = attempt.filter(|a| !a.done && a.started.is_none()) {
             attempt.unacknowledged = true;
             self.handle_overdue(now, id.request, out);
@@ -37,14 +37,21 @@
         let waits_long = |a: &&Attempt| {
             !a.done && !a.timed_out && a.started.is_none() && now >= a.sent + MOVE_WAIT
         };
-        let Some(from) = open.attempts.last().filter(waits_long).map(|a| a.worker) else {
+        let Some(from) = open
+            .job
+            .attempts
+            .last()
+            .filter(waits_long)
+            .map(|a| a.worker)
+        else {
             return;
         };
-        let made = open.attempts.len();
+        let made = open.job.attempts.len();
         let limit = open
+            .job
             .attempt_limit
             .min(self.settings.limits.attempts as usize);
-        let is_unsafe = self.settings.classes[open.class].effect == Effect::Unsafe;
+        let is_unsafe = self.settings.classes[open.job.class].effect == Effect::Unsafe;
         if made + 1 >= limit || is_unsafe {
             return;
         }
@@ -91,7 +98,7 @@
         let may_retry = retries >= 1.0 && now < self.sendable_until(open);
         let moves = self.settings.limits.moves();
         let is_overdue = |a: &Attempt| !a.done && !a.timed_out && now >= self.overdue_at(a);
-        if let Some(number) = open.attempts.iter().position(is_overdue) {
+        if let Some(number) = open.job.attempts.iter().position(is_overdue) {
             let attempt = number as AttemptNo;
             self.time_out(
                 now,
@@ -116,7 +123,7 @@
         let needs_another = self
             .open
             .get(&id)
-            .is_some_and(|open| has_none_in_time(&open.attempts));
+            .is_some_and(|open| has_none_in_time(&open.job.attempts));
         let may_double = may_retry && self.settings.limits.duplicates;
         if needs_another && may_double && !self.send_now(now, id, out) {
             self.reviews.schedule(now + REVIEW_TICKS * self.tick(), id);
@@ -128,8 +135,8 @@
         let Some(open) = self.open.get_mut(&id.request) else {
             return;
         };
-        let slots = open.slots;
-        let attempt = &mut open.attempts[id.attempt as usize];
+        let slots = open.job.slots;
+        let attempt = &mut open.job.attempts[id.attempt as usize];
         attempt.timed_out = true;
         let index = attempt.worker;
         let waited = now - attempt.sent.max(attempt.last_progress.at);
--- a/crates/decisions/src/transferred_job.rs
+++ b/crates/decisions/src/transferred_job.rs
@@ -13,7 +13,7 @@
 
 /// What the decision module knows of an open job; `N` identifies its class and the workers of its attempts. Times are
 /// microseconds of Unix time, durations microseconds.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TransferredJob<N> {
     /// Its class.
     pub class: N,
