Replay: errors of a scenario's file and of the folding keep their sources

Cause: two variants of ReplayError turned a typed error into text. Change: Document has the DocumentError, Fold the I/O error; the texts shown are the same.

--- a/crates/replay/src/error.rs
+++ b/crates/replay/src/error.rs
@@ -1,6 +1,7 @@
 //! Why a scenario cannot be played, or a survey not be made.
 
 use indigofold::config::ConfigError;
+use indigofold_traffic::document::DocumentError;
 use indigofold_traffic::recording::RecordingError;
 use snafu::Snafu;
 use std::path::PathBuf;
@@ -17,6 +18,12 @@
         /// Each thing that is wrong, with its place.
         errors: Vec<String>,
     },
+    /// A scenario's file cannot be read.
+    #[snafu(display("{source}"))]
+    Document {
+        /// Each thing that is wrong, with its place.
+        source: DocumentError,
+    },
     /// The scheduler rejects the settings that follow from a scenario.
     #[snafu(display("{source}"))]
     Settings {
@@ -96,10 +103,10 @@
         status: ExitStatus,
     },
     /// Recorded retries cannot be folded.
-    #[snafu(display("{reason}"))]
+    #[snafu(display("{source}"))]
     Fold {
         /// Why.
-        reason: String,
+        source: std::io::Error,
     },
     /// A row cannot be written as JSON.
     #[snafu(display("{source}"))]
--- a/crates/replay/src/retry_folding.rs
+++ b/crates/replay/src/retry_folding.rs
@@ -1,6 +1,6 @@
 //! How well retries are folded: traffic is made whose truth is known, and what identifies a retry is removed step by step.
 
-use crate::error::ReplayError;
+use crate::error::{FoldSnafu, ReplayError};
 use crate::load::Made;
 use crate::scenario::{Effect, Scenario};
 use crate::virtual_time::{LoggedRequest, Retries, Simulation};
@@ -10,6 +10,7 @@
 use indigofold_traffic::order::{Attempt, Sorter, Spread};
 use rustc_hash::FxHashMap;
 use serde::Serialize;
+use snafu::ResultExt;
 use std::sync::Arc;
 
 /// The result for one kind of records.
@@ -114,11 +115,7 @@
     for seed in 1..=seeds {
         let records = play(scenario, seed)?;
         for (kind, counts) in RECORD_KINDS.iter().zip(&mut counts) {
-            counts.add(
-                fold(scenario, &records, kind, seed).map_err(|e| ReplayError::Fold {
-                    reason: e.to_string(),
-                })?,
-            );
+            counts.add(fold(scenario, &records, kind, seed).context(FoldSnafu)?);
         }
     }
     let rows = RECORD_KINDS.iter().zip(counts);
--- a/crates/replay/src/scenario.rs
+++ b/crates/replay/src/scenario.rs
@@ -4,9 +4,10 @@
 mod settings;
 mod validation;
 
-use crate::error::{ReplayError, ScenarioSnafu};
+use crate::error::{DocumentSnafu, ReplayError, ScenarioSnafu};
 pub use form::*;
 use indigofold_traffic::document;
+use snafu::ResultExt;
 
 /// Microseconds.
 pub type Micros = u64;
@@ -21,10 +22,7 @@
 /// # Errors
 /// Each thing that is wrong, with its place.
 pub fn read(text: &str) -> Result<Scenario, ReplayError> {
-    let scenario: Scenario =
-        document::read("scenario", text).map_err(|errors| ReplayError::Scenario {
-            errors: vec![errors.to_string()],
-        })?;
+    let scenario: Scenario = document::read("scenario", text).context(DocumentSnafu)?;
     let errors = scenario.validation_errors();
     if errors.is_empty() {
         Ok(scenario)
