--- a/review/standin/frozen_core.rs
+++ b/review/standin/frozen_core.rs
@@ -89,7 +89,7 @@
         Duration::from_secs(10),
         || lost.holds() > 0,
     )?;
-    let id = format!("5c0e7a21d94b3600{number:x}").split_off(1);
+    let id = format!("5c0e7a21d94b360{number:x}");
     let path = format!("/q{number}/{id}");
     let body = "{\"spec\":\"ms=6000\",\"stages\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":6000}]}";
     cluster.submit(&path, body)?;
