--- a/review/standin/late_greeting.rs
+++ b/review/standin/late_greeting.rs
@@ -1,6 +1,6 @@
 //! A node agent starts while its link to the core is bad: what it sends on its first connection to the head is held up,
-//! and arrives when the agent has given that connection up and is at work on another one. The other two core machines are
-//! out of its reach throughout.
+//! and arrives when the agent has given that connection up and is at work on another one. The seeds that name the other
+//! two core machines lead nowhere, so that the agent's first connections all go to the head, at one address.
 
 use crate::cluster::{Cluster, wait_for};
 use crate::worker::{Life, Runs};
