Net: requests name the connection on which they were received

Cause: the node agent has to tell whether two heartbeats of an instance came on one connection, and a request only named the sender's socket address, whose port may be used again. Change: HttpRequest::connection, a number that each accepted connection has anew. Nothing reads it yet.

--- a/crates/control-plane/tests/control_plane/operator.rs
+++ b/crates/control-plane/tests/control_plane/operator.rs
@@ -4,7 +4,7 @@
 use indigofold_control_plane::operator::{
     OperatorRequest, OperatorResponse, parse_request, write_response,
 };
-use indigofold_net::http::{HeaderMap, HttpRequest, Method, header};
+use indigofold_net::http::{HeaderMap, HttpConnectionId, HttpRequest, Method, header};
 use rstest::rstest;
 use std::net::SocketAddr;
 
@@ -19,6 +19,7 @@
         headers,
         body: b"{}".to_vec(),
         peer,
+        connection: HttpConnectionId(0),
     }
 }
 
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -15,6 +15,6 @@
 
 pub use hyper::Method;
 pub use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-pub use message::{HttpRequest, HttpResponse};
+pub use message::{HttpConnectionId, HttpRequest, HttpResponse};
 pub use options::HttpOptions;
 pub use server::{HttpServer, serve};
--- a/crates/net/src/http/connection.rs
+++ b/crates/net/src/http/connection.rs
@@ -1,6 +1,6 @@
 //! Serving of one connection, from its acceptance to its end.
 
-use super::message::{HttpRequest, HttpResponse};
+use super::message::{HttpRequest, HttpResponse, Origin};
 use super::progress::{Ending, Phase, Progress};
 use super::receive::receive;
 use super::state::ServerState;
@@ -14,7 +14,6 @@
 use hyper::{Request, Response};
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -25,7 +24,7 @@
 /// Serves requests on `stream` until either side closes it.
 pub(super) async fn serve_connection<H, F>(
     stream: TcpStream,
-    peer: SocketAddr,
+    origin: Origin,
     progress: Rc<Progress>,
     server: Rc<ServerState>,
     handler: Rc<H>,
@@ -37,7 +36,7 @@
         stream,
         progress: progress.clone(),
     });
-    let service = service_fn(|request| answer(request, peer, &progress, &server, &*handler));
+    let service = service_fn(|request| answer(request, origin, &progress, &server, &*handler));
     let mut builder = http1::Builder::new();
     // The time of day may be wrong on this machine, and the `Date` header is optional.
     builder
@@ -58,14 +57,14 @@
         connection.as_mut().poll(context)
     });
     if let Err(error) = outcome.await {
-        log::debug!("connection failed peer={peer} error={error}");
+        log::debug!("connection failed peer={} error={error}", origin.peer);
     }
 }
 
 /// Receives one request, passes it to the handler and returns the response.
 async fn answer<H, F>(
     request: Request<Incoming>,
-    peer: SocketAddr,
+    origin: Origin,
     progress: &Progress,
     server: &ServerState,
     handler: &H,
@@ -75,7 +74,7 @@
     F: Future<Output = HttpResponse> + 'static,
 {
     progress.enter(Phase::Receiving);
-    let response = match receive(request, peer, server.options()).await {
+    let response = match receive(request, origin, server.options()).await {
         Ok(request) => {
             progress.enter(Phase::Answering);
             handler(request).await
--- a/crates/net/src/http/message.rs
+++ b/crates/net/src/http/message.rs
@@ -6,6 +6,19 @@
 use hyper::{Method, Response, StatusCode};
 use std::net::SocketAddr;
 
+/// Number of a connection; each connection that a server accepts has another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct HttpConnectionId(pub u64);
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Origin {
+    /// Address of the sender's socket.
+    pub(super) peer: SocketAddr,
+    /// Connection on which the request is received.
+    pub(super) connection: HttpConnectionId,
+}
+
 /// A request that was received completely.
 #[derive(Clone, Debug)]
 pub struct HttpRequest {
@@ -21,6 +34,9 @@
     pub body: Vec<u8>,
     /// Address of the sender's socket.
     pub peer: SocketAddr,
+    /// Connection on which the request was received. A request is handled only after the response to the previous one
+    /// on its connection was passed to the socket.
+    pub connection: HttpConnectionId,
 }
 
 impl HttpRequest {
--- a/crates/net/src/http/receive.rs
+++ b/crates/net/src/http/receive.rs
@@ -1,13 +1,12 @@
 //! Receiving of requests within the size limits.
 
-use super::message::{HttpRequest, HttpResponse};
+use super::message::{HttpRequest, HttpResponse, Origin};
 use super::options::HttpOptions;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Uri};
-use std::net::SocketAddr;
 
 /// Bytes of an oversized request that are read and discarded, so that its sender can read the response: closing a
 /// connection with unread bytes resets it.
@@ -41,7 +40,7 @@
 /// Receives a request completely.
 pub(super) async fn receive(
     request: Request<Incoming>,
-    peer: SocketAddr,
+    origin: Origin,
     options: HttpOptions,
 ) -> Result<HttpRequest, Rejection> {
     let (head, body) = request.into_parts();
@@ -61,7 +60,8 @@
         host,
         headers: head.headers,
         body,
-        peer,
+        peer: origin.peer,
+        connection: origin.connection,
     })
 }
 
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -1,7 +1,7 @@
 //! The server: accepting connections, enforcing time limits, and shutdown.
 
 use super::connection::serve_connection;
-use super::message::{HttpRequest, HttpResponse};
+use super::message::{HttpRequest, HttpResponse, Origin};
 use super::options::HttpOptions;
 use super::progress::Progress;
 use super::state::ServerState;
@@ -136,10 +136,13 @@
         return;
     }
     let progress = Rc::new(Progress::new());
-    state.add_connection(&progress);
+    let origin = Origin {
+        peer,
+        connection: state.add_connection(&progress),
+    };
     let (server, handler) = (state.clone(), handler.clone());
     runtime::spawn(async move {
-        serve_connection(stream, peer, progress, server.clone(), handler).await;
+        serve_connection(stream, origin, progress, server.clone(), handler).await;
         server.remove_connection();
     });
     if !state.set_limits_enforced(true) {
--- a/crates/net/src/http/state.rs
+++ b/crates/net/src/http/state.rs
@@ -1,5 +1,6 @@
 //! State shared by the tasks of one server.
 
+use super::message::HttpConnectionId;
 use super::options::HttpOptions;
 use super::progress::Progress;
 use crate::waker_slot::WakerSlot;
@@ -14,6 +15,8 @@
     shutting_down: Cell<bool>,
     connections: RefCell<Vec<Weak<Progress>>>,
     open_connections: Cell<usize>,
+    /// Number of connections accepted so far.
+    accepted_connections: Cell<u64>,
     /// Whether the task that enforces the time limits runs.
     limits_enforced: Cell<bool>,
     /// Waker of the task that waits until no connection is open.
@@ -28,6 +31,7 @@
             shutting_down: Cell::new(false),
             connections: RefCell::default(),
             open_connections: Cell::new(0),
+            accepted_connections: Cell::new(0),
             limits_enforced: Cell::new(false),
             drain_waker: WakerSlot::default(),
         }
@@ -58,10 +62,13 @@
         self.open_connections.get()
     }
 
-    /// Adds an accepted connection.
-    pub(super) fn add_connection(&self, progress: &Rc<Progress>) {
+    /// Adds an accepted connection, and returns its number.
+    pub(super) fn add_connection(&self, progress: &Rc<Progress>) -> HttpConnectionId {
         self.connections.borrow_mut().push(Rc::downgrade(progress));
         self.open_connections.set(self.open_connections.get() + 1);
+        let number = self.accepted_connections.get();
+        self.accepted_connections.set(number + 1);
+        HttpConnectionId(number)
     }
 
     /// Counts a connection that has ended. After the last one, wakes the task that waits for it.
