Data plane: the worker's instances in a module of their own

Change: Instances owns the current and the former instances and the events about them; the types of heartbeats and events have files of their own. A move, no change of behaviour.

--- a/crates/data-plane/src/agent.rs
+++ b/crates/data-plane/src/agent.rs
@@ -4,8 +4,11 @@
 
 mod closed_runs;
 mod connection_updates;
+mod event;
 mod former_instances;
+mod heartbeat;
 mod heartbeat_interval;
+mod instances;
 mod lease_authority;
 mod report_schedule;
 mod reported_runs;
@@ -14,7 +17,9 @@
 mod worker_instance;
 
 pub use closed_runs::CLOSED_RUNS_MAX;
+pub use event::AgentEvent;
 pub use former_instances::ENDED_INSTANCES_MAX;
+pub use heartbeat::{HeartbeatOutcome, HeartbeatReceipt};
 pub use heartbeat_interval::{BUSY_HEARTBEAT_MS, IDLE_HEARTBEAT_MS, RECENT_ORDER_MS};
 pub use lease_authority::expires_by_ms;
 pub use report_schedule::{REPORT_INTERVAL_MS, REPORT_SPACING_MS};
@@ -22,11 +27,11 @@
 pub use run_table::{CAPACITY_WAIT_MS, SEND_ATTEMPTS_MAX, STARTS_PER_REPLY_MAX};
 
 use connection_updates::ConnectionUpdates;
-use former_instances::FormerInstances;
 use heartbeat_interval::HeartbeatInterval;
 use indigofold_protocol::internal::{AgentOrders, AgentReport};
 use indigofold_protocol::task::RunId;
 use indigofold_protocol::worker::{Heartbeat, HeartbeatReply};
+use instances::{Admission, Instances};
 use lease_authority::LeaseAuthority;
 use report_schedule::ReportSchedule;
 use reported_runs::ReportedRuns;
@@ -40,67 +45,18 @@
 /// late because each end of a run delays it.
 pub const ORDERS_WAIT_MS: u64 = 100;
 
-/// A heartbeat that was accepted and awaits its reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HeartbeatReceipt {
-    /// Sequence number of the heartbeat.
-    pub seq_no: u64,
-    /// Whether the reply should wait for orders: runs have ended, and the connected head, which knows the instance, may
-    /// soon order starts for the capacity that became free.
-    pub expects_orders: bool,
-}
-
-/// The result of a heartbeat.
-#[derive(Debug, PartialEq)]
-pub enum HeartbeatOutcome {
-    /// The heartbeat is the newest one; the reply carries orders.
-    Answered(HeartbeatReply),
-    /// A newer heartbeat was read before, or the instance has ended; the heartbeat is acknowledged without orders.
-    Superseded,
-}
-
-/// Events for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum AgentEvent {
-    /// An instance of the worker sent its first heartbeat.
-    Registered {
-        /// Id of the instance.
-        instance: String,
-    },
-    /// An instance sent `DELETE`.
-    Deregistered {
-        /// Id of the instance.
-        instance: String,
-    },
-    /// All leases of an instance expired without a heartbeat.
-    Unresponsive {
-        /// Id of the instance.
-        instance: String,
-    },
-    /// An unresponsive instance sent a heartbeat again.
-    Returned {
-        /// Id of the instance.
-        instance: String,
-    },
-}
-
 /// The state of the node agent.
 #[derive(Debug)]
 pub struct Agent {
-    started_ms: u64,
     authority: LeaseAuthority,
     /// Highest epoch of the orders received; 0 before the first orders.
     epoch: u64,
-    /// The current instance; `None` before the first heartbeat and once a deregistered instance has ended. An instance
-    /// whose leases have expired stays here, as it may return.
-    instance: Option<WorkerInstance>,
-    former: FormerInstances,
+    instances: Instances,
     /// Starts that will never be carried out.
     not_started: ConnectionUpdates<RunId>,
     heartbeat_interval: HeartbeatInterval,
     schedule: ReportSchedule,
     reported_runs: ReportedRuns,
-    events: Vec<AgentEvent>,
 }
 
 impl Agent {
@@ -108,16 +64,13 @@
     /// workers accept.
     pub fn new(now_ms: u64, max_lease_ms: u64) -> Self {
         Agent {
-            started_ms: now_ms,
             authority: LeaseAuthority::new(max_lease_ms),
             epoch: 0,
-            instance: None,
-            former: FormerInstances::new(now_ms),
+            instances: Instances::new(now_ms),
             not_started: ConnectionUpdates::new(NOT_STARTED_MAX),
             heartbeat_interval: HeartbeatInterval::default(),
             schedule: ReportSchedule::new(now_ms),
             reported_runs: ReportedRuns::default(),
-            events: Vec::new(),
         }
     }
 
@@ -129,30 +82,20 @@
         id: &str,
         heartbeat: Heartbeat,
     ) -> Option<HeartbeatReceipt> {
-        if !self.admit(now_ms, id, &heartbeat) {
-            return None;
+        match self.instances.admit(id, heartbeat.seq_no) {
+            Admission::Superseded => return None,
+            Admission::Registered => self.handle_registration(now_ms),
+            Admission::Current => {}
         }
-        self.enforce_authority(now_ms);
-        let instance = self.instance.as_mut()?;
-        let seq_no = heartbeat.seq_no;
-        let changes = instance.handle_heartbeat(now_ms, heartbeat);
-        let is_confirmed = instance.is_confirmed();
-        self.schedule.expedite_if(changes.urgent);
-        self.report_not_started(changes.not_started);
-        Some(HeartbeatReceipt {
-            seq_no,
-            expects_orders: changes.ended && is_confirmed && self.schedule.is_connected(),
-        })
+        self.read_heartbeat(now_ms, heartbeat)
     }
 
     /// Returns the reply to the accepted heartbeat `seq_no`. A heartbeat that a newer one has superseded gets no
     /// orders.
     pub fn poll_heartbeat_reply(&mut self, now_ms: u64, id: &str, seq_no: u64) -> HeartbeatOutcome {
         self.enforce_authority(now_ms);
-        let newest_instance = self
-            .instance
-            .as_mut()
-            .filter(|instance| instance.id() == id && instance.is_newest(seq_no));
+        let current_instance = self.instances.find_current_mut(id);
+        let newest_instance = current_instance.filter(|instance| instance.is_newest(seq_no));
         let Some(instance) = newest_instance else {
             return HeartbeatOutcome::Superseded;
         };
@@ -182,22 +125,22 @@
     /// runs: it ends after the worker has listed the end of each run and the head has acknowledged these ends, or when
     /// its leases expire.
     pub fn handle_deregistration(&mut self, id: &str) {
-        let current_instance = self.instance.as_mut();
-        let Some(instance) =
-            current_instance.filter(|instance| instance.id() == id && !instance.is_deregistered())
-        else {
+        let current_instance = self.instances.find_current_mut(id);
+        let Some(instance) = current_instance.filter(|instance| !instance.is_deregistered()) else {
             return;
         };
-        self.events.push(AgentEvent::Deregistered {
-            instance: id.to_owned(),
-        });
         let withdrawn_runs = instance.withdraw_unlisted();
-        if instance.is_draining() || instance.is_idle() {
-            self.end_instance();
-        } else {
+        let has_runs = !instance.is_draining() && !instance.is_idle();
+        if has_runs {
             instance.deregister();
             self.schedule.expedite_if(true);
         }
+        self.instances.push_event(AgentEvent::Deregistered {
+            instance: id.to_owned(),
+        });
+        if !has_runs {
+            self.end_instance();
+        }
         self.report_not_started(withdrawn_runs);
     }
 
@@ -212,11 +155,10 @@
         if let Some(echo_ms) = orders.echo_sent_ms {
             self.handle_echo(echo_ms);
         }
-        let current_instance = self.instance.as_mut();
-        let Some(instance) = current_instance.filter(|instance| instance.id() == orders.instance)
-        else {
-            let has_current = self.instance.is_some();
-            let is_report_needed = self.former.handle_unknown(orders.instance, has_current);
+        let Some(instance) = self.instances.find_current_mut(&orders.instance) else {
+            let has_current = self.instances.current().is_some();
+            let former = self.instances.former_mut();
+            let is_report_needed = former.handle_unknown(orders.instance, has_current);
             self.schedule.expedite_if(is_report_needed);
             return;
         };
@@ -240,7 +182,10 @@
     pub fn handle_connected(&mut self) {
         self.schedule.handle_connected();
         self.reported_runs.reset();
-        self.former.ended_updates().handle_connected();
+        self.instances
+            .former_mut()
+            .ended_updates()
+            .handle_connected();
         self.not_started.handle_connected();
     }
 
@@ -258,60 +203,41 @@
 
     /// The latest time at which to call [`Agent::poll_report`] next; `None` if nothing is due.
     pub fn next_timeout_ms(&self) -> Option<u64> {
-        let instance = self.instance.as_ref();
-        let timeouts = [
-            instance.and_then(WorkerInstance::next_timeout_ms),
-            self.former.next_timeout_ms(),
-            self.report_due_ms(),
-        ];
+        let timeouts = [self.instances.next_timeout_ms(), self.report_due_ms()];
         timeouts.into_iter().flatten().min()
     }
 
     /// Returns the events since the last call, oldest first.
     pub fn poll_events(&mut self) -> Vec<AgentEvent> {
-        std::mem::take(&mut self.events)
+        self.instances.poll_events()
     }
 
-    /// Returns whether this heartbeat is to be read. Registers a new or returning instance first.
-    fn admit(&mut self, now_ms: u64, id: &str, heartbeat: &Heartbeat) -> bool {
-        if self.former.is_closed(id) {
-            return false;
-        }
-        let current_instance = self.instance.as_ref();
-        if current_instance.is_some_and(|instance| instance.id() != id) {
-            self.end_instance();
-        }
-        let id = id.to_owned();
-        match &mut self.instance {
-            Some(instance) if instance.is_superseded(heartbeat.seq_no) => return false,
-            Some(instance) if !instance.is_expired() => return true,
-            Some(instance) => {
-                instance.handle_return();
-                let instance = id.clone();
-                self.events.push(AgentEvent::Returned { instance });
-            }
-            None => {
-                let has_returned = self.former.is_ended(&id);
-                self.instance = Some(WorkerInstance::new(
-                    id.clone(),
-                    self.started_ms,
-                    has_returned,
-                ));
-                let instance = id.clone();
-                self.events.push(AgentEvent::Registered { instance });
-            }
-        }
-        self.former.handle_registered(&id);
+    /// Handles the registration of the current instance, or its return: it is reported at once and in full.
+    fn handle_registration(&mut self, now_ms: u64) {
         self.schedule.expedite_if(true);
         self.reported_runs.reset();
         self.heartbeat_interval.handle_activity(now_ms);
-        true
+    }
+
+    /// Reads a heartbeat of the current instance.
+    fn read_heartbeat(&mut self, now_ms: u64, heartbeat: Heartbeat) -> Option<HeartbeatReceipt> {
+        self.enforce_authority(now_ms);
+        let instance = self.instances.current_mut()?;
+        let seq_no = heartbeat.seq_no;
+        let changes = instance.handle_heartbeat(now_ms, heartbeat);
+        let is_confirmed = instance.is_confirmed();
+        self.schedule.expedite_if(changes.urgent);
+        self.report_not_started(changes.not_started);
+        Some(HeartbeatReceipt {
+            seq_no,
+            expects_orders: changes.ended && is_confirmed && self.schedule.is_connected(),
+        })
     }
 
     /// Records that an acting head acknowledged the report sent at `echo_ms`.
     fn handle_echo(&mut self, echo_ms: u64) {
         if self.authority.handle_echo(echo_ms)
-            && let Some(instance) = &mut self.instance
+            && let Some(instance) = self.instances.current_mut()
         {
             instance.handle_echo(echo_ms);
         }
@@ -319,17 +245,15 @@
 
     /// Ends a deregistered instance that has no runs left and whose ends the head has all acknowledged.
     fn end_if_finished(&mut self) {
-        let current_instance = self.instance.as_ref();
+        let current_instance = self.instances.current();
         if current_instance.is_some_and(WorkerInstance::is_finished) {
             self.end_instance();
         }
     }
 
     fn end_instance(&mut self) {
-        if let Some(instance) = self.instance.take() {
-            self.former.close(instance.id().to_owned());
-            self.schedule.expedite_if(true);
-        }
+        let has_ended = self.instances.end_current();
+        self.schedule.expedite_if(has_ended);
     }
 
     fn report_not_started(&mut self, runs: Vec<RunId>) {
@@ -343,7 +267,7 @@
         if !self.authority.has_expired(now_ms) {
             return;
         }
-        if let Some(instance) = &mut self.instance {
+        if let Some(instance) = self.instances.current_mut() {
             let withdrawn_runs = instance.withdraw_unlisted();
             self.report_not_started(withdrawn_runs);
         }
@@ -353,30 +277,24 @@
     /// that the head's orders name but that has sent no heartbeat to this process, once the leases that a previous agent
     /// process may have granted to it have expired.
     fn expire_unresponsive(&mut self, now_ms: u64) {
-        let is_report_needed = self.former.expire_unknown(now_ms);
+        let is_report_needed = self.instances.former_mut().expire_unknown(now_ms);
         self.schedule.expedite_if(is_report_needed);
-        let current_instance = self.instance.as_mut();
-        let Some(instance) = current_instance.filter(|instance| instance.is_expiry_due(now_ms))
-        else {
-            return;
-        };
-        let id = instance.id().to_owned();
-        let withdrawn_runs = instance.expire();
-        self.report_not_started(withdrawn_runs);
-        self.former.expire(id.clone());
-        self.schedule.expedite_if(true);
-        self.events.push(AgentEvent::Unresponsive { instance: id });
+        if let Some(withdrawn_runs) = self.instances.expire_current(now_ms) {
+            self.report_not_started(withdrawn_runs);
+            self.schedule.expedite_if(true);
+        }
     }
 
     fn report_due_ms(&self) -> Option<u64> {
-        let has_pending_updates = self.former.is_report_pending() || self.not_started.is_pending();
+        let has_pending_updates =
+            self.instances.former().is_report_pending() || self.not_started.is_pending();
         self.schedule.due_ms(has_pending_updates)
     }
 
     fn report(&mut self, now_ms: u64) -> AgentReport {
         self.schedule.handle_report_sent(now_ms);
         self.authority.handle_report_sent(now_ms);
-        let current_instance = self.instance.as_mut();
+        let current_instance = self.instances.current_mut();
         let instance = current_instance
             .filter(|instance| !instance.is_expired())
             .map(|instance| {
@@ -387,7 +305,7 @@
         AgentReport {
             sent_ms: now_ms,
             instance,
-            ended_instances: self.former.ended_updates().take_pending(),
+            ended_instances: self.instances.former_mut().ended_updates().take_pending(),
             not_started: self.not_started.take_pending(),
         }
     }
--- /dev/null
+++ b/crates/data-plane/src/agent/instances.rs
@@ -0,0 +1,146 @@
+//! The instances of the worker: the current one and former ones. Decides which instance a heartbeat makes the current
+//! one.
+
+use super::event::AgentEvent;
+use super::former_instances::FormerInstances;
+use super::worker_instance::WorkerInstance;
+use indigofold_protocol::task::RunId;
+
+/// Whether a heartbeat is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// The instance is the current one; the heartbeat is to be read.
+    Current,
+    /// The instance has just become the current one; the heartbeat is to be read.
+    Registered,
+    /// A newer heartbeat was read before, or the instance has ended.
+    Superseded,
+}
+
+/// The instances of the worker on this machine.
+#[derive(Debug)]
+pub(super) struct Instances {
+    started_ms: u64,
+    /// The current instance; `None` before the first registration and once a deregistered instance has ended. An
+    /// instance whose leases have expired stays here, as it may return.
+    current: Option<WorkerInstance>,
+    former: FormerInstances,
+    events: Vec<AgentEvent>,
+}
+
+impl Instances {
+    /// Creates the state without any known instance. A previous agent process may have granted a lease until
+    /// `started_ms`.
+    pub(super) fn new(started_ms: u64) -> Self {
+        Instances {
+            started_ms,
+            current: None,
+            former: FormerInstances::new(started_ms),
+            events: Vec::new(),
+        }
+    }
+
+    /// The current instance, with or without leases.
+    pub(super) fn current(&self) -> Option<&WorkerInstance> {
+        self.current.as_ref()
+    }
+
+    /// Mutable access to the current instance.
+    pub(super) fn current_mut(&mut self) -> Option<&mut WorkerInstance> {
+        self.current.as_mut()
+    }
+
+    /// Mutable access to the current instance if it has this id.
+    pub(super) fn find_current_mut(&mut self, id: &str) -> Option<&mut WorkerInstance> {
+        self.current_mut().filter(|instance| instance.id() == id)
+    }
+
+    /// The former instances.
+    pub(super) fn former(&self) -> &FormerInstances {
+        &self.former
+    }
+
+    /// Mutable access to the former instances.
+    pub(super) fn former_mut(&mut self) -> &mut FormerInstances {
+        &mut self.former
+    }
+
+    /// Handles the arrival of heartbeat `seq_no`. An instance that is not the current one, or whose leases have expired,
+    /// becomes the current one; a different current one has ended.
+    pub(super) fn admit(&mut self, id: &str, seq_no: u64) -> Admission {
+        if self.former.is_closed(id) {
+            return Admission::Superseded;
+        }
+        let Some(instance) = self.find_current_mut(id) else {
+            self.end_current();
+            return self.register(id);
+        };
+        if instance.is_superseded(seq_no) {
+            return Admission::Superseded;
+        }
+        if !instance.is_expired() {
+            return Admission::Current;
+        }
+        self.register(id)
+    }
+
+    /// Closes the current instance: it has ended, and so have its runs. Returns whether there was one.
+    pub(super) fn end_current(&mut self) -> bool {
+        let Some(instance) = self.current.take() else {
+            return false;
+        };
+        self.former.close(instance.id().to_owned());
+        true
+    }
+
+    /// Marks the current instance as ended once all leases granted to it have expired. Returns its starts that were
+    /// never sent to the worker; `None` if no instance expires now.
+    pub(super) fn expire_current(&mut self, now_ms: u64) -> Option<Vec<RunId>> {
+        let current_instance = self.current.as_mut();
+        let instance = current_instance.filter(|instance| instance.is_expiry_due(now_ms))?;
+        let withdrawn_runs = instance.expire();
+        let instance = instance.id().to_owned();
+        self.former.expire(instance.clone());
+        self.events.push(AgentEvent::Unresponsive { instance });
+        Some(withdrawn_runs)
+    }
+
+    /// Records an event for the log.
+    pub(super) fn push_event(&mut self, event: AgentEvent) {
+        self.events.push(event);
+    }
+
+    /// Returns the events since the last call, oldest first.
+    pub(super) fn poll_events(&mut self) -> Vec<AgentEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Time at which an instance expires next; `None` if none can.
+    pub(super) fn next_timeout_ms(&self) -> Option<u64> {
+        let current_timeout_ms = self
+            .current
+            .as_ref()
+            .and_then(WorkerInstance::next_timeout_ms);
+        [current_timeout_ms, self.former.next_timeout_ms()]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Makes an instance the current one.
+    fn register(&mut self, id: &str) -> Admission {
+        let instance = id.to_owned();
+        let event = if let Some(returning) = &mut self.current {
+            returning.handle_return();
+            AgentEvent::Returned { instance }
+        } else {
+            let has_returned = self.former.is_ended(&instance);
+            let registered = WorkerInstance::new(instance.clone(), self.started_ms, has_returned);
+            self.current = Some(registered);
+            AgentEvent::Registered { instance }
+        };
+        self.events.push(event);
+        self.former.handle_registered(&id.to_owned());
+        Admission::Registered
+    }
+}
