Data plane: a late heartbeat of an ended instance no longer ends the running one

What callers saw: a worker crashed after its start and came back with a new id. Cause: the node agent took the order in which heartbeats arrive for the order in which instances run. A heartbeat of any id that was not the current one ended the current one for good, and the agent reported it as ended. Same cause on three more paths: after a restart of the agent the first id that it heard was reported, so that the head ended the one that it knew; an instance whose leases had expired returned with one heartbeat; so did one that had crashed right after its first. Change: an instance registers, or returns, with its second heartbeat on a connection. It has read a reply then, so it started after all instances whose heartbeats were read before that reply, and the others have ended. The reply to the first heartbeat asks for the second after 1 ms. Workers that open a connection for each heartbeat register once no other instance can hold a run lease. New log lines name a replaced instance and a heartbeat of another instance. No change between processes. Why this works: a heartbeat that is late is followed by no second one, whatever its delay and whatever the agent has forgotten. Tests that changed: the harness of the agent's tests sends the second heartbeat that the agent asks for; the literal of the first reply in processes.rs is now followed by that of the second, which is the former one. Nothing that they assert was dropped.

--- a/crates/data-plane/src/agent.rs
+++ b/crates/data-plane/src/agent.rs
@@ -10,6 +10,7 @@
 mod heartbeat_interval;
 mod instances;
 mod lease_authority;
+mod pending_instances;
 mod report_schedule;
 mod reported_runs;
 mod run_table;
@@ -19,9 +20,14 @@
 pub use closed_runs::CLOSED_RUNS_MAX;
 pub use event::AgentEvent;
 pub use former_instances::ENDED_INSTANCES_MAX;
-pub use heartbeat::{HeartbeatOutcome, HeartbeatReceipt};
-pub use heartbeat_interval::{BUSY_HEARTBEAT_MS, IDLE_HEARTBEAT_MS, RECENT_ORDER_MS};
+pub use heartbeat::{
+    HeartbeatAdmission, HeartbeatOutcome, HeartbeatReceipt, HeartbeatSource, WorkerConnectionId,
+};
+pub use heartbeat_interval::{
+    BUSY_HEARTBEAT_MS, IDLE_HEARTBEAT_MS, RECENT_ORDER_MS, REGISTRATION_HEARTBEAT_MS,
+};
 pub use lease_authority::expires_by_ms;
+pub use pending_instances::PENDING_INSTANCES_MAX;
 pub use report_schedule::{REPORT_INTERVAL_MS, REPORT_SPACING_MS};
 pub use reported_runs::PROGRESS_INTERVAL_MS;
 pub use run_table::{CAPACITY_WAIT_MS, SEND_ATTEMPTS_MAX, STARTS_PER_REPLY_MAX};
@@ -74,20 +80,35 @@
         }
     }
 
-    /// Handles the heartbeat in a `PUT /instances/ID`; the caller then calls [`Agent::poll_heartbeat_reply`]. Returns
-    /// `None` if the heartbeat is superseded or its instance has ended.
+    /// Handles the heartbeat in a `PUT /instances/ID`. If it is accepted, the caller then calls
+    /// [`Agent::poll_heartbeat_reply`].
+    ///
+    /// An instance registers, or returns after its leases expired, with its second heartbeat.
     pub fn handle_heartbeat(
         &mut self,
         now_ms: u64,
-        id: &str,
+        source: HeartbeatSource<'_>,
         heartbeat: Heartbeat,
-    ) -> Option<HeartbeatReceipt> {
-        match self.instances.admit(id, heartbeat.seq_no) {
-            Admission::Superseded => return None,
-            Admission::Registered => self.handle_registration(now_ms),
-            Admission::Current => {}
+    ) -> HeartbeatAdmission {
+        let has_deregistered = match self.instances.admit(now_ms, source, heartbeat.seq_no) {
+            Admission::Superseded => return HeartbeatAdmission::Superseded,
+            Admission::Pending { retry_delay_ms } => {
+                return HeartbeatAdmission::Pending(HeartbeatReply {
+                    retry_delay_ms: Some(retry_delay_ms),
+                    ..HeartbeatReply::default()
+                });
+            }
+            Admission::Registered { has_deregistered } => {
+                self.handle_registration(now_ms);
+                has_deregistered
+            }
+            Admission::Current => false,
+        };
+        let admission = self.read_heartbeat(now_ms, heartbeat);
+        if has_deregistered {
+            self.handle_deregistration(source.instance);
         }
-        self.read_heartbeat(now_ms, heartbeat)
+        admission
     }
 
     /// Returns the reply to the accepted heartbeat `seq_no`. A heartbeat that a newer one has superseded gets no
@@ -125,10 +146,12 @@
     /// runs: it ends after the worker has listed the end of each run and the head has acknowledged these ends, or when
     /// its leases expire.
     pub fn handle_deregistration(&mut self, id: &str) {
-        let current_instance = self.instances.find_current_mut(id);
-        let Some(instance) = current_instance.filter(|instance| !instance.is_deregistered()) else {
-            return;
+        let Some(instance) = self.instances.find_current_mut(id) else {
+            return self.instances.handle_pending_deregistration(id);
         };
+        if instance.is_deregistered() {
+            return;
+        }
         let withdrawn_runs = instance.withdraw_unlisted();
         let has_runs = !instance.is_draining() && !instance.is_idle();
         if has_runs {
@@ -220,15 +243,17 @@
     }
 
     /// Reads a heartbeat of the current instance.
-    fn read_heartbeat(&mut self, now_ms: u64, heartbeat: Heartbeat) -> Option<HeartbeatReceipt> {
+    fn read_heartbeat(&mut self, now_ms: u64, heartbeat: Heartbeat) -> HeartbeatAdmission {
         self.enforce_authority(now_ms);
-        let instance = self.instances.current_mut()?;
+        let Some(instance) = self.instances.current_mut() else {
+            return HeartbeatAdmission::Superseded;
+        };
         let seq_no = heartbeat.seq_no;
         let changes = instance.handle_heartbeat(now_ms, heartbeat);
         let is_confirmed = instance.is_confirmed();
         self.schedule.expedite_if(changes.urgent);
         self.report_not_started(changes.not_started);
-        Some(HeartbeatReceipt {
+        HeartbeatAdmission::Accepted(HeartbeatReceipt {
             seq_no,
             expects_orders: changes.ended && is_confirmed && self.schedule.is_connected(),
         })
--- a/crates/data-plane/src/agent/event.rs
+++ b/crates/data-plane/src/agent/event.rs
@@ -3,11 +3,26 @@
 /// Events for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AgentEvent {
-    /// An instance of the worker sent its first heartbeat.
+    /// A heartbeat of an instance that is not registered was received. Unless another one follows, the instance had
+    /// ended before the heartbeat arrived.
+    Pending {
+        /// Id of the instance.
+        instance: String,
+        /// Id of the current instance; `None` if there is none, or if it is this one and its leases have expired.
+        current: Option<String>,
+    },
+    /// An instance of the worker was registered.
     Registered {
         /// Id of the instance.
         instance: String,
     },
+    /// An instance has ended, because another one was shown to run after it.
+    Replaced {
+        /// Id of the instance that has ended.
+        instance: String,
+        /// Id of the instance that runs now.
+        successor: String,
+    },
     /// An instance sent `DELETE`.
     Deregistered {
         /// Id of the instance.
@@ -18,7 +33,7 @@
         /// Id of the instance.
         instance: String,
     },
-    /// An unresponsive instance sent a heartbeat again.
+    /// An unresponsive instance sent heartbeats again.
     Returned {
         /// Id of the instance.
         instance: String,
--- a/crates/data-plane/src/agent/former_instances.rs
+++ b/crates/data-plane/src/agent/former_instances.rs
@@ -16,9 +16,28 @@
     closed_instances: Vec<String>,
     /// Instances without running runs, to be reported as ended. One that returns is removed.
     ended_instances: ConnectionUpdates<String>,
-    /// The instance named in the head's latest orders while no instance is current; it has sent no heartbeat to this
-    /// process. `None` if there is no such instance.
-    unregistered_instance: Option<String>,
+    /// Changes with the head's answers to reports without an instance, and with registrations and ends.
+    unregistered: Unregistered,
+}
+
+/// The instance that a previous agent process may have registered; it has not registered at this process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Unregistered {
+    /// No head has answered a report without an instance yet.
+    Unknown,
+    /// The head's latest orders while no instance was current name this instance.
+    Named(String),
+    /// The head knows no instance on this machine, or the one that it named has registered or ended.
+    None,
+}
+
+impl Unregistered {
+    /// Records that the instance `id` has registered or ended.
+    fn clear_if(&mut self, id: &str) {
+        if matches!(self, Unregistered::Named(named) if named == id) {
+            *self = Unregistered::None;
+        }
+    }
 }
 
 impl FormerInstances {
@@ -29,7 +48,7 @@
             unregistered_expires_ms: expires_by_ms(started_ms, RUN_LEASE_MS),
             closed_instances: Vec::new(),
             ended_instances: ConnectionUpdates::new(ENDED_INSTANCES_MAX),
-            unregistered_instance: None,
+            unregistered: Unregistered::Unknown,
         }
     }
 
@@ -45,8 +64,7 @@
 
     /// Records that an instance was replaced or deregistered and that none of its runs is running.
     pub(super) fn close(&mut self, id: String) {
-        self.unregistered_instance
-            .take_if(|instance| *instance == id);
+        self.unregistered.clear_if(&id);
         self.closed_instances.push(id.clone());
         if self.closed_instances.len() > ENDED_INSTANCES_MAX {
             self.closed_instances.remove(0);
@@ -59,25 +77,45 @@
         self.ended_instances.push(id);
     }
 
-    /// Handles an instance that sent its first heartbeat, or its first one after its leases expired.
-    pub(super) fn handle_registered(&mut self, id: &String) {
-        self.ended_instances.remove(id);
-        self.unregistered_instance
-            .take_if(|instance| instance == id);
+    /// Handles an instance that was registered, or that returned after its leases expired.
+    pub(super) fn handle_registered(&mut self, id: &str) {
+        self.ended_instances.remove(&id.to_owned());
+        self.unregistered.clear_if(id);
     }
 
-    /// Handles orders of the head for an instance other than the current one. `has_current`: another instance is
-    /// current, so the instance in the orders has ended. Returns whether there is something to report.
+    /// Handles orders of the head for an instance other than the current one; an empty `id` means that the head knows no
+    /// instance on this machine. `has_current`: another instance is current, so the instance in the orders has ended.
+    /// Returns whether there is something to report.
     pub(super) fn handle_unknown(&mut self, id: String, has_current: bool) -> bool {
-        if id.is_empty() || self.is_closed(&id) || self.is_ended(&id) {
+        if self.is_closed(&id) || self.is_ended(&id) {
             return false;
         }
-        if has_current {
-            self.close(id);
-        } else {
-            self.unregistered_instance = Some(id);
+        match (id.is_empty(), has_current) {
+            (true, true) => false,
+            (true, false) => {
+                self.unregistered = Unregistered::None;
+                false
+            }
+            (false, true) => {
+                self.close(id);
+                true
+            }
+            (false, false) => {
+                self.unregistered = Unregistered::Named(id);
+                false
+            }
         }
-        has_current
+    }
+
+    /// Whether an instance other than `id` that has not registered at this process may hold a lease, granted by a
+    /// previous agent process.
+    pub(super) fn may_hold_lease(&self, now_ms: u64, id: &str) -> bool {
+        let is_possible = match &self.unregistered {
+            Unregistered::Unknown => true,
+            Unregistered::Named(named) => named != id,
+            Unregistered::None => false,
+        };
+        is_possible && now_ms < self.unregistered_expires_ms
     }
 
     /// Marks the unregistered instance as ended once its leases have expired. Returns whether there is something to
@@ -86,18 +124,19 @@
         if now_ms < self.unregistered_expires_ms {
             return false;
         }
-        let Some(id) = self.unregistered_instance.take() else {
-            return false;
-        };
-        self.ended_instances.push(id);
-        true
+        match std::mem::replace(&mut self.unregistered, Unregistered::None) {
+            Unregistered::Named(id) => {
+                self.ended_instances.push(id);
+                true
+            }
+            Unregistered::Unknown | Unregistered::None => false,
+        }
     }
 
     /// Time at which to call [`FormerInstances::expire_unknown`] next; `None` without such an instance.
     pub(super) fn next_timeout_ms(&self) -> Option<u64> {
-        self.unregistered_instance
-            .as_ref()
-            .map(|_| self.unregistered_expires_ms)
+        let is_named = matches!(self.unregistered, Unregistered::Named(_));
+        is_named.then_some(self.unregistered_expires_ms)
     }
 
     /// The list of ended instances to report.
--- a/crates/data-plane/src/agent/heartbeat_interval.rs
+++ b/crates/data-plane/src/agent/heartbeat_interval.rs
@@ -4,6 +4,8 @@
 pub const BUSY_HEARTBEAT_MS: u64 = 20;
 /// Heartbeat interval while no run is ordered or running.
 pub const IDLE_HEARTBEAT_MS: u64 = 50;
+/// Time after which an instance that sent its first heartbeat is asked for the second one, which registers it.
+pub const REGISTRATION_HEARTBEAT_MS: u64 = 1;
 /// Time after an order or a registration for which the worker counts as busy.
 pub const RECENT_ORDER_MS: u64 = 3_000;
 
--- a/crates/data-plane/src/agent/instances.rs
+++ b/crates/data-plane/src/agent/instances.rs
@@ -1,8 +1,11 @@
-//! The instances of the worker: the current one and former ones. Decides which instance a heartbeat makes the current
-//! one.
+//! The instances of the worker: the current one, those that have sent heartbeats but are not registered, and former
+//! ones. Decides which instance a heartbeat makes the current one.
 
 use super::event::AgentEvent;
 use super::former_instances::FormerInstances;
+use super::heartbeat::HeartbeatSource;
+use super::heartbeat_interval::{BUSY_HEARTBEAT_MS, REGISTRATION_HEARTBEAT_MS};
+use super::pending_instances::{Evidence, PendingInstances};
 use super::worker_instance::WorkerInstance;
 use indigofold_protocol::task::RunId;
 
@@ -11,8 +14,11 @@
 pub(super) enum Admission {
     /// The instance is the current one; the heartbeat is to be read.
     Current,
-    /// The instance has just become the current one; the heartbeat is to be read.
-    Registered,
+    /// The instance has just become the current one; the heartbeat is to be read. `has_deregistered`: the instance sent
+    /// `DELETE` before.
+    Registered { has_deregistered: bool },
+    /// The instance may have ended; a running one is to send its next heartbeat after `retry_delay_ms`.
+    Pending { retry_delay_ms: u64 },
     /// A newer heartbeat was read before, or the instance has ended.
     Superseded,
 }
@@ -24,6 +30,7 @@
     /// The current instance; `None` before the first registration and once a deregistered instance has ended. An
     /// instance whose leases have expired stays here, as it may return.
     current: Option<WorkerInstance>,
+    pending: PendingInstances,
     former: FormerInstances,
     events: Vec<AgentEvent>,
 }
@@ -35,6 +42,7 @@
         Instances {
             started_ms,
             current: None,
+            pending: PendingInstances::default(),
             former: FormerInstances::new(started_ms),
             events: Vec::new(),
         }
@@ -65,23 +73,42 @@
         &mut self.former
     }
 
-    /// Handles the arrival of heartbeat `seq_no`. An instance that is not the current one, or whose leases have expired,
-    /// becomes the current one; a different current one has ended.
-    pub(super) fn admit(&mut self, id: &str, seq_no: u64) -> Admission {
+    /// Handles the arrival of heartbeat `seq_no`. An instance that is not registered, or whose leases have expired, is
+    /// registered if it is known to have started after all others, or if no other one can hold a lease.
+    pub(super) fn admit(
+        &mut self,
+        now_ms: u64,
+        source: HeartbeatSource<'_>,
+        seq_no: u64,
+    ) -> Admission {
+        let id = source.instance;
         if self.former.is_closed(id) {
             return Admission::Superseded;
         }
-        let Some(instance) = self.find_current_mut(id) else {
-            self.end_current();
-            return self.register(id);
-        };
-        if instance.is_superseded(seq_no) {
-            return Admission::Superseded;
+        if let Some(instance) = self.find_current_mut(id) {
+            if instance.is_superseded(seq_no) {
+                return Admission::Superseded;
+            }
+            if !instance.is_expired() {
+                return Admission::Current;
+            }
         }
-        if !instance.is_expired() {
-            return Admission::Current;
+        let evidence = self.pending.handle_heartbeat(source, seq_no);
+        let can_register = match evidence {
+            Evidence::First | Evidence::Outdated => false,
+            Evidence::Repeated => !self.may_another_hold_lease(now_ms, id),
+            Evidence::FollowsReply => true,
+        };
+        if can_register {
+            self.register(id, evidence)
+        } else {
+            self.keep_pending(id, evidence)
         }
-        self.register(id)
+    }
+
+    /// Handles `DELETE` of an instance that is not registered: it counts once the instance registers.
+    pub(super) fn handle_pending_deregistration(&mut self, id: &str) {
+        self.pending.handle_deregistration(id);
     }
 
     /// Closes the current instance: it has ended, and so have its runs. Returns whether there was one.
@@ -127,8 +154,38 @@
             .min()
     }
 
+    /// Whether an instance other than `id` may hold a run lease.
+    fn may_another_hold_lease(&self, now_ms: u64, id: &str) -> bool {
+        let is_current_leased = self
+            .current
+            .as_ref()
+            .is_some_and(|instance| instance.id() != id && !instance.is_expired());
+        is_current_leased || self.former.may_hold_lease(now_ms, id)
+    }
+
+    fn keep_pending(&mut self, id: &str, evidence: Evidence) -> Admission {
+        if evidence != Evidence::First {
+            return Admission::Pending {
+                retry_delay_ms: BUSY_HEARTBEAT_MS,
+            };
+        }
+        let current_id = self.current.as_ref().map(WorkerInstance::id);
+        self.events.push(AgentEvent::Pending {
+            instance: id.to_owned(),
+            current: current_id.filter(|other| *other != id).map(str::to_owned),
+        });
+        Admission::Pending {
+            retry_delay_ms: REGISTRATION_HEARTBEAT_MS,
+        }
+    }
+
     /// Makes an instance the current one.
-    fn register(&mut self, id: &str) -> Admission {
+    fn register(&mut self, id: &str, evidence: Evidence) -> Admission {
+        let has_deregistered = self.pending.has_deregistered(id);
+        self.pending.clear();
+        if self.find_current_mut(id).is_none() {
+            self.remove_predecessor(id, evidence);
+        }
         let instance = id.to_owned();
         let event = if let Some(returning) = &mut self.current {
             returning.handle_return();
@@ -140,7 +197,23 @@
             AgentEvent::Registered { instance }
         };
         self.events.push(event);
-        self.former.handle_registered(&id.to_owned());
-        Admission::Registered
+        self.former.handle_registered(id);
+        Admission::Registered { has_deregistered }
+    }
+
+    /// Removes the current instance, since `successor` registers. If it is not known that `successor` started later,
+    /// the leases of the current instance have expired, and it may return.
+    fn remove_predecessor(&mut self, successor: &str, evidence: Evidence) {
+        if evidence != Evidence::FollowsReply {
+            self.current = None;
+            return;
+        }
+        if let Some(instance) = &self.current {
+            self.events.push(AgentEvent::Replaced {
+                instance: instance.id().to_owned(),
+                successor: successor.to_owned(),
+            });
+        }
+        self.end_current();
     }
 }
--- a/crates/data-plane/src/serve/agent_role.rs
+++ b/crates/data-plane/src/serve/agent_role.rs
@@ -38,6 +38,24 @@
     fn log_events(&mut self) {
         for event in self.agent.poll_events() {
             match event {
+                AgentEvent::Pending {
+                    instance,
+                    current: Some(current),
+                } => log::info!(
+                    "heartbeat of another worker instance, not registered before its next one instance={instance} current={current}"
+                ),
+                AgentEvent::Pending {
+                    instance,
+                    current: None,
+                } => log::debug!(
+                    "heartbeat of a worker instance, not registered before its next one instance={instance}"
+                ),
+                AgentEvent::Replaced {
+                    instance,
+                    successor,
+                } => log::info!(
+                    "worker instance ended, replaced by another instance={instance} successor={successor}"
+                ),
                 AgentEvent::Registered { instance } => {
                     log::info!("worker instance registered instance={instance}");
                 }
--- a/crates/data-plane/src/serve/agent_server.rs
+++ b/crates/data-plane/src/serve/agent_server.rs
@@ -4,7 +4,10 @@
 use super::error::{NoAddressSnafu, ServeError};
 use super::lifecycle::until_terminated;
 use super::role_process::RoleProcess;
-use crate::agent::{Agent, HeartbeatOutcome, HeartbeatReceipt, ORDERS_WAIT_MS};
+use crate::agent::{
+    Agent, HeartbeatAdmission, HeartbeatOutcome, HeartbeatReceipt, HeartbeatSource, ORDERS_WAIT_MS,
+    WorkerConnectionId,
+};
 use futures_util::future::select;
 use indigofold_net::http::{self, HttpOptions, HttpRequest, HttpResponse, Method};
 use indigofold_net::signals::Signals;
@@ -69,7 +72,13 @@
         return error_response(404, "the path must be /instances/ID");
     };
     match request.method {
-        Method::PUT => answer_heartbeat(node, id, &request.body).await,
+        Method::PUT => {
+            let source = HeartbeatSource {
+                instance: id,
+                connection: WorkerConnectionId(request.connection.0),
+            };
+            answer_heartbeat(node, source, &request.body).await
+        }
         Method::DELETE => {
             node.with_role(|role| role.agent().handle_deregistration(id));
             HttpResponse::json(200, "{}")
@@ -78,15 +87,25 @@
     }
 }
 
-async fn answer_heartbeat(node: &RoleProcess<AgentRole>, id: &str, body: &[u8]) -> HttpResponse {
+async fn answer_heartbeat(
+    node: &RoleProcess<AgentRole>,
+    source: HeartbeatSource<'_>,
+    body: &[u8],
+) -> HttpResponse {
     let heartbeat = match parse_heartbeat(body) {
         Ok(heartbeat) => heartbeat,
         Err(error) => return error_response(400, &error.to_string()),
     };
-    let receipt = node.with_role(|role| role.agent().handle_heartbeat(steady_ms(), id, heartbeat));
-    let reply = match receipt {
-        Some(receipt) => heartbeat_reply(node, id, receipt).await,
-        None => HeartbeatReply::default(),
+    let admission = node.with_role(|role| {
+        role.agent()
+            .handle_heartbeat(steady_ms(), source, heartbeat)
+    });
+    let reply = match admission {
+        HeartbeatAdmission::Accepted(receipt) => {
+            heartbeat_reply(node, source.instance, receipt).await
+        }
+        HeartbeatAdmission::Pending(reply) => reply,
+        HeartbeatAdmission::Superseded => HeartbeatReply::default(),
     };
     HttpResponse::json(200, serde_json::to_vec(&reply).unwrap_or_default())
 }
--- a/crates/data-plane/tests/agent_leases.rs
+++ b/crates/data-plane/tests/agent_leases.rs
@@ -3,9 +3,9 @@
 
 mod common;
 
-use common::agent_harness::{AgentHarness, START_MS, WORKER, run, start};
+use common::agent_harness::{AgentHarness, CONNECTION, START_MS, WORKER, run, start};
 use indigofold_data_plane::agent::{
-    Agent, BUSY_HEARTBEAT_MS, HeartbeatOutcome, IDLE_HEARTBEAT_MS, RECENT_ORDER_MS, expires_by_ms,
+    Agent, BUSY_HEARTBEAT_MS, HeartbeatAdmission, IDLE_HEARTBEAT_MS, RECENT_ORDER_MS, expires_by_ms,
 };
 use indigofold_protocol::internal::{AgentOrders, LEASE_AUTHORITY_MS, RUN_LEASE_MS};
 use indigofold_protocol::worker::{RunEnd, WorkerState};
@@ -125,8 +125,8 @@
     assert_eq!(report.instance.expect("the instance is reported").id, "i-2");
     let heartbeat = harness.heartbeat();
     assert_eq!(
-        harness.deliver(WORKER, heartbeat),
-        HeartbeatOutcome::Superseded
+        harness.receive(WORKER, CONNECTION, heartbeat),
+        HeartbeatAdmission::Superseded
     );
 }
 
--- a/crates/data-plane/tests/agent_orders.rs
+++ b/crates/data-plane/tests/agent_orders.rs
@@ -3,8 +3,8 @@
 
 mod common;
 
-use common::agent_harness::{AgentHarness, WORKER, attempt, run, start};
-use indigofold_data_plane::agent::{CAPACITY_WAIT_MS, HeartbeatOutcome, SEND_ATTEMPTS_MAX};
+use common::agent_harness::{AgentHarness, CONNECTION, WORKER, attempt, run, start};
+use indigofold_data_plane::agent::{CAPACITY_WAIT_MS, HeartbeatAdmission, SEND_ATTEMPTS_MAX};
 use indigofold_protocol::internal::AgentOrders;
 use indigofold_protocol::worker::{RunEnd, WorkerState};
 
@@ -229,7 +229,10 @@
     harness.order_start(&[start(run(1), 100)]);
     harness.seq_no -= 1;
     let late = harness.heartbeat();
-    assert_eq!(harness.deliver(WORKER, late), HeartbeatOutcome::Superseded);
+    assert_eq!(
+        harness.receive(WORKER, CONNECTION, late),
+        HeartbeatAdmission::Superseded
+    );
     harness.seq_no += 1;
     assert_eq!(harness.send_heartbeat().start.len(), 1);
 }
--- a/crates/data-plane/tests/agent_replies.rs
+++ b/crates/data-plane/tests/agent_replies.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::agent_harness::{AgentHarness, WORKER, run, start};
-use indigofold_data_plane::agent::{HeartbeatOutcome, HeartbeatReceipt};
+use common::agent_harness::{AgentHarness, CONNECTION, WORKER, run, start};
+use indigofold_data_plane::agent::{HeartbeatAdmission, HeartbeatOutcome, HeartbeatReceipt};
 use indigofold_protocol::worker::{HeartbeatReply, RunEnd};
 
 /// A harness whose worker lists one run.
@@ -17,12 +17,10 @@
 }
 
 fn receive(harness: &mut AgentHarness) -> HeartbeatReceipt {
-    harness.seq_no += 1;
-    let heartbeat = harness.heartbeat();
-    harness
-        .agent
-        .handle_heartbeat(harness.now_ms, WORKER, heartbeat)
-        .expect("the heartbeat is the newest")
+    match harness.send_once(WORKER, CONNECTION) {
+        HeartbeatAdmission::Accepted(receipt) => receipt,
+        other => panic!("expected the newest heartbeat to be accepted, got {other:?}"),
+    }
 }
 
 fn answer(harness: &mut AgentHarness, receipt: HeartbeatReceipt) -> HeartbeatReply {
--- a/crates/data-plane/tests/agent_reports.rs
+++ b/crates/data-plane/tests/agent_reports.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::agent_harness::{AgentHarness, START_MS, WORKER, run, start};
-use indigofold_data_plane::agent::{REPORT_INTERVAL_MS, REPORT_SPACING_MS, expires_by_ms};
+use common::agent_harness::{AgentHarness, CONNECTION, START_MS, WORKER, run, start};
+use indigofold_data_plane::agent::{
+    HeartbeatAdmission, REPORT_INTERVAL_MS, REPORT_SPACING_MS, expires_by_ms,
+};
 use indigofold_protocol::internal::{AgentOrders, RUN_LEASE_MS};
 use indigofold_protocol::worker::{RunEnd, WorkerState};
 
@@ -36,19 +38,17 @@
     harness.running.push(run(1));
     harness.send_heartbeat();
     assert!(harness.agent.poll_report(harness.now_ms).is_some());
+    let reported_ms = harness.now_ms;
     harness.running.push(run(2));
-    harness.seq_no += 1;
-    let heartbeat = harness.heartbeat();
-    assert!(
-        harness
-            .agent
-            .handle_heartbeat(harness.now_ms + 1, WORKER, heartbeat)
-            .is_some()
-    );
-    assert_eq!(harness.agent.poll_report(harness.now_ms + 1), None);
+    harness.advance(1);
+    assert!(matches!(
+        harness.send_once(WORKER, CONNECTION),
+        HeartbeatAdmission::Accepted(_)
+    ));
+    assert_eq!(harness.agent.poll_report(harness.now_ms), None);
     assert_eq!(
         harness.agent.next_timeout_ms(),
-        Some(harness.now_ms + REPORT_SPACING_MS)
+        Some(reported_ms + REPORT_SPACING_MS)
     );
 }
 
--- a/crates/data-plane/tests/common/agent_harness.rs
+++ b/crates/data-plane/tests/common/agent_harness.rs
@@ -1,6 +1,9 @@
 //! A node agent with a simulated worker and a simulated head.
 
-use indigofold_data_plane::agent::{Agent, HeartbeatOutcome};
+use indigofold_data_plane::agent::{
+    Agent, HeartbeatAdmission, HeartbeatOutcome, HeartbeatReceipt, HeartbeatSource,
+    WorkerConnectionId,
+};
 use indigofold_protocol::internal::{AgentOrders, AgentReport, StartOrder};
 use indigofold_protocol::job::Resources;
 use indigofold_protocol::task::{JobId, RunId, TaskName};
@@ -12,6 +15,8 @@
 pub(crate) const WORKER: &str = "i-1";
 /// Longest lease that the worker accepts; above the default lease.
 pub(crate) const MAX_LEASE_MS: u64 = 6_000;
+/// Connection on which the simulated worker sends its heartbeats.
+pub(crate) const CONNECTION: WorkerConnectionId = WorkerConnectionId(1);
 /// Clock reading at the start of the agent.
 pub(crate) const START_MS: u64 = 1_000_000;
 
@@ -131,24 +136,55 @@
         self.send_heartbeat_of(WORKER)
     }
 
+    /// Like [`AgentHarness::send_heartbeat`] for an instance with this id. If the agent asks for a second heartbeat to
+    /// register the instance, it is sent at once, and its reply is returned.
     pub(crate) fn send_heartbeat_of(&mut self, id: &str) -> HeartbeatReply {
         self.advance(100);
-        self.seq_no += 1;
-        match self.deliver(id, self.heartbeat()) {
-            HeartbeatOutcome::Answered(reply) => reply,
-            HeartbeatOutcome::Superseded => {
+        match self.send_once(id, CONNECTION) {
+            HeartbeatAdmission::Pending(_) => match self.send_once(id, CONNECTION) {
+                HeartbeatAdmission::Accepted(receipt) => self.poll_reply(id, receipt),
+                other => panic!("expected the instance to be registered, got {other:?}"),
+            },
+            HeartbeatAdmission::Accepted(receipt) => self.poll_reply(id, receipt),
+            HeartbeatAdmission::Superseded => {
                 panic!("expected a reply, but the heartbeat was superseded")
             }
         }
     }
 
-    /// Delivers a heartbeat and polls its reply at once.
-    pub(crate) fn deliver(&mut self, id: &str, heartbeat: Heartbeat) -> HeartbeatOutcome {
-        match self.agent.handle_heartbeat(self.now_ms, id, heartbeat) {
-            Some(receipt) => self
-                .agent
-                .poll_heartbeat_reply(self.now_ms, id, receipt.seq_no),
-            None => HeartbeatOutcome::Superseded,
+    /// Sends one heartbeat of an instance on this connection, without a delay.
+    pub(crate) fn send_once(
+        &mut self,
+        id: &str,
+        connection: WorkerConnectionId,
+    ) -> HeartbeatAdmission {
+        self.seq_no += 1;
+        self.receive(id, connection, self.heartbeat())
+    }
+
+    /// Passes a heartbeat to the agent.
+    pub(crate) fn receive(
+        &mut self,
+        id: &str,
+        connection: WorkerConnectionId,
+        heartbeat: Heartbeat,
+    ) -> HeartbeatAdmission {
+        let source = HeartbeatSource {
+            instance: id,
+            connection,
+        };
+        self.agent.handle_heartbeat(self.now_ms, source, heartbeat)
+    }
+
+    fn poll_reply(&mut self, id: &str, receipt: HeartbeatReceipt) -> HeartbeatReply {
+        let outcome = self
+            .agent
+            .poll_heartbeat_reply(self.now_ms, id, receipt.seq_no);
+        match outcome {
+            HeartbeatOutcome::Answered(reply) => reply,
+            HeartbeatOutcome::Superseded => {
+                panic!("expected a reply, but the heartbeat was superseded")
+            }
         }
     }
 
--- a/crates/data-plane/tests/common/program.rs
+++ b/crates/data-plane/tests/common/program.rs
@@ -206,6 +206,65 @@
     }
 }
 
+/// A client's connection that stays open between requests.
+pub(crate) struct KeptConnection {
+    stream: TcpStream,
+}
+
+impl KeptConnection {
+    pub(crate) fn open(address: SocketAddr) -> KeptConnection {
+        let stream = TcpStream::connect(address).expect("the address accepts connections");
+        stream
+            .set_read_timeout(Some(READ_TIMEOUT))
+            .expect("the read timeout is set");
+        KeptConnection { stream }
+    }
+
+    /// Sends a request and reads its response. `head`: the request line.
+    pub(crate) fn call(&mut self, head: &str, body: &str) -> (u16, String) {
+        let length = body.len();
+        let text = format!("{head}\r\nHost: h\r\nContent-Length: {length}\r\n\r\n{body}");
+        self.stream
+            .write_all(text.as_bytes())
+            .expect("the request is sent");
+        let mut received = Vec::new();
+        while !received.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.stream
+                .read_exact(&mut byte)
+                .expect("the response is readable");
+            received.push(byte[0]);
+        }
+        let head = String::from_utf8(received).expect("the head is text");
+        let mut body = vec![0; content_length(&head)];
+        self.stream
+            .read_exact(&mut body)
+            .expect("the body is readable");
+        (
+            status(&head),
+            String::from_utf8(body).expect("the body is text"),
+        )
+    }
+}
+
+fn content_length(head: &str) -> usize {
+    let mut fields = head.lines();
+    fields
+        .find_map(|field| {
+            let (name, value) = field.split_once(':')?;
+            name.eq_ignore_ascii_case("content-length")
+                .then(|| value.trim().parse().ok())?
+        })
+        .expect("the response has a length")
+}
+
+fn status(response: &str) -> u16 {
+    response
+        .get(9..12)
+        .and_then(|digits| digits.parse().ok())
+        .expect("the response has a status")
+}
+
 /// Sends a request on a new connection. `head`: the request line.
 pub(crate) fn request(address: SocketAddr, head: &str, body: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).expect("the address accepts connections");
@@ -227,12 +286,8 @@
     stream
         .read_to_string(&mut text)
         .expect("the response is readable");
-    let status = text
-        .get(9..12)
-        .and_then(|digits| digits.parse().ok())
-        .expect("the response has a status");
     let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    (status, body.to_owned())
+    (status(&text), body.to_owned())
 }
 
 pub(crate) fn call(address: SocketAddr, head: &str, body: &str) -> (u16, String) {
--- a/crates/data-plane/tests/processes.rs
+++ b/crates/data-plane/tests/processes.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::agent_harness::{run, start};
-use common::program::{EdgeProgram, Head, Program, call, free_address, request, response};
+use common::program::{
+    EdgeProgram, Head, KeptConnection, Program, call, free_address, request, response,
+};
 use indigofold_protocol::internal::{AgentOrders, ClientOutcome, ClientReply, Frame, StartOrder};
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
@@ -59,11 +61,25 @@
     assert_eq!(edge.readiness_status(), 200);
 }
 
-fn send_heartbeat(agent: SocketAddr, seq_no: u64) -> (u16, String) {
+/// Request line and body of a heartbeat.
+fn heartbeat(instance: &str, seq_no: u64) -> (String, String) {
+    let head = format!("PUT /instances/{instance} HTTP/1.1");
     let body = format!(
         r#"{{"backend":"s","address":"127.0.0.1:9","zone":"a","version":"v1","slots":8,"state":"ready","capacity":{{"cpu":1000,"mem_mb":100}},"seq_no":{seq_no}}}"#
     );
-    call(agent, "PUT /instances/i-1 HTTP/1.1", &body)
+    (head, body)
+}
+
+/// Sends a heartbeat of `i-1` on a connection that stays open.
+fn send_heartbeat(worker: &mut KeptConnection, seq_no: u64) -> (u16, String) {
+    let (head, body) = heartbeat("i-1", seq_no);
+    worker.call(&head, &body)
+}
+
+/// Sends a heartbeat of `i-1` on a connection of its own.
+fn send_heartbeat_alone(agent: SocketAddr, seq_no: u64) -> (u16, String) {
+    let (head, body) = heartbeat("i-1", seq_no);
+    call(agent, &head, &body)
 }
 
 /// Returns a frame that orders a start and acknowledges the report sent at `echo_sent_ms`.
@@ -82,32 +98,125 @@
     })
 }
 
+/// A node agent that runs as a child process, its address and a simulated head.
+struct AgentProgram {
+    program: Program,
+    head: Head,
+    address: SocketAddr,
+}
+
+impl AgentProgram {
+    fn start() -> AgentProgram {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let address = free_address();
+        let addresses = format!("control_plane = \"{address}\"");
+        let head_address = listener.local_addr().expect("the listener has an address");
+        let mut program = Program::start("side", head_address, &addresses);
+        let head = Head::accept(&listener);
+        program.wait_for_log("connected to the head");
+        AgentProgram {
+            program,
+            head,
+            address,
+        }
+    }
+
+    /// Waits for a report with an instance, and returns the instance's id and the ended instances.
+    fn next_reported(&mut self) -> (String, Vec<String>) {
+        let report = self
+            .head
+            .next_report_with(|report| report.instance.is_some());
+        let instance = report.instance.expect("the report has an instance");
+        (instance.id, report.ended_instances)
+    }
+}
+
 #[test]
 fn a_node_agent_forwards_a_start_to_its_worker() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    let agent = free_address();
-    let addresses = format!("control_plane = \"{agent}\"");
-    let head_address = listener.local_addr().expect("the listener has an address");
-    let mut program = Program::start("side", head_address, &addresses);
-    let mut head = Head::accept(&listener);
-    program.wait_for_log("connected to the head");
+    let mut agent = AgentProgram::start();
+    let mut worker = KeptConnection::open(agent.address);
+    assert_eq!(
+        send_heartbeat(&mut worker, 1),
+        (200, r#"{"retry_delay_ms":1}"#.to_owned())
+    );
     assert_eq!(
-        send_heartbeat(agent, 1),
+        send_heartbeat(&mut worker, 2),
         (200, r#"{"retry_delay_ms":20}"#.to_owned())
     );
-    let report = head.next_report_with(|report| report.instance.is_some());
-    head.send(&start_orders(report.sent_ms));
-    let mut replies = (2..).map(|seq_no| send_heartbeat(agent, seq_no));
+    let report = agent
+        .head
+        .next_report_with(|report| report.instance.is_some());
+    agent.head.send(&start_orders(report.sent_ms));
+    let mut replies = (3..).map(|seq_no| send_heartbeat(&mut worker, seq_no));
     let reply = replies.find(|(_, body)| body.contains("start"));
     let expected = r#"{"hold_ms":4500,"fence_token":4,"start":[["0000000000000007.0.0.0",1,"t",""]],"retry_delay_ms":20}"#;
     assert_eq!(reply, Some((200, expected.to_owned())));
 
-    assert_eq!(call(agent, "PUT /instances/i-1 HTTP/1.1", "{").0, 400);
-    assert_eq!(call(agent, "DELETE /instances/i-1 HTTP/1.1", "").0, 200);
-    let report = head.next_report_with(|report| !report.ended_instances.is_empty());
+    let put = "PUT /instances/i-1 HTTP/1.1";
+    assert_eq!(call(agent.address, put, "{").0, 400);
+    let delete = "DELETE /instances/i-1 HTTP/1.1";
+    assert_eq!(call(agent.address, delete, "").0, 200);
+    let report = agent
+        .head
+        .next_report_with(|report| !report.ended_instances.is_empty());
     assert_eq!(report.ended_instances, ["i-1"]);
-    program.terminate();
-    program.assert_success();
+    agent.program.terminate();
+    agent.program.assert_success();
+}
+
+/// The agent tells the connections of its worker apart: a heartbeat on another one does not show that its instance runs.
+#[test]
+fn an_instance_replaces_another_with_its_second_heartbeat_on_a_connection() {
+    let mut agent = AgentProgram::start();
+    let mut worker = KeptConnection::open(agent.address);
+    send_heartbeat(&mut worker, 1);
+    send_heartbeat(&mut worker, 2);
+    assert_eq!(agent.next_reported(), ("i-1".to_owned(), Vec::new()));
+
+    let mut successor = KeptConnection::open(agent.address);
+    let pending = (200, r#"{"retry_delay_ms":20}"#.to_owned());
+    for seq_no in 1..4 {
+        let (head, body) = heartbeat("i-2", seq_no);
+        let reply = call(agent.address, &head, &body);
+        assert!(seq_no == 1 || reply == pending, "{reply:?}");
+    }
+    let (head, body) = heartbeat("i-2", 4);
+    assert_eq!(successor.call(&head, &body), pending);
+    assert_eq!(agent.next_reported(), ("i-1".to_owned(), Vec::new()));
+    let (head, body) = heartbeat("i-2", 5);
+    assert_eq!(successor.call(&head, &body).0, 200);
+    let report = agent
+        .head
+        .next_report_with(|report| !report.ended_instances.is_empty());
+    let instance = report.instance.map(|instance| instance.id);
+    assert_eq!(
+        (instance.as_deref(), report.ended_instances.as_slice()),
+        (Some("i-2"), ["i-1".to_owned()].as_slice())
+    );
+}
+
+/// A worker that opens a connection for each heartbeat registers once the head has said that it knows no other instance.
+#[test]
+fn a_worker_without_a_kept_connection_registers() {
+    let mut agent = AgentProgram::start();
+    assert_eq!(
+        send_heartbeat_alone(agent.address, 1),
+        (200, r#"{"retry_delay_ms":1}"#.to_owned())
+    );
+    let report = agent
+        .head
+        .next_report_with(|report| report.instance.is_none());
+    agent.head.send(&Frame::Orders(AgentOrders {
+        epoch: 4,
+        echo_sent_ms: Some(report.sent_ms),
+        instance: String::new(),
+        start: Vec::new(),
+        stop: Vec::new(),
+        acknowledged_end: None,
+    }));
+    let mut replies = (2..).map(|seq_no| send_heartbeat_alone(agent.address, seq_no));
+    assert!(replies.any(|(_, body)| body.contains("fence_token")));
+    assert_eq!(agent.next_reported(), ("i-1".to_owned(), Vec::new()));
 }
 
 fn run_with(settings: &str) -> Output {
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -123,6 +123,43 @@
     response
 }
 
+/// Handler that returns the number of the request's connection.
+async fn connection_number(request: HttpRequest) -> HttpResponse {
+    HttpResponse::json(200, request.connection.0.to_string())
+}
+
+#[test]
+fn requests_name_their_connection() {
+    let client = |address| {
+        let number = |stream: &mut TcpStream| {
+            stream
+                .write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                .expect("the connection is open");
+            let response = read_response(stream);
+            let (_, number) = response.split_once("\r\n\r\n").expect("a body");
+            number.to_owned()
+        };
+        let (mut first, mut second) = (connect(address), connect(address));
+        let numbers = [number(&mut first), number(&mut second), number(&mut first)];
+        assert_eq!(numbers[0], numbers[2]);
+        assert_ne!(numbers[0], numbers[1]);
+    };
+    runtime::run(async move {
+        let server = serve(loopback(), HttpOptions::default(), connection_number)
+            .await
+            .expect("the server listens on loopback");
+        let address = server.local_address();
+        let (done, finished) = futures_channel::oneshot::channel();
+        let client = thread::spawn(move || {
+            client(address);
+            let _ = done.send(());
+        });
+        let _ = finished.await;
+        client.join().expect("the client does not panic");
+    })
+    .expect("the runtime starts");
+}
+
 #[test]
 fn requests_of_one_connection_are_answered_in_order() {
     with_server(HttpOptions::default(), |address| {
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -93,7 +93,7 @@
 }
 
 /// Registers the instance that the node agent reports and applies the report to it. Any other instance known on the
-/// same machine has ended.
+/// same machine has ended: a node agent reports an instance only once no run of another one can be left.
 fn reconcile_instance(
     cluster: &mut Cluster,
     agent: AgentId,
--- a/crates/system-tests/src/worker.rs
+++ b/crates/system-tests/src/worker.rs
@@ -2,9 +2,9 @@
 //! of the test. The [`Environment`] keeps the state of its runs.
 
 use crate::environment::{Environment, InstanceIndex, Moment, WorkerSetup};
-use crate::http::{Connection, HttpError, Request, Response};
+use crate::http::{Connection, HttpError, Request, Response, request_once};
 use crate::wait::locked;
-use crate::wire::HeartbeatResponse;
+use crate::wire::{Heartbeat, HeartbeatResponse};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -32,10 +32,29 @@
     shut_down: bool,
 }
 
+/// A heartbeat that the network holds back.
+#[derive(Debug)]
+pub struct DelayedHeartbeat {
+    agent: SocketAddr,
+    request: Request,
+}
+
+impl DelayedHeartbeat {
+    /// Delivers the heartbeat on a connection of its own, and returns the node agent's response.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no complete response in time.
+    pub fn deliver(&self) -> Result<Response, HttpError> {
+        request_once(self.agent, &self.request, RESPONSE_TIMEOUT)
+    }
+}
+
 /// A stand-in worker, with a thread that sends its heartbeats.
 #[derive(Debug)]
 pub struct Worker {
     setup: WorkerSetup,
+    agent: SocketAddr,
     environment: Arc<Environment>,
     control: Arc<Mutex<WorkerControl>>,
     thread: Option<JoinHandle<()>>,
@@ -58,6 +77,7 @@
         let thread = std::thread::spawn(move || heartbeats.run(&thread_control));
         Worker {
             setup,
+            agent,
             environment: environment.clone(),
             control,
             thread: Some(thread),
@@ -88,6 +108,31 @@
         self.environment.signal().raise();
     }
 
+    /// Crashes the worker and starts it twice: the instance between crashes right after its only heartbeat, which the
+    /// network holds back. Returns that heartbeat; `None` if it cannot be encoded.
+    pub fn restart_twice(&self) -> Option<DelayedHeartbeat> {
+        self.crash();
+        let instance = self.environment.start_instance(&self.setup);
+        let delayed = self.delay_heartbeat_of(instance);
+        self.environment.end_instance(instance);
+        self.restart();
+        delayed
+    }
+
+    /// Takes a heartbeat of the present instance that the network holds back; the worker goes on with the next ones.
+    /// Returns `None` after a crash.
+    pub fn delay_heartbeat(&self) -> Option<DelayedHeartbeat> {
+        self.delay_heartbeat_of(self.instance()?)
+    }
+
+    fn delay_heartbeat_of(&self, instance: InstanceIndex) -> Option<DelayedHeartbeat> {
+        let (id, heartbeat) = self.environment.heartbeat(instance)?;
+        Some(DelayedHeartbeat {
+            agent: self.agent,
+            request: heartbeat_request(&id, &heartbeat)?,
+        })
+    }
+
     /// Starts draining: the worker reports that it ends after `remaining`, and then deregisters.
     pub fn drain(&self, remaining: Duration) {
         if let Some(instance) = self.instance() {
@@ -195,8 +240,7 @@
     fn send_heartbeat(&mut self, instance: InstanceIndex) -> Option<Duration> {
         let (id, heartbeat) = self.environment.heartbeat(instance)?;
         let sent = self.environment.now();
-        let body = serde_json::to_vec(&heartbeat).ok()?;
-        let request = Request::new("PUT", format!("/instances/{id}")).json(body);
+        let request = heartbeat_request(&id, &heartbeat)?;
         let Ok(response) = self.connection.request(&request) else {
             self.connection = HeartbeatConnection::new(self.agent);
             return None;
@@ -255,6 +299,11 @@
     }
 }
 
+fn heartbeat_request(id: &str, heartbeat: &Heartbeat) -> Option<Request> {
+    let body = serde_json::to_vec(heartbeat).ok()?;
+    Some(Request::new("PUT", format!("/instances/{id}")).json(body))
+}
+
 /// Parses the body of a response; an empty body means no orders, no lease and no acknowledgement.
 fn parse_response(body: &[u8]) -> Result<HeartbeatResponse, serde_json::Error> {
     if body.is_empty() {
