Control plane: a report ignored between expiry and renewal of the lease closes its connection

Cause: a report that is handled while the head's lease has expired was dropped. A node agent sends the end of an instance, its list of runs and starts not carried out once on a connection, and sends them anew when it learns that the member acts again. If late answers of the followers renew the lease before the member's outputs are polled, its announcement does not change, so that the agent is never told. Change: connections whose reports were ignored are remembered until the outputs are polled. If the member acts then, they are closed, and the agents connect and report in full; if it does not, the announcement says so as before and they stay open. New log line. Why it works: an agent whose report was not handled either learns that the member does not act or loses its connection; both make the next report complete.

--- a/crates/control-plane/src/core_member.rs
+++ b/crates/control-plane/src/core_member.rs
@@ -133,8 +133,10 @@
     /// the lease has expired since the inputs were handled, outputs that only an acting head may send are withheld.
     pub fn poll_outputs(&mut self, now_ms: u64) -> Vec<Output> {
         self.refresh_announcement(now_ms);
+        let is_acting = self.is_acting(now_ms);
+        self.close_after_ignored_reports(is_acting);
         let outputs = std::mem::take(&mut self.outputs);
-        if self.is_acting(now_ms) {
+        if is_acting {
             return outputs;
         }
         outputs
--- a/crates/control-plane/src/core_member/requests.rs
+++ b/crates/control-plane/src/core_member/requests.rs
@@ -32,19 +32,36 @@
         self.scheduler_event(clocks, Event::Call { from: caller, call });
     }
 
-    /// Handles a node agent's report. A member that is not the acting head ignores it, so that the agent searches for the acting
-    /// head.
+    /// Handles a node agent's report. A member that is not the acting head ignores it: the agent searches for the acting head,
+    /// or reports everything anew once it has learned that this member acts again.
     pub(super) fn handle_report(
         &mut self,
         clocks: Clocks,
         connection: ConnectionId,
         report: AgentReport,
     ) {
-        if self.is_acting(clocks.steady_ms) && self.sessions.get(connection).is_some() {
-            self.sessions
-                .worker_reported(connection, report.instance.as_ref());
-            let agent = AgentId(connection.0);
-            self.scheduler_event(clocks, Event::Report { agent, report });
+        if !self.is_acting(clocks.steady_ms) {
+            return self.sessions.report_ignored(connection);
+        }
+        self.sessions
+            .worker_reported(connection, report.instance.as_ref());
+        let agent = AgentId(connection.0);
+        self.scheduler_event(clocks, Event::Report { agent, report });
+    }
+
+    /// Closes the connections of node agents whose reports were ignored though this member acts: its lease expired and was
+    /// renewed before it could announce that it did not act. Agents report some items once on a connection.
+    pub(super) fn close_after_ignored_reports(&mut self, is_acting: bool) {
+        let ignored = self.sessions.take_ignored_reports();
+        if !is_acting {
+            // The announcement says so, and makes these agents report everything anew.
+            return;
+        }
+        for connection in ignored {
+            let session = self.sessions.get(connection);
+            let agent = session.map_or("", |session| session.node_name.as_str());
+            log::info!("report ignored without a lease, connection closed agent={agent}");
+            self.outputs.push(Output::Close { connection });
         }
     }
 
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -3,7 +3,7 @@
 use crate::inspection::WorkerProfile;
 use indigofold_protocol::internal::{Hello, InstanceReport, ProcessKind};
 use indigofold_scheduler::AgentId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Identifies a connection; never reused within a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 pub struct Sessions {
     sessions: BTreeMap<ConnectionId, Session>,
+    /// Connections of node agents whose reports were ignored since the last [`Sessions::take_ignored_reports`].
+    ignored_reports: BTreeSet<ConnectionId>,
 }
 
 impl Sessions {
@@ -74,6 +76,19 @@
         }
     }
 
+    /// Records that a node agent's report was ignored.
+    pub fn report_ignored(&mut self, connection: ConnectionId) {
+        self.ignored_reports.insert(connection);
+    }
+
+    /// Takes the open connections on which reports were ignored since the last call.
+    pub fn take_ignored_reports(&mut self) -> Vec<ConnectionId> {
+        let ignored = std::mem::take(&mut self.ignored_reports).into_iter();
+        ignored
+            .filter(|connection| self.sessions.contains_key(connection))
+            .collect()
+    }
+
     /// Removes a closed connection and returns its session; `None` if no `Hello` was received on it.
     pub fn remove(&mut self, connection: ConnectionId) -> Option<Session> {
         self.sessions.remove(&connection)
--- a/crates/control-plane/tests/control_plane/cluster.rs
+++ b/crates/control-plane/tests/control_plane/cluster.rs
@@ -3,10 +3,11 @@
 use crate::builders::{EDGE, accepted, config_read, edge_replies, first_config, hello, put};
 use crate::simulated_cluster::{CONTROL_PORT, SimulatedCluster};
 use indigofold_control_plane::config_authority::ChangeResponse;
-use indigofold_control_plane::core_member::Input;
+use indigofold_control_plane::core_member::{Input, Output};
 use indigofold_control_plane::operator::{OperatorRequest, OperatorResponse};
+use indigofold_control_plane::sessions::ConnectionId;
 use indigofold_protocol::internal::{
-    ClientCall, ClientOperation, ClientOutcome, Frame, ProcessKind,
+    AgentReport, ClientCall, ClientOperation, ClientOutcome, Frame, ProcessKind,
 };
 use rstest::rstest;
 
@@ -180,3 +181,98 @@
         "{replies:?}"
     );
 }
+
+/// Node agent's connection to the head.
+const AGENT: ConnectionId = ConnectionId(900);
+
+/// A head whose node agent is connected, in a cluster of three.
+fn cluster_with_agent() -> (SimulatedCluster, usize) {
+    let mut cluster = SimulatedCluster::start(3);
+    let head = cluster.run_to_head();
+    assert_eq!(cluster.request(head, put_first_config()), accepted());
+    cluster.input(
+        head,
+        Input::Frame {
+            connection: AGENT,
+            frame: Frame::Hello(hello("side", ProcessKind::Agent, 1)),
+        },
+    );
+    cluster.run_for(200);
+    (cluster, head)
+}
+
+/// A report that names an ended instance, which an agent sends once on a connection.
+fn report_of_an_end() -> Input {
+    let report = AgentReport {
+        sent_ms: 1,
+        instance: None,
+        ended_instances: vec!["i-1".to_owned()],
+        not_started: Vec::new(),
+    };
+    Input::Frame {
+        connection: AGENT,
+        frame: Frame::Report(report),
+    }
+}
+
+fn is_close_of_agent(output: &Output) -> bool {
+    matches!(output, Output::Close { connection: AGENT })
+}
+
+/// What the welcomes among the outputs say about whether the member acts.
+fn announced_acting(outputs: &[Output]) -> Vec<bool> {
+    let welcomes = outputs.iter().filter_map(|output| match output {
+        Output::Send {
+            connection: AGENT,
+            frame: Frame::Welcome(welcome),
+        } => Some(welcome.acting),
+        _ => None,
+    });
+    welcomes.collect()
+}
+
+/// Time for which the followers stand still.
+const FOLLOWERS_FREEZE_MS: u64 = 230;
+/// Time for which the head stands still afterwards. Its lease expires meanwhile, and the followers' late answers renew it.
+const HEAD_FREEZE_MS: u64 = 365;
+
+/// Failure: a report that was handled while the lease had expired for a moment was dropped, and nobody was told. The agent
+/// sends the ends of instances once on a connection, so the tasks of a lost worker were never run again.
+#[test]
+fn a_report_ignored_between_expiry_and_renewal_of_the_lease_closes_its_connection() {
+    let (mut cluster, head) = cluster_with_agent();
+    let followers: Vec<usize> = (0..3).filter(|member| *member != head).collect();
+    followers
+        .iter()
+        .for_each(|follower| cluster.stop(*follower));
+    cluster.run_for(FOLLOWERS_FREEZE_MS);
+    cluster.stop(head);
+    for follower in followers {
+        let outputs = cluster.resume(follower, Vec::new());
+        cluster.carry_out(follower, outputs);
+    }
+    cluster.run_for(HEAD_FREEZE_MS);
+    let outputs = cluster.resume(head, vec![report_of_an_end()]);
+    assert!(
+        !announced_acting(&outputs).contains(&false),
+        "the lease is renewed before anything is sent: {outputs:?}"
+    );
+    assert!(outputs.iter().any(is_close_of_agent), "{outputs:?}");
+    cluster.carry_out(head, outputs);
+    assert!(matches!(
+        cluster.request(head, OperatorRequest::Read),
+        OperatorResponse::Config(_)
+    ));
+}
+
+/// An agent that learns that the member does not act reports everything anew when it acts again; its connection stays open.
+#[test]
+fn a_report_ignored_by_a_member_that_stops_acting_leaves_its_connection_open() {
+    let (mut cluster, head) = cluster_with_agent();
+    cluster.stop(head);
+    cluster.partition(head);
+    cluster.run_for(FOLLOWERS_FREEZE_MS + HEAD_FREEZE_MS);
+    let outputs = cluster.resume(head, vec![report_of_an_end()]);
+    assert_eq!(announced_acting(&outputs), [false]);
+    assert!(!outputs.iter().any(is_close_of_agent), "{outputs:?}");
+}
--- a/crates/control-plane/tests/control_plane/simulated_cluster.rs
+++ b/crates/control-plane/tests/control_plane/simulated_cluster.rs
@@ -10,7 +10,7 @@
 use indigofold_protocol::internal::{Frame, MemberAddress, ProcessKind};
 use indigofold_replication::Storage;
 use indigofold_scheduler::Bounds;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use tempfile::TempDir;
 
@@ -53,6 +53,8 @@
     events: VecDeque<Event>,
     /// Members that no frame reaches or leaves.
     partitioned: BTreeSet<usize>,
+    /// Inputs that wait for members that stand still, in the order of their arrival.
+    frozen: BTreeMap<usize, Vec<Input>>,
     responses: HashMap<OperatorCallId, OperatorResponse>,
     now_ms: u64,
     /// The last ID that was assigned; all kinds of IDs share one sequence.
@@ -71,6 +73,7 @@
             links: HashMap::new(),
             events: VecDeque::new(),
             partitioned: BTreeSet::new(),
+            frozen: BTreeMap::new(),
             responses: HashMap::new(),
             now_ms: START_MS,
             last_id: 0,
@@ -148,6 +151,41 @@
         node.poll_outputs(resume_ms)
     }
 
+    /// Makes a member stand still from now on: its inputs wait, and its timers do not run.
+    pub(crate) fn stop(&mut self, member: usize) {
+        self.frozen.entry(member).or_default();
+    }
+
+    /// Lets a member go on: in one turn it handles `first` and the inputs that have arrived meanwhile. Returns its outputs,
+    /// for [`Self::carry_out`].
+    pub(crate) fn resume(&mut self, member: usize, first: Vec<Input>) -> Vec<Output> {
+        let waiting = self.frozen.remove(&member).unwrap_or_default();
+        let (clocks, now_ms) = (self.clocks(), self.now_ms);
+        let Member { node, .. } = self.members[member].as_mut().expect("the member is up");
+        for input in first.into_iter().chain(waiting) {
+            node.handle(clocks, input);
+        }
+        node.poll_outputs(now_ms)
+    }
+
+    /// Carries out the outputs that [`Self::resume`] returned.
+    pub(crate) fn carry_out(&mut self, member: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            self.apply_output(member, output);
+        }
+    }
+
+    /// Runs all timers and events of the next `duration_ms`.
+    pub(crate) fn run_for(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.step() {}
+        while self.next_timer_ms().max(self.now_ms + 1) <= end_ms {
+            self.advance_to_timer();
+            while self.step() {}
+        }
+        self.now_ms = end_ms;
+    }
+
     /// Sends an operator request to a member; returns the ID under which [`Self::response`] finds the response.
     pub(crate) fn call(&mut self, member: usize, request: OperatorRequest) -> OperatorCallId {
         let call = OperatorCallId(self.next_id());
@@ -230,18 +268,31 @@
         true
     }
 
-    /// Advances the clock to the next timer of any member, and runs the timers that are due.
-    fn advance_to_timer(&mut self) {
+    /// When the next timer of any member that does not stand still is due.
+    fn next_timer_ms(&self) -> u64 {
         let clocks = self.clocks();
-        let due_ms = self
+        let running = self
             .members
             .iter()
-            .flatten()
+            .enumerate()
+            .filter_map(|(number, member)| {
+                let member = member.as_ref()?;
+                (!self.frozen.contains_key(&number)).then_some(member)
+            });
+        running
             .map(|member| member.node.next_timeout_ms(clocks))
-            .min();
-        self.now_ms = due_ms.unwrap_or(u64::MAX).max(self.now_ms + 1);
+            .min()
+            .unwrap_or(u64::MAX)
+    }
+
+    /// Advances the clock to the next timer of any member, and runs the timers that are due.
+    fn advance_to_timer(&mut self) {
+        self.now_ms = self.next_timer_ms().max(self.now_ms + 1);
         let clocks = self.clocks();
         for member in 0..self.members.len() {
+            if self.frozen.contains_key(&member) {
+                continue;
+            }
             if let Some(Member { node, .. }) = &mut self.members[member] {
                 node.handle_timeout(clocks);
                 self.apply_outputs(member);
@@ -250,6 +301,10 @@
     }
 
     fn handle(&mut self, member: usize, input: Input) {
+        if let Some(waiting) = self.frozen.get_mut(&member) {
+            waiting.push(input);
+            return;
+        }
         let clocks = self.clocks();
         let Some(Member { node, .. }) = &mut self.members[member] else {
             return;
@@ -264,18 +319,21 @@
         let Some(Member { node, .. }) = &mut self.members[member] else {
             return;
         };
-        for output in node.poll_outputs(now_ms) {
-            match output {
-                Output::Send { connection, frame } => {
-                    self.send(Endpoint { member, connection }, frame);
-                }
-                Output::Close { connection } => self.close(Endpoint { member, connection }),
-                Output::Dial { address } => self.dial(member, address),
-                Output::Respond { call, response } => drop(self.responses.insert(call, response)),
-                Output::Storage(request) => self.events.push_back(Event::Storage(member, request)),
-                Output::Damaged { error } => {
-                    panic!("the database of member {member} is damaged: {error}")
-                }
+        let outputs = node.poll_outputs(now_ms);
+        self.carry_out(member, outputs);
+    }
+
+    fn apply_output(&mut self, member: usize, output: Output) {
+        match output {
+            Output::Send { connection, frame } => {
+                self.send(Endpoint { member, connection }, frame);
+            }
+            Output::Close { connection } => self.close(Endpoint { member, connection }),
+            Output::Dial { address } => self.dial(member, address),
+            Output::Respond { call, response } => drop(self.responses.insert(call, response)),
+            Output::Storage(request) => self.events.push_back(Event::Storage(member, request)),
+            Output::Damaged { error } => {
+                panic!("the database of member {member} is damaged: {error}")
             }
         }
     }
