Control plane: a late greeting no longer replaces a node agent's present connection

Cause: the head took the order in which greetings are read for the order in which connections were opened. The greeting read last replaced the machine's connection in the scheduler; the replaced one was neither closed nor told, and reports on it were dropped. Change: a greeting replaces nothing. The first report on a connection replaces those of the same machine whose greetings were read before, and they are closed: the agent has read the welcome on that connection and uses one at a time. The scheduler keeps all open connections of a machine; an instance is attached to the one that has reported it last. Evidence: the two new tests of core_member.rs fail without the change (no orders on the connection in use) and pass with it. Why it works: a report follows a welcome, so its sender ran after that welcome, however late another greeting is.

--- a/crates/control-plane/src/core_member/requests.rs
+++ b/crates/control-plane/src/core_member/requests.rs
@@ -43,6 +43,9 @@
         if !self.is_acting(clocks.steady_ms) {
             return self.sessions.report_ignored(connection);
         }
+        for replaced in self.sessions.report_handled(connection) {
+            self.close_connection(clocks, replaced);
+        }
         self.sessions
             .worker_reported(connection, report.instance.as_ref());
         let agent = AgentId(connection.0);
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -16,8 +16,12 @@
     pub kind: ProcessKind,
     /// Name of the machine of that process.
     pub node_name: String,
+    /// Number of the `Hello`, in the order in which they were received from all processes.
+    greeting: u64,
     /// Number of calls on the connection without a reply.
     open_calls: u64,
+    /// Whether a report was handled on the connection.
+    has_reported: bool,
     /// For node agents, the worker in the last report; `None` before the first report and if the agent has no worker.
     worker: Option<WorkerProfile>,
 }
@@ -26,6 +30,8 @@
 #[derive(Debug, Default)]
 pub struct Sessions {
     sessions: BTreeMap<ConnectionId, Session>,
+    /// Number of `Hello`s received so far.
+    greetings: u64,
     /// Connections of node agents whose reports were ignored since the last [`Sessions::take_ignored_reports`].
     ignored_reports: BTreeSet<ConnectionId>,
 }
@@ -33,10 +39,13 @@
 impl Sessions {
     /// Adds a connection whose `Hello` was received; returns false if the connection had already sent one.
     pub fn register(&mut self, connection: ConnectionId, hello: Hello) -> bool {
+        self.greetings += 1;
         let session = Session {
             kind: hello.kind,
             node_name: hello.node_name,
+            greeting: self.greetings,
             open_calls: 0,
+            has_reported: false,
             worker: None,
         };
         self.sessions.insert(connection, session).is_none()
@@ -61,6 +70,26 @@
         }
     }
 
+    /// Records that a report is handled on a connection. The first one replaces the other connections from the same machine
+    /// whose `Hello` was received before: the agent has read the welcome on this connection, and uses one at a time. Returns
+    /// them. A `Hello` alone may be a late one, on a connection that the agent has given up.
+    pub fn report_handled(&mut self, connection: ConnectionId) -> Vec<ConnectionId> {
+        let Some(session) = self.sessions.get_mut(&connection) else {
+            return Vec::new();
+        };
+        if std::mem::replace(&mut session.has_reported, true) {
+            return Vec::new();
+        }
+        let (node_name, greeting) = (session.node_name.clone(), session.greeting);
+        let is_replaced = |other: &Session| {
+            other.kind == ProcessKind::Agent
+                && other.node_name == node_name
+                && other.greeting < greeting
+        };
+        let replaced = self.iter().filter(|(_, other)| is_replaced(other));
+        replaced.map(|(connection, _)| connection).collect()
+    }
+
     /// Stores the worker that a node agent reports; `None` if the agent has no worker.
     pub fn worker_reported(&mut self, connection: ConnectionId, report: Option<&InstanceReport>) {
         let Some(session) = self.sessions.get_mut(&connection) else {
--- a/crates/control-plane/tests/control_plane/core_member.rs
+++ b/crates/control-plane/tests/control_plane/core_member.rs
@@ -8,7 +8,7 @@
 use indigofold_control_plane::storage_thread::StorageResponse;
 use indigofold_protocol::inspection::{InspectionAnswer, InspectionQuery};
 use indigofold_protocol::internal::{
-    AgentOrders, ClientCall, ClientOperation, ClientOutcome, Frame, ProcessKind,
+    AgentOrders, AgentReport, ClientCall, ClientOperation, ClientOutcome, Frame, ProcessKind,
 };
 use indigofold_protocol::task::JobId;
 use indigofold_replication::StorageError;
@@ -285,3 +285,76 @@
     test.deliver_storage();
     assert_eq!(test.take_answers().len(), 4);
 }
+
+/// Connections of one node agent, in the order in which it opened them.
+const AGENT_FIRST: ConnectionId = ConnectionId(500);
+const AGENT_SECOND: ConnectionId = ConnectionId(501);
+
+/// Passes a report without an instance to the member, and returns the connections to which it sends orders and those that
+/// it closes.
+fn report_on(
+    test: &mut TestNode,
+    connection: ConnectionId,
+) -> (Vec<ConnectionId>, Vec<ConnectionId>) {
+    test.clear_outputs();
+    let report = AgentReport {
+        sent_ms: 1,
+        instance: None,
+        ended_instances: Vec::new(),
+        not_started: Vec::new(),
+    };
+    test.receive(connection, Frame::Report(report));
+    let answered = test.outputs().iter().filter_map(|output| match output {
+        Output::Send {
+            connection,
+            frame: Frame::Orders(_),
+        } => Some(*connection),
+        _ => None,
+    });
+    let closed = test.outputs().iter().filter_map(|output| match output {
+        Output::Close { connection } => Some(*connection),
+        _ => None,
+    });
+    (answered.collect(), closed.collect())
+}
+
+/// Failure: a node agent's greeting that arrived late, on a connection that the agent had given up, replaced its present
+/// connection. Reports on that one were dropped, and the worker got no work any more.
+#[test]
+fn a_late_greeting_does_not_replace_the_connection_on_which_an_agent_reports() {
+    let mut test = TestNode::acting();
+    test.connect(AGENT_SECOND, ProcessKind::Agent);
+    assert_eq!(
+        report_on(&mut test, AGENT_SECOND),
+        (vec![AGENT_SECOND], Vec::new())
+    );
+    test.connect(AGENT_FIRST, ProcessKind::Agent);
+    assert_eq!(
+        report_on(&mut test, AGENT_SECOND),
+        (vec![AGENT_SECOND], Vec::new())
+    );
+    test.input(Input::Closed {
+        connection: AGENT_FIRST,
+    });
+    assert_eq!(
+        report_on(&mut test, AGENT_SECOND),
+        (vec![AGENT_SECOND], Vec::new())
+    );
+}
+
+/// A report shows that the agent uses the connection; the former one is closed rather than left without answers.
+#[test]
+fn the_first_report_on_a_connection_closes_the_agent_s_former_one() {
+    let mut test = TestNode::acting();
+    test.connect(AGENT_FIRST, ProcessKind::Agent);
+    report_on(&mut test, AGENT_FIRST);
+    test.connect(AGENT_SECOND, ProcessKind::Agent);
+    assert_eq!(
+        report_on(&mut test, AGENT_SECOND),
+        (vec![AGENT_SECOND], vec![AGENT_FIRST])
+    );
+    assert_eq!(
+        report_on(&mut test, AGENT_SECOND),
+        (vec![AGENT_SECOND], Vec::new())
+    );
+}
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -32,8 +32,6 @@
     /// Instances by the name of their machine.
     by_node: FxHashMap<String, BTreeSet<WorkerId>>,
     connections: FxHashMap<AgentId, Connection>,
-    /// Newest connection of each machine, by the machine's name.
-    connection_of_node: FxHashMap<String, AgentId>,
     /// Number of the next instance.
     next_number: u32,
     /// Time after the latest answer to a node agent's report when all leases of its instance have expired, in
@@ -50,7 +48,6 @@
             by_instance: FxHashMap::default(),
             by_node: FxHashMap::default(),
             connections: FxHashMap::default(),
-            connection_of_node: FxHashMap::default(),
             next_number: 0,
             lease_expiry_ms: longest_ms * CLOCK_PERCENT / 100 + EXPIRY_MARGIN_MS,
         }
@@ -128,11 +125,9 @@
             .collect()
     }
 
-    /// Adds the connection of a node agent; it replaces an older connection of the same machine.
+    /// Adds the connection of a node agent. A machine may have several connections; an instance is attached to the one
+    /// that has reported it last.
     pub(crate) fn add_connection(&mut self, agent: AgentId, node_name: String) {
-        if let Some(older) = self.connection_of_node.insert(node_name.clone(), agent) {
-            self.remove_connection(older);
-        }
         self.connections.insert(
             agent,
             Connection {
@@ -147,9 +142,6 @@
         let Some(connection) = self.connections.remove(&agent) else {
             return;
         };
-        if self.connection_of_node.get(&connection.node_name) == Some(&agent) {
-            self.connection_of_node.remove(&connection.node_name);
-        }
         if let Some(worker) = connection.worker.and_then(|id| self.instances.get_mut(&id))
             && worker.agent() == Some(agent)
         {
@@ -157,7 +149,7 @@
         }
     }
 
-    /// Returns an open connection; `None` if it has closed or was replaced.
+    /// Returns an open connection; `None` if it has closed.
     pub(crate) fn connection(&self, agent: AgentId) -> Option<&Connection> {
         self.connections.get(&agent)
     }
