--- a/crates/core/src/actor.rs
+++ b/crates/core/src/actor.rs
@@ -10,14 +10,15 @@
 use indigofold_decisions::api::Time;
 use std::rc::Rc;
 
-/// Capacity of the mailbox, in messages; when it is full, a front that sends waits.
+/// Capacity of the mailbox, in messages. A sender waits while it is full; senders are the fronts, each the program's side
+/// of one protocol.
 const MAILBOX_CAPACITY: usize = 1024;
 /// Messages handled per turn after the first one; after that the clock is read again.
 const MAX_BATCH: usize = 256;
 /// Interval between two log entries on the actor's state, in microseconds.
 const REPORT_INTERVAL_US: Time = 10_000_000;
 
-/// The sending side of the core's mailbox; fronts send inputs to it.
+/// The sending side of the core's mailbox, through which a front passes inputs to the engine.
 pub type Mailbox = Sender<CoreInput>;
 
 /// Creates a mailbox with a capacity of 1024 messages and returns both of its sides.
--- a/crates/data-plane/src/serve/agent_role.rs
+++ b/crates/data-plane/src/serve/agent_role.rs
@@ -90,7 +90,7 @@
             let has_work = orders.has_work();
             self.agent.handle_orders(now_ms, orders);
             if let Some(reply) = self.waiting_reply.take_if(|_| has_work) {
-                // The send fails if the reply has stopped waiting.
+                // The send fails if the reply was sent after its longest wait, so that nothing is left to wake.
                 let _ = reply.send(());
             }
         }
--- a/crates/replication/src/replica/store_queue.rs
+++ b/crates/replication/src/replica/store_queue.rs
@@ -1,5 +1,6 @@
-//! The stores of a member, one at a time: all changes requested while a store is under way are combined in the next one
-//! (group commit).
+//! The stores of a member, one at a time. A *store* is one transaction of the member's own database, with changes of rows,
+//! of the member's record, or of both. All changes requested while a store is under way are combined in the next one (group
+//! commit).
 
 use crate::durable::{MemberRecord, StoreOperation, StoreRequest};
 use crate::message::Message;
@@ -11,7 +12,7 @@
 /// An action that must wait until a store is on disk.
 #[derive(Debug)]
 pub(super) enum AfterStore {
-    /// Send a message that depends on the store.
+    /// Send a message that is true only once the changes are on disk.
     Send {
         to: SocketAddr,
         message: Box<Message>,
@@ -103,14 +104,14 @@
         self.in_flight.is_none()
     }
 
-    /// Returns true if the store under way has failed and waits for its retry.
+    /// Returns true if the database has rejected the store under way, which is going to be retried.
     pub(super) fn is_failing(&self) -> bool {
         self.in_flight
             .as_ref()
             .is_some_and(|f| f.retry_due_ms.is_some())
     }
 
-    /// Returns for how long the store under way has been unfinished, including retries; 0 if there is none.
+    /// Returns the time since the store under way was first sent to the database, including retries; 0 if there is none.
     pub(super) fn age_ms(&self, now_ms: u64) -> u64 {
         self.in_flight
             .as_ref()
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -31,7 +31,7 @@
 /// Processes the reports of node agents, and keeps the answers to agents that have no worker instance.
 #[derive(Debug, Default)]
 pub(crate) struct Reports {
-    /// Answers of the current event to node agents without a worker instance.
+    /// Answers to the reports without a worker instance in the event that is being handled; sent at its end.
     answers: Vec<AnswerWithoutInstance>,
 }
 
@@ -69,7 +69,7 @@
         cluster.outbox_mut().orders_for(id).echo_sent_ms = Some(report.sent_ms);
     }
 
-    /// Takes the answers of the current event to node agents without a worker instance.
+    /// Takes the answers to the reports without a worker instance in the event that is being handled.
     pub(crate) fn take_answers(&mut self) -> Vec<AnswerWithoutInstance> {
         std::mem::take(&mut self.answers)
     }
--- a/crates/system-tests/src/wire.rs
+++ b/crates/system-tests/src/wire.rs
@@ -102,7 +102,8 @@
     }
 }
 
-/// An ended run in a heartbeat: `[N, task, run, how, saved]`.
+/// An ended run in a heartbeat. On the wire it is an array of the fields below in their order, which the protocol
+/// documentation calls `[N, task, run, how, saved]`.
 #[derive(Clone, Debug, Serialize)]
 #[serde(into = "(u64, String, u32, EndReason, String)")]
 pub struct EndReport {
