--- a/crates/control-plane/tests/control_plane/cluster.rs
+++ b/crates/control-plane/tests/control_plane/cluster.rs
@@ -14,6 +14,9 @@
 /// Duration of a freeze, in milliseconds; longer than any lease.
 const FREEZE_MS: u64 = 60_000;
 
+/// Time after which a member that has returned takes part again, in milliseconds.
+const CATCH_UP_MS: u64 = 4_000;
+
 /// Returns the operator's request that sets the first configuration.
 fn put_first_config() -> OperatorRequest {
     OperatorRequest::Change(put(0, &first_config()))
@@ -276,3 +279,35 @@
     assert_eq!(announced_acting(&outputs), [false]);
     assert!(!outputs.iter().any(is_close_of_agent), "{outputs:?}");
 }
+
+/// Number of elections between a member that has returned and one that was up all the time.
+const ELECTIONS: u32 = 300;
+/// Most elections that either of them wins: the mean and 3.5 standard deviations of a fair draw.
+const WINS_MAX: u32 = 180;
+
+/// An election is not biased for or against the member that has returned last.
+#[test]
+fn a_member_that_has_returned_is_elected_as_often_as_the_other() {
+    let mut cluster = SimulatedCluster::start(3);
+    let mut head = cluster.run_to_head();
+    assert_eq!(cluster.request(head, put_first_config()), accepted());
+    let mut returned = None;
+    let (mut returned_wins, mut other_wins) = (0, 0);
+    while returned_wins + other_wins < ELECTIONS {
+        cluster.run_for(CATCH_UP_MS);
+        cluster.kill(head);
+        let next = cluster.run_to_head_other_than(head);
+        match returned {
+            Some(returned) if returned == next => returned_wins += 1,
+            Some(_) => other_wins += 1,
+            None => {}
+        }
+        cluster.restart(head);
+        returned = Some(head);
+        head = next;
+    }
+    assert!(
+        returned_wins <= WINS_MAX && other_wins <= WINS_MAX,
+        "returned members won {returned_wins}, the others {other_wins}"
+    );
+}
--- a/crates/control-plane/tests/control_plane/simulated_cluster.rs
+++ b/crates/control-plane/tests/control_plane/simulated_cluster.rs
@@ -59,6 +59,8 @@
     now_ms: u64,
     /// The last ID that was assigned; all kinds of IDs share one sequence.
     last_id: u64,
+    /// Seed of the members' random numbers; another one for each start of a member.
+    random_seed: u64,
 }
 
 impl SimulatedCluster {
@@ -77,6 +79,7 @@
             responses: HashMap::new(),
             now_ms: START_MS,
             last_id: 0,
+            random_seed: 7,
         };
         (0..count).for_each(|member| cluster.restart(member));
         cluster
@@ -102,6 +105,7 @@
         let opened =
             Storage::open(self.directories[member].path()).expect("the database can be opened");
         let mut settings = self.settings(member);
+        self.random_seed += 1;
         settings.bootstrap &= !opened.has_quarantined;
         let node = CoreMember::new(settings, opened.record, self.clocks());
         self.members[member] = Some(Member {
@@ -401,7 +405,7 @@
             bootstrap: true,
             tolerated_losses: 1,
             bounds: Bounds::default(),
-            random_seed: 7 + member as u64,
+            random_seed: self.random_seed,
         }
     }
 
--- a/crates/system-tests/tests/hardening.rs
+++ b/crates/system-tests/tests/hardening.rs
@@ -19,8 +19,6 @@
 const CHANGES: u64 = 500;
 /// Number of requests to read the configuration that are sent to a head while it is frozen.
 const READERS: usize = 20;
-/// Upper bound of the number of heads that are killed until a certain member becomes head.
-const HEAD_KILLS_MAX: usize = 10;
 
 /// A configuration with a queue named after `label`, to distinguish it from others of the same version.
 fn labelled(version: u64, label: &str) -> Configuration {
@@ -195,12 +193,14 @@
     cluster.finish();
 }
 
-/// A member is down during hundreds of changes, restarts, and later becomes head with the newest configuration.
+/// A member is down during hundreds of changes, restarts, and becomes head with the newest configuration: the third member
+/// is down and the head hands over, so that no other one can take over.
 #[rstest]
 fn a_member_that_missed_hundreds_of_changes_leads_with_all_of_them() {
     let mut cluster = Cluster::start(programs!(), MachineCounts::default());
     let head = cluster.head();
-    let stopped = cluster.other_cores(head)[0];
+    let others = cluster.other_cores(head);
+    let (stopped, third) = (others[0], others[1]);
     cluster.system.kill(stopped);
     for version in 2..=CHANGES {
         let mut queue = Queue::new("/changing/", PLANNING, 1).to_json();
@@ -210,28 +210,27 @@
     }
     let newest = cluster.read_configuration();
     cluster.start_machine(stopped);
-    for _ in 0..HEAD_KILLS_MAX {
-        cluster.submit_jobs_for(CATCH_UP);
-        let head = cluster.head();
-        assert_eq!(cluster.read_configuration(), newest);
-        if head == stopped {
-            let first = json!({"version": 2, "upsert": {"routes": []}});
-            assert_eq!(
-                cluster
-                    .operator
-                    .patch(&first, 1)
-                    .expect("the request should get a response")
-                    .status,
-                412
-            );
-            cluster.finish();
-            return;
-        }
-        cluster.system.kill(head);
-        cluster.head();
-        cluster.start_machine(head);
-    }
-    panic!("the restarted member did not become head in {HEAD_KILLS_MAX} changes of the head");
+    cluster.submit_jobs_for(CATCH_UP);
+    cluster.system.kill(third);
+    cluster.submit_jobs_for(CATCH_UP);
+    assert_eq!(cluster.head(), head, "the head is up all the time");
+    cluster.terminate_and_wait(head);
+    cluster.start_machine(third);
+    assert_eq!(cluster.head(), stopped, "the returned member takes over");
+    assert_eq!(cluster.read_configuration(), newest);
+    let first = json!({"version": 2, "upsert": {"routes": []}});
+    assert_eq!(
+        cluster
+            .operator
+            .patch(&first, 1)
+            .expect("the request should get a response")
+            .status,
+        412
+    );
+    cluster.start_machine(head);
+    cluster.submit_jobs_for(CATCH_UP);
+    assert_eq!(cluster.read_configuration(), newest);
+    cluster.finish();
 }
 
 /// A member's database is corrupt, and its settings still have `bootstrap` set. It must not vote like a member of a new
