--- a/crates/control-plane/tests/control_plane/cluster.rs
+++ b/crates/control-plane/tests/control_plane/cluster.rs
@@ -22,6 +22,17 @@
     OperatorRequest::Change(put(0, &first_config()))
 }
 
+/// Passes the hello of a process on a new connection to a member.
+fn greet(
+    cluster: &mut SimulatedCluster,
+    member: usize,
+    connection: ConnectionId,
+    kind: ProcessKind,
+) {
+    let frame = Frame::Hello(hello("other", kind, 1));
+    cluster.input(member, Input::Frame { connection, frame });
+}
+
 #[test]
 fn members_agree_on_one_head_at_first_start() {
     let mut cluster = SimulatedCluster::start(3);
@@ -151,13 +162,7 @@
     let mut cluster = SimulatedCluster::start(3);
     let head = cluster.run_to_head();
     assert_eq!(cluster.request(head, put_first_config()), accepted());
-    cluster.input(
-        head,
-        Input::Frame {
-            connection: EDGE,
-            frame: Frame::Hello(hello("edge", ProcessKind::Edge, 1)),
-        },
-    );
+    greet(&mut cluster, head, EDGE, ProcessKind::Edge);
     let (host, path) = ("none.example".to_owned(), "/none/".to_owned());
     let call = ClientCall {
         call: 1,
@@ -193,13 +198,7 @@
     let mut cluster = SimulatedCluster::start(3);
     let head = cluster.run_to_head();
     assert_eq!(cluster.request(head, put_first_config()), accepted());
-    cluster.input(
-        head,
-        Input::Frame {
-            connection: AGENT,
-            frame: Frame::Hello(hello("side", ProcessKind::Agent, 1)),
-        },
-    );
+    greet(&mut cluster, head, AGENT, ProcessKind::Agent);
     cluster.run_for(200);
     (cluster, head)
 }
