--- a/crates/system-tests/tests/chaos.rs
+++ b/crates/system-tests/tests/chaos.rs
@@ -3,11 +3,12 @@
 
 mod chaos_support;
 
-use chaos_support::run_seed;
+use chaos_support::{FAULTS, Fault, LATE_MESSAGE_FAULTS, run_seed};
 use indigofold_system_tests::programs;
+use indigofold_system_tests::system::Programs;
 use rstest::rstest;
 
-/// Environment variable with the seeds of [`run_seeds_of_variable`], as `FIRST..LAST`; LAST is excluded.
+/// Environment variable with the seeds of the ignored tests, as `FIRST..LAST`; LAST is excluded.
 const SEEDS_VARIABLE: &str = "CHAOS_SEEDS";
 
 #[rstest]
@@ -16,7 +17,17 @@
 #[case(3)]
 #[case(4)]
 fn accepted_jobs_end_and_no_rule_is_broken_under_faults(#[case] seed: u64) {
-    run_seed(programs!(), seed);
+    run_seed(programs!(), &FAULTS, seed);
+}
+
+/// Heartbeats arrive 0.1 to 5 s late, workers and node agents restart between, and all core members stand still at
+/// overlapping times.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn no_rule_is_broken_if_heartbeats_are_late(#[case] seed: u64) {
+    run_seed(programs!(), &LATE_MESSAGE_FAULTS, seed);
 }
 
 /// Runs a range of seeds, for more coverage than the regular suite has time for:
@@ -24,19 +35,28 @@
 #[rstest]
 #[ignore = "takes as long as its seeds do"]
 fn run_seeds_of_variable() {
+    run_seeds(programs!(), &FAULTS);
+}
+
+/// The same with late heartbeats.
+#[rstest]
+#[ignore = "takes as long as its seeds do"]
+fn run_seeds_with_late_heartbeats() {
+    run_seeds(programs!(), &LATE_MESSAGE_FAULTS);
+}
+
+fn run_seeds(programs: Programs, faults: &'static [Fault]) {
     let seeds =
         std::env::var(SEEDS_VARIABLE).expect("CHAOS_SEEDS should hold the seeds as FIRST..LAST");
     let (first, last) = seeds
         .split_once("..")
         .expect("CHAOS_SEEDS should hold the seeds as FIRST..LAST");
-    for seed in first
-        .parse::<u64>()
-        .expect("FIRST and LAST of CHAOS_SEEDS should be numbers")
-        ..last
-            .parse()
+    let number = |text: &str| {
+        text.parse::<u64>()
             .expect("FIRST and LAST of CHAOS_SEEDS should be numbers")
-    {
+    };
+    for seed in number(first)..number(last) {
         eprintln!("seed {seed}");
-        run_seed(programs!(), seed);
+        run_seed(programs.clone(), faults, seed);
     }
 }
--- a/crates/system-tests/tests/chaos_support/faults.rs
+++ b/crates/system-tests/tests/chaos_support/faults.rs
@@ -6,7 +6,9 @@
 use indigofold_system_tests::configuration::{PLANNING, Queue};
 use indigofold_system_tests::environment::{Moment, Record};
 use indigofold_system_tests::system::MachineId;
+use indigofold_system_tests::worker::DelayedHeartbeat;
 use serde_json::json;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// The next fault follows once this number of jobs has been accepted, or after [`MAX_TIME_BETWEEN_FAULTS`].
@@ -15,14 +17,26 @@
 const MAX_TIME_BETWEEN_FAULTS: Duration = Duration::from_millis(1_200);
 /// Time that a draining worker needs until it can end.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
+/// Shortest and longest time for which the network holds a heartbeat back.
+const HEARTBEAT_DELAY_MS: RangeInclusive<u64> = 100..=5_000;
+/// Shortest and longest time for which members stand still; a lease lasts 600 ms.
+const CORE_FREEZE_MS: RangeInclusive<u64> = 100..=700;
 
 /// A fault to inject, or a change of the configuration.
 #[derive(Clone, Copy, Debug)]
-enum Fault {
+pub(crate) enum Fault {
     KillAgent,
     FreezeAgent,
     CrashWorker,
     DrainWorker,
+    /// A worker restarts, and a heartbeat of its former instance arrives late.
+    DelayHeartbeat,
+    /// A worker restarts twice; the only heartbeat of the instance between arrives late.
+    RestartWorkerTwice,
+    /// A worker and its node agent restart, and a heartbeat of the former instance arrives late.
+    RestartWorkerAndAgent,
+    /// The followers stand still, and then the head; the times overlap.
+    FreezeCore,
     KillEdge,
     TerminateEdge,
     Member(MemberFault),
@@ -32,7 +46,7 @@
 
 /// A fault of one core member.
 #[derive(Clone, Copy, Debug)]
-enum MemberFault {
+pub(crate) enum MemberFault {
     KillHead,
     Kill,
     Wipe,
@@ -42,7 +56,7 @@
 }
 
 /// All faults. A seed selects them by position, so reordering them changes the faults of every seed.
-const FAULTS: [Fault; 14] = [
+pub(crate) const FAULTS: [Fault; 14] = [
     Fault::KillAgent,
     Fault::FreezeAgent,
     Fault::CrashWorker,
@@ -59,9 +73,29 @@
     Fault::Configure,
 ];
 
+/// Faults with late heartbeats and members that stand still at the same time, beside losses of all kinds of processes.
+pub(crate) const LATE_MESSAGE_FAULTS: [Fault; 12] = [
+    Fault::DelayHeartbeat,
+    Fault::RestartWorkerTwice,
+    Fault::RestartWorkerAndAgent,
+    Fault::FreezeCore,
+    Fault::DelayHeartbeat,
+    Fault::FreezeCore,
+    Fault::KillAgent,
+    Fault::FreezeAgent,
+    Fault::CrashWorker,
+    Fault::Member(MemberFault::KillHead),
+    Fault::Member(MemberFault::FreezeHead),
+    Fault::Configure,
+];
+
 /// Injects faults and tracks those that have not been repaired.
 pub(super) struct FaultInjector {
     random: SeededRandom,
+    /// The faults to choose from.
+    faults: &'static [Fault],
+    /// Heartbeats that have not been delivered yet, with the times at which they arrive.
+    delayed: Vec<(Moment, DelayedHeartbeat)>,
     /// Machines whose process was killed or terminated and has not been restarted.
     down: Vec<MachineId>,
     frozen: Vec<MachineId>,
@@ -73,9 +107,11 @@
 
 impl FaultInjector {
     /// Creates an injector without injected faults; the configuration has version 1.
-    pub(super) fn new(random: SeededRandom) -> Self {
+    pub(super) fn new(random: SeededRandom, faults: &'static [Fault]) -> Self {
         FaultInjector {
             random,
+            faults,
+            delayed: Vec::new(),
             down: Vec::new(),
             frozen: Vec::new(),
             core_recovered_at: Moment::ZERO,
@@ -89,7 +125,7 @@
         if self.random.below(2) == 0 {
             self.repair(cluster);
         }
-        let fault = self.random.choose(&FAULTS);
+        let fault = self.random.choose(self.faults);
         eprintln!("{:8.3} {fault:?}", cluster.environment.now().as_secs_f64());
         self.inject(cluster, fault);
         let before = accepted(cluster);
@@ -100,11 +136,16 @@
             .wait_until("jobs", MAX_TIME_BETWEEN_FAULTS, enough);
         // A timeout is not an error: the next fault follows in either case.
         drop(more);
+        self.deliver_due(cluster);
     }
 
     /// Repairs all faults and waits until the edges are ready.
     pub(super) fn repair_all(&mut self, cluster: &mut Cluster) {
         self.repair(cluster);
+        while !self.delayed.is_empty() {
+            pause(cluster, Duration::from_millis(*HEARTBEAT_DELAY_MS.start()));
+            self.deliver_due(cluster);
+        }
         cluster.wait_ready();
     }
 
@@ -140,6 +181,19 @@
             Fault::FreezeAgent => self.freeze(cluster, sides[worker]),
             Fault::CrashWorker => cluster.workers[worker].crash(),
             Fault::DrainWorker => cluster.workers[worker].drain(DRAIN_TIME),
+            Fault::DelayHeartbeat => self.delay_heartbeat(cluster, worker),
+            Fault::RestartWorkerTwice => {
+                let delayed = cluster.workers[worker].restart_twice();
+                self.hold_back(cluster, delayed);
+            }
+            Fault::RestartWorkerAndAgent => {
+                self.delay_heartbeat(cluster, worker);
+                if self.is_healthy(sides[worker]) {
+                    cluster.system.kill(sides[worker]);
+                    cluster.start_machine(sides[worker]);
+                }
+            }
+            Fault::FreezeCore => self.freeze_core(cluster),
             Fault::KillEdge => self.kill(cluster, edges[0]),
             Fault::TerminateEdge => self.terminate_edge(cluster, edges[1]),
             Fault::Configure => self.configure(cluster),
@@ -148,6 +202,53 @@
         }
     }
 
+    /// Restarts a worker; a heartbeat of its former instance arrives later.
+    fn delay_heartbeat(&mut self, cluster: &Cluster, worker: usize) {
+        let delayed = cluster.workers[worker].delay_heartbeat();
+        cluster.workers[worker].restart();
+        self.hold_back(cluster, delayed);
+    }
+
+    fn hold_back(&mut self, cluster: &Cluster, heartbeat: Option<DelayedHeartbeat>) {
+        let delay = self.random_time(&HEARTBEAT_DELAY_MS);
+        let due = cluster.environment.now() + delay;
+        self.delayed
+            .extend(heartbeat.map(|heartbeat| (due, heartbeat)));
+    }
+
+    /// Delivers the heartbeats whose time has come.
+    fn deliver_due(&mut self, cluster: &Cluster) {
+        let now = cluster.environment.now();
+        for (_, heartbeat) in self.delayed.extract_if(.., |(due, _)| *due <= now) {
+            // The node agent may be down or frozen; the heartbeat is lost then.
+            let _ = heartbeat.deliver();
+        }
+    }
+
+    /// Freezes the followers, then the head, and resumes all of them, unless a member is faulty or catching up.
+    fn freeze_core(&mut self, cluster: &mut Cluster) {
+        let cores = cluster.system.cores();
+        let all_up = cores.iter().all(|core| self.is_healthy(*core));
+        if !all_up || cluster.environment.now() < self.core_recovered_at {
+            return;
+        }
+        let head = cluster.head();
+        let followers = cluster.other_cores(head);
+        cluster.freeze_machines(&followers);
+        pause(cluster, self.random_time(&CORE_FREEZE_MS));
+        cluster.freeze_machines(&[head]);
+        pause(cluster, self.random_time(&CORE_FREEZE_MS) / 2);
+        cluster.thaw_machines(&followers);
+        pause(cluster, self.random_time(&CORE_FREEZE_MS) / 2);
+        cluster.thaw_machines(&[head]);
+        self.core_recovered_at = cluster.environment.now() + CATCH_UP;
+    }
+
+    fn random_time(&mut self, range_ms: &RangeInclusive<u64>) -> Duration {
+        let spread_ms = range_ms.end() - range_ms.start();
+        Duration::from_millis(range_ms.start() + self.random.below(spread_ms + 1))
+    }
+
     fn is_healthy(&self, machine: MachineId) -> bool {
         !self.down.contains(&machine) && !self.frozen.contains(&machine)
     }
@@ -241,6 +342,15 @@
     }
 }
 
+/// Lets time pass.
+fn pause(cluster: &Cluster, duration: Duration) {
+    let never = || None::<()>;
+    let signal = cluster.environment.signal();
+    let timed_out = signal.wait_until("the end of a pause", duration, never);
+    // The timeout is what is waited for.
+    drop(timed_out);
+}
+
 fn accepted(cluster: &Cluster) -> usize {
     cluster.environment.read(Record::count_accepted)
 }
--- a/crates/system-tests/tests/chaos_support/mod.rs
+++ b/crates/system-tests/tests/chaos_support/mod.rs
@@ -4,6 +4,8 @@
 mod jobs;
 mod seeded_random;
 
+pub(crate) use faults::{FAULTS, Fault, LATE_MESSAGE_FAULTS};
+
 use faults::FaultInjector;
 use indigofold_system_tests::checks::Exemptions;
 use indigofold_system_tests::cluster::Cluster;
@@ -17,8 +19,8 @@
 /// Number of faults that are injected in one run.
 const FAULT_COUNT: usize = 12;
 
-/// Runs a seed; panics if a rule is broken or an accepted job does not end in time.
-pub(crate) fn run_seed(programs: Programs, seed: u64) {
+/// Runs a seed with faults out of `faults`; panics if a rule is broken or an accepted job does not end in time.
+pub(crate) fn run_seed(programs: Programs, faults: &'static [Fault], seed: u64) {
     let mut cluster = Cluster::start(
         programs,
         MachineCounts {
@@ -41,7 +43,7 @@
             })
         })
         .collect();
-    let mut injector = FaultInjector::new(SeededRandom::new(seed));
+    let mut injector = FaultInjector::new(SeededRandom::new(seed), faults);
     (0..FAULT_COUNT).for_each(|_| injector.inject_next(&mut cluster));
     injector.repair_all(&mut cluster);
     stopping.store(true, Ordering::Relaxed);
