Data plane: a node agent leaves a head that answers none of its reports

Cause: an agent suspected such a head after 0.7 s but left it only for a head of a higher view; edges left it after 2 s. Any frame counted as an answer, a welcome too, which a member sends on its own. Change: edges and node agents leave a head that owes a reply for 2 s; a welcome is no reply. In one test the simulated head answered no report for 4.8 s and relied on the agent staying; it now answers those that it skips, its assertions are as before. Why it works: the head answers every report at once, so that the reason for the silence does not matter.

--- a/crates/data-plane/src/core_link.rs
+++ b/crates/data-plane/src/core_link.rs
@@ -55,9 +55,8 @@
         }
     }
 
-    /// Makes the link probe a head that has sent nothing for [`IDLE_PROBE_MS`], and detach from a head that does not
-    /// respond within [`HEAD_TIMEOUT_MS`]. Processes that send nothing while idle need this to notice a frozen or
-    /// unreachable head.
+    /// Makes the link probe a head that has sent nothing for [`IDLE_PROBE_MS`]. Processes that send nothing while idle
+    /// need this to notice a frozen or unreachable head.
     pub fn with_idle_probing(mut self) -> Self {
         self.idle_probing = true;
         self
@@ -146,11 +145,12 @@
         self.handle_timeout(now_ms);
     }
 
-    /// Handles any frame received on this connection.
-    pub fn handle_frame(&mut self, now_ms: u64, connection: ConnectionId) {
+    /// Handles any frame but a welcome received on this connection. A welcome answers no request: a member that only
+    /// announces changes may have dropped all that this process has sent to it.
+    pub fn handle_reply(&mut self, now_ms: u64, connection: ConnectionId) {
         let attachment = self.attachment.as_mut();
         if let Some(attachment) = attachment.filter(|head| head.connection() == connection) {
-            attachment.record_frame_received(now_ms);
+            attachment.record_reply_received(now_ms);
         }
     }
 
@@ -165,8 +165,8 @@
     /// searching.
     pub fn handle_timeout(&mut self, now_ms: u64) {
         self.close_expired(now_ms);
+        self.detach_unresponsive(now_ms);
         if self.idle_probing {
-            self.detach_unresponsive(now_ms);
             self.probe_idle(now_ms);
         }
         if !self.is_searching(now_ms) {
--- a/crates/data-plane/src/core_link/attachment.rs
+++ b/crates/data-plane/src/core_link/attachment.rs
@@ -5,12 +5,12 @@
 use indigofold_protocol::internal::Welcome;
 use std::net::SocketAddr;
 
-/// A head that owes a reply and sends nothing for this long is suspected: other members are dialled, and the head stays
+/// A head that owes a reply and sends none for this long is suspected: other members are dialled, and the head stays
 /// attached.
 pub const SUSPICION_TIMEOUT_MS: u64 = 700;
-/// With idle probing, a head that has sent nothing for this long is probed.
+/// With idle probing, a head that has sent no reply for this long is probed.
 pub const IDLE_PROBE_MS: u64 = 300;
-/// With idle probing, a head that owes a reply and sends nothing for this long is detached.
+/// A head that owes a reply and sends none for this long is detached, and its connection is closed.
 pub const HEAD_TIMEOUT_MS: u64 = 2_000;
 
 /// The connection to the acting head.
@@ -21,10 +21,11 @@
     view: u64,
     config_version: u64,
     limits: IngressLimits,
-    /// Time since which the head has owed a reply without sending any frame; `None` if it owes none.
+    /// Time since which the head has owed a reply without sending any; `None` if it owes none.
     owed_since_ms: Option<u64>,
-    last_frame_ms: u64,
-    /// Whether a probe was sent after the last frame.
+    /// Time of the latest reply; of the attachment before the first one.
+    last_reply_ms: u64,
+    /// Whether a probe was sent after the latest reply.
     was_probed: bool,
 }
 
@@ -43,7 +44,7 @@
             config_version: welcome.config_version,
             limits: welcome.limits.clone(),
             owed_since_ms: None,
-            last_frame_ms: now_ms,
+            last_reply_ms: now_ms,
             was_probed: false,
         }
     }
@@ -73,7 +74,7 @@
         &self.limits
     }
 
-    /// Time since which the head has owed a reply without sending any frame; `None` if it owes none.
+    /// Time since which the head has owed a reply without sending any; `None` if it owes none.
     pub(super) fn owed_since_ms(&self) -> Option<u64> {
         self.owed_since_ms
     }
@@ -85,10 +86,10 @@
         self.limits = welcome.limits.clone();
     }
 
-    /// Records a frame from the head. Any frame counts as a reply, since it shows that the head responds.
-    pub(super) fn record_frame_received(&mut self, now_ms: u64) {
+    /// Records a reply from the head. It counts as the reply to all requests, since it shows that the head responds.
+    pub(super) fn record_reply_received(&mut self, now_ms: u64) {
         self.owed_since_ms = None;
-        self.last_frame_ms = now_ms;
+        self.last_reply_ms = now_ms;
         self.was_probed = false;
     }
 
@@ -119,20 +120,19 @@
         is_due
     }
 
-    /// Time at which the head is to be suspected or, with `idle_probing`, probed or detached, whichever comes first. A
+    /// Time at which the head is to be suspected, detached or, with `idle_probing`, probed, whichever comes first. A
     /// suspicion that is already due needs no timer.
     pub(super) fn next_timeout_ms(&self, now_ms: u64, idle_probing: bool) -> Option<u64> {
         let suspected_at_ms = self.suspected_at_ms().filter(|due_ms| *due_ms > now_ms);
         let probe_at_ms = self.probe_at_ms().filter(|_| idle_probing);
-        let timed_out_at_ms = self.timed_out_at_ms().filter(|_| idle_probing);
-        [probe_at_ms, suspected_at_ms, timed_out_at_ms]
+        [probe_at_ms, suspected_at_ms, self.timed_out_at_ms()]
             .into_iter()
             .flatten()
             .min()
     }
 
     fn probe_at_ms(&self) -> Option<u64> {
-        (!self.was_probed).then_some(self.last_frame_ms + IDLE_PROBE_MS)
+        (!self.was_probed).then_some(self.last_reply_ms + IDLE_PROBE_MS)
     }
 
     fn suspected_at_ms(&self) -> Option<u64> {
--- a/crates/data-plane/src/serve/agent_role.rs
+++ b/crates/data-plane/src/serve/agent_role.rs
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Returns `None`: the agent's reports are frequent enough to notice an unresponsive head.
+    /// Returns `None`: the head answers every report, and reports are frequent enough to notice an unresponsive head.
     fn liveness_probe(&self) -> Option<Frame> {
         None
     }
--- a/crates/data-plane/src/serve/role_process.rs
+++ b/crates/data-plane/src/serve/role_process.rs
@@ -178,11 +178,11 @@
     fn handle_frame(&self, connection: ConnectionId, frame: Frame) {
         let now_ms = steady_ms();
         let mut state = self.updated_state();
-        state.link.handle_frame(now_ms, connection);
         match frame {
             Frame::Welcome(welcome) => state.link.handle_welcome(now_ms, connection, &welcome),
-            frame if state.link.attached() == Some(connection) => {
-                state.role.handle_frame(now_ms, frame);
+            reply if state.link.attached() == Some(connection) => {
+                state.link.handle_reply(now_ms, connection);
+                state.role.handle_frame(now_ms, reply);
             }
             _ => {}
         }
--- a/crates/data-plane/tests/common/program.rs
+++ b/crates/data-plane/tests/common/program.rs
@@ -3,13 +3,13 @@
 use indigofold_protocol::codec;
 use indigofold_protocol::config::IngressLimits;
 use indigofold_protocol::internal::{
-    AgentReport, ClientCall, ClientOutcome, ClientReply, Frame, MemberAddress, Welcome,
+    AgentOrders, AgentReport, ClientCall, ClientOutcome, ClientReply, Frame, MemberAddress, Welcome,
 };
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout of each blocking read.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
@@ -199,6 +199,40 @@
         }
     }
 
+    /// Like [`Head::next_report_with`], but answers the skipped reports, as a head does; an agent leaves one that does not.
+    pub(crate) fn next_unanswered_report_with(
+        &mut self,
+        condition: impl Fn(&AgentReport) -> bool,
+    ) -> AgentReport {
+        loop {
+            let report = self.next_report_with(|_| true);
+            if condition(&report) {
+                return report;
+            }
+            let instance = report.instance.map(|instance| instance.id);
+            self.send(&Frame::Orders(AgentOrders {
+                epoch: 4,
+                echo_sent_ms: Some(report.sent_ms),
+                instance: instance.unwrap_or_default(),
+                start: Vec::new(),
+                stop: Vec::new(),
+                acknowledged_end: None,
+            }));
+        }
+    }
+
+    /// Reads without answering until the program closes the connection, and asserts that it does so within `limit`.
+    pub(crate) fn wait_until_closed(&mut self, limit: Duration) {
+        let started = Instant::now();
+        let mut buffer = [0; 4_096];
+        while self.stream.read(&mut buffer).is_ok_and(|count| count > 0) {
+            assert!(
+                started.elapsed() < limit,
+                "the connection is open after {limit:?}"
+            );
+        }
+    }
+
     pub(crate) fn send(&mut self, frame: &Frame) {
         self.stream
             .write_all(&codec::encode(frame))
--- a/crates/data-plane/tests/core_link.rs
+++ b/crates/data-plane/tests/core_link.rs
@@ -299,7 +299,7 @@
     let dials = dialled(&mut link);
     assert_eq!(dials.len(), SEARCH_CONNECTIONS_MAX);
     assert!(dials.iter().all(|dial| dial.address != head));
-    link.handle_frame(NOW_MS + SUSPICION_TIMEOUT_MS, id);
+    link.handle_reply(NOW_MS + SUSPICION_TIMEOUT_MS, id);
     link.handle_timeout(NOW_MS + SUSPICION_TIMEOUT_MS + 1);
     assert_eq!(
         link.poll_actions().len(),
@@ -368,7 +368,7 @@
         link.next_timeout_ms(requested_ms),
         Some(requested_ms + SUSPICION_TIMEOUT_MS)
     );
-    link.handle_frame(requested_ms + 5, id);
+    link.handle_reply(requested_ms + 5, id);
     link.handle_welcome(requested_ms + 5, id, &welcome(5, Some(1), true));
     assert_eq!(link.head_responsive_ms(requested_ms + 6), requested_ms + 6);
     assert_eq!(
@@ -383,7 +383,7 @@
     let (mut link, id, _) = attached_probing();
     for step in 1..10 {
         let now_ms = NOW_MS + step * (IDLE_PROBE_MS - 1);
-        link.handle_frame(now_ms, id);
+        link.handle_reply(now_ms, id);
         link.handle_timeout(now_ms);
     }
     assert_eq!(link.poll_actions(), []);
@@ -425,9 +425,15 @@
     assert_eq!(link.head_responsive_ms(now_ms), now_ms);
 }
 
-#[test]
-fn a_timed_out_head_is_detached_and_dialled_anew() {
-    let (mut link, id, head) = attached_probing();
+/// Failure: a node agent, which sends no probes, stayed with a head that answered none of its reports for as long as the
+/// connection was open and the head led.
+#[rstest]
+#[case::node_agent(attached())]
+#[case::edge(attached_probing())]
+fn a_timed_out_head_is_detached_and_dialled_anew(
+    #[case] attached: (CoreLink, ConnectionId, SocketAddr),
+) {
+    let (mut link, id, head) = attached;
     link.handle_request_sent(NOW_MS);
     assert_eq!(
         link.head_responsive_ms(NOW_MS + SUSPICION_TIMEOUT_MS),
@@ -439,6 +445,7 @@
             .next_timeout_ms(now_ms)
             .filter(|due_ms| *due_ms > now_ms)
             .expect("something is due later");
+        assert!(now_ms <= NOW_MS + HEAD_TIMEOUT_MS, "still attached");
         link.handle_timeout(now_ms);
     }
     assert_eq!(now_ms, NOW_MS + HEAD_TIMEOUT_MS);
@@ -460,3 +467,19 @@
     link.handle_welcome(now_ms, reconnected, &welcome(5, Some(1), true));
     assert_eq!(link.attached(), Some(reconnected));
 }
+
+/// A welcome says what has changed at the head; it does not show that the head reads what it is sent.
+#[test]
+fn welcomes_do_not_keep_a_head_that_answers_no_request() {
+    let (mut link, id, head) = attached();
+    link.handle_request_sent(NOW_MS);
+    let welcome = welcome(5, Some(host(head)), true);
+    for elapsed_ms in (0..HEAD_TIMEOUT_MS).step_by(100) {
+        link.handle_welcome(NOW_MS + elapsed_ms, id, &welcome);
+        assert_eq!(link.attached(), Some(id));
+    }
+    link.handle_timeout(NOW_MS + HEAD_TIMEOUT_MS);
+    assert_eq!(link.attached(), None);
+    let actions = link.poll_actions();
+    assert!(position(&actions, &LinkAction::Detached) < position(&actions, &LinkAction::Close(id)));
+}
--- a/crates/data-plane/tests/processes.rs
+++ b/crates/data-plane/tests/processes.rs
@@ -6,10 +6,12 @@
 use common::program::{
     EdgeProgram, Head, KeptConnection, Program, call, free_address, request, response,
 };
+use indigofold_data_plane::core_link::HEAD_TIMEOUT_MS;
 use indigofold_protocol::internal::{AgentOrders, ClientOutcome, ClientReply, Frame, StartOrder};
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::process::Output;
+use std::time::Duration;
 
 #[test]
 fn an_edge_forwards_calls_to_the_head_and_shuts_down_gracefully() {
@@ -101,6 +103,8 @@
 /// A node agent that runs as a child process, its address and a simulated head.
 struct AgentProgram {
     program: Program,
+    /// Listener of the simulated head.
+    listener: TcpListener,
     head: Head,
     address: SocketAddr,
 }
@@ -116,6 +120,7 @@
         program.wait_for_log("connected to the head");
         AgentProgram {
             program,
+            listener,
             head,
             address,
         }
@@ -158,7 +163,7 @@
     assert_eq!(call(agent.address, delete, "").0, 200);
     let report = agent
         .head
-        .next_report_with(|report| !report.ended_instances.is_empty());
+        .next_unanswered_report_with(|report| !report.ended_instances.is_empty());
     assert_eq!(report.ended_instances, ["i-1"]);
     agent.program.terminate();
     agent.program.assert_success();
@@ -219,6 +224,17 @@
     assert_eq!(agent.next_reported(), ("i-1".to_owned(), Vec::new()));
 }
 
+/// Failure: a node agent stayed with a head that answered none of its reports; its worker got no work any more.
+#[test]
+fn a_node_agent_leaves_a_head_that_answers_no_report() {
+    let mut agent = AgentProgram::start();
+    let limit = Duration::from_millis(2 * HEAD_TIMEOUT_MS);
+    agent.head.wait_until_closed(limit);
+    let mut successor = Head::accept(&agent.listener);
+    agent.program.wait_for_log("connected to the head");
+    successor.next_report_with(|report| report.instance.is_none());
+}
+
 fn run_with(settings: &str) -> Output {
     let file = tempfile::NamedTempFile::new().expect("a temporary file is created");
     fs::write(file.path(), settings).expect("the settings are written");
