Control plane: a second greeting on a connection no longer replaces the first one

What callers saw: nothing yet; found by reading for greetings that come twice. A second Hello of another kind on a node agent's connection closed it, but the scheduler was not told of the end, so that orders went on to a closed connection. Cause: Sessions::register inserted the second session before it said that there had been one; the end was handled by its kind. Change: a second Hello changes nothing; the connection is closed as the one that the first Hello opened. Evidence: a_second_greeting_on_a_connection_changes_nothing fails without the change and passes with it.

--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -37,8 +37,12 @@
 }
 
 impl Sessions {
-    /// Adds a connection whose `Hello` was received; returns false if the connection had already sent one.
+    /// Adds a connection whose `Hello` was received. Returns false, and changes nothing, if the connection had already sent
+    /// one.
     pub fn register(&mut self, connection: ConnectionId, hello: Hello) -> bool {
+        if self.sessions.contains_key(&connection) {
+            return false;
+        }
         self.greetings += 1;
         let session = Session {
             kind: hello.kind,
@@ -48,7 +52,8 @@
             has_reported: false,
             worker: None,
         };
-        self.sessions.insert(connection, session).is_none()
+        self.sessions.insert(connection, session);
+        true
     }
 
     /// Returns the session on a connection; `None` if no `Hello` was received on it.
--- a/crates/control-plane/tests/control_plane/core_member.rs
+++ b/crates/control-plane/tests/control_plane/core_member.rs
@@ -1,10 +1,10 @@
 //! Tests of one member: how it becomes the head, which processes it serves, and what it stores.
 
-use crate::builders::{CONFIG_VERSION, EDGE, MAX_BODY_BYTES, accepted, config_read};
+use crate::builders::{CONFIG_VERSION, EDGE, MAX_BODY_BYTES, accepted, config_read, hello};
 use crate::test_node::{TestNode, address};
 use indigofold_control_plane::core_member::{Input, Output, SCRUB_INTERVAL_MS};
 use indigofold_control_plane::operator::{OperatorRequest, OperatorResponse};
-use indigofold_control_plane::sessions::ConnectionId;
+use indigofold_control_plane::sessions::{ConnectionId, Sessions};
 use indigofold_control_plane::storage_thread::StorageResponse;
 use indigofold_protocol::inspection::{InspectionAnswer, InspectionQuery};
 use indigofold_protocol::internal::{
@@ -358,3 +358,17 @@
         (vec![AGENT_SECOND], Vec::new())
     );
 }
+
+/// Failure: a second greeting on a connection replaced the first one, so that the end of a node agent's connection was not
+/// told to the scheduler.
+#[test]
+fn a_second_greeting_on_a_connection_changes_nothing() {
+    let mut sessions = Sessions::default();
+    assert!(sessions.register(AGENT_FIRST, hello("Agent", ProcessKind::Agent, 1)));
+    assert!(!sessions.register(AGENT_FIRST, hello("Core", ProcessKind::Core, 2)));
+    let session = sessions.get(AGENT_FIRST).expect("the session stays");
+    assert_eq!(
+        (session.kind, session.node_name.as_str()),
+        (ProcessKind::Agent, "Agent")
+    );
+}
