Control plane: late calls on a connection that its edge has given up are not carried out

An edge that leaves a connection sends its calls anew on the next one. What the first connection still held was carried out whenever it came, after calls that clients had made since. Cause: only node agents' connections were replaced by use of a later one; an edge's former connection stayed open at the head. Change: the first call on an edge's connection closes those that the same process had greeted on before, as a report does for agents. Why it works: an edge calls only where it has read the welcome, and uses one connection at a time. Two processes of one name stay. Evidence: a_late_call_on_a_connection_that_an_edge_has_given_up_is_not_carried_out fails without the change; 88 tests pass with it.

--- a/crates/control-plane/src/core_member/requests.rs
+++ b/crates/control-plane/src/core_member/requests.rs
@@ -27,7 +27,8 @@
             };
             return self.send(connection, Frame::Reply(reply));
         }
-        self.sessions.call_opened(connection);
+        let replaced = self.sessions.call_opened(connection);
+        self.close_replaced(clocks, replaced);
         let caller = CallerId(connection.0);
         self.scheduler_event(clocks, Event::Call { from: caller, call });
     }
@@ -43,15 +44,25 @@
         if !self.is_acting(clocks.steady_ms) {
             return self.sessions.report_ignored(connection);
         }
-        for replaced in self.sessions.report_handled(connection) {
-            self.close_connection(clocks, replaced);
-        }
+        let replaced = self.sessions.report_handled(connection);
+        self.close_replaced(clocks, replaced);
         self.sessions
             .worker_reported(connection, report.instance.as_ref());
         let agent = AgentId(connection.0);
         self.scheduler_event(clocks, Event::Report { agent, report });
     }
 
+    /// Closes connections that their process has given up. They may be open here because their end is late, and requests on
+    /// them, too.
+    fn close_replaced(&mut self, clocks: Clocks, replaced: Vec<ConnectionId>) {
+        for connection in replaced {
+            let session = self.sessions.get(connection);
+            let node_name = session.map_or("", |session| session.node_name.as_str());
+            log::info!("connection closed, its process uses a later one node={node_name}");
+            self.close_connection(clocks, connection);
+        }
+    }
+
     /// Closes the connections of node agents whose reports were ignored though this member acts: its lease expired and was
     /// renewed before it could announce that it did not act. Agents report some items once on a connection.
     pub(super) fn close_after_ignored_reports(&mut self, is_acting: bool) {
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -16,16 +16,24 @@
     pub kind: ProcessKind,
     /// Name of the machine of that process.
     pub node_name: String,
+    /// Number that the process has drawn at its start.
+    incarnation: u64,
     /// Number of the `Hello`, in the order in which they were received from all processes.
     greeting: u64,
     /// Number of calls on the connection without a reply.
     open_calls: u64,
-    /// Whether a report was handled on the connection.
-    has_reported: bool,
+    /// Whether a report or call on the connection was handled.
+    is_used: bool,
     /// For node agents, the worker in the last report; `None` before the first report and if the agent has no worker.
     worker: Option<WorkerProfile>,
 }
 
+impl Session {
+    fn is_same_machine(&self, other: &Session) -> bool {
+        self.kind == other.kind && self.node_name == other.node_name
+    }
+}
+
 /// Connections opened to this member whose `Hello` has been received and that are not closed.
 #[derive(Debug, Default)]
 pub struct Sessions {
@@ -47,9 +55,10 @@
         let session = Session {
             kind: hello.kind,
             node_name: hello.node_name,
+            incarnation: hello.incarnation,
             greeting: self.greetings,
             open_calls: 0,
-            has_reported: false,
+            is_used: false,
             worker: None,
         };
         self.sessions.insert(connection, session);
@@ -61,11 +70,18 @@
         self.sessions.get(&connection)
     }
 
-    /// Counts a call that was received on the connection.
-    pub fn call_opened(&mut self, connection: ConnectionId) {
-        if let Some(session) = self.sessions.get_mut(&connection) {
-            session.open_calls += 1;
+    /// Counts a call that was received on the connection. The first one shows that the edge has given up its connections
+    /// whose `Hello` was received before: it has read the welcome on this connection, and uses one at a time. Returns them.
+    pub fn call_opened(&mut self, connection: ConnectionId) -> Vec<ConnectionId> {
+        let Some(session) = self.sessions.get_mut(&connection) else {
+            return Vec::new();
+        };
+        session.open_calls += 1;
+        if std::mem::replace(&mut session.is_used, true) {
+            return Vec::new();
         }
+        let incarnation = session.incarnation;
+        self.greeted_before(connection, |former| former.incarnation == incarnation)
     }
 
     /// Counts a reply that was sent on the connection.
@@ -82,17 +98,31 @@
         let Some(session) = self.sessions.get_mut(&connection) else {
             return Vec::new();
         };
-        if std::mem::replace(&mut session.has_reported, true) {
+        if std::mem::replace(&mut session.is_used, true) {
             return Vec::new();
         }
-        let (node_name, greeting) = (session.node_name.clone(), session.greeting);
-        let is_replaced = |other: &Session| {
-            other.kind == ProcessKind::Agent
-                && other.node_name == node_name
-                && other.greeting < greeting
+        self.greeted_before(connection, |_| true)
+    }
+
+    /// Returns the other connections of the same kind from the same machine whose `Hello` was received before that of
+    /// `connection`, as far as `is_included`.
+    fn greeted_before(
+        &self,
+        connection: ConnectionId,
+        is_included: impl Fn(&Session) -> bool,
+    ) -> Vec<ConnectionId> {
+        let Some(session) = self.get(connection) else {
+            return Vec::new();
         };
-        let replaced = self.iter().filter(|(_, other)| is_replaced(other));
-        replaced.map(|(connection, _)| connection).collect()
+        let is_former = |other: &Session| {
+            other.is_same_machine(session)
+                && other.greeting < session.greeting
+                && is_included(other)
+        };
+        self.iter()
+            .filter(|(_, other)| is_former(other))
+            .map(|(former, _)| former)
+            .collect()
     }
 
     /// Stores the worker that a node agent reports; `None` if the agent has no worker.
--- a/crates/control-plane/tests/control_plane/core_member.rs
+++ b/crates/control-plane/tests/control_plane/core_member.rs
@@ -372,3 +372,50 @@
         (ProcessKind::Agent, "Agent")
     );
 }
+
+/// Failure: a call that arrived late on a connection that its edge had given up was carried out, after calls on the
+/// connection that the edge used since.
+#[test]
+fn a_late_call_on_a_connection_that_an_edge_has_given_up_is_not_carried_out() {
+    const EDGE_SECOND: ConnectionId = ConnectionId(600);
+    let mut test = TestNode::acting();
+    test.call(ClientOperation::Get);
+    test.connect(EDGE_SECOND, ProcessKind::Edge);
+    test.clear_outputs();
+    let call = |connection| ClientCall {
+        call: 2,
+        host: "a.example".to_owned(),
+        path: format!("/p/{connection:016x}"),
+        operation: ClientOperation::Get,
+    };
+    test.receive(EDGE_SECOND, Frame::Call(call(1)));
+    assert!(matches!(sent_to(&test, EDGE_SECOND)[..], [Frame::Reply(_)]));
+    assert!(
+        test.outputs()
+            .iter()
+            .any(|output| matches!(output, Output::Close { connection } if *connection == EDGE))
+    );
+    test.clear_outputs();
+    test.receive(EDGE, Frame::Call(call(2)));
+    assert!(sent_to(&test, EDGE).is_empty());
+}
+
+/// Two edges of one name serve beside each other.
+#[test]
+fn an_edge_does_not_replace_another_process() {
+    const OTHER_EDGE: ConnectionId = ConnectionId(600);
+    let mut test = TestNode::acting();
+    test.receive(
+        OTHER_EDGE,
+        Frame::Hello(hello("Edge", ProcessKind::Edge, 2)),
+    );
+    let call = ClientCall {
+        call: 2,
+        host: "a.example".to_owned(),
+        path: "/p/00000000000000aa".to_owned(),
+        operation: ClientOperation::Get,
+    };
+    test.receive(OTHER_EDGE, Frame::Call(call));
+    test.call(ClientOperation::Get);
+    assert_eq!(test.take_replies().len(), 1);
+}
