Control plane: of two node agents that claim one machine, the one that is present keeps it

Cause: the first report on a connection replaced all earlier ones of that name, those of another process too; a report says which connection its own sender uses, nothing about another process. A rejected agent connects anew once the present one has gone, as its reports are lost. The present one gets a welcome then, which its machine resets if it has lost power meanwhile.

--- a/crates/control-plane/src/core_member/connections.rs
+++ b/crates/control-plane/src/core_member/connections.rs
@@ -148,7 +148,8 @@
         }
     }
 
-    fn send_welcome(&mut self, connection: ConnectionId) {
+    /// Sends the latest welcome on a connection.
+    pub(super) fn send_welcome(&mut self, connection: ConnectionId) {
         let welcome = self.announcement.welcome().clone();
         self.send(connection, Frame::Welcome(welcome));
     }
--- a/crates/control-plane/src/core_member/requests.rs
+++ b/crates/control-plane/src/core_member/requests.rs
@@ -5,7 +5,7 @@
 use crate::clocks::Clocks;
 use crate::config_authority::OperatorCallId;
 use crate::operator::{OperatorRequest, OperatorResponse};
-use crate::sessions::ConnectionId;
+use crate::sessions::{ConnectionId, ReportAdmission};
 use indigofold_protocol::internal::{AgentReport, ClientCall, ClientOutcome, ClientReply, Frame};
 use indigofold_scheduler::{AgentId, CallerId, Event};
 
@@ -27,7 +27,7 @@
             };
             return self.send(connection, Frame::Reply(reply));
         }
-        let replaced = self.sessions.call_opened(connection);
+        let replaced = self.sessions.call_opened(clocks.steady_ms, connection);
         self.close_replaced(clocks, replaced);
         let caller = CallerId(connection.0);
         self.scheduler_event(clocks, Event::Call { from: caller, call });
@@ -44,8 +44,13 @@
         if !self.is_acting(clocks.steady_ms) {
             return self.sessions.report_ignored(connection);
         }
-        let replaced = self.sessions.report_handled(connection);
-        self.close_replaced(clocks, replaced);
+        match self.sessions.admit_report(clocks.steady_ms, connection) {
+            ReportAdmission::Handled { replaced } => self.close_replaced(clocks, replaced),
+            ReportAdmission::Rejected { present, is_first } => {
+                return self.reject_report(connection, present, is_first);
+            }
+            ReportAdmission::Incomplete => return self.close_connection(clocks, connection),
+        }
         self.sessions
             .worker_reported(connection, report.instance.as_ref());
         let agent = AgentId(connection.0);
@@ -63,6 +68,20 @@
         }
     }
 
+    /// Leaves a report without an answer because another node agent of the same machine is present. The present one gets a
+    /// welcome: if it has ended without its connection having been closed, its machine resets the connection.
+    fn reject_report(&mut self, connection: ConnectionId, present: ConnectionId, is_first: bool) {
+        if !is_first {
+            return;
+        }
+        let session = self.sessions.get(connection);
+        let agent = session.map_or("", |session| session.node_name.as_str());
+        log::warn!(
+            "report rejected, another node agent of this machine is connected agent={agent}"
+        );
+        self.send_welcome(present);
+    }
+
     /// Closes the connections of node agents whose reports were ignored though this member acts: its lease expired and was
     /// renewed before it could announce that it did not act. Agents report some items once on a connection.
     pub(super) fn close_after_ignored_reports(&mut self, is_acting: bool) {
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -1,7 +1,7 @@
 //! Connections opened to this member by edges, node agents and other members.
 
 use crate::inspection::WorkerProfile;
-use indigofold_protocol::internal::{Hello, InstanceReport, ProcessKind};
+use indigofold_protocol::internal::{Hello, InstanceReport, ProcessKind, RUN_LEASE_MS};
 use indigofold_scheduler::AgentId;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,6 +9,30 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ConnectionId(pub u64);
 
+/// A node agent counts as present for this time after its latest report. Longer than the run leases that an agent has
+/// granted, so that they have expired if it stands still; reports are at most 300 ms apart.
+pub const AGENT_PRESENCE_MS: u64 = RUN_LEASE_MS + 1_000;
+
+/// What to do with a report of a node agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReportAdmission {
+    /// The report is to be handled. The agent has given up these connections, which are to be closed.
+    Handled {
+        /// Connections of the same machine whose `Hello` was received before; empty after the first report.
+        replaced: Vec<ConnectionId>,
+    },
+    /// Another node agent of the same machine is present on `present`: the report is not to be handled.
+    Rejected {
+        /// Connection of the present node agent.
+        present: ConnectionId,
+        /// Whether this is the first rejected report on its connection.
+        is_first: bool,
+    },
+    /// A report on this connection was rejected before. Agents report some items once on a connection, so this one has to
+    /// connect anew.
+    Incomplete,
+}
+
 /// State of a connection on which a `Hello` was received.
 #[derive(Debug)]
 pub struct Session {
@@ -22,8 +46,10 @@
     greeting: u64,
     /// Number of calls on the connection without a reply.
     open_calls: u64,
-    /// Whether a report or call on the connection was handled.
-    is_used: bool,
+    /// When the latest report or call on the connection was handled, on the monotonic clock; `None` before the first.
+    used_ms: Option<u64>,
+    /// Whether a report on the connection was rejected.
+    is_rejected: bool,
     /// For node agents, the worker in the last report; `None` before the first report and if the agent has no worker.
     worker: Option<WorkerProfile>,
 }
@@ -58,7 +84,8 @@
             incarnation: hello.incarnation,
             greeting: self.greetings,
             open_calls: 0,
-            is_used: false,
+            used_ms: None,
+            is_rejected: false,
             worker: None,
         };
         self.sessions.insert(connection, session);
@@ -72,12 +99,12 @@
 
     /// Counts a call that was received on the connection. The first one shows that the edge has given up its connections
     /// whose `Hello` was received before: it has read the welcome on this connection, and uses one at a time. Returns them.
-    pub fn call_opened(&mut self, connection: ConnectionId) -> Vec<ConnectionId> {
+    pub fn call_opened(&mut self, now_ms: u64, connection: ConnectionId) -> Vec<ConnectionId> {
         let Some(session) = self.sessions.get_mut(&connection) else {
             return Vec::new();
         };
         session.open_calls += 1;
-        if std::mem::replace(&mut session.is_used, true) {
+        if session.used_ms.replace(now_ms).is_some() {
             return Vec::new();
         }
         let incarnation = session.incarnation;
@@ -91,17 +118,49 @@
         }
     }
 
-    /// Records that a report is handled on a connection. The first one replaces the other connections from the same machine
-    /// whose `Hello` was received before: the agent has read the welcome on this connection, and uses one at a time. Returns
-    /// them. A `Hello` alone may be a late one, on a connection that the agent has given up.
-    pub fn report_handled(&mut self, connection: ConnectionId) -> Vec<ConnectionId> {
+    /// Decides whether a node agent's report is handled. The first one on a connection replaces the other connections from
+    /// the same machine whose `Hello` was received before: the agent has read the welcome on this connection, and uses one
+    /// at a time. A `Hello` alone may be a late one, on a connection that the agent has given up.
+    ///
+    /// A report of another process of the same machine is rejected while the present agent reports; otherwise two agents
+    /// that claim one machine would replace each other without end.
+    pub fn admit_report(&mut self, now_ms: u64, connection: ConnectionId) -> ReportAdmission {
+        let present = self.present_agent(now_ms, connection);
         let Some(session) = self.sessions.get_mut(&connection) else {
-            return Vec::new();
+            return ReportAdmission::Incomplete;
         };
-        if std::mem::replace(&mut session.is_used, true) {
-            return Vec::new();
+        if let Some(present) = present {
+            let is_first = !std::mem::replace(&mut session.is_rejected, true);
+            return ReportAdmission::Rejected { present, is_first };
+        }
+        if session.is_rejected {
+            return ReportAdmission::Incomplete;
+        }
+        let replaced = if session.used_ms.replace(now_ms).is_none() {
+            self.greeted_before(connection, |_| true)
+        } else {
+            Vec::new()
+        };
+        ReportAdmission::Handled { replaced }
+    }
+
+    /// Returns the connection of another node agent process of the same machine that has reported within
+    /// [`AGENT_PRESENCE_MS`]; `None` if reports on `connection` are handled already.
+    fn present_agent(&self, now_ms: u64, connection: ConnectionId) -> Option<ConnectionId> {
+        let session = self.get(connection)?;
+        if session.used_ms.is_some() {
+            return None;
         }
-        self.greeted_before(connection, |_| true)
+        let is_present = |other: &Session| {
+            other.is_same_machine(session)
+                && other.incarnation != session.incarnation
+                && other
+                    .used_ms
+                    .is_some_and(|used_ms| now_ms < used_ms + AGENT_PRESENCE_MS)
+        };
+        self.iter()
+            .find(|(_, other)| is_present(other))
+            .map(|(present, _)| present)
     }
 
     /// Returns the other connections of the same kind from the same machine whose `Hello` was received before that of
--- a/crates/control-plane/tests/control_plane/core_member.rs
+++ b/crates/control-plane/tests/control_plane/core_member.rs
@@ -4,7 +4,7 @@
 use crate::test_node::{TestNode, address};
 use indigofold_control_plane::core_member::{Input, Output, SCRUB_INTERVAL_MS};
 use indigofold_control_plane::operator::{OperatorRequest, OperatorResponse};
-use indigofold_control_plane::sessions::{ConnectionId, Sessions};
+use indigofold_control_plane::sessions::{AGENT_PRESENCE_MS, ConnectionId, Sessions};
 use indigofold_control_plane::storage_thread::StorageResponse;
 use indigofold_protocol::inspection::{InspectionAnswer, InspectionQuery};
 use indigofold_protocol::internal::{
@@ -359,6 +359,87 @@
     );
 }
 
+/// Longest time between two reports of a node agent, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 300;
+
+/// Connects a node agent process of the machine `Agent`.
+fn connect_agent(test: &mut TestNode, connection: ConnectionId, incarnation: u64) {
+    let hello = hello("Agent", ProcessKind::Agent, incarnation);
+    test.receive(connection, Frame::Hello(hello));
+}
+
+/// Failure: two node agents that claimed one machine closed each other's connections, as often as they connected, and each
+/// one's report ended the instance of the other.
+#[test]
+fn a_second_node_agent_of_a_machine_is_rejected_while_the_first_one_reports() {
+    let mut test = TestNode::acting();
+    connect_agent(&mut test, AGENT_FIRST, 1);
+    report_on(&mut test, AGENT_FIRST);
+    connect_agent(&mut test, AGENT_SECOND, 2);
+    for _ in 0..2 * AGENT_PRESENCE_MS / REPORT_INTERVAL_MS {
+        assert_eq!(
+            report_on(&mut test, AGENT_SECOND),
+            (Vec::new(), Vec::new()),
+            "the second agent is rejected"
+        );
+        test.advance(REPORT_INTERVAL_MS);
+        assert_eq!(
+            report_on(&mut test, AGENT_FIRST),
+            (vec![AGENT_FIRST], Vec::new())
+        );
+    }
+}
+
+/// A rejected report is lost, so the rejected agent has to connect anew to report everything.
+#[rstest]
+#[case::whose_connection_has_ended(true)]
+#[case::that_reports_no_longer(false)]
+fn a_node_agent_takes_the_place_of_one(#[case] has_ended: bool) {
+    const AGENT_THIRD: ConnectionId = ConnectionId(502);
+    let mut test = TestNode::acting();
+    connect_agent(&mut test, AGENT_FIRST, 1);
+    report_on(&mut test, AGENT_FIRST);
+    connect_agent(&mut test, AGENT_SECOND, 2);
+    report_on(&mut test, AGENT_SECOND);
+    if has_ended {
+        test.input(Input::Closed {
+            connection: AGENT_FIRST,
+        });
+    } else {
+        test.advance(AGENT_PRESENCE_MS);
+    }
+    assert_eq!(
+        report_on(&mut test, AGENT_SECOND),
+        (Vec::new(), vec![AGENT_SECOND])
+    );
+    connect_agent(&mut test, AGENT_THIRD, 2);
+    let replaced = if has_ended {
+        Vec::new()
+    } else {
+        vec![AGENT_FIRST]
+    };
+    assert_eq!(
+        report_on(&mut test, AGENT_THIRD),
+        (vec![AGENT_THIRD], replaced)
+    );
+}
+
+/// A machine that lost power does not end its connections; it resets one on which it receives something once it is up.
+#[test]
+fn the_present_node_agent_is_sent_a_welcome_when_another_one_of_its_machine_is_rejected() {
+    let mut test = TestNode::acting();
+    connect_agent(&mut test, AGENT_FIRST, 1);
+    report_on(&mut test, AGENT_FIRST);
+    connect_agent(&mut test, AGENT_SECOND, 2);
+    report_on(&mut test, AGENT_SECOND);
+    assert!(matches!(
+        sent_to(&test, AGENT_FIRST)[..],
+        [Frame::Welcome(_)]
+    ));
+    report_on(&mut test, AGENT_SECOND);
+    assert!(sent_to(&test, AGENT_FIRST).is_empty());
+}
+
 /// Failure: a second greeting on a connection replaced the first one, so that the end of a node agent's connection was not
 /// told to the scheduler.
 #[test]
