--- a/crates/control-plane/src/driver.rs
+++ b/crates/control-plane/src/driver.rs
@@ -21,7 +21,7 @@
 use futures_channel::oneshot;
 use indigofold_net::http::HttpServer;
 use indigofold_net::signals::Signal;
-use indigofold_net::{runtime, steady_ms};
+use indigofold_net::{build, runtime, steady_ms};
 use indigofold_settings::Settings;
 use std::collections::HashMap;
 use std::sync::mpsc::Sender;
@@ -54,9 +54,10 @@
     let connections = Connections::listen(settings.internal_address(), inbox.clone()).await?;
     let http = operator_api::serve(&settings, &inbox).await?;
     log::info!(
-        "started member={} address={}",
+        "started member={} address={} sources={}",
         settings.node_name,
-        settings.internal_address()
+        settings.internal_address(),
+        build::SOURCES
     );
     let settings_due_ms = steady_ms() + SETTINGS_RETRY_MS;
     let driver = Driver {
--- a/crates/control-plane/src/program.rs
+++ b/crates/control-plane/src/program.rs
@@ -3,7 +3,7 @@
 
 use crate::command_line::{self, Command};
 use crate::driver;
-use indigofold_net::{logging, runtime};
+use indigofold_net::{build, logging, runtime};
 use indigofold_settings::Settings;
 use std::ffi::OsString;
 use std::fmt::Display;
@@ -19,7 +19,11 @@
 pub fn run(arguments: Vec<OsString>) -> ExitCode {
     match command_line::parse(arguments) {
         Ok(Command::Help) => print!("{}", command_line::HELP),
-        Ok(Command::Version) => println!("indigofold-control {}", env!("CARGO_PKG_VERSION")),
+        Ok(Command::Version) => println!(
+            "indigofold-control {} sources={}",
+            env!("CARGO_PKG_VERSION"),
+            build::SOURCES
+        ),
         Ok(Command::Run { log_level }) => {
             logging::start(log_level);
             return serve();
--- a/crates/data-plane/src/program.rs
+++ b/crates/data-plane/src/program.rs
@@ -1,7 +1,7 @@
 //! The program `indigofold-data`: command line, logging and exit codes; [`serve`](crate::serve) runs the role itself.
 
 use crate::serve::serve;
-use indigofold_net::{logging, runtime};
+use indigofold_net::{build, logging, runtime};
 use indigofold_settings::{CONFIG_VARIABLE, Settings};
 use log::LevelFilter;
 use std::ffi::OsString;
@@ -36,7 +36,11 @@
 pub fn run(arguments: Vec<OsString>) -> ExitCode {
     match parse_command(arguments) {
         Ok(Command::Help) => print(HELP),
-        Ok(Command::Version) => print(concat!("indigofold-data ", env!("CARGO_PKG_VERSION"), "\n")),
+        Ok(Command::Version) => print(&format!(
+            "indigofold-data {} sources={}\n",
+            env!("CARGO_PKG_VERSION"),
+            build::SOURCES
+        )),
         Ok(Command::Serve(level)) => start(level),
         Err(error) => usage_error(&error),
     }
--- a/crates/data-plane/src/serve/agent_server.rs
+++ b/crates/data-plane/src/serve/agent_server.rs
@@ -11,7 +11,7 @@
 use futures_util::future::select;
 use indigofold_net::http::{self, HttpOptions, HttpRequest, HttpResponse, Method};
 use indigofold_net::signals::Signals;
-use indigofold_net::{runtime, steady_ms};
+use indigofold_net::{build, runtime, steady_ms};
 use indigofold_protocol::heartbeat_check::parse_heartbeat;
 use indigofold_protocol::internal::ProcessKind;
 use indigofold_protocol::worker::HeartbeatReply;
@@ -53,8 +53,9 @@
     let server = http::serve(address, options, handle_request).await?;
     node.start();
     log::info!(
-        "node agent serving node={} address={address}",
-        settings.node_name
+        "node agent serving node={} address={address} sources={}",
+        settings.node_name,
+        build::SOURCES
     );
 
     until_terminated(&mut signals, &node).await;
--- a/crates/data-plane/src/serve/edge_server.rs
+++ b/crates/data-plane/src/serve/edge_server.rs
@@ -9,7 +9,7 @@
     self, HttpOptions, HttpRequest, HttpResponse, HttpServer, Method, header,
 };
 use indigofold_net::signals::Signals;
-use indigofold_net::{runtime, steady_ms};
+use indigofold_net::{build, runtime, steady_ms};
 use indigofold_protocol::config::IngressLimits;
 use indigofold_protocol::internal::ProcessKind;
 use indigofold_settings::Settings;
@@ -51,8 +51,9 @@
         http::serve(readiness_address, HttpOptions::default(), handle_readiness).await?;
     node.start();
     log::info!(
-        "edge serving node={} address={frontend_address}",
-        settings.node_name
+        "edge serving node={} address={frontend_address} sources={}",
+        settings.node_name,
+        build::SOURCES
     );
 
     until_terminated(&mut signals, &node).await;
--- a/crates/data-plane/tests/processes.rs
+++ b/crates/data-plane/tests/processes.rs
@@ -7,6 +7,7 @@
     EdgeProgram, Head, KeptConnection, Program, call, free_address, request, response,
 };
 use indigofold_data_plane::core_link::HEAD_TIMEOUT_MS;
+use indigofold_net::build;
 use indigofold_protocol::internal::{AgentOrders, ClientOutcome, ClientReply, Frame, StartOrder};
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
@@ -268,4 +269,10 @@
     };
     assert!(run("--help").contains("--log-level"));
     assert!(run("--version").starts_with("indigofold-data "));
+    let version = run("--version");
+    let sources = version
+        .trim()
+        .split_once("sources=")
+        .map(|(_, digest)| digest);
+    assert_eq!(sources, Some(build::SOURCES));
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! protocols: HTTP/1.1 with clients, workers and operators ([`http`]), and length-prefixed frames with each other
 //! ([`framed`]).
 
+pub mod build;
 pub mod clock;
 pub mod error;
 pub mod framed;
