Control plane: a node agent that is started anew at the same address is not rejected

Cause: the commit on two agents of one machine compared processes alone. An agent whose machine had lost power for a moment, with its former connection still open at the head, was rejected until that machine reset the connection, 0.1 to 0.7 s. Change: only an agent of the same name from another address is rejected; a process at the same address is the successor, as only one can listen there. The rejected one's connection is closed as soon as the present one ends.

--- a/crates/control-plane/src/core_member/connections.rs
+++ b/crates/control-plane/src/core_member/connections.rs
@@ -55,6 +55,9 @@
             log::info!("node agent disconnected agent={}", session.node_name);
         }
         self.scheduler_event(clocks, event);
+        if session.has_reported() {
+            self.close_rejected(clocks, &session.node_name);
+        }
     }
 
     /// Handles a received frame. A frame that its sender may not send closes the connection.
--- a/crates/control-plane/src/core_member/requests.rs
+++ b/crates/control-plane/src/core_member/requests.rs
@@ -68,8 +68,9 @@
         }
     }
 
-    /// Leaves a report without an answer because another node agent of the same machine is present. The present one gets a
-    /// welcome: if it has ended without its connection having been closed, its machine resets the connection.
+    /// Leaves a report without an answer because the node agent of another machine with the same name is present. The
+    /// present one gets a welcome: if it has ended without its connection having been closed, its machine resets the
+    /// connection.
     fn reject_report(&mut self, connection: ConnectionId, present: ConnectionId, is_first: bool) {
         if !is_first {
             return;
@@ -77,11 +78,19 @@
         let session = self.sessions.get(connection);
         let agent = session.map_or("", |session| session.node_name.as_str());
         log::warn!(
-            "report rejected, another node agent of this machine is connected agent={agent}"
+            "report rejected, a node agent of another machine with this name is connected agent={agent}"
         );
         self.send_welcome(present);
     }
 
+    /// Closes the connections of a machine's node agents whose reports were rejected, as the present agent has gone: they
+    /// connect anew and report everything.
+    pub(super) fn close_rejected(&mut self, clocks: Clocks, node_name: &str) {
+        for connection in self.sessions.rejected_agents(node_name) {
+            self.close_connection(clocks, connection);
+        }
+    }
+
     /// Closes the connections of node agents whose reports were ignored though this member acts: its lease expired and was
     /// renewed before it could announce that it did not act. Agents report some items once on a connection.
     pub(super) fn close_after_ignored_reports(&mut self, is_acting: bool) {
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -4,6 +4,7 @@
 use indigofold_protocol::internal::{Hello, InstanceReport, ProcessKind, RUN_LEASE_MS};
 use indigofold_scheduler::AgentId;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
 
 /// Identifies a connection; never reused within a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -21,7 +22,7 @@
         /// Connections of the same machine whose `Hello` was received before; empty after the first report.
         replaced: Vec<ConnectionId>,
     },
-    /// Another node agent of the same machine is present on `present`: the report is not to be handled.
+    /// The node agent of another machine with the same name is present on `present`: the report is not to be handled.
     Rejected {
         /// Connection of the present node agent.
         present: ConnectionId,
@@ -42,6 +43,8 @@
     pub node_name: String,
     /// Number that the process has drawn at its start.
     incarnation: u64,
+    /// Address from which the connection was opened; `None` if it is not known.
+    peer: Option<IpAddr>,
     /// Number of the `Hello`, in the order in which they were received from all processes.
     greeting: u64,
     /// Number of calls on the connection without a reply.
@@ -55,7 +58,12 @@
 }
 
 impl Session {
-    fn is_same_machine(&self, other: &Session) -> bool {
+    /// Whether a report of a node agent was handled on the connection.
+    pub fn has_reported(&self) -> bool {
+        self.kind == ProcessKind::Agent && self.used_ms.is_some()
+    }
+
+    fn has_same_name(&self, other: &Session) -> bool {
         self.kind == other.kind && self.node_name == other.node_name
     }
 }
@@ -64,6 +72,8 @@
 #[derive(Debug, Default)]
 pub struct Sessions {
     sessions: BTreeMap<ConnectionId, Session>,
+    /// Addresses from which the connections without a `Hello` were opened.
+    peers: BTreeMap<ConnectionId, IpAddr>,
     /// Number of `Hello`s received so far.
     greetings: u64,
     /// Connections of node agents whose reports were ignored since the last [`Sessions::take_ignored_reports`].
@@ -71,6 +81,11 @@
 }
 
 impl Sessions {
+    /// Records from which address a new connection was opened. Its `Hello` follows.
+    pub fn accepted(&mut self, connection: ConnectionId, peer: IpAddr) {
+        self.peers.insert(connection, peer);
+    }
+
     /// Adds a connection whose `Hello` was received. Returns false, and changes nothing, if the connection had already sent
     /// one.
     pub fn register(&mut self, connection: ConnectionId, hello: Hello) -> bool {
@@ -82,6 +97,7 @@
             kind: hello.kind,
             node_name: hello.node_name,
             incarnation: hello.incarnation,
+            peer: self.peers.remove(&connection),
             greeting: self.greetings,
             open_calls: 0,
             used_ms: None,
@@ -122,8 +138,9 @@
     /// the same machine whose `Hello` was received before: the agent has read the welcome on this connection, and uses one
     /// at a time. A `Hello` alone may be a late one, on a connection that the agent has given up.
     ///
-    /// A report of another process of the same machine is rejected while the present agent reports; otherwise two agents
-    /// that claim one machine would replace each other without end.
+    /// A report of another machine that has the same name is rejected while the present agent reports; otherwise two agents
+    /// that claim one name would replace each other without end. A process at the same address is the present agent's
+    /// successor, as only one can listen there.
     pub fn admit_report(&mut self, now_ms: u64, connection: ConnectionId) -> ReportAdmission {
         let present = self.present_agent(now_ms, connection);
         let Some(session) = self.sessions.get_mut(&connection) else {
@@ -144,7 +161,7 @@
         ReportAdmission::Handled { replaced }
     }
 
-    /// Returns the connection of another node agent process of the same machine that has reported within
+    /// Returns the connection of a node agent of another machine with the same name that has reported within
     /// [`AGENT_PRESENCE_MS`]; `None` if reports on `connection` are handled already.
     fn present_agent(&self, now_ms: u64, connection: ConnectionId) -> Option<ConnectionId> {
         let session = self.get(connection)?;
@@ -152,8 +169,9 @@
             return None;
         }
         let is_present = |other: &Session| {
-            other.is_same_machine(session)
+            other.has_same_name(session)
                 && other.incarnation != session.incarnation
+                && (other.peer.is_none() || other.peer != session.peer)
                 && other
                     .used_ms
                     .is_some_and(|used_ms| now_ms < used_ms + AGENT_PRESENCE_MS)
@@ -163,6 +181,14 @@
             .map(|(present, _)| present)
     }
 
+    /// Returns the connections of this machine's node agents on which reports were rejected.
+    pub fn rejected_agents(&self, node_name: &str) -> Vec<ConnectionId> {
+        self.iter()
+            .filter(|(_, session)| session.is_rejected && session.node_name == node_name)
+            .map(|(connection, _)| connection)
+            .collect()
+    }
+
     /// Returns the other connections of the same kind from the same machine whose `Hello` was received before that of
     /// `connection`, as far as `is_included`.
     fn greeted_before(
@@ -174,9 +200,7 @@
             return Vec::new();
         };
         let is_former = |other: &Session| {
-            other.is_same_machine(session)
-                && other.greeting < session.greeting
-                && is_included(other)
+            other.has_same_name(session) && other.greeting < session.greeting && is_included(other)
         };
         self.iter()
             .filter(|(_, other)| is_former(other))
@@ -214,6 +238,7 @@
 
     /// Removes a closed connection and returns its session; `None` if no `Hello` was received on it.
     pub fn remove(&mut self, connection: ConnectionId) -> Option<Session> {
+        self.peers.remove(&connection);
         self.sessions.remove(&connection)
     }
 
