Control plane: machines with one name are told apart by the address in the greeting

Cause: the commit before compared the addresses from which connections came. Change: a greeting says the address of its machine (Hello.ip, appended to the schema; generated code by the generator that the schema names). Builds before ignore it, and are treated as before if they don't send it, so that no order of upgrade is needed.

--- a/crates/control-plane/src/core_member.rs
+++ b/crates/control-plane/src/core_member.rs
@@ -84,7 +84,6 @@
                 address,
                 connection,
             } => self.handle_dialled(address, connection),
-            Input::Accepted { connection, peer } => self.sessions.accepted(connection, peer),
             Input::DialFailed { address } => self.peers.dial_failed(clocks.steady_ms, address),
             Input::Frame { connection, frame } => self.handle_frame(clocks, connection, frame),
             Input::Closed { connection } => self.handle_closed(clocks, connection),
--- a/crates/control-plane/src/core_member/interface.rs
+++ b/crates/control-plane/src/core_member/interface.rs
@@ -7,7 +7,7 @@
 use indigofold_protocol::internal::{Frame, Hello, MemberAddress};
 use indigofold_replication::StorageError;
 use indigofold_scheduler::Bounds;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 /// Settings of a member. Only the seeds may change while it runs.
 #[derive(Clone, Debug)]
@@ -43,13 +43,6 @@
         /// Internal address of the dialled member.
         address: SocketAddr,
     },
-    /// Another process has opened a connection to this member.
-    Accepted {
-        /// The new connection.
-        connection: ConnectionId,
-        /// Address of the machine at the other end.
-        peer: IpAddr,
-    },
     /// A frame was received.
     Frame {
         /// Connection on which it was received.
--- a/crates/control-plane/src/driver/connections.rs
+++ b/crates/control-plane/src/driver/connections.rs
@@ -89,12 +89,7 @@
         loop {
             match listener.accept().await {
                 Ok(opened_connection) => {
-                    let peer = opened_connection.peer.ip();
                     let (id, reader) = self.add(opened_connection);
-                    self.push_input(Input::Accepted {
-                        connection: id,
-                        peer,
-                    });
                     let connections = self.clone();
                     runtime::spawn(async move { connections.read(id, reader).await });
                 }
--- a/crates/control-plane/src/driver/start.rs
+++ b/crates/control-plane/src/driver/start.rs
@@ -127,6 +127,7 @@
         kind: ProcessKind::Core,
         zone: settings.zone.clone(),
         incarnation: random.hash_one((wall_ms(), "incarnation")),
+        ip: Some(settings.ip),
     };
     Ok(CoreMemberSettings {
         hello,
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -43,8 +43,8 @@
     pub node_name: String,
     /// Number that the process has drawn at its start.
     incarnation: u64,
-    /// Address from which the connection was opened; `None` if it is not known.
-    peer: Option<IpAddr>,
+    /// Address of the machine, from the `Hello`; `None` if the process does not send it.
+    ip: Option<IpAddr>,
     /// Number of the `Hello`, in the order in which they were received from all processes.
     greeting: u64,
     /// Number of calls on the connection without a reply.
@@ -63,6 +63,12 @@
         self.kind == ProcessKind::Agent && self.used_ms.is_some()
     }
 
+    /// Whether the two are known to be processes of different machines.
+    fn is_other_machine(&self, other: &Session) -> bool {
+        let addresses = self.ip.zip(other.ip);
+        addresses.is_some_and(|(own_ip, other_ip)| own_ip != other_ip)
+    }
+
     fn has_same_name(&self, other: &Session) -> bool {
         self.kind == other.kind && self.node_name == other.node_name
     }
@@ -72,8 +78,6 @@
 #[derive(Debug, Default)]
 pub struct Sessions {
     sessions: BTreeMap<ConnectionId, Session>,
-    /// Addresses from which the connections without a `Hello` were opened.
-    peers: BTreeMap<ConnectionId, IpAddr>,
     /// Number of `Hello`s received so far.
     greetings: u64,
     /// Connections of node agents whose reports were ignored since the last [`Sessions::take_ignored_reports`].
@@ -81,11 +85,6 @@
 }
 
 impl Sessions {
-    /// Records from which address a new connection was opened. Its `Hello` follows.
-    pub fn accepted(&mut self, connection: ConnectionId, peer: IpAddr) {
-        self.peers.insert(connection, peer);
-    }
-
     /// Adds a connection whose `Hello` was received. Returns false, and changes nothing, if the connection had already sent
     /// one.
     pub fn register(&mut self, connection: ConnectionId, hello: Hello) -> bool {
@@ -97,7 +96,7 @@
             kind: hello.kind,
             node_name: hello.node_name,
             incarnation: hello.incarnation,
-            peer: self.peers.remove(&connection),
+            ip: hello.ip,
             greeting: self.greetings,
             open_calls: 0,
             used_ms: None,
@@ -140,7 +139,7 @@
     ///
     /// A report of another machine that has the same name is rejected while the present agent reports; otherwise two agents
     /// that claim one name would replace each other without end. A process at the same address is the present agent's
-    /// successor, as only one can listen there.
+    /// successor, as only one can listen there; so is one that does not say its address.
     pub fn admit_report(&mut self, now_ms: u64, connection: ConnectionId) -> ReportAdmission {
         let present = self.present_agent(now_ms, connection);
         let Some(session) = self.sessions.get_mut(&connection) else {
@@ -170,8 +169,7 @@
         }
         let is_present = |other: &Session| {
             other.has_same_name(session)
-                && other.incarnation != session.incarnation
-                && (other.peer.is_none() || other.peer != session.peer)
+                && other.is_other_machine(session)
                 && other
                     .used_ms
                     .is_some_and(|used_ms| now_ms < used_ms + AGENT_PRESENCE_MS)
@@ -238,7 +236,6 @@
 
     /// Removes a closed connection and returns its session; `None` if no `Hello` was received on it.
     pub fn remove(&mut self, connection: ConnectionId) -> Option<Session> {
-        self.peers.remove(&connection);
         self.sessions.remove(&connection)
     }
 
--- a/crates/control-plane/tests/control_plane/builders.rs
+++ b/crates/control-plane/tests/control_plane/builders.rs
@@ -66,6 +66,7 @@
         kind,
         zone: "a".to_owned(),
         incarnation,
+        ip: None,
     }
 }
 
--- a/crates/data-plane/src/serve/role_process.rs
+++ b/crates/data-plane/src/serve/role_process.rs
@@ -47,6 +47,7 @@
             kind,
             zone,
             incarnation,
+            ip: Some(settings.ip),
         };
         let link = CoreLink::new(&seeds(settings), incarnation);
         let link = if role.liveness_probe().is_some() {
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -37,6 +37,8 @@
   kind @1 :ProcessKind;
   zone @2 :Text;
   incarnation @3 :UInt64;
+  # 4 bytes of IPv4 or 16 of IPv6. Empty: a build that does not send it.
+  ip @4 :Data;
 }
 
 # 4 bytes of IPv4 or 16 of IPv6.
--- a/crates/protocol/src/codec/common.rs
+++ b/crates/protocol/src/codec/common.rs
@@ -25,28 +25,37 @@
     }
 }
 
-/// Writes a socket address; the IP address takes 4 bytes (IPv4) or 16 (IPv6).
-pub(super) fn write_address(mut to: socket_address::Builder, address: SocketAddr) {
-    match address.ip() {
-        IpAddr::V4(ip) => to.set_ip(&ip.octets()),
-        IpAddr::V6(ip) => to.set_ip(&ip.octets()),
+/// Returns the bytes of an IP address: 4 (IPv4) or 16 (IPv6).
+pub(super) fn ip_bytes(ip: IpAddr) -> Vec<u8> {
+    match ip {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    }
+}
+
+/// Reads an IP address from its bytes.
+pub(super) fn read_ip(bytes: &[u8]) -> capnp::Result<IpAddr> {
+    if let Ok(octets) = <[u8; 4]>::try_from(bytes) {
+        return Ok(IpAddr::from(octets));
+    }
+    if let Ok(octets) = <[u8; 16]>::try_from(bytes) {
+        return Ok(IpAddr::from(octets));
     }
+    Err(capnp::Error::failed(format!(
+        "an IP address has {} bytes: 4 or 16 are expected",
+        bytes.len()
+    )))
+}
+
+/// Writes a socket address.
+pub(super) fn write_address(mut to: socket_address::Builder, address: SocketAddr) {
+    to.set_ip(&ip_bytes(address.ip()));
     to.set_port(address.port());
 }
 
 /// Reads a socket address.
 pub(super) fn read_address(from: socket_address::Reader) -> capnp::Result<SocketAddr> {
-    let bytes = from.get_ip()?;
-    let ip = if let Ok(octets) = <[u8; 4]>::try_from(bytes) {
-        IpAddr::from(octets)
-    } else if let Ok(octets) = <[u8; 16]>::try_from(bytes) {
-        IpAddr::from(octets)
-    } else {
-        return Err(capnp::Error::failed(format!(
-            "an IP address has {} bytes: 4 or 16 are expected",
-            bytes.len()
-        )));
-    };
+    let ip = read_ip(from.get_ip()?)?;
     Ok(SocketAddr::new(ip, from.get_port()))
 }
 
--- a/crates/protocol/src/codec/member.rs
+++ b/crates/protocol/src/codec/member.rs
@@ -1,6 +1,6 @@
 //! Encoding of the handshake messages, with which each connection begins.
 
-use super::common::{read_address, read_text, write_address};
+use super::common::{ip_bytes, read_address, read_ip, read_text, write_address};
 use crate::config::IngressLimits;
 use crate::internal::{Hello, MemberAddress, ProcessKind, Welcome};
 use crate::internal_capnp::{self as wire, hello, ingress_limits, member_address, welcome};
@@ -15,6 +15,9 @@
     });
     to.set_zone(hello.zone.as_str());
     to.set_incarnation(hello.incarnation);
+    if let Some(ip) = hello.ip {
+        to.set_ip(&ip_bytes(ip));
+    }
 }
 
 /// Reads a [`Hello`].
@@ -28,6 +31,10 @@
         },
         zone: read_text(from.get_zone())?,
         incarnation: from.get_incarnation(),
+        ip: match from.get_ip()? {
+            [] => None,
+            bytes => Some(read_ip(bytes)?),
+        },
     })
 }
 
--- a/crates/protocol/src/internal/hello.rs
+++ b/crates/protocol/src/internal/hello.rs
@@ -3,6 +3,7 @@
 use crate::config::IngressLimits;
 use crate::member::MemberAddress;
 use serde::{Deserialize, Serialize};
+use std::net::IpAddr;
 
 /// Kind of the connecting process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +27,8 @@
     pub zone: String,
     /// Random number, drawn anew at each start of the process.
     pub incarnation: u64,
+    /// Address of the process's machine; `None` from a build that does not send it.
+    pub ip: Option<IpAddr>,
 }
 
 /// A member's answer to [`Hello`]. It is sent again whenever its contents change.
--- a/crates/protocol/src/internal_capnp.rs
+++ b/crates/protocol/src/internal_capnp.rs
@@ -771,11 +771,19 @@
         pub fn get_incarnation(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_ip(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_ip(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -873,6 +881,22 @@
         pub fn set_incarnation(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_ip(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_ip(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(2).set_data(value);
+        }
+        #[inline]
+        pub fn init_ip(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(2).init_data(size)
+        }
+        #[inline]
+        pub fn has_ip(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -884,52 +908,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(144, 81, 182, 160, 247, 85, 197, 136),
             ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 89, 227, 123, 168, 240, 193, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 116, 101, 114, 110, 97, 108),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 72),
             ::capnp::word(101, 108, 108, 111, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 78, 97, 109, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -964,6 +995,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -971,6 +1010,7 @@
                 1 => <crate::internal_capnp::ProcessKind as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -984,9 +1024,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,1,0,2];
         pub(crate) const TYPE_ID: u64 = 0x88c5_55f7_a0b6_5190;
     }
 }
