--- a/crates/system-tests/src/lib.rs
+++ b/crates/system-tests/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod operator;
 pub mod process;
 pub mod random;
+pub mod relay;
 pub mod settings;
 pub mod system;
 pub mod task;
--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -2,6 +2,7 @@
 
 use crate::network::{Network, Ports};
 use crate::process::{Process, ProcessError};
+use crate::relay::Relay;
 use crate::settings::{Bounds, MachineClass, Settings};
 use crate::wait::Signal;
 use snafu::{ResultExt, Snafu};
@@ -14,6 +15,8 @@
 
 /// Upper bound of the number of core machines that are used as seeds.
 const SEEDS_MAX: usize = 3;
+/// Number of the first relay's address in the network; those of machines are below it.
+const FIRST_RELAY: usize = 200;
 /// Zones, over which the machines of a class are spread in turn.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// File names of a core machine's database and its write-ahead log.
@@ -110,7 +113,9 @@
     machines: Vec<Machine>,
     // Dropped last, because the processes use both.
     _folder: TempDir,
-    _network: Network,
+    network: Network,
+    /// Number of relays that were started.
+    relay_count: usize,
 }
 
 impl System {
@@ -150,7 +155,8 @@
             programs,
             machines,
             _folder: folder,
-            _network: network,
+            network,
+            relay_count: 0,
         })
     }
 
@@ -232,6 +238,31 @@
         Ok(())
     }
 
+    /// Starts a relay before a core machine, and makes it the only seed of `callers` from their next start on.
+    ///
+    /// # Errors
+    ///
+    /// The relay's address cannot be listened on.
+    pub fn relay(&mut self, core: MachineId, callers: &[MachineId]) -> io::Result<Relay> {
+        let settings = self.settings(core);
+        let (target, ports) = (
+            settings.address(settings.ports.internal_first),
+            settings.ports,
+        );
+        let ip = self.network.machine_address(FIRST_RELAY + self.relay_count);
+        self.relay_count += 1;
+        let relay = Relay::start(SocketAddr::new(ip, ports.internal_first), target)?;
+        for caller in callers {
+            self.machines[caller.0].settings.seeds = vec![SocketAddr::new(ip, ports.control_plane)];
+        }
+        Ok(relay)
+    }
+
+    /// Sets the name in the machine's settings.
+    pub fn set_node_name(&mut self, machine: MachineId, node_name: &str) {
+        node_name.clone_into(&mut self.machines[machine.0].settings.node_name);
+    }
+
     /// Sets `bootstrap` in the machine's settings, as for the first start of the system.
     pub fn set_bootstrap(&mut self, machine: MachineId) {
         self.machines[machine.0].settings.bootstrap = true;
