System tests: seeds with late greetings, reports and calls behind relays

Cause: the seeds of whole programs knew late heartbeats only; greetings and reports came at once or not at all.

--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -238,24 +238,30 @@
         Ok(())
     }
 
-    /// Starts a relay before a core machine, and makes it the only seed of `callers` from their next start on.
+    /// Starts a relay before each of these core machines. The relays are the only seeds of `callers` from their next start
+    /// on.
     ///
     /// # Errors
     ///
-    /// The relay's address cannot be listened on.
-    pub fn relay(&mut self, core: MachineId, callers: &[MachineId]) -> io::Result<Relay> {
-        let settings = self.settings(core);
-        let (target, ports) = (
-            settings.address(settings.ports.internal_first),
-            settings.ports,
-        );
-        let ip = self.network.machine_address(FIRST_RELAY + self.relay_count);
-        self.relay_count += 1;
-        let relay = Relay::start(SocketAddr::new(ip, ports.internal_first), target)?;
+    /// A relay's address cannot be listened on.
+    pub fn relays(&mut self, cores: &[MachineId], callers: &[MachineId]) -> io::Result<Vec<Relay>> {
+        let (mut relays, mut seeds) = (Vec::new(), Vec::new());
+        for core in cores {
+            let settings = self.settings(*core);
+            let ports = settings.ports;
+            let target = settings.address(ports.internal_first);
+            let ip = self.network.machine_address(FIRST_RELAY + self.relay_count);
+            self.relay_count += 1;
+            relays.push(Relay::start(
+                SocketAddr::new(ip, ports.internal_first),
+                target,
+            )?);
+            seeds.push(SocketAddr::new(ip, ports.control_plane));
+        }
         for caller in callers {
-            self.machines[caller.0].settings.seeds = vec![SocketAddr::new(ip, ports.control_plane)];
+            self.machines[caller.0].settings.seeds.clone_from(&seeds);
         }
-        Ok(relay)
+        Ok(relays)
     }
 
     /// Sets the name in the machine's settings.
--- a/crates/system-tests/tests/chaos.rs
+++ b/crates/system-tests/tests/chaos.rs
@@ -3,9 +3,10 @@
 
 mod chaos_support;
 
-use chaos_support::{FAULTS, Fault, LATE_MESSAGE_FAULTS, run_seed};
+use chaos_support::{
+    FAULTS, LATE_CONNECTION_FAULTS, LATE_MESSAGE_FAULTS, run_seed, run_seed_behind_relays,
+};
 use indigofold_system_tests::programs;
-use indigofold_system_tests::system::Programs;
 use rstest::rstest;
 
 /// Environment variable with the seeds of the ignored tests, as `FIRST..LAST`; LAST is excluded.
@@ -30,22 +31,39 @@
     run_seed(programs!(), &LATE_MESSAGE_FAULTS, seed);
 }
 
+/// What node agents and edges send arrives 0.1 to 5 s late, also on connections that they have given up, and agents, edges and
+/// members are lost between.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn no_rule_is_broken_if_greetings_and_reports_are_late(#[case] seed: u64) {
+    run_seed_behind_relays(programs!(), &LATE_CONNECTION_FAULTS, seed);
+}
+
 /// Runs a range of seeds, for more coverage than the regular suite has time for:
 /// `CHAOS_SEEDS=100..140 cargo test --test chaos -- --ignored --nocapture`.
 #[rstest]
 #[ignore = "takes as long as its seeds do"]
 fn run_seeds_of_variable() {
-    run_seeds(programs!(), &FAULTS);
+    run_seeds(|seed| run_seed(programs!(), &FAULTS, seed));
 }
 
 /// The same with late heartbeats.
 #[rstest]
 #[ignore = "takes as long as its seeds do"]
 fn run_seeds_with_late_heartbeats() {
-    run_seeds(programs!(), &LATE_MESSAGE_FAULTS);
+    run_seeds(|seed| run_seed(programs!(), &LATE_MESSAGE_FAULTS, seed));
+}
+
+/// The same with late greetings and reports.
+#[rstest]
+#[ignore = "takes as long as its seeds do"]
+fn run_seeds_with_late_greetings_and_reports() {
+    run_seeds(|seed| run_seed_behind_relays(programs!(), &LATE_CONNECTION_FAULTS, seed));
 }
 
-fn run_seeds(programs: Programs, faults: &'static [Fault]) {
+fn run_seeds(run: impl Fn(u64)) {
     let seeds =
         std::env::var(SEEDS_VARIABLE).expect("CHAOS_SEEDS should hold the seeds as FIRST..LAST");
     let (first, last) = seeds
@@ -57,6 +75,6 @@
     };
     for seed in number(first)..number(last) {
         eprintln!("seed {seed}");
-        run_seed(programs.clone(), faults, seed);
+        run(seed);
     }
 }
--- a/crates/system-tests/tests/chaos_support/faults.rs
+++ b/crates/system-tests/tests/chaos_support/faults.rs
@@ -5,6 +5,7 @@
 use indigofold_system_tests::cluster::{CATCH_UP, Cluster};
 use indigofold_system_tests::configuration::{PLANNING, Queue};
 use indigofold_system_tests::environment::{Moment, Record};
+use indigofold_system_tests::relay::Relay;
 use indigofold_system_tests::system::MachineId;
 use indigofold_system_tests::worker::DelayedHeartbeat;
 use serde_json::json;
@@ -17,8 +18,8 @@
 const MAX_TIME_BETWEEN_FAULTS: Duration = Duration::from_millis(1_200);
 /// Time that a draining worker needs until it can end.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
-/// Shortest and longest time for which the network holds a heartbeat back.
-const HEARTBEAT_DELAY_MS: RangeInclusive<u64> = 100..=5_000;
+/// Shortest and longest time for which the network holds a message back.
+const MESSAGE_DELAY_MS: RangeInclusive<u64> = 100..=5_000;
 /// Shortest and longest time for which members stand still; a lease lasts 600 ms.
 const CORE_FREEZE_MS: RangeInclusive<u64> = 100..=700;
 
@@ -37,6 +38,10 @@
     RestartWorkerAndAgent,
     /// The followers stand still, and then the head; the times overlap.
     FreezeCore,
+    /// All that node agents and edges send through a relay arrives late, also after they have given up the connection.
+    HoldConnections,
+    /// A node agent restarts, and what processes send on new connections through a relay arrives late.
+    HoldGreetings,
     KillEdge,
     TerminateEdge,
     Member(MemberFault),
@@ -89,6 +94,23 @@
     Fault::Configure,
 ];
 
+/// Faults with late greetings, reports and calls, beside losses of all kinds of processes.
+pub(crate) const LATE_CONNECTION_FAULTS: [Fault; 13] = [
+    Fault::HoldConnections,
+    Fault::HoldGreetings,
+    Fault::HoldConnections,
+    Fault::HoldGreetings,
+    Fault::HoldConnections,
+    Fault::KillAgent,
+    Fault::FreezeAgent,
+    Fault::CrashWorker,
+    Fault::Member(MemberFault::KillHead),
+    Fault::Member(MemberFault::FreezeHead),
+    Fault::FreezeCore,
+    Fault::KillEdge,
+    Fault::Configure,
+];
+
 /// Injects faults and tracks those that have not been repaired.
 pub(super) struct FaultInjector {
     random: SeededRandom,
@@ -96,6 +118,10 @@
     faults: &'static [Fault],
     /// Heartbeats that have not been delivered yet, with the times at which they arrive.
     delayed: Vec<(Moment, DelayedHeartbeat)>,
+    /// Relays before the core members; none in runs without late connections.
+    relays: Vec<Relay>,
+    /// Indices of the relays that hold connections, with the times at which they release them.
+    holding: Vec<(Moment, usize)>,
     /// Machines whose process was killed or terminated and has not been restarted.
     down: Vec<MachineId>,
     frozen: Vec<MachineId>,
@@ -107,11 +133,13 @@
 
 impl FaultInjector {
     /// Creates an injector without injected faults; the configuration has version 1.
-    pub(super) fn new(random: SeededRandom, faults: &'static [Fault]) -> Self {
+    pub(super) fn new(random: SeededRandom, faults: &'static [Fault], relays: Vec<Relay>) -> Self {
         FaultInjector {
             random,
             faults,
             delayed: Vec::new(),
+            relays,
+            holding: Vec::new(),
             down: Vec::new(),
             frozen: Vec::new(),
             core_recovered_at: Moment::ZERO,
@@ -142,8 +170,8 @@
     /// Repairs all faults and waits until the edges are ready.
     pub(super) fn repair_all(&mut self, cluster: &mut Cluster) {
         self.repair(cluster);
-        while !self.delayed.is_empty() {
-            pause(cluster, Duration::from_millis(*HEARTBEAT_DELAY_MS.start()));
+        while !self.delayed.is_empty() || !self.holding.is_empty() {
+            pause(cluster, Duration::from_millis(*MESSAGE_DELAY_MS.start()));
             self.deliver_due(cluster);
         }
         cluster.wait_ready();
@@ -194,6 +222,8 @@
                 }
             }
             Fault::FreezeCore => self.freeze_core(cluster),
+            Fault::HoldConnections => self.hold_connections(cluster),
+            Fault::HoldGreetings => self.hold_greetings(cluster, sides[worker]),
             Fault::KillEdge => self.kill(cluster, edges[0]),
             Fault::TerminateEdge => self.terminate_edge(cluster, edges[1]),
             Fault::Configure => self.configure(cluster),
@@ -210,15 +240,42 @@
     }
 
     fn hold_back(&mut self, cluster: &Cluster, heartbeat: Option<DelayedHeartbeat>) {
-        let delay = self.random_time(&HEARTBEAT_DELAY_MS);
+        let delay = self.random_time(&MESSAGE_DELAY_MS);
         let due = cluster.environment.now() + delay;
         self.delayed
             .extend(heartbeat.map(|heartbeat| (due, heartbeat)));
     }
 
-    /// Delivers the heartbeats whose time has come.
+    /// Holds the connections through a relay, and those that are opened through it meanwhile.
+    fn hold_connections(&mut self, cluster: &Cluster) {
+        let relay = self.hold_for_a_time(cluster);
+        self.relays[relay].hold_open();
+    }
+
+    /// Restarts a node agent; connections that are opened through a relay meanwhile are held.
+    fn hold_greetings(&mut self, cluster: &mut Cluster, side: MachineId) {
+        self.hold_for_a_time(cluster);
+        if self.is_healthy(side) {
+            cluster.system.kill(side);
+            cluster.start_machine(side);
+        }
+    }
+
+    /// Makes a relay hold the connections that are opened from now on, for a random time. Returns the relay's index.
+    fn hold_for_a_time(&mut self, cluster: &Cluster) -> usize {
+        let relay = self.random.below(self.relays.len() as u64) as usize;
+        let due = cluster.environment.now() + self.random_time(&MESSAGE_DELAY_MS);
+        self.relays[relay].hold_next();
+        self.holding.push((due, relay));
+        relay
+    }
+
+    /// Delivers the heartbeats and releases the connections whose time has come.
     fn deliver_due(&mut self, cluster: &Cluster) {
         let now = cluster.environment.now();
+        for (_, relay) in self.holding.extract_if(.., |(due, _)| *due <= now) {
+            self.relays[relay].release();
+        }
         for (_, heartbeat) in self.delayed.extract_if(.., |(due, _)| *due <= now) {
             // The node agent may be down or frozen; the heartbeat is lost then.
             let _ = heartbeat.deliver();
--- a/crates/system-tests/tests/chaos_support/mod.rs
+++ b/crates/system-tests/tests/chaos_support/mod.rs
@@ -4,11 +4,12 @@
 mod jobs;
 mod seeded_random;
 
-pub(crate) use faults::{FAULTS, Fault, LATE_MESSAGE_FAULTS};
+pub(crate) use faults::{FAULTS, Fault, LATE_CONNECTION_FAULTS, LATE_MESSAGE_FAULTS};
 
 use faults::FaultInjector;
 use indigofold_system_tests::checks::Exemptions;
 use indigofold_system_tests::cluster::Cluster;
+use indigofold_system_tests::relay::Relay;
 use indigofold_system_tests::system::{MachineCounts, Programs};
 use seeded_random::SeededRandom;
 use std::sync::Arc;
@@ -19,16 +20,32 @@
 /// Number of faults that are injected in one run.
 const FAULT_COUNT: usize = 12;
 
+/// Number of machines in a run.
+const MACHINES: MachineCounts = MachineCounts {
+    cores: 3,
+    edges: 2,
+    sides: 4,
+};
+
 /// Runs a seed with faults out of `faults`; panics if a rule is broken or an accepted job does not end in time.
 pub(crate) fn run_seed(programs: Programs, faults: &'static [Fault], seed: u64) {
-    let mut cluster = Cluster::start(
-        programs,
-        MachineCounts {
-            cores: 3,
-            edges: 2,
-            sides: 4,
-        },
-    );
+    let cluster = Cluster::start(programs, MACHINES);
+    inject_faults(cluster, faults, seed, Vec::new());
+}
+
+/// The same with relays between the core members and all other machines.
+pub(crate) fn run_seed_behind_relays(programs: Programs, faults: &'static [Fault], seed: u64) {
+    let mut cluster = Cluster::prepare(programs, MACHINES);
+    let system = &mut cluster.system;
+    let (cores, callers) = (system.cores(), [system.edges(), system.sides()].concat());
+    let relays = system
+        .relays(&cores, &callers)
+        .expect("the relays should listen");
+    cluster.start_with_workers(&[cores, callers].concat());
+    inject_faults(cluster, faults, seed, relays);
+}
+
+fn inject_faults(mut cluster: Cluster, faults: &'static [Fault], seed: u64, relays: Vec<Relay>) {
     cluster.exempt(Exemptions {
         gangs: true,
         late_stops: true,
@@ -43,7 +60,7 @@
             })
         })
         .collect();
-    let mut injector = FaultInjector::new(SeededRandom::new(seed), faults);
+    let mut injector = FaultInjector::new(SeededRandom::new(seed), faults, relays);
     (0..FAULT_COUNT).for_each(|_| injector.inject_next(&mut cluster));
     injector.repair_all(&mut cluster);
     stopping.store(true, Ordering::Relaxed);
--- a/crates/system-tests/tests/late_greetings.rs
+++ b/crates/system-tests/tests/late_greetings.rs
@@ -33,10 +33,11 @@
         cluster.configure();
         cluster.wait_ready();
         let (head, side) = (cluster.head(), cluster.system.sides()[0]);
-        let relay = cluster
+        let mut relays = cluster
             .system
-            .relay(head, &[side])
+            .relays(&[head], &[side])
             .expect("the relay should listen");
+        let relay = relays.remove(0);
         RelayedCluster {
             cluster,
             relay,
