System tests: machines and relays of a system in modules of their own

Change: the machine with its first settings and its disk, and the relays, are modules below it; moves only.

--- a/crates/system-tests/src/system.rs
+++ b/crates/system-tests/src/system.rs
@@ -1,13 +1,16 @@
 //! A small deployment: machines with settings files and disks, and their processes.
 
-use crate::network::{Network, Ports};
-use crate::process::{Process, ProcessError};
-use crate::relay::Relay;
+mod machine;
+mod relays;
+
+use crate::network::Network;
+use crate::process::ProcessError;
 use crate::settings::{Bounds, MachineClass, Settings};
 use crate::wait::Signal;
+use machine::{Machine, control_addresses, first_settings, prepare};
 use snafu::{ResultExt, Snafu};
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::sync::Arc;
@@ -15,10 +18,6 @@
 
 /// Upper bound of the number of core machines that are used as seeds.
 const SEEDS_MAX: usize = 3;
-/// Number of the first relay's address in the network; those of machines are below it.
-const FIRST_RELAY: usize = 200;
-/// Zones, over which the machines of a class are spread in turn.
-const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// File names of a core machine's database and its write-ahead log.
 const DATABASE_FILES: [&str; 2] = ["control.sqlite", "control.sqlite-wal"];
 /// Number of bytes at the start of each file that [`System::corrupt_database`] overwrites.
@@ -97,15 +96,6 @@
     },
 }
 
-/// A machine and its process.
-#[derive(Debug)]
-struct Machine {
-    /// Written to `settings_path` at each start of the process.
-    settings: Settings,
-    settings_path: PathBuf,
-    process: Process,
-}
-
 /// The machines of one test.
 #[derive(Debug)]
 pub struct System {
@@ -238,32 +228,6 @@
         Ok(())
     }
 
-    /// Starts a relay before each of these core machines. The relays are the only seeds of `callers` from their next start
-    /// on.
-    ///
-    /// # Errors
-    ///
-    /// A relay's address cannot be listened on.
-    pub fn relays(&mut self, cores: &[MachineId], callers: &[MachineId]) -> io::Result<Vec<Relay>> {
-        let (mut relays, mut seeds) = (Vec::new(), Vec::new());
-        for core in cores {
-            let settings = self.settings(*core);
-            let ports = settings.ports;
-            let target = settings.address(ports.internal_first);
-            let ip = self.network.machine_address(FIRST_RELAY + self.relay_count);
-            self.relay_count += 1;
-            relays.push(Relay::start(
-                SocketAddr::new(ip, ports.internal_first),
-                target,
-            )?);
-            seeds.push(SocketAddr::new(ip, ports.control_plane));
-        }
-        for caller in callers {
-            self.machines[caller.0].settings.seeds.clone_from(&seeds);
-        }
-        Ok(relays)
-    }
-
     /// Sets the name in the machine's settings.
     pub fn set_node_name(&mut self, machine: MachineId, node_name: &str) {
         node_name.clone_into(&mut self.machines[machine.0].settings.node_name);
@@ -379,57 +343,3 @@
         }
     }
 }
-
-/// Settings of machine `number` of a class for its first start, without seeds and disk.
-fn first_settings(
-    class: MachineClass,
-    number: usize,
-    ip: IpAddr,
-    ports: Ports,
-    bounds: Bounds,
-) -> Settings {
-    Settings {
-        node_name: format!("{}-{number}", class.name()),
-        class,
-        ip,
-        zone: ZONES[number % ZONES.len()].to_owned(),
-        zones: ZONES.map(str::to_owned).to_vec(),
-        ports,
-        seeds: Vec::new(),
-        bootstrap: true,
-        data_dir: None,
-        bounds,
-    }
-}
-
-/// Creates a machine with its folder and, for a core machine, its disk.
-fn prepare(
-    mut settings: Settings,
-    folder: &TempDir,
-    signal: &Arc<Signal>,
-) -> Result<Machine, SystemError> {
-    let home = folder.path().join(&settings.node_name);
-    std::fs::create_dir(&home).context(FilesSnafu { path: &home })?;
-    if settings.class == MachineClass::Core {
-        let disk = home.join("disk");
-        std::fs::create_dir(&disk).context(FilesSnafu { path: &disk })?;
-        settings.data_dir = Some(disk);
-    }
-    let process = Process::new(settings.node_name.clone(), signal.clone());
-    Ok(Machine {
-        settings,
-        settings_path: home.join("boot.toml"),
-        process,
-    })
-}
-
-fn control_addresses(machines: &[Machine]) -> impl Iterator<Item = SocketAddr> {
-    let cores = machines
-        .iter()
-        .filter(|machine| machine.settings.class == MachineClass::Core);
-    cores.map(|machine| {
-        machine
-            .settings
-            .address(machine.settings.ports.control_plane)
-    })
-}
