Control plane: comments on inputs, outputs and decisions say what a reader can't see

Cause: 17 comments of the control plane's interface only repeated the name ("The frame."), or began with a question word. Change: comments only; each says what the value holds, when it is dropped, or who has checked it.

--- a/crates/control-plane/src/acting_head.rs
+++ b/crates/control-plane/src/acting_head.rs
@@ -28,21 +28,21 @@
     Reply {
         /// Connection of the edge.
         to: ConnectionId,
-        /// The reply.
+        /// Outcome of the call, with the number that the edge gave it.
         reply: ClientReply,
     },
     /// Send orders to a node agent.
     Orders {
         /// Connection of the node agent.
         to: ConnectionId,
-        /// The orders.
+        /// Runs to start and to stop, and the newest report that they answer.
         orders: AgentOrders,
     },
     /// Respond to an operator request.
     Respond {
         /// ID of the request.
         call: OperatorCallId,
-        /// The response.
+        /// Result of the configuration change.
         response: ChangeResponse,
     },
     /// Log that a job ended after its latency target, or failed.
--- a/crates/control-plane/src/config_authority.rs
+++ b/crates/control-plane/src/config_authority.rs
@@ -72,12 +72,12 @@
     },
     /// 400: the request is not valid.
     Invalid {
-        /// What is wrong, where, and which values are allowed.
+        /// The field, its value and the allowed values, for the operator.
         reason: String,
     },
     /// 412: the version in the `If-Match` header is not the current one.
     VersionConflict {
-        /// The current version.
+        /// Version of the configuration in force.
         current: u64,
     },
     /// 503: it is not known whether the change was accepted, because the head's role was lost.
--- a/crates/control-plane/src/core_member/interface.rs
+++ b/crates/control-plane/src/core_member/interface.rs
@@ -35,7 +35,7 @@
     Dialled {
         /// Internal address of the dialled member.
         address: SocketAddr,
-        /// The new connection.
+        /// Connection on which this member is to send its hello.
         connection: ConnectionId,
     },
     /// A dial requested by [`Output::Dial`] has failed.
@@ -47,19 +47,19 @@
     Frame {
         /// Connection on which it was received.
         connection: ConnectionId,
-        /// The frame.
+        /// Decoded frame; its sender is not checked yet.
         frame: Frame,
     },
     /// A connection was closed.
     Closed {
-        /// The closed connection.
+        /// Connection that either side has closed, or that has failed.
         connection: ConnectionId,
     },
     /// A request of the operator.
     Operator {
         /// ID of the request, to be used in the response.
         call: OperatorCallId,
-        /// The request.
+        /// Read or change of the configuration.
         request: OperatorRequest,
     },
     /// A response of the storage thread.
@@ -81,12 +81,12 @@
     Send {
         /// Connection on which to send.
         connection: ConnectionId,
-        /// The frame.
+        /// Frame to encode and queue; dropped if the connection has closed.
         frame: Frame,
     },
     /// Close a connection. The driver may, but need not, report it with [`Input::Closed`].
     Close {
-        /// The connection to close.
+        /// Connection to close at once; frames that are queued on it are lost.
         connection: ConnectionId,
     },
     /// Connect to a member. The driver reports the result with [`Input::Dialled`] or [`Input::DialFailed`].
@@ -98,7 +98,7 @@
     Respond {
         /// ID of the request.
         call: OperatorCallId,
-        /// The response.
+        /// Status and body are derived from it.
         response: OperatorResponse,
     },
     /// Pass a request to the storage thread.
--- a/crates/control-plane/src/driver/event.rs
+++ b/crates/control-plane/src/driver/event.rs
@@ -15,11 +15,11 @@
     CoreMember(Input),
     /// A request of the operator.
     Operator {
-        /// The request.
+        /// Read or change of the configuration.
         request: OperatorRequest,
         /// Channel for the response.
         reply: oneshot::Sender<OperatorResponse>,
     },
-    /// A signal.
+    /// SIGTERM or SIGHUP was received.
     Signal(Signal),
 }
--- a/crates/control-plane/src/peers.rs
+++ b/crates/control-plane/src/peers.rs
@@ -32,7 +32,7 @@
     Waiting { dial_due_ms: u64 },
     /// [`Peers::poll_dials`] has returned the address; the result of the dial is not known yet.
     Dialling,
-    /// Connected.
+    /// Connected; the hello was sent.
     Open(ConnectionId),
 }
 
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -14,7 +14,7 @@
 /// granted, so that they have expired if it stands still; reports are at most 300 ms apart.
 pub const AGENT_PRESENCE_MS: u64 = RUN_LEASE_MS + 1_000;
 
-/// What to do with a report of a node agent.
+/// Decision on a report of a node agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReportAdmission {
     /// The report is to be handled. The agent has given up these connections, which are to be closed.
@@ -26,7 +26,7 @@
     Rejected {
         /// Connection of the present node agent.
         present: ConnectionId,
-        /// Whether this is the first rejected report on its connection.
+        /// True for the first rejected report on its connection, so that a log line follows once.
         is_first: bool,
     },
     /// A report on this connection was rejected before. Agents report some items once on a connection, so this one has to
