Control plane: a test of members' greetings that come late and twice

Cause: for edges and node agents a late greeting was mended; for members nothing showed that it does no harm. Change: on a simulated cluster, the first greeting and welcome of each member arrive at each other one twice, on connections that were given up, with and without their end. Result: the head stays, the configuration is read, all members replicate; both cases pass, without a change of the program.

--- a/crates/control-plane/tests/control_plane/cluster.rs
+++ b/crates/control-plane/tests/control_plane/cluster.rs
@@ -1,13 +1,15 @@
 //! Tests of three members with real databases, simulated connections and a simulated clock.
 
 use crate::builders::{EDGE, accepted, config_read, edge_replies, first_config, hello, put};
-use crate::simulated_cluster::{CONTROL_PORT, SimulatedCluster};
+use crate::simulated_cluster::{CONTROL_PORT, INTERNAL_PORT, SimulatedCluster};
 use indigofold_control_plane::config_authority::ChangeResponse;
 use indigofold_control_plane::core_member::{Input, Output};
 use indigofold_control_plane::operator::{OperatorRequest, OperatorResponse};
 use indigofold_control_plane::sessions::ConnectionId;
+use indigofold_protocol::config::IngressLimits;
 use indigofold_protocol::internal::{
-    AgentReport, ClientCall, ClientOperation, ClientOutcome, Frame, ProcessKind,
+    AgentReport, ClientCall, ClientOperation, ClientOutcome, Frame, MemberAddress, ProcessKind,
+    Welcome,
 };
 use rstest::rstest;
 
@@ -50,6 +52,50 @@
     }
 }
 
+/// What a member sent at its start, on a connection that it has given up since, arrives twice when the members have agreed.
+#[rstest]
+#[case::while_its_end_follows(true)]
+#[case::while_its_end_is_lost(false)]
+fn late_greetings_of_members_change_neither_head_nor_members(#[case] ends: bool) {
+    let mut cluster = SimulatedCluster::start(3);
+    let head = cluster.run_to_head();
+    assert_eq!(cluster.request(head, put_first_config()), accepted());
+    let connections = (9_000..).map(ConnectionId);
+    let pairs = (0..3).flat_map(|to| (0..3).map(move |from| (to, from)));
+    let late = pairs.filter(|(to, from)| to != from);
+    for ((to, from), connection) in late.clone().chain(late).zip(connections) {
+        let address = MemberAddress {
+            node_name: format!("core-{from}"),
+            internal: cluster.address(from, INTERNAL_PORT),
+            control: cluster.address(from, CONTROL_PORT),
+        };
+        let welcome = Welcome {
+            view: 0,
+            head: None,
+            members: vec![address.clone()],
+            acting: false,
+            config_version: 0,
+            limits: IngressLimits::default(),
+        };
+        let greeting = Frame::Hello(hello(&address.node_name, ProcessKind::Core, 77));
+        for frame in [greeting, Frame::Welcome(welcome)] {
+            cluster.input(to, Input::Frame { connection, frame });
+        }
+        if ends {
+            cluster.input(to, Input::Closed { connection });
+        }
+    }
+    cluster.run_for(CATCH_UP_MS);
+    assert!(cluster.node(head).is_head());
+    assert_eq!(cluster.request(head, OperatorRequest::Read), config_read());
+    for member in 0..3 {
+        assert!(
+            cluster.node(member).is_needed(),
+            "member {member} replicates"
+        );
+    }
+}
+
 #[test]
 fn acknowledged_change_survives_the_head() {
     let mut cluster = SimulatedCluster::start(3);
--- a/crates/control-plane/tests/control_plane/simulated_cluster.rs
+++ b/crates/control-plane/tests/control_plane/simulated_cluster.rs
@@ -15,7 +15,7 @@
 use tempfile::TempDir;
 
 pub(crate) const CONTROL_PORT: u16 = 8080;
-const INTERNAL_PORT: u16 = 7380;
+pub(crate) const INTERNAL_PORT: u16 = 7380;
 /// Limit of wake-ups after which a test fails; more than any test needs.
 const STEPS_MAX: usize = 20_000;
 
