Data plane: tests of the program listen on addresses that outgoing connections don't use

The panic did not tell why. Cause, by reading: a free port of 127.0.0.1 was looked up and released; an outgoing connection may take it before the edge listens. Change: each address is a random one of 127.0.0.0/8, which no outgoing connection has; the panic shows the program's log; one reader keeps the log, so that lines read ahead are not lost between two waits. No assertion differs.

--- a/crates/data-plane/tests/common/program.rs
+++ b/crates/data-plane/tests/common/program.rs
@@ -6,23 +6,29 @@
     AgentOrders, AgentReport, ClientCall, ClientOutcome, ClientReply, Frame, MemberAddress, Welcome,
 };
 use std::fs;
+use std::hash::{BuildHasher, RandomState};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::{Duration, Instant};
 
 /// Timeout of each blocking read.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Returns a loopback address with a port that was free at the time of the call.
+/// Returns a random loopback address with a port that was free at the time of the call. A port of 127.0.0.1 may be taken by
+/// an outgoing connection of another process before the program listens there.
 pub(crate) fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let [.., second, third, fourth] = RandomState::new().hash_one("address").to_be_bytes();
+    let ip = Ipv4Addr::new(127, second.max(1), third, fourth.clamp(1, 254));
+    let listener = TcpListener::bind((ip, 0)).expect("a loopback port is free");
     listener.local_addr().expect("the listener has an address")
 }
 
 /// The program as a child process, which is killed when dropped.
 pub(crate) struct Program {
     child: Child,
+    /// The program's log, from the first entry that no test has waited for.
+    log: BufReader<ChildStderr>,
     settings: tempfile::NamedTempFile,
 }
 
@@ -38,10 +44,15 @@
         );
         let settings = tempfile::NamedTempFile::new().expect("a temporary file is created");
         fs::write(settings.path(), text).expect("the settings are written");
-        let child = Program::command(settings.path().as_os_str())
+        let mut child = Program::command(settings.path().as_os_str())
             .spawn()
             .expect("the program starts");
-        let mut program = Program { child, settings };
+        let log = BufReader::new(child.stderr.take().expect("stderr is piped"));
+        let mut program = Program {
+            child,
+            log,
+            settings,
+        };
         program.wait_for_log("serving");
         program
     }
@@ -67,14 +78,19 @@
 
     /// Reads the log until an entry contains this text.
     pub(crate) fn wait_for_log(&mut self, text: &str) {
-        let mut log = BufReader::new(self.child.stderr.as_mut().expect("stderr is piped"));
-        let mut entry = String::new();
-        while !entry.contains(text) {
-            entry.clear();
+        let mut entries = Vec::new();
+        loop {
+            let mut entry = String::new();
+            let length = self.log.read_line(&mut entry);
+            let length = length.expect("the log is readable");
             assert!(
-                log.read_line(&mut entry).expect("the log is readable") > 0,
-                "the program exited without logging `{text}`"
+                length > 0,
+                "the program exited without logging `{text}`: {entries:?}"
             );
+            if entry.contains(text) {
+                return;
+            }
+            entries.push(entry);
         }
     }
 }
