--- a/crates/control-plane/src/core_member.rs
+++ b/crates/control-plane/src/core_member.rs
@@ -134,7 +134,7 @@
     pub fn poll_outputs(&mut self, now_ms: u64) -> Vec<Output> {
         self.refresh_announcement(now_ms);
         let is_acting = self.is_acting(now_ms);
-        self.close_after_ignored_reports(is_acting);
+        self.close_after_ignored_updates(is_acting);
         let outputs = std::mem::take(&mut self.outputs);
         if is_acting {
             return outputs;
--- a/crates/control-plane/src/core_member/requests.rs
+++ b/crates/control-plane/src/core_member/requests.rs
@@ -33,8 +33,8 @@
         self.scheduler_event(clocks, Event::Call { from: caller, call });
     }
 
-    /// Handles a node agent's report. A member that is not the acting head ignores it: the agent searches for the acting head,
-    /// or reports everything anew once it has learned that this member acts again.
+    /// Handles a node agent's report. A member that is not the acting head ignores it. The agent keeps the report's updates
+    /// until a head acknowledges them, and searches for the acting head if this member goes on ignoring its reports.
     pub(super) fn handle_report(
         &mut self,
         clocks: Clocks,
@@ -42,7 +42,7 @@
         report: AgentReport,
     ) {
         if !self.is_acting(clocks.steady_ms) {
-            return self.sessions.report_ignored(connection);
+            return self.ignore_report(connection, &report);
         }
         match self.sessions.admit_report(clocks.steady_ms, connection) {
             ReportAdmission::Handled { replaced } => self.close_replaced(clocks, replaced),
@@ -57,6 +57,16 @@
         self.scheduler_event(clocks, Event::Report { agent, report });
     }
 
+    /// Leaves a report without an answer. An agent of a build that does not number updates counts them as received.
+    fn ignore_report(&mut self, connection: ConnectionId, report: &AgentReport) {
+        if report.has_unnumbered_updates() {
+            self.sessions.updates_ignored(connection);
+        }
+        let session = self.sessions.get(connection);
+        let agent = session.map_or("", |session| session.node_name.as_str());
+        log::debug!("report ignored without a lease agent={agent}");
+    }
+
     /// Closes connections that their process has given up. They may be open here because their end is late, and requests on
     /// them, too.
     fn close_replaced(&mut self, clocks: Clocks, replaced: Vec<ConnectionId>) {
@@ -91,10 +101,10 @@
         }
     }
 
-    /// Closes the connections of node agents whose reports were ignored though this member acts: its lease expired and was
-    /// renewed before it could announce that it did not act. Agents report some items once on a connection.
-    pub(super) fn close_after_ignored_reports(&mut self, is_acting: bool) {
-        let ignored = self.sessions.take_ignored_reports();
+    /// Closes the connections on which updates without a number were ignored though this member acts: its lease expired and
+    /// was renewed before it could announce that it did not act. The agents connect anew and report all updates.
+    pub(super) fn close_after_ignored_updates(&mut self, is_acting: bool) {
+        let ignored = self.sessions.take_ignored_updates();
         if !is_acting {
             // The announcement says so, and makes these agents report everything anew.
             return;
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -80,8 +80,8 @@
     sessions: BTreeMap<ConnectionId, Session>,
     /// Number of `Hello`s received so far.
     greetings: u64,
-    /// Connections of node agents whose reports were ignored since the last [`Sessions::take_ignored_reports`].
-    ignored_reports: BTreeSet<ConnectionId>,
+    /// Connections on which updates without a number were ignored since the last [`Sessions::take_ignored_updates`].
+    ignored_updates: BTreeSet<ConnectionId>,
 }
 
 impl Sessions {
@@ -221,14 +221,14 @@
         }
     }
 
-    /// Records that a node agent's report was ignored.
-    pub fn report_ignored(&mut self, connection: ConnectionId) {
-        self.ignored_reports.insert(connection);
+    /// Records that a node agent's report was ignored though it carries updates without a number.
+    pub fn updates_ignored(&mut self, connection: ConnectionId) {
+        self.ignored_updates.insert(connection);
     }
 
-    /// Takes the open connections on which reports were ignored since the last call.
-    pub fn take_ignored_reports(&mut self) -> Vec<ConnectionId> {
-        let ignored = std::mem::take(&mut self.ignored_reports).into_iter();
+    /// Takes the open connections on which such reports were ignored since the last call.
+    pub fn take_ignored_updates(&mut self) -> Vec<ConnectionId> {
+        let ignored = std::mem::take(&mut self.ignored_updates).into_iter();
         ignored
             .filter(|connection| self.sessions.contains_key(connection))
             .collect()
--- a/crates/control-plane/tests/control_plane/core_member.rs
+++ b/crates/control-plane/tests/control_plane/core_member.rs
@@ -209,6 +209,7 @@
         start: Vec::new(),
         stop: Vec::new(),
         acknowledged_end: None,
+        acknowledged_update: None,
     })
 }
 
@@ -302,6 +303,7 @@
         instance: None,
         ended_instances: Vec::new(),
         not_started: Vec::new(),
+        newest_update: 0,
     };
     test.receive(connection, Frame::Report(report));
     let answered = test.outputs().iter().filter_map(|output| match output {
--- a/crates/control-plane/tests/control_plane/test_head.rs
+++ b/crates/control-plane/tests/control_plane/test_head.rs
@@ -100,6 +100,7 @@
             instance: worker,
             ended_instances: Vec::new(),
             not_started: Vec::new(),
+            newest_update: 0,
         };
         self.event(Event::Report { agent, report });
     }
--- a/crates/data-plane/src/agent.rs
+++ b/crates/data-plane/src/agent.rs
@@ -3,7 +3,6 @@
 //! reading of the machine's monotonic clock in milliseconds.
 
 mod closed_runs;
-mod connection_updates;
 mod event;
 mod former_instances;
 mod heartbeat;
@@ -13,7 +12,10 @@
 mod pending_instances;
 mod report_schedule;
 mod reported_runs;
+mod reporting;
 mod run_table;
+mod update_list;
+mod update_sequence;
 mod wire_runs;
 mod worker_instance;
 
@@ -31,20 +33,22 @@
 pub use report_schedule::{REPORT_INTERVAL_MS, REPORT_SPACING_MS};
 pub use reported_runs::PROGRESS_INTERVAL_MS;
 pub use run_table::{CAPACITY_WAIT_MS, SEND_ATTEMPTS_MAX, STARTS_PER_REPLY_MAX};
+pub use update_sequence::{ACKNOWLEDGEMENT_TIMEOUT_MS, UPDATE_RETRY_MS};
 
-use connection_updates::ConnectionUpdates;
 use heartbeat_interval::HeartbeatInterval;
-use indigofold_protocol::internal::{AgentOrders, AgentReport};
+use indigofold_protocol::internal::AgentOrders;
 use indigofold_protocol::task::RunId;
 use indigofold_protocol::worker::{Heartbeat, HeartbeatReply};
 use instances::{Admission, Instances};
 use lease_authority::LeaseAuthority;
 use report_schedule::ReportSchedule;
 use reported_runs::ReportedRuns;
+use update_list::UpdateList;
+use update_sequence::UpdateSequence;
 use wire_runs::{start_entries, stop_entries};
 use worker_instance::WorkerInstance;
 
-/// Maximum number of starts not carried out that are remembered and reported on each new connection.
+/// Number of starts not carried out beyond which those that a head without acknowledgements has answered are dropped.
 pub const NOT_STARTED_MAX: usize = 512;
 /// Maximum time that the reply to a heartbeat waits for expected orders, which take a message to the head, a disk write
 /// there and a message back. Replying without them would delay them until the next heartbeat, which a busy worker sends
@@ -58,8 +62,9 @@
     /// Highest epoch of the orders received; 0 before the first orders.
     epoch: u64,
     instances: Instances,
-    /// Starts that will never be carried out.
-    not_started: ConnectionUpdates<RunId>,
+    /// Starts that will never be carried out, until the head acknowledges them.
+    not_started: UpdateList<RunId>,
+    sequence: UpdateSequence,
     heartbeat_interval: HeartbeatInterval,
     schedule: ReportSchedule,
     reported_runs: ReportedRuns,
@@ -73,7 +78,8 @@
             authority: LeaseAuthority::new(max_lease_ms),
             epoch: 0,
             instances: Instances::new(now_ms),
-            not_started: ConnectionUpdates::new(NOT_STARTED_MAX),
+            not_started: UpdateList::new(NOT_STARTED_MAX),
+            sequence: UpdateSequence::default(),
             heartbeat_interval: HeartbeatInterval::default(),
             schedule: ReportSchedule::new(now_ms),
             reported_runs: ReportedRuns::default(),
@@ -168,16 +174,14 @@
     }
 
     /// Handles orders of the head. Orders with an epoch below the highest one received are dropped; of orders for an
-    /// instance other than the current one, only the epoch and the echo are used.
+    /// instance other than the current one, only the epoch, the echo and the acknowledgement of updates are used.
     pub fn handle_orders(&mut self, now_ms: u64, orders: AgentOrders) {
         if orders.epoch < self.epoch {
             return;
         }
         self.epoch = orders.epoch;
         self.enforce_authority(now_ms);
-        if let Some(echo_ms) = orders.echo_sent_ms {
-            self.handle_echo(echo_ms);
-        }
+        self.handle_answer(&orders);
         let Some(instance) = self.instances.find_current_mut(&orders.instance) else {
             let has_current = self.instances.current().is_some();
             let former = self.instances.former_mut();
@@ -201,35 +205,6 @@
         self.report_not_started(not_started);
     }
 
-    /// Handles a new connection to an acting head: the next report carries the complete state.
-    pub fn handle_connected(&mut self) {
-        self.schedule.handle_connected();
-        self.reported_runs.reset();
-        self.instances
-            .former_mut()
-            .ended_updates()
-            .handle_connected();
-        self.not_started.handle_connected();
-    }
-
-    /// Handles the loss of the connection to the head; no reports are due until the next connection.
-    pub fn handle_disconnected(&mut self) {
-        self.schedule.handle_disconnected();
-    }
-
-    /// Expires unresponsive instances, then returns the report if one is due.
-    pub fn poll_report(&mut self, now_ms: u64) -> Option<AgentReport> {
-        self.expire_unresponsive(now_ms);
-        let is_due = self.report_due_ms().is_some_and(|due_ms| due_ms <= now_ms);
-        is_due.then(|| self.report(now_ms))
-    }
-
-    /// The latest time at which to call [`Agent::poll_report`] next; `None` if nothing is due.
-    pub fn next_timeout_ms(&self) -> Option<u64> {
-        let timeouts = [self.instances.next_timeout_ms(), self.report_due_ms()];
-        timeouts.into_iter().flatten().min()
-    }
-
     /// Returns the events since the last call, oldest first.
     pub fn poll_events(&mut self) -> Vec<AgentEvent> {
         self.instances.poll_events()
@@ -259,15 +234,6 @@
         })
     }
 
-    /// Records that an acting head acknowledged the report sent at `echo_ms`.
-    fn handle_echo(&mut self, echo_ms: u64) {
-        if self.authority.handle_echo(echo_ms)
-            && let Some(instance) = self.instances.current_mut()
-        {
-            instance.handle_echo(echo_ms);
-        }
-    }
-
     /// Ends a deregistered instance that has no runs left and whose ends the head has all acknowledged.
     fn end_if_finished(&mut self) {
         let current_instance = self.instances.current();
@@ -309,29 +275,4 @@
             self.schedule.expedite_if(true);
         }
     }
-
-    fn report_due_ms(&self) -> Option<u64> {
-        let has_pending_updates =
-            self.instances.former().is_report_pending() || self.not_started.is_pending();
-        self.schedule.due_ms(has_pending_updates)
-    }
-
-    fn report(&mut self, now_ms: u64) -> AgentReport {
-        self.schedule.handle_report_sent(now_ms);
-        self.authority.handle_report_sent(now_ms);
-        let current_instance = self.instances.current_mut();
-        let instance = current_instance
-            .filter(|instance| !instance.is_expired())
-            .map(|instance| {
-                instance.handle_report_sent(now_ms);
-                let include_runs = self.reported_runs.needs_runs(now_ms, instance);
-                instance.report(now_ms, include_runs)
-            });
-        AgentReport {
-            sent_ms: now_ms,
-            instance,
-            ended_instances: self.instances.former_mut().ended_updates().take_pending(),
-            not_started: self.not_started.take_pending(),
-        }
-    }
 }
--- a/crates/data-plane/src/agent/event.rs
+++ b/crates/data-plane/src/agent/event.rs
@@ -38,4 +38,15 @@
         /// Id of the instance.
         instance: String,
     },
+    /// An instance is not registered before the head has settled the ends of
+    /// [`ENDED_INSTANCES_MAX`](super::ENDED_INSTANCES_MAX) former instances.
+    RegistrationDeferred {
+        /// Id of the instance.
+        instance: String,
+    },
+    /// Orders of the head acknowledge an update that the agent has never reported; the number is ignored.
+    UnknownUpdateAcknowledged {
+        /// Number in the orders.
+        number: u64,
+    },
 }
--- a/crates/data-plane/src/agent/former_instances.rs
+++ b/crates/data-plane/src/agent/former_instances.rs
@@ -1,10 +1,12 @@
 //! Former instances of the worker: which of them have ended, and when their runs can no longer be running.
 
-use super::connection_updates::ConnectionUpdates;
 use super::lease_authority::expires_by_ms;
+use super::update_list::UpdateList;
+use super::update_sequence::UpdateSequence;
 use indigofold_protocol::internal::RUN_LEASE_MS;
 
-/// Maximum number of former instances that are remembered and reported on each new connection.
+/// Maximum number of former instances that are remembered. While the head has not settled the ends of as many, no further
+/// instance registers.
 pub const ENDED_INSTANCES_MAX: usize = 16;
 
 /// The former instances of the worker on this machine.
@@ -14,8 +16,11 @@
     unregistered_expires_ms: u64,
     /// Instances that were replaced or deregistered; late heartbeats from them are not read.
     closed_instances: Vec<String>,
-    /// Instances without running runs, to be reported as ended. One that returns is removed.
-    ended_instances: ConnectionUpdates<String>,
+    /// Instances whose leases have expired. One that returns is removed.
+    expired_instances: Vec<String>,
+    /// Instances without running runs that are reported as ended until the head acknowledges it. One that returns is
+    /// removed.
+    ended_instances: UpdateList<String>,
     /// Changes with the head's answers to reports without an instance, and with registrations and ends.
     unregistered: Unregistered,
 }
@@ -47,7 +52,8 @@
         FormerInstances {
             unregistered_expires_ms: expires_by_ms(started_ms, RUN_LEASE_MS),
             closed_instances: Vec::new(),
-            ended_instances: ConnectionUpdates::new(ENDED_INSTANCES_MAX),
+            expired_instances: Vec::new(),
+            ended_instances: UpdateList::new(ENDED_INSTANCES_MAX),
             unregistered: Unregistered::Unknown,
         }
     }
@@ -57,54 +63,62 @@
         self.closed_instances.iter().any(|instance| instance == id)
     }
 
-    /// Whether this instance is reported as ended.
-    pub(super) fn is_ended(&self, id: &String) -> bool {
-        self.ended_instances.contains(id)
+    /// Whether all leases of this instance have expired and it has not returned since.
+    pub(super) fn has_expired(&self, id: &str) -> bool {
+        self.expired_instances.iter().any(|instance| instance == id)
     }
 
     /// Records that an instance was replaced or deregistered and that none of its runs is running.
     pub(super) fn close(&mut self, id: String) {
         self.unregistered.clear_if(&id);
-        self.closed_instances.push(id.clone());
-        if self.closed_instances.len() > ENDED_INSTANCES_MAX {
-            self.closed_instances.remove(0);
-        }
+        remember(&mut self.closed_instances, id.clone());
         self.ended_instances.push(id);
     }
 
     /// Records that all leases of an instance have expired; the instance may still return.
     pub(super) fn expire(&mut self, id: String) {
+        remember(&mut self.expired_instances, id.clone());
         self.ended_instances.push(id);
     }
 
     /// Handles an instance that was registered, or that returned after its leases expired.
     pub(super) fn handle_registered(&mut self, id: &str) {
         self.ended_instances.remove(&id.to_owned());
+        self.expired_instances.retain(|instance| instance != id);
         self.unregistered.clear_if(id);
     }
 
     /// Handles orders of the head for an instance other than the current one; an empty `id` means that the head knows no
     /// instance on this machine. `has_current`: another instance is current, so the instance in the orders has ended.
     /// Returns whether there is something to report.
+    ///
+    /// A head that names an instance has not handled its end. The end is reported until the head acknowledges it, and once
+    /// more if the head names the instance after that.
     pub(super) fn handle_unknown(&mut self, id: String, has_current: bool) -> bool {
-        if self.is_closed(&id) || self.is_ended(&id) {
-            return false;
-        }
-        match (id.is_empty(), has_current) {
-            (true, true) => false,
-            (true, false) => {
+        if id.is_empty() {
+            if !has_current {
                 self.unregistered = Unregistered::None;
-                false
-            }
-            (false, true) => {
-                self.close(id);
-                true
-            }
-            (false, false) => {
-                self.unregistered = Unregistered::Named(id);
-                false
             }
+            return false;
+        }
+        let is_known = self.is_closed(&id) || self.has_expired(&id);
+        if self.ended_instances.contains(&id) {
+            return false;
         }
+        if !is_known && !has_current {
+            self.unregistered = Unregistered::Named(id);
+            return false;
+        }
+        if self.is_full() {
+            // The head names it again in its next orders.
+            return false;
+        }
+        if is_known {
+            self.ended_instances.push(id);
+        } else {
+            self.close(id);
+        }
+        true
     }
 
     /// Whether an instance other than `id` that has not registered at this process may hold a lease, granted by a
@@ -126,7 +140,7 @@
         }
         match std::mem::replace(&mut self.unregistered, Unregistered::None) {
             Unregistered::Named(id) => {
-                self.ended_instances.push(id);
+                self.expire(id);
                 true
             }
             Unregistered::Unknown | Unregistered::None => false,
@@ -139,13 +153,37 @@
         is_named.then_some(self.unregistered_expires_ms)
     }
 
-    /// The list of ended instances to report.
-    pub(super) fn ended_updates(&mut self) -> &mut ConnectionUpdates<String> {
-        &mut self.ended_instances
+    /// Whether the head has not settled the ends of [`ENDED_INSTANCES_MAX`] instances.
+    pub(super) fn is_full(&self) -> bool {
+        self.ended_instances.is_full()
+    }
+
+    /// Whether an ended instance has not been reported yet.
+    pub(super) fn has_unreported(&self) -> bool {
+        self.ended_instances.has_unreported()
+    }
+
+    /// Returns the ended instances for a report.
+    pub(super) fn poll_ended(&mut self, sequence: &mut UpdateSequence) -> Vec<String> {
+        self.ended_instances.poll(sequence)
     }
 
-    /// Whether an ended instance has not been reported on the current connection.
-    pub(super) fn is_report_pending(&self) -> bool {
-        self.ended_instances.is_pending()
+    /// Handles a new connection to an acting head.
+    pub(super) fn handle_connected(&mut self) {
+        self.ended_instances.handle_connected();
+    }
+
+    /// Removes the ends that the head has acknowledged.
+    pub(super) fn handle_progress(&mut self, sequence: &UpdateSequence) {
+        self.ended_instances.handle_progress(sequence);
+    }
+}
+
+/// Adds an instance to a list of at most [`ENDED_INSTANCES_MAX`], from which the oldest are dropped.
+fn remember(instances: &mut Vec<String>, id: String) {
+    instances.retain(|instance| *instance != id);
+    instances.push(id);
+    if instances.len() > ENDED_INSTANCES_MAX {
+        instances.remove(0);
     }
 }
--- a/crates/data-plane/src/agent/instances.rs
+++ b/crates/data-plane/src/agent/instances.rs
@@ -32,6 +32,8 @@
     current: Option<WorkerInstance>,
     pending: PendingInstances,
     former: FormerInstances,
+    /// Whether an instance waits for the head to settle the ends of former instances before it registers.
+    registration_deferred: bool,
     events: Vec<AgentEvent>,
 }
 
@@ -44,6 +46,7 @@
             current: None,
             pending: PendingInstances::default(),
             former: FormerInstances::new(started_ms),
+            registration_deferred: false,
             events: Vec::new(),
         }
     }
@@ -99,10 +102,12 @@
             Evidence::Repeated => !self.may_another_hold_lease(now_ms, id),
             Evidence::FollowsReply => true,
         };
-        if can_register {
-            self.register(id, evidence)
-        } else {
+        if !can_register {
             self.keep_pending(id, evidence)
+        } else if self.current_id() != Some(id) && self.former.is_full() {
+            self.defer_registration(id)
+        } else {
+            self.register(id, evidence)
         }
     }
 
@@ -169,20 +174,39 @@
                 retry_delay_ms: BUSY_HEARTBEAT_MS,
             };
         }
-        let current_id = self.current.as_ref().map(WorkerInstance::id);
+        let other_id = self.current_id().filter(|other| *other != id);
+        let current = other_id.map(str::to_owned);
         self.events.push(AgentEvent::Pending {
             instance: id.to_owned(),
-            current: current_id.filter(|other| *other != id).map(str::to_owned),
+            current,
         });
         Admission::Pending {
             retry_delay_ms: REGISTRATION_HEARTBEAT_MS,
         }
     }
 
+    /// Lets an instance wait, since the head has not settled the ends of so many former ones: the end of the current one
+    /// would be one more. Without a head that answers, the instance would get no lease in any case.
+    fn defer_registration(&mut self, id: &str) -> Admission {
+        if !std::mem::replace(&mut self.registration_deferred, true) {
+            self.events.push(AgentEvent::RegistrationDeferred {
+                instance: id.to_owned(),
+            });
+        }
+        Admission::Pending {
+            retry_delay_ms: BUSY_HEARTBEAT_MS,
+        }
+    }
+
+    fn current_id(&self) -> Option<&str> {
+        self.current.as_ref().map(WorkerInstance::id)
+    }
+
     /// Makes an instance the current one.
     fn register(&mut self, id: &str, evidence: Evidence) -> Admission {
         let has_deregistered = self.pending.has_deregistered(id);
         self.pending.clear();
+        self.registration_deferred = false;
         if self.find_current_mut(id).is_none() {
             self.remove_predecessor(id, evidence);
         }
@@ -191,7 +215,7 @@
             returning.handle_return();
             AgentEvent::Returned { instance }
         } else {
-            let has_returned = self.former.is_ended(&instance);
+            let has_returned = self.former.has_expired(&instance);
             let registered = WorkerInstance::new(instance.clone(), self.started_ms, has_returned);
             self.current = Some(registered);
             AgentEvent::Registered { instance }
--- a/crates/data-plane/src/serve/agent_role.rs
+++ b/crates/data-plane/src/serve/agent_role.rs
@@ -68,6 +68,12 @@
                 AgentEvent::Returned { instance } => {
                     log::info!("worker instance responsive after expiry instance={instance}");
                 }
+                AgentEvent::RegistrationDeferred { instance } => log::warn!(
+                    "worker instance not registered before a head acknowledges the ends of former ones instance={instance}"
+                ),
+                AgentEvent::UnknownUpdateAcknowledged { number } => log::warn!(
+                    "acknowledgement of an update ignored, it was never reported number={number}"
+                ),
             }
         }
     }
--- a/crates/data-plane/tests/agent_late_heartbeats.rs
+++ b/crates/data-plane/tests/agent_late_heartbeats.rs
@@ -100,6 +100,7 @@
         (None, vec![WORKER.to_owned()]),
         "the leases have expired"
     );
+    harness.echo(harness.now_ms);
     assert_eq!(
         harness.send_once(WORKER, CONNECTION),
         pending(REGISTRATION_HEARTBEAT_MS)
--- a/crates/data-plane/tests/common/agent_harness.rs
+++ b/crates/data-plane/tests/common/agent_harness.rs
@@ -246,6 +246,7 @@
             start: Vec::new(),
             stop: Vec::new(),
             acknowledged_end: None,
+            acknowledged_update: None,
         }
     }
 
--- a/crates/data-plane/tests/common/program.rs
+++ b/crates/data-plane/tests/common/program.rs
@@ -233,6 +233,7 @@
                 start: Vec::new(),
                 stop: Vec::new(),
                 acknowledged_end: None,
+                acknowledged_update: None,
             }));
         }
     }
--- a/crates/data-plane/tests/processes.rs
+++ b/crates/data-plane/tests/processes.rs
@@ -98,6 +98,7 @@
         start: vec![start],
         stop: Vec::new(),
         acknowledged_end: None,
+        acknowledged_update: None,
     })
 }
 
@@ -219,6 +220,7 @@
         start: Vec::new(),
         stop: Vec::new(),
         acknowledged_end: None,
+        acknowledged_update: None,
     }));
     let mut replies = (2..).map(|seq_no| send_heartbeat_alone(agent.address, seq_no));
     assert!(replies.any(|(_, body)| body.contains("fence_token")));
--- a/crates/protocol/schema/internal.capnp
+++ b/crates/protocol/schema/internal.capnp
@@ -152,6 +152,8 @@
   instance @1 :InstanceReport;
   endedInstances @2 :List(Text);
   notStarted @3 :List(RunId);
+  # 0: the report carries no update, or its sender does not number them.
+  newestUpdate @4 :UInt64;
 }
 
 enum WorkerState {
@@ -214,6 +216,11 @@
     none @6 :Void;
     number @7 :UInt64;
   }
+  # None: the sender does not acknowledge updates.
+  acknowledgedUpdate :union {
+    none @8 :Void;
+    number @9 :UInt64;
+  }
 }
 
 struct StartOrder {
--- a/crates/protocol/src/codec/agent.rs
+++ b/crates/protocol/src/codec/agent.rs
@@ -25,9 +25,11 @@
         &report.ended_instances,
     );
     write_runs(
-        to.init_not_started(report.not_started.len() as u32),
+        to.reborrow()
+            .init_not_started(report.not_started.len() as u32),
         &report.not_started,
     );
+    to.set_newest_update(report.newest_update);
 }
 
 /// Reads an [`AgentReport`].
@@ -41,6 +43,7 @@
         instance,
         ended_instances: read_texts(from.get_ended_instances()?)?,
         not_started: read_runs(from.get_not_started()?),
+        newest_update: from.get_newest_update(),
     })
 }
 
@@ -179,6 +182,11 @@
             .init_acknowledged_end()
             .set_number(acknowledged_end);
     }
+    if let Some(acknowledged_update) = orders.acknowledged_update {
+        to.reborrow()
+            .init_acknowledged_update()
+            .set_number(acknowledged_update);
+    }
     let mut starts = to.reborrow().init_start(orders.start.len() as u32);
     for (index, start) in (0..).zip(&orders.start) {
         write_start(starts.reborrow().get(index), start);
@@ -205,6 +213,10 @@
             agent_orders::acknowledged_end::None(()) => None,
             agent_orders::acknowledged_end::Number(number) => Some(number),
         },
+        acknowledged_update: match from.get_acknowledged_update().which()? {
+            agent_orders::acknowledged_update::None(()) => None,
+            agent_orders::acknowledged_update::Number(number) => Some(number),
+        },
     })
 }
 
--- a/crates/protocol/src/internal/orders.rs
+++ b/crates/protocol/src/internal/orders.rs
@@ -21,6 +21,9 @@
     pub stop: Vec<RunId>,
     /// Ended runs up to this number are durably stored and may be acknowledged to the worker; `None` if there are none.
     pub acknowledged_end: Option<u64>,
+    /// The agent's updates up to this number are handled and their effects are durably stored; 0 before the first on this
+    /// connection. `None` from builds that do not acknowledge updates.
+    pub acknowledged_update: Option<u64>,
 }
 
 impl AgentOrders {
--- a/crates/protocol/src/internal/report.rs
+++ b/crates/protocol/src/internal/report.rs
@@ -6,6 +6,12 @@
 use serde::{Deserialize, Serialize};
 
 /// A node agent's report to the head, sent after changes and at least every few hundred milliseconds.
+///
+/// Ended instances, starts that were not carried out and changed lists of runs are *updates*: they are not part of every
+/// report. The agent numbers them in ascending order and keeps each one until the head acknowledges its number
+/// ([`AgentOrders::acknowledged_update`]).
+///
+/// [`AgentOrders::acknowledged_update`]: crate::internal::AgentOrders::acknowledged_update
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AgentReport {
     /// Reading of the agent's monotonic clock when it sent the report.
@@ -17,6 +23,22 @@
     pub ended_instances: Vec<String>,
     /// Runs whose start was not passed to the worker and never will be.
     pub not_started: Vec<RunId>,
+    /// Number of the agent's newest update. The report then carries all updates up to this number that the agent has not
+    /// seen acknowledged. 0 if it carries none, and from builds that do not number them.
+    pub newest_update: u64,
+}
+
+impl AgentReport {
+    /// Whether the report carries updates without a number. The sender's build counts them as received because they were
+    /// sent, and sends them again only on a new connection.
+    pub fn has_unnumbered_updates(&self) -> bool {
+        let has_runs = self
+            .instance
+            .as_ref()
+            .is_some_and(|instance| instance.running.is_some());
+        self.newest_update == 0
+            && (has_runs || !self.ended_instances.is_empty() || !self.not_started.is_empty())
+    }
 }
 
 /// State of a worker instance, as known to its node agent.
@@ -40,7 +62,8 @@
     pub labels: Vec<String>,
     /// Time since the worker's last heartbeat.
     pub since_heartbeat_ms: u64,
-    /// Runs that the last heartbeat lists as running; `None` if they are as in the previous report on this connection.
+    /// Runs that the last heartbeat lists as running; `None` if they are as in an earlier report on this connection that
+    /// the head has answered.
     pub running: Option<Vec<RunningRun>>,
     /// Ended runs that the head has not acknowledged yet, in the order of their numbers.
     pub finished: Vec<FinishedRun>,
--- a/crates/protocol/src/internal_capnp.rs
+++ b/crates/protocol/src/internal_capnp.rs
@@ -5219,11 +5219,15 @@
         pub fn has_not_started(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_newest_update(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5329,6 +5333,14 @@
         pub fn has_not_started(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_newest_update(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_newest_update(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5343,17 +5355,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 89] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 105] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(2, 94, 27, 236, 99, 59, 143, 212),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(38, 89, 227, 123, 168, 240, 193, 212),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 116, 101, 114, 110, 97, 108),
@@ -5361,35 +5373,42 @@
             ::capnp::word(103, 101, 110, 116, 82, 101, 112, 111),
             ::capnp::word(114, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 116, 77, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5433,6 +5452,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 101, 115, 116, 85, 112),
+            ::capnp::word(100, 97, 116, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5440,6 +5468,7 @@
                 1 => <crate::internal_capnp::instance_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::internal_capnp::run_id::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5453,9 +5482,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,4,3,0];
         pub(crate) const TYPE_ID: u64 = 0xd48f_3b63_ec1b_5e02;
     }
 }
@@ -7180,11 +7209,15 @@
         pub fn get_acknowledged_end(self) -> crate::internal_capnp::agent_orders::acknowledged_end::Reader<'a> {
             self.reader.into()
         }
+        #[inline]
+        pub fn get_acknowledged_update(self) -> crate::internal_capnp::agent_orders::acknowledged_update::Reader<'a> {
+            self.reader.into()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7310,6 +7343,16 @@
             self.builder.set_data_field::<u64>(3, 0u64);
             self.builder.into()
         }
+        #[inline]
+        pub fn get_acknowledged_update(self) -> crate::internal_capnp::agent_orders::acknowledged_update::Builder<'a> {
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_acknowledged_update(self, ) -> crate::internal_capnp::agent_orders::acknowledged_update::Builder<'a> {
+            self.builder.set_data_field::<u16>(6, 0);
+            self.builder.set_data_field::<u64>(4, 0u64);
+            self.builder.into()
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7325,19 +7368,22 @@
         pub fn get_acknowledged_end(&self) -> crate::internal_capnp::agent_orders::acknowledged_end::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
         }
+        pub fn get_acknowledged_update(&self) -> crate::internal_capnp::agent_orders::acknowledged_update::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 105] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 115] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(177, 20, 167, 50, 154, 137, 149, 158),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(38, 89, 227, 123, 168, 240, 193, 212),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 116, 101, 114, 110, 97, 108),
@@ -7345,46 +7391,53 @@
             ::capnp::word(103, 101, 110, 116, 79, 114, 100, 101),
             ::capnp::word(114, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(190, 116, 61, 20, 247, 209, 18, 214),
-            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 209, 63, 121, 132, 242, 59, 238),
-            ::capnp::word(185, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(22, 50, 188, 239, 11, 167, 38, 157),
+            ::capnp::word(193, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7433,6 +7486,9 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 99, 107, 110, 111, 119, 108, 101),
             ::capnp::word(100, 103, 101, 100, 69, 110, 100, 0),
+            ::capnp::word(97, 99, 107, 110, 111, 119, 108, 101),
+            ::capnp::word(100, 103, 101, 100, 85, 112, 100, 97),
+            ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7442,6 +7498,7 @@
                 3 => <::capnp::struct_list::Owned<crate::internal_capnp::start_order::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::internal_capnp::run_id::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::internal_capnp::agent_orders::acknowledged_end::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::internal_capnp::agent_orders::acknowledged_update::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7455,9 +7512,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,1,0,2,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,6,1,0,2,3,4];
         pub(crate) const TYPE_ID: u64 = 0x9e95_899a_32a7_14b1;
     }
 
@@ -7544,7 +7601,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7633,7 +7690,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(190, 116, 61, 20, 247, 209, 18, 214),
-                ::capnp::word(27, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(27, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(177, 20, 167, 50, 154, 137, 149, 158),
                 ::capnp::word(3, 0, 7, 0, 1, 0, 2, 0),
                 ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
@@ -7794,7 +7851,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7883,7 +7940,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(25, 209, 63, 121, 132, 242, 59, 238),
-                ::capnp::word(27, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(27, 0, 0, 0, 1, 0, 5, 0),
                 ::capnp::word(177, 20, 167, 50, 154, 137, 149, 158),
                 ::capnp::word(3, 0, 7, 0, 1, 0, 2, 0),
                 ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
@@ -7960,6 +8017,256 @@
         pub type WhichReader = Which;
         pub type WhichBuilder = Which;
     }
+
+    pub mod acknowledged_update {
+        pub use self::Which::{None,Number};
+
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(6) {
+                    0 => {
+                        ::core::result::Result::Ok(None(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Number(
+                            self.reader.get_data_field::<u64>(4)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn set_none(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(6, 0);
+            }
+            #[inline]
+            pub fn set_number(&mut self, value: u64)  {
+                self.builder.set_data_field::<u16>(6, 1);
+                self.builder.set_data_field::<u64>(4, value);
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(6) {
+                    0 => {
+                        ::core::result::Result::Ok(None(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Number(
+                            self.builder.get_data_field::<u64>(4)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(22, 50, 188, 239, 11, 167, 38, 157),
+                ::capnp::word(27, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(177, 20, 167, 50, 154, 137, 149, 158),
+                ::capnp::word(3, 0, 7, 0, 1, 0, 2, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 116, 101, 114, 110, 97, 108),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 65),
+                ::capnp::word(103, 101, 110, 116, 79, 114, 100, 101),
+                ::capnp::word(114, 115, 46, 97, 99, 107, 110, 111),
+                ::capnp::word(119, 108, 101, 100, 103, 101, 100, 85),
+                ::capnp::word(112, 100, 97, 116, 101, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 254, 255, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 111, 110, 101, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0x9d26_a70b_efbc_3216;
+        }
+        pub enum Which {
+            None(()),
+            Number(u64),
+        }
+        pub type WhichReader = Which;
+        pub type WhichBuilder = Which;
+    }
 }
 
 pub mod start_order {
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -6,7 +6,12 @@
 use indigofold_protocol::codec::{
     CodecError, FRAME_BYTES_MAX, LENGTH_BYTES, decode, encode, missing_bytes,
 };
-use indigofold_protocol::internal::{ClientCall, ClientOperation, Frame};
+use indigofold_protocol::internal::{
+    AgentOrders, AgentReport, ClientCall, ClientOperation, Frame, InstanceReport,
+};
+use indigofold_protocol::job::Resources;
+use indigofold_protocol::task::{JobId, RunId, TaskName};
+use indigofold_protocol::worker::WorkerState;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -109,3 +114,88 @@
     assert!(matches!(decode(&head), Err(CodecError::TooLong { .. })));
     assert_eq!(missing_bytes(&head), 0);
 }
+
+/// A report as a build without numbers of updates encodes it.
+const REPORT_WITHOUT_NUMBERS: &str = concat!(
+    "0000012000000000230000000000000001000100040000000000000000000000010003002a0000000000000008000000",
+    "040008005d0000000e000000610000001f00000000000000000000000000000000000000000000000000000003000000",
+    "000000001d000000220000001d000000120000001d000000120000001c00000003000000250000000e00000000000000",
+    "0000000025000000070000002500000007000000692d32000000000073000000000000006100000000000000e8030000",
+    "000000000a00000000000000000000000000000001000000120000007800000000000000000000000200020000000000",
+    "030000000100000022000000692d31000000000004000000030000000700000000000000000000000000000001000000",
+    "01000000",
+);
+/// Orders as a build without acknowledgements of updates encodes them.
+const ORDERS_WITHOUT_ACKNOWLEDGEMENT: &str = concat!(
+    "000000880000000010000000000000000100010005000000000000000000000004000300030000000000000001000100",
+    "000000002a00000000000000050000000000000009000000220000000900000007000000090000001f000000692d3200",
+    "0000000000000000000004000400000003000000070000000000000000000000000000000200000001000000",
+);
+
+fn decode_hex(hex: &str) -> Frame {
+    let bytes: Vec<u8> = (0..hex.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(&hex[at..at + 2], 16).expect("a hexadecimal byte"))
+        .collect();
+    let (frame, length) = decode(&bytes)
+        .expect("a valid frame")
+        .expect("a complete frame");
+    assert_eq!(length, bytes.len());
+    frame
+}
+
+/// The first attempt of a task of job 7.
+fn first_attempt(index: u32) -> RunId {
+    let task = TaskName {
+        job: JobId(7),
+        repeat: 0,
+        step: 0,
+        index,
+    };
+    RunId { task, attempt: 1 }
+}
+
+#[test]
+fn a_report_of_a_build_without_numbers_is_decoded() {
+    let expected = AgentReport {
+        sent_ms: 42,
+        instance: Some(InstanceReport {
+            id: "i-2".to_owned(),
+            backend: "s".to_owned(),
+            zone: "a".to_owned(),
+            state: WorkerState::Ready,
+            remaining_ms: None,
+            warmup_remaining_ms: 0,
+            capacity: Resources {
+                cpu: 1_000,
+                mem_mb: 10,
+                gpu: 0,
+            },
+            labels: vec!["x".to_owned()],
+            since_heartbeat_ms: 3,
+            running: None,
+            finished: Vec::new(),
+            in_flight: Vec::new(),
+        }),
+        ended_instances: vec!["i-1".to_owned()],
+        not_started: vec![first_attempt(1)],
+        newest_update: 0,
+    };
+    assert!(expected.has_unnumbered_updates());
+    assert_eq!(decode_hex(REPORT_WITHOUT_NUMBERS), Frame::Report(expected));
+}
+
+#[test]
+fn orders_of_a_build_without_acknowledgements_are_decoded() {
+    let expected = AgentOrders {
+        epoch: 3,
+        echo_sent_ms: Some(42),
+        instance: "i-2".to_owned(),
+        start: Vec::new(),
+        stop: vec![first_attempt(2)],
+        acknowledged_end: Some(5),
+        acknowledged_update: None,
+    };
+    let decoded = decode_hex(ORDERS_WITHOUT_ACKNOWLEDGEMENT);
+    assert_eq!(decoded, Frame::Orders(expected));
+}
--- a/crates/scheduler/src/outbox.rs
+++ b/crates/scheduler/src/outbox.rs
@@ -1,7 +1,7 @@
 //! Outputs of the scheduler until they are sent. The rows changed by one event form one write; outputs that depend on a
 //! write wait until it is committed.
 
-use crate::api::{CallerId, WriteId};
+use crate::api::{AgentId, CallerId, WriteId};
 use crate::worker::WorkerId;
 use indigofold_protocol::internal::{ClientOutcome, ClientReply, StartOrder};
 use indigofold_protocol::task::{JobId, RunId};
@@ -18,6 +18,8 @@
     Stop(RunId),
     /// Acknowledging the reported ends of a worker's runs up to this number.
     Acknowledge(WorkerId, u64),
+    /// Acknowledging a node agent's updates up to this number.
+    AcknowledgeUpdates(AgentId, u64),
 }
 
 /// Orders for one worker, sent to its node agent in one message.
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -37,36 +37,34 @@
 
 impl Reports {
     /// Processes a report. It is answered with the orders for the worker instance, or with an
-    /// [`AnswerWithoutInstance`]. A report on a connection that is not open any more is ignored.
+    /// [`AnswerWithoutInstance`]. Its updates are acknowledged once their effects are committed. A report on a connection
+    /// that is not open any more is ignored.
     pub(crate) fn handle(&mut self, cluster: &mut Cluster, agent: AgentId, report: AgentReport) {
         let Some(connection) = cluster.workers().connection(agent) else {
             return;
         };
         let node_name = connection.node_name.clone();
-        let present_instance = report.instance.as_ref().map(|instance| &instance.id);
-        let ended = report.ended_instances.iter();
-        for ended in ended.filter(|ended| Some(*ended) != present_instance) {
-            if let Some(id) = cluster.workers().find(ended) {
-                cluster.instance_ended(id);
+        handle_ended_instances(cluster, &report);
+        match report.instance {
+            Some(instance) => {
+                let id = reconcile_instance(cluster, agent, &node_name, &instance);
+                handle_not_started(cluster, &node_name, &report.not_started);
+                handle_running(cluster, id, &instance);
+                handle_ends(cluster, id, &instance.finished);
+                resend_orders(cluster, agent, id, &instance);
+                stop_unexpected_runs(cluster, id, report.sent_ms, instance.running.is_some());
+                cluster.outbox_mut().orders_for(id).echo_sent_ms = Some(report.sent_ms);
+            }
+            None => {
+                handle_not_started(cluster, &node_name, &report.not_started);
+                self.answers.push(AnswerWithoutInstance {
+                    agent,
+                    instance: expected_instance(cluster, agent, &node_name),
+                    sent_ms: report.sent_ms,
+                });
             }
         }
-        let Some(instance) = report.instance else {
-            handle_not_started(cluster, &node_name, &report.not_started);
-            let instance = expected_instance(cluster, agent, &node_name);
-            let sent_ms = report.sent_ms;
-            return self.answers.push(AnswerWithoutInstance {
-                agent,
-                instance,
-                sent_ms,
-            });
-        };
-        let id = reconcile_instance(cluster, agent, &node_name, &instance);
-        handle_not_started(cluster, &node_name, &report.not_started);
-        handle_running(cluster, id, &instance);
-        handle_ends(cluster, id, &instance.finished);
-        resend_orders(cluster, agent, id, &instance);
-        stop_unexpected_runs(cluster, id, report.sent_ms, instance.running.is_some());
-        cluster.outbox_mut().orders_for(id).echo_sent_ms = Some(report.sent_ms);
+        acknowledge_updates(cluster, agent, report.newest_update);
     }
 
     /// Takes the answers to the reports without a worker instance in the event that is being handled.
@@ -75,6 +73,28 @@
     }
 }
 
+/// Ends the instances that the report lists as ended, except one that it reports as present again.
+fn handle_ended_instances(cluster: &mut Cluster, report: &AgentReport) {
+    let present_instance = report.instance.as_ref().map(|instance| &instance.id);
+    let ended_instances = report.ended_instances.iter();
+    for ended in ended_instances.filter(|ended| Some(*ended) != present_instance) {
+        if let Some(id) = cluster.workers().find(ended) {
+            cluster.instance_ended(id);
+        }
+    }
+}
+
+/// Acknowledges the node agent's updates up to this number once all that they have changed is committed. 0 stands for a
+/// report without updates.
+fn acknowledge_updates(cluster: &mut Cluster, agent: AgentId, newest_update: u64) {
+    if newest_update == 0 {
+        return;
+    }
+    let write = cluster.outbox().newest_write();
+    let acknowledge = Deferred::AcknowledgeUpdates(agent, newest_update);
+    cluster.outbox_mut().defer(write, acknowledge);
+}
+
 /// Handles a report without a worker instance: detaches the connection, and returns the ID of the instance known on
 /// that machine, empty for none. The answer extends the agent's authority to grant run leases, so all instances known
 /// there are marked as answered.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -183,6 +183,9 @@
                         worker.commit_ends_until(number);
                     }
                 }
+                Deferred::AcknowledgeUpdates(agent, number) => {
+                    cluster.workers_mut().acknowledge_updates(agent, number);
+                }
             }
         }
     }
@@ -191,7 +194,8 @@
     fn send_orders(&mut self, effects: &mut Vec<Effect>) {
         let epoch = self.epoch.0;
         for (id, orders) in self.cluster.outbox_mut().take_orders() {
-            let Some(worker) = self.cluster.workers().get(id) else {
+            let workers = self.cluster.workers();
+            let Some(worker) = workers.get(id) else {
                 continue;
             };
             let Some(agent) = worker.agent() else {
@@ -204,25 +208,32 @@
                 start: orders.start,
                 stop: orders.stop,
                 acknowledged_end: worker.acknowledged_end(),
+                acknowledged_update: workers.acknowledged_update(agent),
             };
             effects.push(Effect::Orders { agent, orders });
         }
-        let answers = self.reports.take_answers().into_iter();
-        effects.extend(answers.map(|answer| empty_orders(epoch, answer)));
+        for answer in self.reports.take_answers() {
+            let acknowledged_update = self.cluster.workers().acknowledged_update(answer.agent);
+            let agent = answer.agent;
+            let orders = empty_orders(epoch, answer, acknowledged_update);
+            effects.push(Effect::Orders { agent, orders });
+        }
     }
 }
 
 /// The answer to a report without a worker instance: no orders, and the instance whose report the head expects.
-fn empty_orders(epoch: u64, answer: AnswerWithoutInstance) -> Effect {
-    Effect::Orders {
-        agent: answer.agent,
-        orders: AgentOrders {
-            epoch,
-            echo_sent_ms: Some(answer.sent_ms),
-            instance: answer.instance,
-            start: Vec::new(),
-            stop: Vec::new(),
-            acknowledged_end: None,
-        },
+fn empty_orders(
+    epoch: u64,
+    answer: AnswerWithoutInstance,
+    acknowledged_update: Option<u64>,
+) -> AgentOrders {
+    AgentOrders {
+        epoch,
+        echo_sent_ms: Some(answer.sent_ms),
+        instance: answer.instance,
+        start: Vec::new(),
+        stop: Vec::new(),
+        acknowledged_end: None,
+        acknowledged_update,
     }
 }
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -21,6 +21,8 @@
     pub node_name: String,
     /// Instance that the connection reports; `None` while it reports none.
     pub worker: Option<WorkerId>,
+    /// Updates of the agent up to this number are handled and committed; rises with the commits, 0 before the first.
+    pub acknowledged_update: u64,
 }
 
 /// All known instances and open connections.
@@ -133,6 +135,7 @@
             Connection {
                 node_name,
                 worker: None,
+                acknowledged_update: 0,
             },
         );
     }
@@ -154,6 +157,19 @@
         self.connections.get(&agent)
     }
 
+    /// Records that the node agent's updates up to this number are handled and committed.
+    pub(crate) fn acknowledge_updates(&mut self, agent: AgentId, number: u64) {
+        if let Some(connection) = self.connections.get_mut(&agent) {
+            connection.acknowledged_update = connection.acknowledged_update.max(number);
+        }
+    }
+
+    /// Number up to which the node agent's updates are handled and committed; `None` if the connection has closed.
+    pub(crate) fn acknowledged_update(&self, agent: AgentId) -> Option<u64> {
+        self.connection(agent)
+            .map(|connection| connection.acknowledged_update)
+    }
+
     /// Records that the connection reports this instance. An instance that it reported before is detached.
     pub(crate) fn attach(&mut self, agent: AgentId, id: WorkerId) {
         let Some(connection) = self.connections.get_mut(&agent) else {
--- a/crates/scheduler/tests/cluster/node.rs
+++ b/crates/scheduler/tests/cluster/node.rs
@@ -259,6 +259,7 @@
             instance,
             ended_instances: self.ended_instances.clone(),
             not_started: std::mem::take(&mut self.not_started),
+            newest_update: 0,
         })
     }
 
