Protocol: empty lists are left out of reports and orders

Cause: the numbers of updates made a report and orders at rest a word longer each, and every empty list of structures took a word.

Change: empty lists are not written; readers of all builds take a missing list as empty. The list of running runs is still written when it is empty, as it means something else when it is missing.

--- a/crates/protocol/src/codec/agent.rs
+++ b/crates/protocol/src/codec/agent.rs
@@ -1,4 +1,5 @@
-//! Encoding of the node agents' reports and of the head's orders to them.
+//! Encoding of the node agents' reports and of the head's orders to them. Empty lists are left out: a reader takes a missing
+//! list as empty, and an empty one would take a word more.
 
 use super::common::{
     read_resources, read_run, read_runs, read_text, read_texts, write_resources, write_run,
@@ -19,16 +20,20 @@
     if let Some(instance) = &report.instance {
         write_instance(to.reborrow().init_instance(), instance);
     }
-    write_texts(
-        to.reborrow()
-            .init_ended_instances(report.ended_instances.len() as u32),
-        &report.ended_instances,
-    );
-    write_runs(
-        to.reborrow()
-            .init_not_started(report.not_started.len() as u32),
-        &report.not_started,
-    );
+    if !report.ended_instances.is_empty() {
+        write_texts(
+            to.reborrow()
+                .init_ended_instances(report.ended_instances.len() as u32),
+            &report.ended_instances,
+        );
+    }
+    if !report.not_started.is_empty() {
+        write_runs(
+            to.reborrow()
+                .init_not_started(report.not_started.len() as u32),
+            &report.not_started,
+        );
+    }
     to.set_newest_update(report.newest_update);
 }
 
@@ -68,20 +73,25 @@
         &instance.labels,
     );
     to.set_since_heartbeat_ms(instance.since_heartbeat_ms);
+    // An empty list differs from a missing one here: the worker runs nothing.
     if let Some(running) = &instance.running {
         let mut entries = to.reborrow().init_running(running.len() as u32);
         for (index, run) in (0..).zip(running) {
             write_running(entries.reborrow().get(index), run);
         }
     }
-    let mut finished = to.reborrow().init_finished(instance.finished.len() as u32);
-    for (index, run) in (0..).zip(&instance.finished) {
-        write_finished(finished.reborrow().get(index), run);
+    if !instance.finished.is_empty() {
+        let mut finished = to.reborrow().init_finished(instance.finished.len() as u32);
+        for (index, run) in (0..).zip(&instance.finished) {
+            write_finished(finished.reborrow().get(index), run);
+        }
+    }
+    if !instance.in_flight.is_empty() {
+        write_runs(
+            to.init_in_flight(instance.in_flight.len() as u32),
+            &instance.in_flight,
+        );
     }
-    write_runs(
-        to.init_in_flight(instance.in_flight.len() as u32),
-        &instance.in_flight,
-    );
 }
 
 /// Reads an [`InstanceReport`].
@@ -187,11 +197,15 @@
             .init_acknowledged_update()
             .set_number(acknowledged_update);
     }
-    let mut starts = to.reborrow().init_start(orders.start.len() as u32);
-    for (index, start) in (0..).zip(&orders.start) {
-        write_start(starts.reborrow().get(index), start);
+    if !orders.start.is_empty() {
+        let mut starts = to.reborrow().init_start(orders.start.len() as u32);
+        for (index, start) in (0..).zip(&orders.start) {
+            write_start(starts.reborrow().get(index), start);
+        }
+    }
+    if !orders.stop.is_empty() {
+        write_runs(to.init_stop(orders.stop.len() as u32), &orders.stop);
     }
-    write_runs(to.init_stop(orders.stop.len() as u32), &orders.stop);
 }
 
 /// Reads [`AgentOrders`].
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -132,6 +132,11 @@
     "0000000000000000000004000400000003000000070000000000000000000000000000000200000001000000",
 );
 
+/// Length of a report with an instance and nothing else, as encoded by the build without numbers.
+const REPORT_AT_REST_BYTES: usize = 252;
+/// Length of orders with an acknowledged end and nothing else, as encoded by the build without acknowledgements.
+const ORDERS_AT_REST_BYTES: usize = 116;
+
 fn decode_hex(hex: &str) -> Frame {
     let bytes: Vec<u8> = (0..hex.len())
         .step_by(2)
@@ -199,3 +204,26 @@
     let decoded = decode_hex(ORDERS_WITHOUT_ACKNOWLEDGEMENT);
     assert_eq!(decoded, Frame::Orders(expected));
 }
+
+/// Failure: the numbers of updates made each report and each answer of a fleet at rest longer.
+#[test]
+fn frames_at_rest_are_no_longer_than_without_numbers_of_updates() {
+    let Frame::Report(report) = decode_hex(REPORT_WITHOUT_NUMBERS) else {
+        panic!("expected a report");
+    };
+    let Frame::Orders(orders) = decode_hex(ORDERS_WITHOUT_ACKNOWLEDGEMENT) else {
+        panic!("expected orders");
+    };
+    let report_at_rest = AgentReport {
+        ended_instances: Vec::new(),
+        not_started: Vec::new(),
+        ..report
+    };
+    let orders_at_rest = AgentOrders {
+        stop: Vec::new(),
+        acknowledged_update: Some(9),
+        ..orders
+    };
+    assert!(encode(&Frame::Report(report_at_rest)).len() <= REPORT_AT_REST_BYTES);
+    assert!(encode(&Frame::Orders(orders_at_rest)).len() <= ORDERS_AT_REST_BYTES);
+}
