Control plane: each input is handled with its own reading of the clocks; slow turns are logged

Cause: the driver read the clocks once for all inputs of a turn. In a turn longer than the rest of the lease, reports and calls were handled with a lease that had expired meanwhile; what was sent was filtered, what was dropped without an answer was not known. How long turns take was not measured.

Change: a reading for each input. A turn of 50 ms or more is logged with the kind of input that took longest (driver/turn.rs).

There is no test of a long turn: the driver runs on the real clock only.

--- a/crates/control-plane/src/driver.rs
+++ b/crates/control-plane/src/driver.rs
@@ -7,6 +7,7 @@
 mod event;
 mod operator_api;
 mod start;
+mod turn;
 
 pub use error::DriverError;
 
@@ -26,6 +27,7 @@
 use std::collections::HashMap;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
+use turn::Turn;
 
 /// Longest wait for an event before the member's timers are checked, in milliseconds.
 const WAIT_MAX_MS: u64 = 1_000;
@@ -92,21 +94,33 @@
     async fn serve(mut self, http: HttpServer) -> Result<(), DriverError> {
         while !self.has_stopped() {
             self.wait().await;
+            let mut turn = Turn::start();
             let clocks = clock::now();
             self.member.handle_timeout(clocks);
             self.refresh_seeds(clocks);
-            while let Some(event) = self.inbox.pop() {
-                self.handle_event(clocks, event);
-            }
+            turn.record("timers");
+            self.handle_events(&mut turn);
             for output in self.member.poll_outputs(steady_ms()) {
                 self.execute(output)?;
             }
+            turn.record("outputs");
+            turn.finish();
         }
         http.shutdown(IDLE_GRACE, DRAIN_LIMIT).await;
         log::info!("stopped");
         Ok(())
     }
 
+    /// Handles the events that wait. Each is handled with a reading of the clocks of its own: the lease may have expired while
+    /// the earlier ones were handled.
+    fn handle_events(&mut self, turn: &mut Turn) {
+        while let Some(event) = self.inbox.pop() {
+            let kind = event.kind();
+            self.handle_event(clock::now(), event);
+            turn.record(kind);
+        }
+    }
+
     /// Waits for an event or the member's next timer, but for at most [`WAIT_MAX_MS`].
     async fn wait(&self) {
         let now = clock::now();
