System tests: seeds that lose workers and freeze the core when their leases expire

Change: run_seeds_around_lease_expiry. Four times a seed five of six workers are lost within 0.25 s, and the followers, then the head stand still at drawn times around the expiry of their run leases (head from 0.5 s before it to 20 ms after it, 0.15 to 0.7 s; followers 0 to 0.4 s earlier, 0.2 to 0.9 s). Their tasks must run again on the sixth within 26 s of the end of the faults, before any worker is restarted.

--- a/crates/system-tests/tests/chaos.rs
+++ b/crates/system-tests/tests/chaos.rs
@@ -4,7 +4,8 @@
 mod chaos_support;
 
 use chaos_support::{
-    FAULTS, LATE_CONNECTION_FAULTS, LATE_MESSAGE_FAULTS, run_seed, run_seed_behind_relays,
+    FAULTS, LATE_CONNECTION_FAULTS, LATE_MESSAGE_FAULTS, run_seed, run_seed_around_lease_expiry,
+    run_seed_behind_relays,
 };
 use indigofold_system_tests::programs;
 use rstest::rstest;
@@ -41,6 +42,15 @@
     run_seed_behind_relays(programs!(), &LATE_CONNECTION_FAULTS, seed);
 }
 
+/// Failure: the end of a lost worker's leases was reported while all core members stood still. The head ignored the report, as
+/// its own lease had expired, acted again at once, and the tasks of the worker were never run again.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn tasks_of_lost_workers_run_again_if_the_core_stands_still_meanwhile(#[case] seed: u64) {
+    run_seed_around_lease_expiry(programs!(), seed);
+}
+
 /// Runs a range of seeds, for more coverage than the regular suite has time for:
 /// `CHAOS_SEEDS=100..140 cargo test --test chaos -- --ignored --nocapture`.
 #[rstest]
@@ -63,6 +73,13 @@
     run_seeds(|seed| run_seed_behind_relays(programs!(), &LATE_CONNECTION_FAULTS, seed));
 }
 
+/// The same with workers that are lost, and core members that stand still when the workers' leases expire.
+#[rstest]
+#[ignore = "takes as long as its seeds do"]
+fn run_seeds_around_lease_expiry() {
+    run_seeds(|seed| run_seed_around_lease_expiry(programs!(), seed));
+}
+
 fn run_seeds(run: impl Fn(u64)) {
     let seeds =
         std::env::var(SEEDS_VARIABLE).expect("CHAOS_SEEDS should hold the seeds as FIRST..LAST");
--- a/crates/system-tests/tests/chaos_support/faults.rs
+++ b/crates/system-tests/tests/chaos_support/faults.rs
@@ -240,7 +240,7 @@
     }
 
     fn hold_back(&mut self, cluster: &Cluster, heartbeat: Option<DelayedHeartbeat>) {
-        let delay = self.random_time(&MESSAGE_DELAY_MS);
+        let delay = random_time(&mut self.random, &MESSAGE_DELAY_MS);
         let due = cluster.environment.now() + delay;
         self.delayed
             .extend(heartbeat.map(|heartbeat| (due, heartbeat)));
@@ -264,7 +264,7 @@
     /// Makes a relay hold the connections that are opened from now on, for a random time. Returns the relay's index.
     fn hold_for_a_time(&mut self, cluster: &Cluster) -> usize {
         let relay = self.random.below(self.relays.len() as u64) as usize;
-        let due = cluster.environment.now() + self.random_time(&MESSAGE_DELAY_MS);
+        let due = cluster.environment.now() + random_time(&mut self.random, &MESSAGE_DELAY_MS);
         self.relays[relay].hold_next();
         self.holding.push((due, relay));
         relay
@@ -292,20 +292,15 @@
         let head = cluster.head();
         let followers = cluster.other_cores(head);
         cluster.freeze_machines(&followers);
-        pause(cluster, self.random_time(&CORE_FREEZE_MS));
+        pause(cluster, random_time(&mut self.random, &CORE_FREEZE_MS));
         cluster.freeze_machines(&[head]);
-        pause(cluster, self.random_time(&CORE_FREEZE_MS) / 2);
+        pause(cluster, random_time(&mut self.random, &CORE_FREEZE_MS) / 2);
         cluster.thaw_machines(&followers);
-        pause(cluster, self.random_time(&CORE_FREEZE_MS) / 2);
+        pause(cluster, random_time(&mut self.random, &CORE_FREEZE_MS) / 2);
         cluster.thaw_machines(&[head]);
         self.core_recovered_at = cluster.environment.now() + CATCH_UP;
     }
 
-    fn random_time(&mut self, range_ms: &RangeInclusive<u64>) -> Duration {
-        let spread_ms = range_ms.end() - range_ms.start();
-        Duration::from_millis(range_ms.start() + self.random.below(spread_ms + 1))
-    }
-
     fn is_healthy(&self, machine: MachineId) -> bool {
         !self.down.contains(&machine) && !self.frozen.contains(&machine)
     }
@@ -399,8 +394,14 @@
     }
 }
 
+/// Draws a time out of a range in milliseconds.
+pub(super) fn random_time(random: &mut SeededRandom, range_ms: &RangeInclusive<u64>) -> Duration {
+    let spread_ms = range_ms.end() - range_ms.start();
+    Duration::from_millis(range_ms.start() + random.below(spread_ms + 1))
+}
+
 /// Lets time pass.
-fn pause(cluster: &Cluster, duration: Duration) {
+pub(super) fn pause(cluster: &Cluster, duration: Duration) {
     let never = || None::<()>;
     let signal = cluster.environment.signal();
     let timed_out = signal.wait_until("the end of a pause", duration, never);
--- a/crates/system-tests/tests/chaos_support/mod.rs
+++ b/crates/system-tests/tests/chaos_support/mod.rs
@@ -2,9 +2,11 @@
 
 mod faults;
 mod jobs;
+mod lease_expiry;
 mod seeded_random;
 
 pub(crate) use faults::{FAULTS, Fault, LATE_CONNECTION_FAULTS, LATE_MESSAGE_FAULTS};
+pub(crate) use lease_expiry::run_seed_around_lease_expiry;
 
 use faults::FaultInjector;
 use indigofold_system_tests::checks::Exemptions;
