A head that acts again waits for full reports and repeats the orders that agents dropped

Cause: a head that announces that it does not act, and acts again in the next turn, sends the orders of that turn before the welcome that says so. Node agents have detached and drop them. A start was ordered again after 3 s only, on a job that had nothing running meanwhile (LOST counts 3 s).

Change: when the announcement changes to acting, the first full report of each worker counts as the first one on its connection, as agents send one then (Scheduler::expect_full_reports): no order is sent before it, and what it does not show is ordered again.

That the member calls it is not tested by itself.

--- a/crates/control-plane/src/acting_head.rs
+++ b/crates/control-plane/src/acting_head.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Handles the announcement that the head acts again, after one that it did not.
+    pub fn handle_resumed(&mut self) {
+        self.scheduler.expect_full_reports();
+    }
+
     /// Passes an event to the scheduler.
     pub fn handle_event(&mut self, clocks: Clocks, event: Event, outputs: &mut Vec<HeadOutput>) {
         let mut effects = Vec::new();
--- a/crates/control-plane/src/core_member/membership.rs
+++ b/crates/control-plane/src/core_member/membership.rs
@@ -31,9 +31,13 @@
         }
         self.update_peers(now_ms);
         let welcome = self.current_welcome(now_ms, acting, config_version);
+        let has_resumed = acting && !self.announcement.welcome().acting;
         if !self.announcement.replace(welcome) {
             return;
         }
+        if let Some(head) = self.head_role.leading_mut().filter(|_| has_resumed) {
+            head.handle_resumed();
+        }
         let frame = Frame::Welcome(self.announcement.welcome().clone());
         let sends = self.sessions.iter().map(|(connection, _)| Output::Send {
             connection,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -88,6 +88,13 @@
         self.placer.take_traces()
     }
 
+    /// Waits for a full report of each worker before orders are sent to it, and sends the orders again that such a report does
+    /// not show. To be called when the node agents are informed that the head acts again after they were informed that it
+    /// did not: they have dropped the orders in between, and report everything anew.
+    pub fn expect_full_reports(&mut self) {
+        self.cluster.workers_mut().expect_full_reports();
+    }
+
     /// When [`Event::Timer`] is due, on the monotonic clock; always later than the last event.
     pub fn next_timer_ms(&self) -> u64 {
         let clock = self.cluster.clock();
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -217,8 +217,8 @@
     /// required again, and the unexpected runs listed over the former connection are dropped.
     pub(crate) fn attach(&mut self, agent: AgentId) {
         if self.agent != Some(agent) {
-            (self.agent, self.full_report_received) = (Some(agent), false);
-            self.unexpected.forget_listed();
+            self.agent = Some(agent);
+            self.expect_full_report();
         }
     }
 
@@ -227,6 +227,12 @@
         (self.agent, self.full_report_received) = (None, false);
     }
 
+    /// Makes the next full report count as the first one on its connection.
+    pub(crate) fn expect_full_report(&mut self) {
+        self.full_report_received = false;
+        self.unexpected.forget_listed();
+    }
+
     /// Records that a report of the node agent is answered: the answer extends its authority to grant run leases.
     pub(crate) fn record_answer(&mut self, now_ms: u64) {
         self.answered_at_ms = now_ms;
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -190,6 +190,13 @@
         self.set_node(id, node_name);
     }
 
+    /// Makes the next full report of each instance count as the first one on its connection.
+    pub(crate) fn expect_full_reports(&mut self) {
+        self.instances
+            .values_mut()
+            .for_each(Worker::expect_full_report);
+    }
+
     /// Records that the instance is on this machine.
     pub(crate) fn set_node(&mut self, id: WorkerId, node_name: String) {
         let Some(worker) = self.instances.get_mut(&id) else {
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -265,6 +265,17 @@
         }
     }
 
+    /// The head announces that it does not act, and right afterwards that it acts again: the node agents drop the orders in
+    /// transit, and report everything anew on the same connections.
+    pub(crate) fn suspend_head(&mut self) {
+        self.messages
+            .retain(|transit| !matches!(transit.message, Message::Orders(..)));
+        self.scheduler.expect_full_reports();
+        for node in self.nodes.iter_mut().filter(|node| node.connected) {
+            (node.running_reported, node.report_now) = (false, true);
+        }
+    }
+
     pub(crate) fn run_until(&mut self, until_ms: u64) {
         while self.now_ms < until_ms {
             self.now_ms += 1;
--- a/crates/scheduler/tests/recovery.rs
+++ b/crates/scheduler/tests/recovery.rs
@@ -27,6 +27,24 @@
     }
 }
 
+/// Failure: start orders that reached node agents between two announcements of their head, that it did not act and that it acted
+/// again, were dropped there, and were sent again 3 s later.
+#[test]
+fn orders_that_agents_dropped_while_their_head_did_not_act_are_sent_again_at_once() {
+    for delay_ms in 0..60 {
+        let mut cluster = Cluster::started(delay_ms);
+        let id = cluster.submit("quick", 1, spec(vec![step(4, 240, 500)]));
+        cluster.run_for(delay_ms);
+        cluster.suspend_head();
+        cluster.run_for(2_000);
+        assert_eq!(
+            cluster.state_of(id),
+            Some(JobState::Completed),
+            "after {delay_ms} ms"
+        );
+    }
+}
+
 /// A node agent is disconnected for so long that its run expires and the task is started elsewhere. A `done` that it
 /// reports after the reconnection still counts.
 #[test]
