--- /dev/null
+++ b/review/standin-2/doubled.rs
@@ -0,0 +1,118 @@
+//! The head freezes. Meanwhile a run ends `done`, and its worker leaves: it sends `DELETE` first, serves on and goes on
+//! listing the end. The task must not be started again.
+
+use crate::Outcome;
+use crate::cluster::{SIGCONT, SIGSTOP};
+use crate::record::Record;
+use crate::setup::{Queue, Site, job_id};
+use std::time::{Duration, Instant};
+
+const WORKERS: usize = 7;
+/// Length of the run.
+const RUN_MS: u64 = 3_000;
+/// The head freezes this long before the run ends.
+const FROZEN_BEFORE_MS: u64 = 100;
+/// Length of the freeze.
+const FROZEN_MS: u64 = 5_000;
+/// The worker leaves this long after the end.
+const LEAVES_AFTER_MS: u64 = 300;
+/// `liveness_ms`: the core is stable that long after the freeze began, until it ends: more than half of it runs.
+const LIVENESS_MS: u64 = 3_000;
+/// How long the worker serves on.
+const SERVES_ON_MS: u64 = 10_000;
+
+const QUEUE: Queue = Queue {
+    name: "r-2b9wu3f",
+    prefix: "/pufi791/",
+    priority: 2,
+    stretch: 4.0,
+    target_latency_ms: 4_000,
+};
+
+pub fn run(record: &Record, has_trouble: bool) -> Outcome {
+    let mut site = match Site::start(&[QUEUE], WORKERS, record) {
+        Ok(site) => site,
+        Err(why) => return Outcome::NotRun(why),
+    };
+    let Some(head) = site.cluster.head() else {
+        return Outcome::NotRun("no core machine answers the operator".to_owned());
+    };
+    let id = job_id(1);
+    let body = format!(
+        "{{\"spec\":\"{RUN_MS}\",\"stages\":[{{\"count\":1,\"cpu\":500,\"mem_mb\":256,\"estimate_ms\":{RUN_MS}}}]}}"
+    );
+    if !site.submit(0, QUEUE.prefix, &id, &body) {
+        return Outcome::NotRun("the job was not accepted".to_owned());
+    }
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let started = loop {
+        if let Some(start) = site.starts(&id).first().cloned() {
+            break start;
+        }
+        if Instant::now() > deadline {
+            return Outcome::NotRun("the job did not start".to_owned());
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    let wait_until = |at_ms: u64| {
+        let left_ms = at_ms.saturating_sub(record.now_ms());
+        std::thread::sleep(Duration::from_millis(left_ms));
+    };
+    let frozen_ms = started.at_ms + RUN_MS - FROZEN_BEFORE_MS;
+    wait_until(frozen_ms);
+    if has_trouble {
+        site.cluster.signal(&head, SIGSTOP);
+        record.write(&format!("{head}, the head, is frozen"));
+    }
+    wait_until(started.at_ms + RUN_MS + LEAVES_AFTER_MS);
+    let worker = site
+        .workers
+        .iter()
+        .position(|worker| worker.profile.instance == started.worker);
+    let Some(worker) = worker else {
+        return Outcome::NotRun("the worker is unknown".to_owned());
+    };
+    record.write(&format!("worker {} leaves", started.worker));
+    site.workers[worker].leave();
+    wait_until(frozen_ms + FROZEN_MS);
+    if has_trouble {
+        site.cluster.signal(&head, SIGCONT);
+        record.write(&format!("{head} runs again"));
+    }
+    wait_until(started.at_ms + RUN_MS + LEAVES_AFTER_MS + SERVES_ON_MS);
+    site.workers[worker].crash();
+    record.write(&format!("worker {} has ended", started.worker));
+    std::thread::sleep(Duration::from_secs(4));
+    let state = site.state(0, QUEUE.prefix, &id);
+    record.write(&format!("job {id}: state {state:?}"));
+    if !site.cluster.all_run() {
+        return Outcome::NotRun("a process has ended".to_owned());
+    }
+    let again: Vec<_> = site
+        .starts(&id)
+        .into_iter()
+        .filter(|start| start.attempt > started.attempt)
+        .collect();
+    let is_calm = |at_ms: u64| (frozen_ms + LIVENESS_MS..frozen_ms + FROZEN_MS).contains(&at_ms);
+    let listed_calm: Vec<_> = site.workers[worker]
+        .listed()
+        .into_iter()
+        .filter(|end| end.how == "done" && end.task == started.task && is_calm(end.at_ms))
+        .collect();
+    let held = listed_calm.iter().filter(|end| end.is_held).count();
+    record.write(&format!(
+        "the end was listed {} times in calm, {held} times before the hold lapsed; {} more starts",
+        listed_calm.len(),
+        again.len()
+    ));
+    match again.first() {
+        Some(start) if held > 0 => Outcome::Broken(format!(
+            "the run of {} ended done on {}, and the task was started again on {} {} ms later",
+            started.task,
+            started.worker,
+            start.worker,
+            start.at_ms - started.at_ms - RUN_MS
+        )),
+        _ => Outcome::Held,
+    }
+}
