--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -14,6 +14,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -31,6 +32,8 @@
 struct Machine {
     name: String,
     process: Child,
+    program: &'static str,
+    settings: PathBuf,
 }
 
 /// The running deployment; its processes end when it is dropped.
@@ -150,13 +153,49 @@
                 };
                 let process = spawn(program, &settings, &folder.join(format!("{name}.log")))?;
                 record.write(&format!("started {name} on {}", control.ip()));
-                cluster.machines.push(Machine { name, process });
+                cluster.machines.push(Machine {
+                    name,
+                    process,
+                    program,
+                    settings,
+                });
                 host += 1;
             }
         }
         Ok(cluster)
     }
 
+    /// Planned work: stops the process of a machine with SIGTERM, and with SIGKILL after `grace_s`, and starts it again.
+    pub fn roll(&mut self, name: &str, record: &Record) -> io::Result<()> {
+        let folder = self.folder.clone();
+        let Some(machine) = self
+            .machines
+            .iter_mut()
+            .find(|machine| machine.name == name)
+        else {
+            return Err(io::Error::other("no such machine"));
+        };
+        signal(&machine.process, SIGTERM);
+        record.write(&format!("SIGTERM to {name}"));
+        let deadline = Instant::now() + Duration::from_secs(6);
+        while machine.process.try_wait()?.is_none() {
+            if Instant::now() > deadline {
+                machine.process.kill()?;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        let text = fs::read_to_string(&machine.settings)?;
+        fs::write(
+            &machine.settings,
+            text.replace("bootstrap = true", "bootstrap = false"),
+        )?;
+        let log = folder.join(format!("{name}-again.log"));
+        machine.process = spawn(machine.program, &machine.settings, &log)?;
+        record.write(&format!("{name} is started again"));
+        Ok(())
+    }
+
     /// Sends a signal to the process of a machine.
     pub fn signal(&self, name: &str, number: i32) {
         if let Some(machine) = self.machines.iter().find(|machine| machine.name == name) {
--- a/review/standin-2/doubled.rs
+++ b/review/standin-2/doubled.rs
@@ -12,6 +12,8 @@
 const RUN_MS: u64 = 3_000;
 /// The head freezes this long before the run ends.
 const FROZEN_BEFORE_MS: u64 = 100;
+/// With planned work, the worker's node agent gets SIGTERM this long after the end.
+const ROLLED_AFTER_MS: u64 = 1_100;
 /// Length of the freeze.
 const FROZEN_MS: u64 = 5_000;
 /// The worker leaves this long after the end.
@@ -29,7 +31,31 @@
     target_latency_ms: 4_000,
 };
 
+/// The case is played twice: once with the freeze alone, and once with planned work besides, a SIGTERM of the node agent
+/// of that worker, with the freeze or without.
 pub fn run(record: &Record, has_trouble: bool) -> Outcome {
+    let mut broken = Vec::new();
+    for has_roll in [false, true] {
+        record.write(&format!(
+            "-- played with planned work {has_roll}, trouble {has_trouble}"
+        ));
+        match play(record, has_trouble, has_roll) {
+            Outcome::Held => record.write("-- held"),
+            Outcome::Broken(what) => {
+                record.write(&format!("-- broken: {what}"));
+                broken.push(what);
+            }
+            Outcome::NotRun(why) => return Outcome::NotRun(why),
+        }
+    }
+    if broken.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken(broken.join("; "))
+    }
+}
+
+fn play(record: &Record, has_trouble: bool, has_roll: bool) -> Outcome {
     let mut site = match Site::start(&[QUEUE], WORKERS, record) {
         Ok(site) => site,
         Err(why) => return Outcome::NotRun(why),
@@ -74,6 +100,13 @@
     };
     record.write(&format!("worker {} leaves", started.worker));
     site.workers[worker].leave();
+    if has_roll {
+        wait_until(started.at_ms + RUN_MS + ROLLED_AFTER_MS);
+        let agent = format!("side-{}", worker + 1);
+        if site.cluster.roll(&agent, record).is_err() {
+            return Outcome::NotRun("the node agent could not be started again".to_owned());
+        }
+    }
     wait_until(frozen_ms + FROZEN_MS);
     if has_trouble {
         site.cluster.signal(&head, SIGCONT);
@@ -93,20 +126,26 @@
         .into_iter()
         .filter(|start| start.attempt > started.attempt)
         .collect();
+    // The end is taken note of when last_seen reaches it, or 100 ms after it was listed with no trouble near, unless the
+    // hold lapsed before.
+    let seen = site
+        .events_of(&id, "noted done")
+        .into_iter()
+        .find(|event| event.worker == started.worker);
     let is_calm = |at_ms: u64| (frozen_ms + LIVENESS_MS..frozen_ms + FROZEN_MS).contains(&at_ms);
-    let listed_calm: Vec<_> = site.workers[worker]
+    let listed = site.workers[worker]
         .listed()
         .into_iter()
-        .filter(|end| end.how == "done" && end.task == started.task && is_calm(end.at_ms))
-        .collect();
-    let held = listed_calm.iter().filter(|end| end.is_held).count();
+        .filter(|end| end.how == "done" && end.task == started.task && end.is_held)
+        .find(|end| is_calm(end.at_ms));
     record.write(&format!(
-        "the end was listed {} times in calm, {held} times before the hold lapsed; {} more starts",
-        listed_calm.len(),
-        again.len()
+        "{} more starts; last_seen reached the first end at {:?}; listed in calm before the hold lapsed at {:?}",
+        again.len(),
+        seen.as_ref().map(|event| event.at_ms),
+        listed.as_ref().map(|end| end.at_ms)
     ));
     match again.first() {
-        Some(start) if held > 0 => Outcome::Broken(format!(
+        Some(start) if seen.is_some() || listed.is_some() => Outcome::Broken(format!(
             "the run of {} ended done on {}, and the task was started again on {} {} ms later",
             started.task,
             started.worker,
--- a/review/standin-2/setup.rs
+++ b/review/standin-2/setup.rs
@@ -167,11 +167,16 @@
 
     /// The starts of a job's tasks so far.
     pub fn starts(&self, id: &str) -> Vec<Event> {
+        self.events_of(id, "start")
+    }
+
+    /// What has happened so far to a job's tasks, of one kind.
+    pub fn events_of(&self, id: &str, what: &str) -> Vec<Event> {
         let events = self.events.lock().map(|events| events.clone());
         events
             .unwrap_or_default()
             .into_iter()
-            .filter(|event| event.what == "start" && event.task.starts_with(id))
+            .filter(|event| event.what == what && event.task.starts_with(id))
             .collect()
     }
 }
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -261,6 +261,15 @@
         }
     }
 
+    /// Keeps which ends `last_seen` has reached, and whether the hold has lapsed since them.
+    fn note_seen(&self, last_seen: u64) {
+        let is_held = self.lapsed_at.is_none() && Instant::now() < self.hold_until;
+        let hold = if is_held { "" } else { ", hold lapsed" };
+        for end in self.finished.iter().filter(|end| end.number <= last_seen) {
+            self.note(&end.task, end.attempt, &format!("noted {}{hold}", end.how));
+        }
+    }
+
     /// Keeps which ends an acknowledged heartbeat has listed.
     fn note_listed(&self, ends: &[(String, &'static str)]) {
         let Ok(mut listed) = self.listed.lock() else {
@@ -309,6 +318,7 @@
         }
         self.fence = fence;
         if let Some(last_seen) = number("last_seen") {
+            self.note_seen(last_seen);
             self.finished.retain(|end| end.number > last_seen);
         }
         let hold_ms = number("hold_ms");
