Scheduler: a job is pending until a worker has begun a task of it, not until one is placed

Cause: "started" was set when the first run was placed (`Job::run_placed`), and a new head restored the same from attempt numbers (`restore_repeats`). Placing is an order, not its effect.

Change: `Job::begun`, set in one place (`Jobs::record_begun`) by what a report shows: a run listed as running, or an end other than `refused`, outstanding or not; never by an order, a start in flight, or an attempt that was not placed. The count, the states `queued` and `running`, and the inspection's counts of jobs follow from it. Over a change of head: ends, failures and checkpoints in the rows show it; otherwise one byte and an empty list are appended to the progress row, which earlier builds ignore. It goes with the row's next write, at the latest 1.5 s after the report, or when a client is to be told `running`, so that no later head tells `queued`. Rows of earlier builds show what they show, and node agents' lists the rest.

--- a/crates/control-plane/src/inspection/rows.rs
+++ b/crates/control-plane/src/inspection/rows.rs
@@ -68,9 +68,12 @@
     pub instances: Vec<String>,
     /// Repetitions that are due and have not ended.
     pub repeats: Vec<RepeatRow>,
-    /// Outstanding speculative runs. They are appended to the rest of the row, and only if there are any.
+    /// Outstanding speculative runs. They are appended to the rest of the row, and only if it has additions.
     #[serde(skip)]
     pub speculative_runs: Vec<SpeculativeRunRow>,
+    /// Whether the job has begun, if the rest of the row does not show it. Appended only if it is true.
+    #[serde(skip)]
+    pub has_begun_flag: bool,
 }
 
 /// A repetition of a job.
@@ -109,7 +112,7 @@
 /// A step of a repetition.
 #[derive(Clone, Debug, Deserialize)]
 pub enum StepRow {
-    /// No task has been started.
+    /// No task has had a run.
     Fresh,
     /// All tasks are done and no run is outstanding.
     Done,
@@ -156,8 +159,13 @@
 /// Decodes the value of `progress/ID`; `None` if it is not in the expected format.
 pub fn read_progress(value: &[u8]) -> Option<Progress> {
     let (mut progress, rest): (Progress, &[u8]) = postcard::take_from_bytes(value).ok()?;
+    if rest.is_empty() {
+        return Some(progress);
+    }
+    let (speculative_runs, rest) = postcard::take_from_bytes(rest).ok()?;
+    progress.speculative_runs = speculative_runs;
     if !rest.is_empty() {
-        progress.speculative_runs = postcard::from_bytes(rest).ok()?;
+        progress.has_begun_flag = postcard::from_bytes(rest).ok()?;
     }
     Some(progress)
 }
@@ -185,16 +193,16 @@
         }
     }
 
-    /// Whether any task of the step has been started.
-    pub fn has_started(&self) -> bool {
+    /// Whether the row shows that a run of a task of the step has begun.
+    pub fn shows_begin(&self) -> bool {
         match self {
             StepRow::Fresh => false,
             StepRow::Done => true,
-            StepRow::Open { tasks, .. } => tasks.iter().any(|task| task.last_attempt > 0),
+            StepRow::Open { tasks, .. } => tasks.iter().any(TaskRow::shows_begin),
         }
     }
 
-    /// Counts the step's tasks by state. Tasks that are neither running nor done are waiting if `is_open`, that is if the
+    /// Counts the step's tasks by state. Tasks that are neither placed nor done are waiting if `is_open`, that is if the
     /// step has no unfinished dependencies, and blocked otherwise.
     pub fn counts(&self, step: &Step, is_open: bool) -> TaskCounts {
         let all = u64::from(step.count);
@@ -223,20 +231,24 @@
     }
 }
 
+impl TaskRow {
+    /// Whether the row shows that a run of the task has begun: one has ended `done` or `failed`, or has made a checkpoint.
+    pub fn shows_begin(&self) -> bool {
+        self.done || self.failures > 0 || !self.checkpoint.is_empty()
+    }
+}
+
 impl Progress {
-    /// Whether any task of the job has been started.
-    pub fn has_started(&self) -> bool {
+    /// Whether a worker has begun a task of the job. The row may be 2 s behind what the head knows.
+    pub fn has_begun(&self) -> bool {
         let some_finished = self.next_repeat as usize > self.repeats.len();
-        some_finished
-            || self
-                .repeats
-                .iter()
-                .any(|repeat| repeat.steps.iter().any(StepRow::has_started))
+        let mut steps = self.repeats.iter().flat_map(|repeat| &repeat.steps);
+        self.has_begun_flag || some_finished || steps.any(StepRow::shows_begin)
     }
 
-    /// Returns the job's state as clients see it.
+    /// Returns the job's state as clients see it, or saw it up to 2 s ago.
     pub fn state(&self) -> JobState {
-        let unended = if self.has_started() {
+        let unended = if self.has_begun() {
             JobState::Running
         } else {
             JobState::Queued
--- a/crates/control-plane/src/inspection/table_summary.rs
+++ b/crates/control-plane/src/inspection/table_summary.rs
@@ -112,7 +112,7 @@
     fn add_open(&mut self, outline: &Outline, progress: &Progress) {
         let queue = self.queues.entry(outline.route.clone()).or_default();
         queue.queue.clone_from(&outline.route);
-        if progress.has_started() {
+        if progress.has_begun() {
             queue.running += 1;
         } else {
             queue.queued += 1;
--- a/crates/protocol/src/inspection/status.rs
+++ b/crates/protocol/src/inspection/status.rs
@@ -99,9 +99,9 @@
 pub struct QueueStatus {
     /// Name of the route that feeds the queue.
     pub queue: String,
-    /// Number of jobs of which no run has been started.
+    /// Number of jobs of which no task has begun, or had begun up to 2 s ago.
     pub queued: u64,
-    /// Number of jobs of which at least one run has been started.
+    /// Number of jobs of which a worker has begun a task.
     pub running: u64,
     /// Tasks of these jobs by state.
     pub tasks: TaskCounts,
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -109,9 +109,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum JobState {
-    /// No run of the job has been started.
+    /// No task of the job has begun: no worker has been seen to run one.
     Queued,
-    /// At least one run of the job has been started.
+    /// A worker has begun a task of the job. It stays so, also when no run is left.
     Running,
     /// All tasks of the job are done.
     Completed,
--- a/crates/protocol/src/worker/run_end.rs
+++ b/crates/protocol/src/worker/run_end.rs
@@ -24,3 +24,18 @@
     /// The worker rejected the start; the run never began.
     Refused,
 }
+
+impl RunEnd {
+    /// Whether the worker had begun the run.
+    pub fn has_begun(self) -> bool {
+        match self {
+            RunEnd::Done
+            | RunEnd::Failed
+            | RunEnd::Stopped
+            | RunEnd::Expired
+            | RunEnd::GangMemberEnded
+            | RunEnd::GangIncomplete => true,
+            RunEnd::Refused => false,
+        }
+    }
+}
--- a/crates/scheduler/src/client_calls.rs
+++ b/crates/scheduler/src/client_calls.rs
@@ -191,12 +191,14 @@
     backlog_ms
 }
 
-/// The state of a job, which the client is told once the job's newest write is committed.
-fn state_of(cluster: &Cluster, id: JobId) -> Answer {
+/// The state of a job, which the client is told once the job's newest write is committed: a later head never goes back from
+/// `running` to `queued`.
+fn state_of(cluster: &mut Cluster, id: JobId) -> Answer {
+    cluster.write_begin(id);
     let Some(job) = cluster.jobs().get(&id) else {
         return Answer::immediate(ClientOutcome::NoSuchJob);
     };
-    let open_state = if job.is_started() {
+    let open_state = if job.has_begun() {
         JobState::Running
     } else {
         JobState::Queued
--- a/crates/scheduler/src/cluster/runs.rs
+++ b/crates/scheduler/src/cluster/runs.rs
@@ -7,7 +7,7 @@
 use crate::run_result::RunResult;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::internal::RunningRun;
-use indigofold_protocol::task::{RunId, TaskName};
+use indigofold_protocol::task::{JobId, RunId, TaskName};
 
 impl Cluster {
     /// Places a run of a waiting task, or a speculative run; its start order is sent once the placement is committed.
@@ -119,10 +119,28 @@
         self.jobs.record_in_flight(run, worker, now_ms)
     }
 
+    /// Records that a report shows that this run has begun, whether it is outstanding or not.
+    pub(crate) fn record_begun(&mut self, run: &RunId) {
+        self.jobs.record_begun(run, self.clock.now_ms());
+    }
+
+    /// Requests the writes of rows that have not shown for a while that their jobs have begun.
+    pub(crate) fn write_due_begins(&mut self) {
+        self.jobs.write_due_begins(self.clock.now_ms());
+        self.process_job_events();
+    }
+
+    /// Requests the write of an open job's rows if they do not show that the job has begun.
+    pub(crate) fn write_begin(&mut self, id: JobId) {
+        self.jobs.write_begin(id);
+        self.process_job_events();
+    }
+
     /// Records that a report of this worker lists the run as running, with its progress and checkpoint; returns `false` if
     /// the run is not outstanding there.
     pub(crate) fn record_listed(&mut self, worker: WorkerId, listed_run: &RunningRun) -> bool {
         let (run, now_ms) = (&listed_run.run, self.clock.now_ms());
+        self.jobs.record_begun(run, now_ms);
         if !self
             .jobs
             .record_listed(run, worker, listed_run.percent, now_ms)
--- a/crates/scheduler/src/cluster/writes.rs
+++ b/crates/scheduler/src/cluster/writes.rs
@@ -14,7 +14,8 @@
         }
         let (write, changed) = self.outbox.take_changes();
         for id in changed.progress.iter().chain(&changed.removed) {
-            self.jobs.record_rows_written(*id, self.clock.now_ms());
+            self.jobs
+                .record_rows_written(*id, write, self.clock.now_ms());
         }
         let changes = self.row_changes(changed);
         Some(Effect::Write { write, changes })
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -3,6 +3,7 @@
 //! [`JobEvent`]s for changes to queues and stored rows and for runs to stop, and the `cluster` module processes them.
 
 mod admission_load;
+mod begun_jobs;
 mod due_jobs;
 mod event;
 mod job;
@@ -27,6 +28,7 @@
 use crate::step_traits::StepTraits;
 use crate::value::QueueValues;
 use admission_load::AdmissionLoad;
+use begun_jobs::UnwrittenBegins;
 use due_jobs::DueJobs;
 use indigofold_protocol::job::Step;
 use indigofold_protocol::task::JobId;
@@ -43,6 +45,8 @@
     due: DueJobs,
     /// Mean work of the jobs of each route.
     queue_values: QueueValues,
+    /// Jobs that have begun lately and whose rows may not show it yet.
+    unwritten_begins: UnwrittenBegins,
     /// Jobs with checkpoints that are not in their stored rows yet.
     unwritten_checkpoints: BTreeSet<JobId>,
     /// Jobs and repetitions that ended late or failed since the last [`take_late_ends`](Self::take_late_ends).
@@ -61,6 +65,7 @@
             load: AdmissionLoad::default(),
             due: DueJobs::default(),
             queue_values: QueueValues::default(),
+            unwritten_begins: UnwrittenBegins::default(),
             unwritten_checkpoints: BTreeSet::new(),
             late_ends: Vec::new(),
             events: VecDeque::new(),
@@ -103,7 +108,7 @@
         self.load.has_open_jobs()
     }
 
-    /// Number of open jobs of a route of which no run has been placed.
+    /// Number of open jobs of a route of which no task has begun.
     pub(crate) fn pending(&self, route: &str) -> u64 {
         self.load.pending(route)
     }
@@ -130,11 +135,11 @@
         }
     }
 
-    /// Records that the job's rows, including its checkpoints, are being written now.
-    pub(crate) fn record_rows_written(&mut self, id: JobId, now_ms: u64) {
+    /// Records that the job's rows, including its checkpoints, are being written now, by this write.
+    pub(crate) fn record_rows_written(&mut self, id: JobId, write: WriteId, now_ms: u64) {
         self.unwritten_checkpoints.remove(&id);
         if let Some(job) = self.by_id.get_mut(&id) {
-            job.set_written(now_ms);
+            job.set_written(write, now_ms);
         }
     }
 
--- a/crates/scheduler/src/jobs/admission_load.rs
+++ b/crates/scheduler/src/jobs/admission_load.rs
@@ -16,7 +16,7 @@
     open_jobs: u64,
     /// Tasks of open jobs that are not done.
     open_tasks: u64,
-    /// Number of open jobs of each route of which no run has been placed.
+    /// Number of open jobs of each route of which no task has begun.
     pending: FxHashMap<String, u64>,
 }
 
@@ -31,7 +31,7 @@
         self.open_jobs > 0
     }
 
-    /// Number of open jobs of a route of which no run has been placed.
+    /// Number of open jobs of a route of which no task has begun.
     pub(crate) fn pending(&self, route: &str) -> u64 {
         self.pending.get(route).copied().unwrap_or(0)
     }
@@ -47,12 +47,12 @@
         self.tasks_closed(open_tasks);
     }
 
-    /// Counts a job of this route that waits for its first run.
+    /// Counts an open job of this route of which no task has begun.
     pub(crate) fn job_pending(&mut self, route: &str) {
         *self.pending.entry(route.to_owned()).or_default() += 1;
     }
 
-    /// Removes a job of this route from the pending count: its first run was placed, or it has ended.
+    /// Removes a job of this route from the pending count: a task of it has begun, or it has ended.
     pub(crate) fn job_no_longer_pending(&mut self, route: &str) {
         if let Some(count) = self.pending.get_mut(route) {
             *count = count.saturating_sub(1);
--- a/crates/scheduler/src/jobs/job.rs
+++ b/crates/scheduler/src/jobs/job.rs
@@ -44,8 +44,10 @@
     next_repeat: u32,
     /// How and when the job ended; `None` while it is open.
     end: Option<JobEnd>,
-    /// Whether a run of the job has ever been placed.
-    started: bool,
+    /// Whether a worker has begun a task of the job, as far as reports or the stored rows have shown. Once set, it stays.
+    begun: bool,
+    /// Whether the job's rows, as last written, show that it has begun.
+    begun_in_rows: bool,
     /// Number of the job's runs that have not ended.
     outstanding_count: u32,
     /// Workers on which tasks of the job have failed, at most [`FAILED_ON_MAX`].
@@ -85,7 +87,8 @@
             repeats: BTreeMap::new(),
             next_repeat: 0,
             end: None,
-            started: false,
+            begun: false,
+            begun_in_rows: false,
             outstanding_count: 0,
             failed_on: Vec::new(),
             last_write: WriteId(0),
@@ -153,9 +156,21 @@
         self.end.is_some()
     }
 
-    /// Whether a run of the job has ever been placed.
-    pub(crate) fn is_started(&self) -> bool {
-        self.started
+    /// Whether a worker has begun a task of the job. A run that is placed, or whose start order is sent, has not begun.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Whether the job has begun, but its rows, as last written, do not show it.
+    pub(crate) fn has_unwritten_begin(&self) -> bool {
+        self.begun && !self.begun_in_rows
+    }
+
+    /// Whether the job's repetitions alone show that it has begun: one has ended, or a run of a task of the others is known
+    /// to have begun.
+    pub(crate) fn progress_shows_begin(&self) -> bool {
+        let has_ended_repeat = self.next_repeat as usize > self.repeats.len();
+        has_ended_repeat || self.repeats.values().any(Repetition::shows_begin)
     }
 
     /// Whether any run of the job has not ended.
@@ -178,9 +193,14 @@
         self.last_write = write;
     }
 
-    /// Records that the job's rows are being written now.
-    pub(crate) fn set_written(&mut self, now_ms: u64) {
+    /// Records that the job's rows are being written now, by this write. Rows that are the first to show that the job has
+    /// begun count as a change of the job.
+    pub(crate) fn set_written(&mut self, write: WriteId, now_ms: u64) {
         self.written_at_ms = now_ms;
+        if self.has_unwritten_begin() {
+            self.begun_in_rows = true;
+            self.last_write = write;
+        }
     }
 
     /// Sets the value of completing the job within its latency target, relative to the mean job of its route.
@@ -323,10 +343,14 @@
         self.step_state_mut(StepRef::of(name))?.task_mut(name.index)
     }
 
-    /// Counts a placed run of the job; returns whether it is the first one ever.
-    pub(crate) fn run_placed(&mut self) -> bool {
+    /// Counts a placed run of the job.
+    pub(crate) fn run_placed(&mut self) {
         self.outstanding_count += 1;
-        !std::mem::replace(&mut self.started, true)
+    }
+
+    /// Records that a worker has begun a task of the job; returns whether that is new.
+    pub(crate) fn set_begun(&mut self) -> bool {
+        !std::mem::replace(&mut self.begun, true)
     }
 
     /// Removes an ended run from the count of outstanding runs.
--- a/crates/scheduler/src/jobs/job/restored.rs
+++ b/crates/scheduler/src/jobs/job/restored.rs
@@ -15,18 +15,16 @@
         Job {
             end,
             next_repeat,
-            started: next_repeat > 0,
             ..Job::new(definition)
         }
     }
 
-    /// Adds the repetitions that had not ended when the rows were written. The job counts as started if an earlier
-    /// repetition has ended or any task of these has had a run.
-    pub(crate) fn restore_repeats(&mut self, repeats: BTreeMap<u32, Repetition>) {
-        let has_run = |step: &StepState| step.last_attempt() > 0;
-        self.started = self.next_repeat as usize > repeats.len()
-            || repeats.values().flat_map(Repetition::steps).any(has_run);
+    /// Adds the repetitions that had not ended when the rows were written. `has_begun` is what the rows say of the job
+    /// besides; rows of earlier versions, which say nothing, show that it has begun by its progress only.
+    pub(crate) fn restore_repeats(&mut self, repeats: BTreeMap<u32, Repetition>, has_begun: bool) {
         self.repeats = repeats;
+        self.begun = has_begun || self.progress_shows_begin();
+        self.begun_in_rows = self.begun;
         let tasks = self
             .repeats
             .values()
--- a/crates/scheduler/src/jobs/lifecycle.rs
+++ b/crates/scheduler/src/jobs/lifecycle.rs
@@ -46,7 +46,7 @@
         }
         self.load.job_opened();
         self.load.tasks_opened(job.open_tasks());
-        if !job.is_started() {
+        if !job.has_begun() {
             self.load.job_pending(job.route());
         }
         let repeats = job
@@ -100,7 +100,7 @@
             self.due.remove_repetition(DueJob { wall_ms, job: id });
         }
         self.load.job_ended(job.open_tasks());
-        if !job.is_started() {
+        if !job.has_begun() {
             self.load.job_no_longer_pending(job.route());
         }
         if state != JobState::Completed {
--- a/crates/scheduler/src/jobs/repetition.rs
+++ b/crates/scheduler/src/jobs/repetition.rs
@@ -41,6 +41,11 @@
         self.steps.iter().all(StepState::is_done)
     }
 
+    /// Whether the state of any step shows that a run of one of its tasks has begun.
+    pub(crate) fn shows_begin(&self) -> bool {
+        self.steps.iter().any(StepState::shows_begin)
+    }
+
     /// Whether all tasks are done and no run is outstanding.
     pub(crate) fn is_finished(&self) -> bool {
         self.is_done() && self.steps.iter().all(StepState::is_idle)
--- a/crates/scheduler/src/jobs/runs.rs
+++ b/crates/scheduler/src/jobs/runs.rs
@@ -39,9 +39,7 @@
         let resources = job.step(task.step).map(Step::resources)?;
         let state = job.step_state_mut(StepRef::of(&task))?;
         state.record_placement(task.index, attempt, placement, now_ms);
-        if job.run_placed() {
-            self.load.job_no_longer_pending(job.route());
-        }
+        job.run_placed();
         self.progress_changed(task.job);
         Some(resources)
     }
--- a/crates/scheduler/src/jobs/step.rs
+++ b/crates/scheduler/src/jobs/step.rs
@@ -167,6 +167,11 @@
         self.done_tasks as usize == self.tasks.len()
     }
 
+    /// Whether the state of any task shows that a run of it has begun.
+    pub(crate) fn shows_begin(&self) -> bool {
+        self.tasks.iter().any(Task::shows_begin)
+    }
+
     /// Whether no task has an outstanding run.
     pub(crate) fn is_idle(&self) -> bool {
         self.tasks.iter().all(|task| task.run().is_none())
--- a/crates/scheduler/src/jobs/task.rs
+++ b/crates/scheduler/src/jobs/task.rs
@@ -81,6 +81,11 @@
         self.done
     }
 
+    /// Whether the state shows that a run of the task has begun: one has ended `done` or `failed`, or has made a checkpoint.
+    pub(crate) fn shows_begin(&self) -> bool {
+        self.done || self.failures > 0 || !self.checkpoint.is_empty()
+    }
+
     /// Checkpoint to resume from; empty for none.
     pub(crate) fn checkpoint(&self) -> &str {
         &self.checkpoint
--- a/crates/scheduler/src/jobs/tests.rs
+++ b/crates/scheduler/src/jobs/tests.rs
@@ -49,10 +49,16 @@
         },
     ]);
     let (first, second) = (fixture.place_first(0, 0), fixture.place_first(0, 1));
+    assert_eq!(
+        fixture.jobs.pending("route"),
+        1,
+        "runs are placed, but none has begun"
+    );
+    fixture.begin(first);
     assert_eq!(
         fixture.jobs.pending("route"),
         0,
-        "the job has a run and is not pending any more"
+        "a run has begun, so the job is not pending any more"
     );
     let events = fixture.end(first, DONE);
     assert!(!events.iter().any(|event| enqueues_step(event, 1)));
@@ -240,12 +246,12 @@
 fn a_checkpoint_is_due_once_the_rows_are_old_enough_and_not_after_a_write() {
     let mut fixture = JobFixture::new();
     fixture.accept(vec![one_task()]);
-    fixture.jobs.record_rows_written(JOB, fixture.now_ms());
+    fixture.write_rows();
     fixture.jobs.add_unwritten_checkpoint(JOB);
     assert_eq!(fixture.jobs_to_write(100), Vec::new());
     fixture.advance(100);
     assert_eq!(fixture.jobs_to_write(100), vec![JOB]);
-    fixture.jobs.record_rows_written(JOB, fixture.now_ms());
+    fixture.write_rows();
     fixture.advance(1_000);
     assert_eq!(fixture.jobs_to_write(100), Vec::new());
 }
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -200,6 +200,9 @@
 /// [`Cluster::handle_late_done`].
 fn handle_end(cluster: &mut Cluster, id: WorkerId, end: &FinishedRun) {
     let now_ms = cluster.clock().now_ms();
+    if end.end.has_begun() {
+        cluster.record_begun(&end.run);
+    }
     let run = cluster.jobs().run(&end.run);
     if run.is_none_or(|run| run.worker() != id) {
         if end.end == RunEnd::Done {
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -75,10 +75,19 @@
     /// IDs of the worker instances that the runs refer to by index.
     instances: Vec<String>,
     repeats: Vec<RepetitionRow>,
-    /// Speculative runs. They are encoded after the rest of the row, and only if there are any, so that rows without them
-    /// have the same form as those of earlier versions.
+    /// What was added to the row in later versions.
     #[serde(skip)]
+    additions: Additions,
+}
+
+/// What later versions have added to a progress row. It is encoded after the rest of the row, and only as far as there is
+/// any, so that a row without it has the same form as in earlier versions; these ignore what they do not know.
+#[derive(Debug, Default, PartialEq)]
+struct Additions {
+    /// Speculative runs; not encoded if there are none and the job has not begun.
     speculative_runs: Vec<SpeculativeRunRow>,
+    /// Whether the job has begun, if the rest of the row does not show it. Encoded only if it is true.
+    has_begun: bool,
 }
 
 /// The stored form of a repetition that is due and has not ended.
@@ -148,23 +157,55 @@
             .collect();
         repeats.push(RepetitionRow { number, steps });
     }
-    let (end, next_repeat, speculative_runs) = (
-        job.end(),
-        job.next_repeat(),
-        speculative_run_rows(job, workers),
-    );
     let progress = Progress {
-        end,
-        next_repeat,
+        end: job.end(),
+        next_repeat: job.next_repeat(),
         instances,
         repeats,
-        speculative_runs,
+        additions: Additions {
+            speculative_runs: speculative_run_rows(job, workers),
+            has_begun: needs_begun_flag(job),
+        },
     };
     let row = postcard::to_allocvec(&progress).unwrap_or_default();
-    if progress.speculative_runs.is_empty() {
-        return row;
+    progress.additions.append_to(row)
+}
+
+/// Whether an open job has begun and its repetitions do not show it.
+fn needs_begun_flag(job: &Job) -> bool {
+    !job.has_ended() && job.has_begun() && !job.progress_shows_begin()
+}
+
+impl Additions {
+    /// Appends the encoded additions to the rest of the row.
+    fn append_to(&self, row: Vec<u8>) -> Vec<u8> {
+        if self.speculative_runs.is_empty() && !self.has_begun {
+            return row;
+        }
+        let row = postcard::to_extend(&self.speculative_runs, row).unwrap_or_default();
+        if !self.has_begun {
+            return row;
+        }
+        postcard::to_extend(&self.has_begun, row).unwrap_or_default()
+    }
+
+    /// Decodes what follows the rest of the row with this key.
+    fn read(key: &[u8], bytes: &[u8]) -> Result<Additions, RowError> {
+        if bytes.is_empty() {
+            return Ok(Additions::default());
+        }
+        let (speculative_runs, bytes) =
+            postcard::take_from_bytes(bytes).map_err(|source| decode_error(key, source))?;
+        let has_begun = if bytes.is_empty() {
+            false
+        } else {
+            decode(key, bytes)?
+        };
+        Ok(Additions {
+            speculative_runs,
+            has_begun,
+        })
     }
-    postcard::to_extend(&progress.speculative_runs, row).unwrap_or_default()
 }
 
 fn speculative_run_rows(job: &Job, workers: &Workers) -> Vec<SpeculativeRunRow> {
@@ -257,9 +298,7 @@
 pub(crate) fn read_progress(key: &[u8], value: &[u8]) -> Result<Progress, RowError> {
     let (mut progress, remaining_bytes): (Progress, &[u8]) =
         postcard::take_from_bytes(value).map_err(|source| decode_error(key, source))?;
-    if !remaining_bytes.is_empty() {
-        progress.speculative_runs = decode(key, remaining_bytes)?;
-    }
+    progress.additions = Additions::read(key, remaining_bytes)?;
     Ok(progress)
 }
 
@@ -302,7 +341,7 @@
             next_repeat,
             instances,
             repeats,
-            speculative_runs,
+            additions,
         } = self.progress;
         let mut job = Job::restored(self.definition, end, next_repeat);
         let instances = instances.iter();
@@ -320,8 +359,8 @@
             (number, repeat)
         };
         let repeats: BTreeMap<u32, Repetition> = repeats.into_iter().map(restore_repeat).collect();
-        job.restore_repeats(repeats);
-        for row in speculative_runs {
+        job.restore_repeats(repeats, additions.has_begun);
+        for row in additions.speculative_runs {
             let worker = workers.get_or_register(&row.instance, now_ms);
             let step_ref = StepRef {
                 job: JobId(0),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -147,8 +147,8 @@
         }
     }
 
-    /// Performs the periodic work: expires instances and ended jobs, checks runs, writes checkpoints, reorders queues and
-    /// preempts.
+    /// Performs the periodic work: expires instances and ended jobs, checks runs, writes what reports have shown,
+    /// reorders queues and preempts.
     fn tick(&mut self) {
         let cluster = &mut self.cluster;
         let now_ms = cluster.clock().now_ms();
@@ -164,6 +164,7 @@
             check_runs(cluster);
             self.placer.speculate(cluster);
         }
+        cluster.write_due_begins();
         cluster.write_checkpoints();
         if self.solve_timer.take_due(now_ms) {
             cluster.solve_kind_probabilities();
--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -7,6 +7,7 @@
 mod idle_jobs;
 mod invariants;
 pub(crate) mod node;
+pub(crate) mod pending;
 mod running;
 mod setup;
 
@@ -17,6 +18,7 @@
 use indigofold_protocol::worker::RunEnd;
 use indigofold_scheduler::{AgentId, Effect, Epoch, Event, LateEnd, RowChange, Scheduler, WriteId};
 use node::Node;
+use pending::ReportedBegins;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -60,6 +62,8 @@
     pub sent_ms: u64,
     pub accepted_ms: Option<u64>,
     pub rejected: bool,
+    /// Whether a cancellation was ever sent.
+    pub cancel_sent: bool,
     pub cancelled_ms: Option<u64>,
     pub state: Option<JobState>,
     pub ended_ms: Option<u64>,
@@ -133,6 +137,12 @@
     pub checks_idle: bool,
     /// Since when each idle job has been idle.
     idle_since: BTreeMap<JobId, u64>,
+    /// Whether runs of steps without checkpoints make some, too.
+    pub all_runs_make_checkpoints: bool,
+    /// Whether the cluster checks the counts of pending jobs, see [`pending`].
+    pub checks_pending: bool,
+    /// The beginnings of jobs that were reported to heads.
+    begins: ReportedBegins,
 }
 
 impl Cluster {
@@ -166,6 +176,9 @@
             clock_step_ms: 0,
             checks_idle: false,
             idle_since: BTreeMap::new(),
+            all_runs_make_checkpoints: true,
+            checks_pending: true,
+            begins: ReportedBegins::default(),
         };
         cluster.handle(Event::Config(cluster.config.clone()));
         (0..cluster.nodes.len()).for_each(|node| cluster.connect(node));
@@ -249,6 +262,7 @@
         {
             apply(&mut self.rows, pending.changes);
         }
+        self.begins.head_lost(self.now_ms);
         self.messages.clear();
         self.connections.clear();
         self.calls.clear();
@@ -318,6 +332,9 @@
         if self.checks_idle && self.now_ms.is_multiple_of(20) {
             self.check_idle();
         }
+        if self.checks_pending && self.now_ms.is_multiple_of(pending::CHECK_INTERVAL_MS) {
+            self.check_pending();
+        }
     }
 
     fn deliver(&mut self, message: Message) {
@@ -333,6 +350,7 @@
             }
             Message::Report(agent, report) => {
                 if self.connections.contains_key(&agent) {
+                    self.begins.record_report(&report, self.now_ms);
                     self.handle(Event::Report { agent, report });
                 }
             }
--- a/crates/system-tests/src/client.rs
+++ b/crates/system-tests/src/client.rs
@@ -189,6 +189,20 @@
         Ok(state)
     }
 
+    /// Reads the number of pending jobs of a queue.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if no edge responds in time, or the response has no count.
+    pub fn pending(&self, queue: &Queue) -> Result<u64, ClientError> {
+        let what = format!("pending jobs of {}", queue.path_prefix);
+        let request = Request::new("GET", queue.path_prefix.clone());
+        let response = self.retry(&what, || self.request_at(self.any_edge(), &request))?;
+        let count = |response: &Response| response.json()["pending"].as_u64();
+        let response = check_response(response, |response| count(response).is_some(), &what)?;
+        Ok(count(&response).unwrap_or_default())
+    }
+
     /// Reads a job's state repeatedly until `wanted` returns true for it.
     ///
     /// # Errors
--- a/crates/system-tests/src/cluster/steps.rs
+++ b/crates/system-tests/src/cluster/steps.rs
@@ -115,6 +115,17 @@
             .expect("an edge should return the job's state")
     }
 
+    /// The number of pending jobs of the queue with this path prefix.
+    ///
+    /// # Panics
+    ///
+    /// If the number cannot be read.
+    pub fn pending(&self, path_prefix: &str) -> u64 {
+        self.client
+            .pending(&self.queue(path_prefix))
+            .expect("an edge should return the number of pending jobs")
+    }
+
     /// Submits small jobs for `time`, each after the one before has completed.
     pub fn submit_jobs_for(&self, time: Duration) {
         let until = self.environment.now() + time;
