indigofold-ctl: tasks with an outstanding run are called placed, not running

`status` and `job` showed tasks as running from their placement on. The rows hold placements; whether a worker has begun a task is not stored. The words of the tables and the descriptions say so now; the fields of `--json` keep their names. Measured: tests of the tool and of control-plane pass.

--- a/crates/ctl/src/job.rs
+++ b/crates/ctl/src/job.rs
@@ -134,7 +134,7 @@
         done,
     } = step.tasks;
     let mut text = format!(
-        "repetition {} step {}: {waiting} waiting, {blocked} blocked, {running} running, {done} done, {} failures\n",
+        "repetition {} step {}: {waiting} waiting, {blocked} blocked, {running} placed, {done} done, {} failures\n",
         step.repeat, step.step, step.failures
     );
     if let Some(wait) = &step.wait {
@@ -142,7 +142,7 @@
     }
     for run in &step.runs {
         text.push_str(&format!(
-            "  task {} attempt {} on {}\n",
+            "  task {} attempt {} placed on {}\n",
             run.index, run.attempt, run.instance
         ));
     }
@@ -162,7 +162,7 @@
             needed,
         } => {
             format!(
-                "no room: {fitting_tasks} tasks would fit beside the running ones, {needed} are needed at once"
+                "no room: {fitting_tasks} tasks would fit beside the placed ones, {needed} are needed at once"
             )
         }
         WaitReason::Deferred { fitting_tasks } => format!(
--- a/crates/ctl/src/status/text.rs
+++ b/crates/ctl/src/status/text.rs
@@ -126,7 +126,7 @@
         "running",
         "tasks: waiting",
         "blocked",
-        "running",
+        "placed",
         "done",
     ]);
     for queue in &work.queues {
--- a/crates/protocol/src/inspection/job.rs
+++ b/crates/protocol/src/inspection/job.rs
@@ -56,7 +56,7 @@
     pub index: u32,
     /// Attempt number of the run.
     pub attempt: u32,
-    /// Id of the worker instance that runs it.
+    /// Id of the worker instance on which it is placed.
     pub instance: String,
 }
 
@@ -70,7 +70,7 @@
     NoWorkers,
     /// No worker of the service has both the label and the total capacity that a task needs.
     NoWorkerFits,
-    /// Too few tasks fit into the capacity that running tasks leave free.
+    /// Too few tasks fit into the capacity that placed tasks leave free.
     #[serde(rename = "no_room")]
     InsufficientCapacity {
         /// Number of tasks that fit now.
--- a/crates/protocol/src/inspection/task_counts.rs
+++ b/crates/protocol/src/inspection/task_counts.rs
@@ -9,7 +9,8 @@
     pub waiting: u64,
     /// Tasks that depend on steps that are not done.
     pub blocked: u64,
-    /// Tasks with an outstanding run.
+    /// Tasks with an outstanding run, that is one that was placed and is not known to have ended or to be lost. Whether its
+    /// worker has begun it is not stored.
     pub running: u64,
     /// Tasks that are done.
     pub done: u64,
