Data plane: an instance that sends DELETE stays until a head has acknowledged its ends

Cause: `Agent::handle_deregistration` ended an instance without open runs at once, also if it had listed ends that no head had acknowledged. The report named the instance as ended and carried none of them, so that the head counted its runs as lost.

Change: the instance stays, reported as draining with no time left, until all its ends are acknowledged. One that serves on ends with the reply to a heartbeat; one that was draining ends with the acknowledgement, with its runs; without a head either ends when its leases expire, as before.

--- a/crates/data-plane/src/agent.rs
+++ b/crates/data-plane/src/agent.rs
@@ -148,9 +148,8 @@
         HeartbeatOutcome::Answered(reply)
     }
 
-    /// Handles `DELETE /instances/ID`. An instance that is draining or idle ends at once. Any other instance still has
-    /// runs: it ends after the worker has listed the end of each run and the head has acknowledged these ends, or when
-    /// its leases expire.
+    /// Handles `DELETE /instances/ID`. The instance ends once the head has acknowledged all ends that the worker has listed
+    /// and, unless it was draining, the worker has listed the end of each run; at the latest when its leases expire.
     pub fn handle_deregistration(&mut self, id: &str) {
         let Some(instance) = self.instances.find_current_mut(id) else {
             return self.instances.handle_pending_deregistration(id);
@@ -159,17 +158,12 @@
             return;
         }
         let withdrawn_runs = instance.withdraw_unlisted();
-        let has_runs = !instance.is_draining() && !instance.is_idle();
-        if has_runs {
-            instance.deregister();
-            self.schedule.expedite_if(true);
-        }
+        instance.deregister();
+        self.schedule.expedite_if(true);
         self.instances.push_event(AgentEvent::Deregistered {
             instance: id.to_owned(),
         });
-        if !has_runs {
-            self.end_instance();
-        }
+        self.end_if_finished();
         self.report_not_started(withdrawn_runs);
     }
 
@@ -202,7 +196,12 @@
         for run in orders.stop {
             not_started.extend(instance.handle_stop(run));
         }
+        let ends_now = instance.ends_now();
         self.report_not_started(not_started);
+        if ends_now {
+            // No heartbeat follows whose reply would end it.
+            self.end_if_finished();
+        }
     }
 
     /// Returns the events since the last call, oldest first.
@@ -234,19 +233,15 @@
         })
     }
 
-    /// Ends a deregistered instance that has no runs left and whose ends the head has all acknowledged.
+    /// Ends a deregistered instance of which no run goes on and whose ends the head has all acknowledged.
     fn end_if_finished(&mut self) {
         let current_instance = self.instances.current();
         if current_instance.is_some_and(WorkerInstance::is_finished) {
-            self.end_instance();
+            let has_ended = self.instances.end_current();
+            self.schedule.expedite_if(has_ended);
         }
     }
 
-    fn end_instance(&mut self) {
-        let has_ended = self.instances.end_current();
-        self.schedule.expedite_if(has_ended);
-    }
-
     fn report_not_started(&mut self, runs: Vec<RunId>) {
         self.schedule.expedite_if(!runs.is_empty());
         runs.into_iter().for_each(|run| self.not_started.push(run));
--- a/crates/data-plane/src/agent/worker_instance.rs
+++ b/crates/data-plane/src/agent/worker_instance.rs
@@ -20,6 +20,17 @@
     Confirmed,
 }
 
+/// Whether the instance has sent `DELETE`, and what is expected of it afterwards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Deregistration {
+    /// It has not sent `DELETE`.
+    None,
+    /// It was not draining: it serves on for a while, and its runs may go on.
+    ServesOn,
+    /// It was draining: it ends now, and its runs with it.
+    Ends,
+}
+
 /// The changes that a heartbeat brought.
 #[derive(Debug, Default)]
 pub(super) struct HeartbeatChanges {
@@ -40,8 +51,8 @@
     returned: bool,
     /// All leases have expired without a heartbeat; cleared when the instance returns.
     expired: bool,
-    /// The instance deregistered while it had runs and was not draining; these runs may go on for a while.
-    deregistered: bool,
+    /// Changes once, when the instance sends `DELETE`.
+    deregistration: Deregistration,
     runs: RunTable,
     /// The head has ends up to this number on disk; `None` before its first acknowledgement.
     acknowledged_end: Option<u64>,
@@ -66,7 +77,7 @@
             confirmation: Confirmation::Unreported,
             returned,
             expired: false,
-            deregistered: false,
+            deregistration: Deregistration::None,
             runs: RunTable::default(),
             acknowledged_end: None,
             runs_revision: 0,
@@ -94,14 +105,14 @@
         self.expired
     }
 
-    /// Whether the instance deregistered while it had runs and was not draining.
+    /// Whether the instance has deregistered.
     pub(super) fn is_deregistered(&self) -> bool {
-        self.deregistered
+        self.deregistration != Deregistration::None
     }
 
-    /// Whether the newest heartbeat has the state `draining`, or the instance has deregistered.
-    pub(super) fn is_draining(&self) -> bool {
-        self.newest.state == WorkerState::Draining
+    /// Whether the instance was draining when it deregistered: no heartbeat is expected any more.
+    pub(super) fn ends_now(&self) -> bool {
+        self.deregistration == Deregistration::Ends
     }
 
     /// Whether no run is ordered, sent or running.
@@ -109,9 +120,15 @@
         self.runs.is_empty()
     }
 
-    /// Whether the instance has deregistered, no run is open, and the head has acknowledged all ends.
+    /// Whether the instance has deregistered, none of its runs can go on, and the head has acknowledged all ends. As long as
+    /// it has not, a report of the instance's end would make the head count ended runs as lost.
     pub(super) fn is_finished(&self) -> bool {
-        self.deregistered && self.runs.is_empty() && self.finished.is_empty()
+        let no_run_goes_on = match self.deregistration {
+            Deregistration::None => false,
+            Deregistration::ServesOn => self.runs.is_empty(),
+            Deregistration::Ends => true,
+        };
+        no_run_goes_on && self.finished.is_empty()
     }
 
     /// Whether a heartbeat with this number or a higher one has been read.
@@ -145,7 +162,7 @@
         now_ms: u64,
         mut heartbeat: Heartbeat,
     ) -> HeartbeatChanges {
-        if self.deregistered {
+        if self.is_deregistered() {
             drain_at_once(&mut heartbeat);
         }
         let in_flight = self.runs.in_flight();
@@ -222,7 +239,10 @@
 
     /// Marks the instance as deregistered; from now on it is reported as draining with no time left.
     pub(super) fn deregister(&mut self) {
-        self.deregistered = true;
+        self.deregistration = match self.newest.state {
+            WorkerState::Ready => Deregistration::ServesOn,
+            WorkerState::Draining => Deregistration::Ends,
+        };
         drain_at_once(&mut self.newest);
     }
 
--- a/crates/data-plane/tests/agent_leases.rs
+++ b/crates/data-plane/tests/agent_leases.rs
@@ -5,10 +5,12 @@
 
 use common::agent_harness::{AgentHarness, CONNECTION, START_MS, WORKER, run, start};
 use indigofold_data_plane::agent::{
-    Agent, BUSY_HEARTBEAT_MS, HeartbeatAdmission, IDLE_HEARTBEAT_MS, RECENT_ORDER_MS, expires_by_ms,
+    Agent, BUSY_HEARTBEAT_MS, HeartbeatAdmission, IDLE_HEARTBEAT_MS, RECENT_ORDER_MS,
+    REPORT_INTERVAL_MS, expires_by_ms,
 };
 use indigofold_protocol::internal::{AgentOrders, LEASE_AUTHORITY_MS, RUN_LEASE_MS};
 use indigofold_protocol::worker::{RunEnd, WorkerState};
+use rstest::rstest;
 
 /// Time after which every run lease has expired.
 const ALL_LEASES_EXPIRED_MS: u64 = RUN_LEASE_MS + 1_500;
@@ -182,6 +184,60 @@
     assert_eq!(harness.report_now().ended_instances, [WORKER]);
 }
 
+/// Failure: an idle instance that sent `DELETE` before a head had acknowledged its ends was reported as ended without them. The
+/// head counted its done runs as lost and started them again.
+#[rstest]
+#[case::serves_on(WorkerState::Ready)]
+#[case::drained(WorkerState::Draining)]
+fn an_idle_instance_that_deregisters_ends_after_its_ends_are_acknowledged(
+    #[case] state: WorkerState,
+) {
+    let mut harness = AgentHarness::confirmed();
+    harness.start_and_confirm(&[start(run(1), 100)]);
+    harness.state = state;
+    harness.end(run(1), RunEnd::Done);
+    harness.send_heartbeat();
+    harness.agent.handle_deregistration(WORKER);
+    for _ in 0..2 {
+        harness.advance(REPORT_INTERVAL_MS);
+        let report = harness.report_now();
+        assert!(report.ended_instances.is_empty(), "its end is not handled");
+        let instance = report.instance.expect("the instance is reported");
+        assert_eq!(instance.finished.len(), 1);
+        assert_eq!(instance.state, WorkerState::Draining);
+    }
+    harness.deliver_orders(AgentOrders {
+        acknowledged_end: Some(1),
+        ..harness.no_orders()
+    });
+    if state == WorkerState::Ready {
+        let reply = harness.send_heartbeat();
+        assert_eq!(reply.acknowledged_end, Some(1), "it serves on and is told");
+    }
+    let report = harness.report_now();
+    assert_eq!(
+        (report.ended_instances, report.instance),
+        (vec![WORKER.to_owned()], None)
+    );
+}
+
+/// The runs of a draining instance end with it, so they are lost once the ends that it has listed are acknowledged.
+#[test]
+fn a_draining_instance_that_deregisters_ends_with_its_runs_once_its_ends_are_acknowledged() {
+    let mut harness = AgentHarness::confirmed();
+    harness.start_and_confirm(&[start(run(1), 100), start(run(2), 100)]);
+    harness.state = WorkerState::Draining;
+    harness.end(run(1), RunEnd::Done);
+    harness.send_heartbeat();
+    harness.agent.handle_deregistration(WORKER);
+    assert!(harness.report_now().ended_instances.is_empty());
+    harness.deliver_orders(AgentOrders {
+        acknowledged_end: Some(1),
+        ..harness.no_orders()
+    });
+    assert_eq!(harness.report_now().ended_instances, [WORKER]);
+}
+
 #[test]
 fn an_unresponsive_deregistered_instance_ends_when_its_leases_expire() {
     let mut harness = AgentHarness::confirmed();
--- a/crates/system-tests/src/worker.rs
+++ b/crates/system-tests/src/worker.rs
@@ -133,6 +133,20 @@
         })
     }
 
+    /// Sends `DELETE` for the present instance, which serves on: it goes on sending heartbeats. Returns the node agent's
+    /// response; `None` without an instance.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no complete response in time.
+    pub fn deregister_and_serve_on(&self) -> Result<Option<Response>, HttpError> {
+        let Some(instance) = self.instance() else {
+            return Ok(None);
+        };
+        let request = deregistration(&self.environment, instance);
+        request_once(self.agent, &request, RESPONSE_TIMEOUT).map(Some)
+    }
+
     /// Starts draining: the worker reports that it ends after `remaining`, and then deregisters.
     pub fn drain(&self, remaining: Duration) {
         if let Some(instance) = self.instance() {
@@ -152,6 +166,12 @@
     }
 }
 
+/// The request by which an instance deregisters.
+fn deregistration(environment: &Environment, instance: InstanceIndex) -> Request {
+    let path = environment.read(|record| format!("/instances/{}", record.instance(instance).id));
+    Request::new("DELETE", path)
+}
+
 /// The connection for heartbeats, reopened when it has been closed.
 struct HeartbeatConnection {
     peer: SocketAddr,
@@ -280,10 +300,7 @@
 
     /// Sends deregistrations until one is acknowledged or [`DEREGISTER_TIMEOUT`] has passed, and ends the instance.
     fn deregister(&mut self, instance: InstanceIndex) {
-        let path = self
-            .environment
-            .read(|record| format!("/instances/{}", record.instance(instance).id));
-        let request = Request::new("DELETE", path);
+        let request = deregistration(&self.environment, instance);
         let connection = &mut self.connection;
         let acknowledged = self.environment.signal().wait_until(
             "the acknowledgement of a deregistration",
