Scheduler: steps that no worker can take do not hide the ones behind them from a pass

Cause: a pass visited the first 400 steps of a service's queue, always from its start.

Change: the queue keeps its steps by need as well (label, size, tasks that start together). A pass visits the first 400 as before, and of those behind the first 400 whose need the workers' free capacity can meet; each need is asked for once. Queues of up to 400 steps are visited as before, and no order changes.

--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -6,7 +6,7 @@
 pub const SPEC_BYTES_MAX: usize = 4_000;
 
 /// Amounts of resources: the capacity of a worker or the demand of a task.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Resources {
     /// CPU, in thousandths of a core.
@@ -23,6 +23,14 @@
         other.cpu <= self.cpu && other.mem_mb <= self.mem_mb && other.gpu <= self.gpu
     }
 
+    /// Returns how many times `other` fits into this amount at once; `u64::MAX` if it is nothing.
+    pub fn count_of(&self, other: &Resources) -> u64 {
+        let count = |amount: u64, unit: u64| amount.checked_div(unit).unwrap_or(u64::MAX);
+        count(self.cpu, other.cpu)
+            .min(count(self.mem_mb, other.mem_mb))
+            .min(count(self.gpu, other.gpu))
+    }
+
     /// Returns the sum of both amounts.
     #[must_use]
     pub fn plus(&self, other: &Resources) -> Resources {
--- a/crates/scheduler/src/cluster.rs
+++ b/crates/scheduler/src/cluster.rs
@@ -214,7 +214,9 @@
             }
             JobEvent::Closed(id) => self.outbox.job_closed(id),
             JobEvent::Removed(id) => self.outbox.job_removed(id),
-            JobEvent::StepEnqueued { service, key } => self.services.entry(&service).enqueue(key),
+            JobEvent::StepEnqueued { service, key, need } => {
+                self.services.entry(&service).enqueue(key, need);
+            }
             JobEvent::StepDequeued { service, key } => self.services.entry(&service).dequeue(&key),
             JobEvent::StopTask(task) => self.stop_task(task),
             JobEvent::StopOnceCommitted(run) => self.stop_once_committed(run),
--- a/crates/scheduler/src/jobs/event.rs
+++ b/crates/scheduler/src/jobs/event.rs
@@ -1,7 +1,7 @@
 //! Events that the job table emits for the rest of the scheduler.
 
 use crate::jobs::run::Run;
-use crate::queue::QueueKey;
+use crate::queue::{QueueKey, StepNeed};
 use crate::run_result::RunResult;
 use crate::step_traits::StepTraits;
 use indigofold_protocol::task::{JobId, RunId, TaskName};
@@ -23,6 +23,8 @@
         service: String,
         /// Position of the step in the queue.
         key: QueueKey,
+        /// What the step's tasks need of a worker.
+        need: StepNeed,
     },
     /// A step leaves the queue, as none of its tasks is waiting or its job has ended or moved to another service.
     StepDequeued {
--- a/crates/scheduler/src/jobs/lifecycle.rs
+++ b/crates/scheduler/src/jobs/lifecycle.rs
@@ -7,7 +7,7 @@
 use crate::jobs::late_ends::latency_before_opening;
 use crate::jobs::{Job, JobEvent, Jobs, StepState};
 use crate::latency::{Cause, LatencyBreakdown};
-use crate::queue::{QueueKey, StepRef};
+use crate::queue::{QueueKey, StepNeed, StepRef};
 use indigofold_protocol::job::JobState;
 use indigofold_protocol::task::{JobId, TaskName};
 
@@ -169,9 +169,12 @@
         if let Some(state) = job.step_state_mut(step_ref) {
             state.enter_queue(key);
         }
-        let service = job.service().to_owned();
-        self.events
-            .push_back(JobEvent::StepEnqueued { service, key });
+        let need = job.step(step_ref.step).map(StepNeed::of);
+        self.events.push_back(JobEvent::StepEnqueued {
+            service: job.service().to_owned(),
+            key,
+            need: need.unwrap_or_default(),
+        });
     }
 
     /// Makes a task wait for placement again. A gang is requeued as a whole once no member runs; until then, members that
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -11,7 +11,7 @@
 use crate::jobs::Placement;
 use crate::kinds::{PlacementTrace, Selection, dominant_share};
 use crate::latency::Cause;
-use crate::queue::{QueueKey, StepRef};
+use crate::queue::{QueueKey, StepNeed, StepRef};
 use crate::reservations::Reservation;
 use crate::services::ServiceState;
 use crate::worker::{Worker, WorkerId};
@@ -21,7 +21,7 @@
 use rand_pcg::Pcg64Mcg;
 use reserve::{RESERVATIONS_MAX, reserve};
 
-/// Maximum number of steps that one pass over a queue visits.
+/// Maximum number of steps at the head of a queue that one pass visits, and of those behind them that a worker could take.
 const PASS_STEPS: usize = 400;
 /// A task is large if its dominant share of a worker exceeds this fraction.
 const LARGE_FRACTION: f64 = 0.5;
@@ -101,6 +101,7 @@
             cluster.services_mut().entry(&name).end_pass(now_ms);
         }
     }
+
     /// Visits the steps in queue order, places the tasks that fit and reserves workers for steps that need much
     /// capacity. Steps of one priority are visited twice: first only for workers local to their data, then for any
     /// worker, because a remote task occupies capacity for longer than a local one.
@@ -108,7 +109,7 @@
         let Some(state) = cluster.services().get(service) else {
             return;
         };
-        let keys: Vec<QueueKey> = state.queue().iter().take(PASS_STEPS).copied().collect();
+        let keys = cluster.view().steps_to_visit(state);
         if keys.is_empty() {
             return;
         }
@@ -319,6 +320,30 @@
 }
 
 impl ClusterView<'_> {
+    /// The steps of the queue that a pass visits, in their order.
+    fn steps_to_visit(&self, service: &ServiceState) -> Vec<QueueKey> {
+        let can_meet = |need: &StepNeed| self.can_meet(service, need);
+        service.queue().first_steps(PASS_STEPS, can_meet)
+    }
+
+    /// Whether workers of the service with the label have the free capacity for as many tasks as have to start together.
+    /// Reservations, racks and limits of tasks for each worker are left out.
+    fn can_meet(&self, service: &ServiceState, need: &StepNeed) -> bool {
+        let workers = self.workers_of(service).filter(|worker| {
+            let has_label = need.label.is_empty() || worker.labels().contains(&need.label);
+            has_label && worker.accepts_starts(self.now_ms)
+        });
+        let mut missing_tasks = u64::from(need.tasks_at_once.max(1));
+        for worker in workers {
+            let fitting_tasks = worker.free().count_of(&need.resources);
+            missing_tasks = missing_tasks.saturating_sub(fitting_tasks);
+            if missing_tasks == 0 {
+                return true;
+            }
+        }
+        false
+    }
+
     /// The cause of a step's wait after it was visited: the queue if it is `blocked_by_earlier` steps, capacity if it
     /// `cannot_fit` on any worker, and locality if it would fit but needs a certain rack or has to start as a gang.
     fn wait_cause(&self, step_ref: StepRef, blocked_by_earlier: bool, cannot_fit: bool) -> Cause {
--- a/crates/scheduler/src/queue.rs
+++ b/crates/scheduler/src/queue.rs
@@ -1,7 +1,10 @@
 //! The queue of one service: its steps with tasks to place, and their order.
 
+use indigofold_protocol::job::{Resources, Step};
 use indigofold_protocol::task::{JobId, TaskName};
+use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
+use std::ops::Bound;
 
 /// Identifies a step of one repetition of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -64,5 +67,113 @@
     pub step_ref: StepRef,
 }
 
+/// What each task of a step needs of a worker, whatever the time. Steps of one need wait together while no worker has it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct StepNeed {
+    /// Label that the worker must have; empty for any worker.
+    pub label: String,
+    /// Resources that each task takes.
+    pub resources: Resources,
+    /// Number of tasks that start together: all members of a gang, else 1.
+    pub tasks_at_once: u32,
+}
+
+impl StepNeed {
+    /// Returns the need of a step.
+    pub(crate) fn of(step: &Step) -> Self {
+        StepNeed {
+            label: step.requirements.clone(),
+            resources: step.resources(),
+            tasks_at_once: if step.gang { step.count } else { 1 },
+        }
+    }
+}
+
 /// Steps with tasks to place, in the order in which they get capacity.
-pub(crate) type Queue = BTreeSet<QueueKey>;
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    steps: BTreeSet<QueueKey>,
+    /// The same steps by what they need. A need without steps is removed.
+    by_need: FxHashMap<StepNeed, BTreeSet<QueueKey>>,
+    /// The need of each step.
+    needs: FxHashMap<StepRef, StepNeed>,
+}
+
+impl Queue {
+    /// Whether no step waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    /// The first step.
+    pub(crate) fn first(&self) -> Option<&QueueKey> {
+        self.steps.first()
+    }
+
+    /// Iterates over all steps in their order.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &QueueKey> {
+        self.steps.iter()
+    }
+
+    /// Adds a step with this need.
+    pub(crate) fn insert(&mut self, key: QueueKey, need: StepNeed) {
+        self.steps.insert(key);
+        self.needs.insert(key.step_ref, need.clone());
+        self.by_need.entry(need).or_default().insert(key);
+    }
+
+    /// Removes a step; returns its need, or `None` if it does not wait at this position.
+    pub(crate) fn remove(&mut self, key: &QueueKey) -> Option<StepNeed> {
+        if !self.steps.remove(key) {
+            return None;
+        }
+        let need = self.needs.remove(&key.step_ref)?;
+        if let Some(steps) = self.by_need.get_mut(&need) {
+            steps.remove(key);
+            if steps.is_empty() {
+                self.by_need.remove(&need);
+            }
+        }
+        Some(need)
+    }
+
+    /// Moves a step from the position `former_key` to `key`; no effect if it does not wait there.
+    pub(crate) fn reposition(&mut self, former_key: &QueueKey, key: QueueKey) {
+        if let Some(need) = self.remove(former_key) {
+            self.insert(key, need);
+        }
+    }
+
+    /// The first `max` steps, and of those behind them the first `max` whose need `can_meet` answers with true, all in
+    /// their order. So steps that no worker can take at present do not hide the ones behind them. Each need of the queue
+    /// is asked for once at most; the cost does not grow with the number of steps behind.
+    pub(crate) fn first_steps(
+        &self,
+        max: usize,
+        can_meet: impl Fn(&StepNeed) -> bool,
+    ) -> Vec<QueueKey> {
+        let mut first_steps: Vec<QueueKey> = self.steps.iter().take(max).copied().collect();
+        let Some(last) = first_steps
+            .last()
+            .copied()
+            .filter(|_| self.steps.len() > max)
+        else {
+            return first_steps;
+        };
+        let behind = (Bound::Excluded(last), Bound::Unbounded);
+        let mut steps_behind: Vec<QueueKey> = Vec::new();
+        for (need, steps) in &self.by_need {
+            let has_steps_behind = steps.last().is_some_and(|key| *key > last);
+            if has_steps_behind && can_meet(need) {
+                steps_behind.extend(steps.range(behind).take(max).copied());
+            }
+        }
+        steps_behind.sort_unstable();
+        steps_behind.truncate(max);
+        first_steps.extend(steps_behind);
+        first_steps
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/scheduler/src/services.rs
+++ b/crates/scheduler/src/services.rs
@@ -3,7 +3,7 @@
 
 use crate::backlog_cache::BacklogCache;
 use crate::kinds::Kinds;
-use crate::queue::{Queue, QueueKey};
+use crate::queue::{Queue, QueueKey, StepNeed};
 use crate::recent_demand::RecentDemand;
 use crate::reservations::Reservations;
 use crate::workers::Workers;
@@ -78,9 +78,9 @@
         &self.queue
     }
 
-    /// Adds a step to the queue and requests a pass.
-    pub(crate) fn enqueue(&mut self, key: QueueKey) {
-        self.queue.insert(key);
+    /// Adds a step with this need to the queue and requests a pass.
+    pub(crate) fn enqueue(&mut self, key: QueueKey, need: StepNeed) {
+        self.queue.insert(key, need);
         self.pass_requested = true;
     }
 
@@ -92,8 +92,7 @@
 
     /// Changes the position of a step in the queue from `former_key` to `key`.
     pub(crate) fn reposition(&mut self, former_key: &QueueKey, key: QueueKey) {
-        self.queue.remove(former_key);
-        self.queue.insert(key);
+        self.queue.reposition(former_key, key);
     }
 
     /// Requests a pass, because something has changed that may allow a task to be placed.
