Scheduler: rows, placement and jobs are split into modules with one job each

Change: moves only. Keys, stored form, writing and restoring of rows are modules of their own; what a pass reads of the cluster, and whether a job has begun, too. Measured: tests, lints and documentation of the crate pass.

--- a/crates/scheduler/src/jobs/job.rs
+++ b/crates/scheduler/src/jobs/job.rs
@@ -1,6 +1,7 @@
-//! A job and its progress. Submodules: `prospects` (queue positions of its steps), `restored` (a job read from stored
-//! rows).
+//! A job and its progress. Submodules: `begin` (whether a task of it has begun), `prospects` (queue positions of its steps),
+//! `restored` (a job read from stored rows).
 
+mod begin;
 mod prospects;
 mod restored;
 
@@ -156,23 +157,6 @@
         self.end.is_some()
     }
 
-    /// Whether a worker has begun a task of the job. A run that is placed, or whose start order is sent, has not begun.
-    pub(crate) fn has_begun(&self) -> bool {
-        self.begun
-    }
-
-    /// Whether the job has begun, but its rows, as last written, do not show it.
-    pub(crate) fn has_unwritten_begin(&self) -> bool {
-        self.begun && !self.begun_in_rows
-    }
-
-    /// Whether the job's repetitions alone show that it has begun: one has ended, or a run of a task of the others is known
-    /// to have begun.
-    pub(crate) fn progress_shows_begin(&self) -> bool {
-        let has_ended_repeat = self.next_repeat as usize > self.repeats.len();
-        has_ended_repeat || self.repeats.values().any(Repetition::shows_begin)
-    }
-
     /// Whether any run of the job has not ended.
     pub(crate) fn has_outstanding_runs(&self) -> bool {
         self.outstanding_count > 0
@@ -348,11 +332,6 @@
         self.outstanding_count += 1;
     }
 
-    /// Records that a worker has begun a task of the job; returns whether that is new.
-    pub(crate) fn set_begun(&mut self) -> bool {
-        !std::mem::replace(&mut self.begun, true)
-    }
-
     /// Removes an ended run from the count of outstanding runs.
     pub(crate) fn run_finished(&mut self) {
         self.outstanding_count = self.outstanding_count.saturating_sub(1);
--- a/crates/scheduler/src/rows/tests.rs
+++ b/crates/scheduler/src/rows/tests.rs
@@ -2,6 +2,7 @@
 //! follow each other.
 
 use super::*;
+use crate::definition::Definition;
 use crate::instance_rows::{instance_key, parse_instance_key};
 use crate::workers::Workers;
 use rstest::rstest;
