Scheduler: reservations of each step are planned again on their own

Callers would have seen: a gang stood still for 25 s beside idle workers, which were reserved for a step that could not use them any more (LOST). Found by drawn work in virtual time, not by a caller.

Cause: the time at which reservations are planned again was kept once for the whole service, and each plan moved it for all steps: a step that goes first in each pass kept the others' reservations as they were, with the patience of another time.

Change: each step has its own time.

Evidence: the new unit test fails without the change.

--- a/crates/scheduler/src/reservations.rs
+++ b/crates/scheduler/src/reservations.rs
@@ -38,8 +38,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Reservations {
     by_worker: FxHashMap<WorkerId, Reservation>,
-    /// Reservations are current until this time.
-    next_update_ms: u64,
+    /// Until when the reservations of each step are current.
+    next_update_ms: FxHashMap<StepRef, u64>,
 }
 
 impl Reservations {
@@ -54,7 +54,8 @@
             .by_worker
             .values()
             .any(|reservation| reservation.step == step);
-        has_reservation && now_ms < self.next_update_ms
+        let next_update_ms = self.next_update_ms.get(&step);
+        has_reservation && next_update_ms.is_some_and(|next_update_ms| now_ms < *next_update_ms)
     }
 
     /// Replaces the reservations of a step. A worker reserved for another step passes to this one.
@@ -64,19 +65,21 @@
         reservations: impl IntoIterator<Item = (WorkerId, Reservation)>,
         now_ms: u64,
     ) {
-        self.next_update_ms = now_ms + UPDATE_MS;
         self.release(step);
+        self.next_update_ms.insert(step, now_ms + UPDATE_MS);
         self.by_worker.extend(reservations);
     }
 
     /// Removes the reservations of a step.
     pub(crate) fn release(&mut self, step: StepRef) {
+        self.next_update_ms.remove(&step);
         self.by_worker
             .retain(|_, reservation| reservation.step != step);
     }
 
     /// Removes the reservations of all steps except these.
     pub(crate) fn retain(&mut self, steps: &[StepRef]) {
+        self.next_update_ms.retain(|step, _| steps.contains(step));
         self.by_worker
             .retain(|_, reservation| steps.contains(&reservation.step));
     }
--- a/crates/scheduler/src/reservations/tests.rs
+++ b/crates/scheduler/src/reservations/tests.rs
@@ -51,3 +51,13 @@
     assert!(reservations.get(WorkerId(1)).is_none());
     assert!(reservations.get(WorkerId(2)).is_some());
 }
+
+/// Failure: as long as one step's reservations were planned again on time, those of another never were.
+#[test]
+fn reservations_of_each_step_are_planned_again_on_their_own() {
+    let mut reservations = Reservations::default();
+    reservations.replace(step(1), [(WorkerId(1), reservation(1))], 1_000);
+    reservations.replace(step(2), [(WorkerId(2), reservation(2))], 1_100);
+    assert!(!reservations.are_current(step(1), 1_000 + UPDATE_MS));
+    assert!(reservations.are_current(step(2), 1_000 + UPDATE_MS));
+}
