--- a/crates/scheduler/src/outlook.rs
+++ b/crates/scheduler/src/outlook.rs
@@ -1,10 +1,12 @@
-//! Forecast of when and where capacity becomes free, assuming that all runs end at their expected times.
+//! Forecast of when and where capacity becomes free, assuming that runs end at their expected times. What is assumed of
+//! long-running runs, which do not end by themselves, is up to the caller.
 
 use crate::cluster_view::ClusterView;
 use crate::demand::{StepDemand, multiply};
 use crate::services::ServiceState;
 use crate::worker::{Worker, WorkerId};
 use indigofold_protocol::job::Resources;
+use indigofold_protocol::task::TaskName;
 use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
 
@@ -15,6 +17,17 @@
 /// workers with nearly equal forecasts.
 const RESERVED_ADVANTAGE_MS: u64 = 400;
 
+/// When a forecast expects long-running runs to end. One that is being stopped ends within the time limit for stops.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum LongRunningEnd {
+    /// All end after the client's estimate, like other runs: the forecast is about capacity that stops could free.
+    Estimated,
+    /// Those of a lower priority than the step are preempted at this time of the monotonic clock, the others never end.
+    Preempted { at_ms: u64 },
+    /// None ends.
+    Never,
+}
+
 /// Forecast of the capacity for the tasks of a step that start together.
 #[derive(Clone, Debug)]
 pub(crate) struct Outlook {
@@ -50,15 +63,17 @@
     }
 
     /// Forecasts when and where `members` tasks of the step can start together; `None` if the service does not get
-    /// enough capacity even after all runs have ended. For a rack-local step it is within one rack, unless spreading
-    /// over racks allows a start so much earlier that it makes up for the slower runs.
+    /// enough capacity even after all runs have ended that are expected to end. For a rack-local step it is within one
+    /// rack, unless spreading over racks allows a start so much earlier that it makes up for the slower runs.
     pub(crate) fn outlook(
         &self,
         service: &ServiceState,
         demand: &StepDemand,
         members: u32,
+        long_running_end: LongRunningEnd,
     ) -> Option<Outlook> {
-        let any_rack_outlook = self.outlook_in(service, demand, members, None)?;
+        let outlook_in = |rack| self.outlook_in(service, demand, members, long_running_end, rack);
+        let any_rack_outlook = outlook_in(None)?;
         let rack_local = self
             .jobs
             .get(&demand.step_ref.job)
@@ -68,9 +83,7 @@
             return Some(any_rack_outlook);
         }
         let racks: BTreeSet<&str> = self.workers_of(service).filter_map(Worker::rack).collect();
-        let rack_outlooks = racks
-            .into_iter()
-            .filter_map(|rack| self.outlook_in(service, demand, members, Some(rack)));
+        let rack_outlooks = racks.into_iter().filter_map(|rack| outlook_in(Some(rack)));
         let best_rack_outlook = rack_outlooks.min_by_key(|outlook| outlook.free_at_ms);
         let loss_ms = (demand.estimate_ms as f64 * (self.bounds.remote_slowdown - 1.0)) as u64;
         Some(
@@ -87,6 +100,7 @@
         service: &ServiceState,
         demand: &StepDemand,
         members: u32,
+        long_running_end: LongRunningEnd,
         rack: Option<&str>,
     ) -> Option<Outlook> {
         let mut slots: Vec<Slot> = Vec::new();
@@ -107,7 +121,7 @@
             } else {
                 0
             };
-            let free_times = self.free_times(id, worker, demand, members);
+            let free_times = self.free_times(id, worker, demand, members, long_running_end);
             slots.extend(free_times.into_iter().map(|free_at_ms| Slot {
                 free_at_ms: free_at_ms.saturating_sub(advantage_ms),
                 worker: id,
@@ -127,31 +141,34 @@
     }
 
     /// Times at which the worker is expected to have capacity for one, two, ... up to `members` tasks of the step, in
-    /// ascending order. Ends early at the first number that the worker can never hold.
+    /// ascending order. Ends early at the first number that the worker is not expected to hold.
     fn free_times(
         &self,
         id: WorkerId,
         worker: &Worker,
         demand: &StepDemand,
         members: u32,
+        long_running_end: LongRunningEnd,
     ) -> Vec<u64> {
         if !demand.is_label_met(worker) {
             return Vec::new();
         }
-        let mut ends: Vec<ExpectedEnd> = worker
-            .runs()
-            .iter()
-            .map(|task| ExpectedEnd {
-                end_at_ms: self.now_ms + self.remaining_ms(id, task),
-                resources: self.resources(*task),
+        let runs = worker.runs().iter();
+        let mut ends: Vec<ExpectedEnd> = runs
+            .filter_map(|task| {
+                Some(ExpectedEnd {
+                    end_at_ms: self.expected_end_ms(id, task, demand, long_running_end)?,
+                    resources: self.resources(*task),
+                })
             })
             .collect();
         ends.sort_unstable_by_key(|end| end.end_at_ms);
         let mut ends = ends.into_iter();
         let (mut used, mut free_at_ms) = (worker.used(), self.now_ms);
         let mut free_times = Vec::new();
+        let tasks_there = demand.runs_by_worker.get(&id).copied().unwrap_or(0);
         let max_tasks = if demand.anti_affinity > 0 {
-            members.min(demand.anti_affinity)
+            members.min(demand.anti_affinity.saturating_sub(tasks_there))
         } else {
             members
         };
@@ -167,4 +184,33 @@
         }
         free_times
     }
+
+    /// When the run is expected to end, on the monotonic clock; `None` if it is not expected to end.
+    fn expected_end_ms(
+        &self,
+        id: WorkerId,
+        task: &TaskName,
+        demand: &StepDemand,
+        long_running_end: LongRunningEnd,
+    ) -> Option<u64> {
+        let estimated_end_ms = self.now_ms + self.remaining_ms(id, task);
+        let open_job = self.jobs.get(&task.job).filter(|job| !job.has_ended());
+        let Some(job) = open_job else {
+            return Some(estimated_end_ms);
+        };
+        let is_long_running = job.step(task.step).is_some_and(|step| step.long_running);
+        let is_stopping = self
+            .run_at(id, task)
+            .is_some_and(|run| run.stop().is_some());
+        if !is_long_running || is_stopping {
+            return Some(estimated_end_ms);
+        }
+        match long_running_end {
+            LongRunningEnd::Estimated => Some(estimated_end_ms),
+            LongRunningEnd::Preempted { at_ms } => {
+                (job.terms().priority > demand.priority).then_some(at_ms)
+            }
+            LongRunningEnd::Never => None,
+        }
+    }
 }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -19,7 +19,8 @@
 use indigofold_protocol::task::TaskName;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use reserve::{RESERVATIONS_MAX, reserve};
+use reserve::{RESERVATIONS_MAX, ReservationNeed, reserve};
+use rustc_hash::FxHashSet;
 
 /// State of one pass over a service's queue.
 #[derive(Debug)]
@@ -33,6 +34,8 @@
     blocked: Vec<Resources>,
     /// Steps that hold reservations after this pass, at most [`RESERVATIONS_MAX`].
     reserved: Vec<StepRef>,
+    /// Needs for which an earlier step of this pass got no reservation.
+    unreservable: FxHashSet<ReservationNeed>,
 }
 
 /// Selects the workers for tasks. All random draws come from one seeded generator, so that the same sequence of events
@@ -105,6 +108,7 @@
             largest_free: cluster.view().largest_free(service),
             blocked: Vec::new(),
             reserved: Vec::new(),
+            unreservable: FxHashSet::default(),
         };
         observe_urgent(cluster, service, &keys);
         for group in keys.chunk_by(|a, b| (a.hopeless, a.priority) == (b.hopeless, b.priority)) {
@@ -126,7 +130,8 @@
 
     /// Places the tasks of a step that fit, and reserves workers for the rest if they need much capacity. A step is
     /// skipped if an earlier step with tasks of at most its size found no worker, so that it cannot overtake that step.
-    /// The exception is a step that has waited for [`ANY_WORKER_MS`](crate::demand::ANY_WORKER_MS) while the service has spare capacity.
+    /// The exception is a step that has waited for [`ANY_WORKER_MS`](crate::demand::ANY_WORKER_MS) and is long-running, or waits while the service
+    /// has spare capacity.
     fn visit_step(
         &mut self,
         cluster: &mut Cluster,
@@ -139,9 +144,9 @@
             return;
         };
         let resources = shape.resources;
-        let honors_blocked =
-            !(pass.has_spare_capacity && cluster.view().has_waited_long(key.step_ref));
-        let blocked_by_earlier = honors_blocked
+        let may_overtake = (pass.has_spare_capacity || shape.long_running)
+            && cluster.view().has_waited_long(key.step_ref);
+        let blocked_by_earlier = !may_overtake
             && pass
                 .blocked
                 .iter()
@@ -163,7 +168,9 @@
                 pass.blocked.push(resources);
             }
         }
-        if pass.reserved.len() < RESERVATIONS_MAX && reserve(cluster, service, key) {
+        if pass.reserved.len() < RESERVATIONS_MAX
+            && reserve(cluster, service, key, &mut pass.unreservable)
+        {
             pass.reserved.push(key.step_ref);
         }
     }
--- a/crates/scheduler/src/placement/pass_view.rs
+++ b/crates/scheduler/src/placement/pass_view.rs
@@ -21,6 +21,8 @@
     /// Whether anything but capacity limits the choice of workers: a label, a rack, `anti_affinity`, a gang, a
     /// long-running step, or a worker that a task failed on.
     pub(super) is_constrained: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub(super) long_running: bool,
 }
 
 impl ClusterView<'_> {
@@ -102,6 +104,7 @@
         Some(TaskShape {
             resources: step.resources(),
             is_constrained,
+            long_running: step.long_running,
         })
     }
 
--- a/crates/scheduler/src/preemption.rs
+++ b/crates/scheduler/src/preemption.rs
@@ -5,6 +5,7 @@
 use crate::cluster::Cluster;
 use crate::cluster_view::ClusterView;
 use crate::demand::StepDemand;
+use crate::outlook::LongRunningEnd;
 use crate::queue::{Prospect, QueueKey};
 use crate::services::ServiceState;
 use crate::value::cores;
@@ -123,7 +124,12 @@
         let simultaneous_tasks = if step.gang { waiting_tasks } else { 1 };
         let in_time = |free_at_ms: u64| free_at_ms as i64 + SLACK_MS <= key.latest_start_ms;
         if self
-            .outlook(service, &demand, simultaneous_tasks)
+            .outlook(
+                service,
+                &demand,
+                simultaneous_tasks,
+                LongRunningEnd::Estimated,
+            )
             .is_none_or(|outlook| in_time(outlook.free_at_ms))
         {
             return Vec::new();
--- a/crates/scheduler/src/reservations.rs
+++ b/crates/scheduler/src/reservations.rs
@@ -8,6 +8,9 @@
 
 /// Reservations are planned again after this time.
 const UPDATE_MS: u64 = 200;
+/// A long-running step that has waited for this time may use any reserved worker: it earns only while it runs, and needs
+/// a place rarely.
+const LONG_RUNNING_PATIENCE_MS: u64 = 2_400;
 
 /// Reservation of a worker for a step.
 #[derive(Clone, Debug)]
@@ -20,7 +23,8 @@
     pub resources: Resources,
     /// When the capacity for the step is expected to be free, on the monotonic clock.
     pub free_at_ms: u64,
-    /// Other steps that have waited for this time may use the worker despite the reservation; `u64::MAX` for never.
+    /// Other steps that have waited for this time may use the worker despite the reservation; `u64::MAX` for never. A
+    /// long-running step waits for [`LONG_RUNNING_PATIENCE_MS`] at most.
     pub patience_ms: u64,
 }
 
@@ -31,6 +35,7 @@
         self.step == demand.step_ref
             || demand.priority < self.priority
             || demand.waited_ms >= self.patience_ms
+            || (demand.long_running && demand.waited_ms >= LONG_RUNNING_PATIENCE_MS)
     }
 }
 
--- a/crates/scheduler/tests/cluster/running.rs
+++ b/crates/scheduler/tests/cluster/running.rs
@@ -3,7 +3,7 @@
 use super::node::{ActiveRun, GANG_MS, Node};
 use super::{Cluster, TaskWork};
 use indigofold_protocol::job::Step;
-use indigofold_protocol::task::{RunId, TaskName};
+use indigofold_protocol::task::{JobId, RunId, TaskName};
 use indigofold_protocol::worker::RunEnd;
 
 impl Cluster {
@@ -14,6 +14,12 @@
             .collect()
     }
 
+    /// Number of runs of the job that are running on workers.
+    pub(crate) fn run_count(&self, job: JobId) -> usize {
+        let running = self.nodes.iter().flat_map(|node| node.running.keys());
+        running.filter(|run| run.task.job == job).count()
+    }
+
     /// Sets the run time of this task's runs, and the number of runs that fail before one succeeds.
     pub(crate) fn set_work(&mut self, task: TaskName, run_ms: u64, failures: u32) {
         self.work.insert(task, TaskWork { run_ms, failures });
--- a/crates/scheduler/tests/long_running.rs
+++ b/crates/scheduler/tests/long_running.rs
@@ -4,12 +4,6 @@
 
 use cluster::{Cluster, spec, step};
 use indigofold_protocol::job::Step;
-use indigofold_protocol::task::JobId;
-
-fn run_count(cluster: &Cluster, job: JobId) -> usize {
-    let running = cluster.nodes.iter().flat_map(|node| node.running.keys());
-    running.filter(|run| run.task.job == job).count()
-}
 
 /// A long-running task keeps its value as long as it runs. If it is lost, it must be restarted before later work of the
 /// same priority.
@@ -38,7 +32,7 @@
     cluster.nodes[node].crash(now_ms, downtime_ms);
     cluster.run_for(9_000);
     assert!(
-        run_count(&cluster, long_running) > 0,
+        cluster.run_count(long_running) > 0,
         "the long-running task still waits behind later work"
     );
 }
--- a/crates/scheduler/tests/waiting_steps.rs
+++ b/crates/scheduler/tests/waiting_steps.rs
@@ -37,11 +37,6 @@
     }
 }
 
-fn is_running(cluster: &Cluster, id: JobId) -> bool {
-    let mut runs = cluster.nodes.iter().flat_map(|node| node.running.keys());
-    runs.any(|run| run.task.job == id)
-}
-
 /// Failure: once 400 steps waited for a kind of worker that was lost for good, jobs behind them in the queue stood still
 /// beside idle workers.
 #[rstest]
@@ -60,7 +55,7 @@
     };
     let id = cluster.submit("bulk", BLOCKED_JOBS + 1, spec(vec![waiting_job]));
     cluster.run_for(START_MS);
-    assert!(is_running(&cluster, id), "the job stands still");
+    assert!(cluster.run_count(id) > 0, "the job stands still");
     assert_eq!(cluster.pending("quick"), BLOCKED_JOBS);
 }
 
@@ -75,7 +70,7 @@
     cluster.nodes[0].labels.push("gone".to_owned());
     cluster.nodes[0].report_now = true;
     cluster.run_for(1_000);
-    let started = (1..=BLOCKED_JOBS).filter(|id| is_running(&cluster, JobId(*id)));
+    let started = (1..=BLOCKED_JOBS).filter(|id| cluster.run_count(JobId(*id)) > 0);
     assert_eq!(started.count(), 32, "as many as fit at once");
     assert_eq!(
         cluster.state_of(JobId(BLOCKED_JOBS)),
