Scheduler tests: drawn work with rare labels, wide gangs and tasks that last, judged by rule

`drawn_work.rs` draws 80 plays (`WORK_SEEDS=FIRST,COUNT` for others): gangs wider than what is idle, labels that one worker has, tasks that last on up to 0.7 of a service, floods of steps that no worker can take, timed jobs and cancels, while a worker is lost for good, others crash or drain, node agents stand still and heads change. Checks: progress of jobs and of tasks that last (`idle_jobs.rs`, `long_running_tasks.rs`: near no fault), the counts of pending jobs, and that in the end all has run that workers can run. Histories are looked up by job.

--- a/crates/scheduler/tests/cluster/mod.rs
+++ b/crates/scheduler/tests/cluster/mod.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod idle_jobs;
 mod invariants;
+mod long_running_tasks;
 pub(crate) mod node;
 pub(crate) mod pending;
 mod running;
@@ -17,6 +18,7 @@
 use indigofold_protocol::task::{JobId, TaskName};
 use indigofold_protocol::worker::RunEnd;
 use indigofold_scheduler::{AgentId, Effect, Epoch, Event, LateEnd, RowChange, Scheduler, WriteId};
+use long_running_tasks::LongRunningTasks;
 use node::Node;
 use pending::ReportedBegins;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -133,8 +135,12 @@
     pub stopped_core_ms: f64,
     /// Offset of the scheduler's wall-clock time from the true one, in milliseconds.
     pub clock_step_ms: i64,
-    /// Whether the cluster checks that no job stays idle, see [`idle_jobs`].
+    /// Whether the cluster checks that no job and no long-running task stays idle, see [`idle_jobs`].
     pub checks_idle: bool,
+    /// When the last fault was over, as far as the test has recorded it; `None` before any.
+    last_fault_ms: Option<u64>,
+    /// The long-running tasks, as the check for idle ones has seen them.
+    long_running_tasks: LongRunningTasks,
     /// Since when each idle job has been idle.
     idle_since: BTreeMap<JobId, u64>,
     /// Whether runs of steps without checkpoints make some, too.
@@ -175,6 +181,8 @@
             stopped_core_ms: 0.0,
             clock_step_ms: 0,
             checks_idle: false,
+            last_fault_ms: None,
+            long_running_tasks: LongRunningTasks::default(),
             idle_since: BTreeMap::new(),
             all_runs_make_checkpoints: true,
             checks_pending: true,
@@ -337,6 +345,13 @@
         }
     }
 
+    /// Histories of the job's tasks that had runs.
+    fn history_of(&self, job: JobId) -> impl Iterator<Item = (&TaskName, &TaskHistory)> {
+        let first_task = first_task(job, 0);
+        let histories = self.history.range(first_task..);
+        histories.take_while(move |(task, _)| task.job == job)
+    }
+
     fn deliver(&mut self, message: Message) {
         match message {
             Message::Orders(agent, orders) => {
--- a/crates/scheduler/tests/cluster/setup.rs
+++ b/crates/scheduler/tests/cluster/setup.rs
@@ -98,3 +98,16 @@
         index: 0,
     }
 }
+
+/// First seed and number of seeds of a drawn test: from this environment variable, which holds `FIRST,COUNT`; without it the
+/// first `default_count` seeds.
+pub(crate) fn drawn_seeds(variable: &str, default_count: u64) -> (u64, u64) {
+    let Ok(text) = std::env::var(variable) else {
+        return (1, default_count);
+    };
+    let numbers: Vec<u64> = text.split(',').filter_map(|n| n.parse().ok()).collect();
+    let [first, count] = numbers[..] else {
+        panic!("`{variable}` is `{text}`; two numbers with a comma between them are allowed");
+    };
+    (first, count)
+}
