System tests: drawn times at which workers leave with DELETE while the head stands still

Three times a seed a job's tasks end while the head is frozen; up to 0.5 s later half of the workers that ran them send DELETE and serve on, some of their node agents are killed and started again, and the head wakes within 2 s. No task that is done may start again.

--- a/crates/system-tests/tests/chaos.rs
+++ b/crates/system-tests/tests/chaos.rs
@@ -5,7 +5,7 @@
 
 use chaos_support::{
     FAULTS, LATE_CONNECTION_FAULTS, LATE_MESSAGE_FAULTS, run_seed, run_seed_around_lease_expiry,
-    run_seed_behind_relays,
+    run_seed_behind_relays, run_seed_with_leaving_workers,
 };
 use indigofold_system_tests::programs;
 use rstest::rstest;
@@ -51,6 +51,15 @@
     run_seed_around_lease_expiry(programs!(), seed);
 }
 
+/// Failure: the node agent dropped the ends of an idle worker that sent `DELETE` while no head acted, and its done tasks ran a
+/// second time elsewhere.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn done_tasks_do_not_run_again_when_workers_leave_without_a_head(#[case] seed: u64) {
+    run_seed_with_leaving_workers(programs!(), seed);
+}
+
 /// Runs a range of seeds, for more coverage than the regular suite has time for:
 /// `CHAOS_SEEDS=100..140 cargo test --test chaos -- --ignored --nocapture`.
 #[rstest]
@@ -80,6 +89,13 @@
     run_seeds(|seed| run_seed_around_lease_expiry(programs!(), seed));
 }
 
+/// The same with workers that leave while the head stands still.
+#[rstest]
+#[ignore = "takes as long as its seeds do"]
+fn run_seeds_with_leaving_workers() {
+    run_seeds(|seed| run_seed_with_leaving_workers(programs!(), seed));
+}
+
 fn run_seeds(run: impl Fn(u64)) {
     let seeds =
         std::env::var(SEEDS_VARIABLE).expect("CHAOS_SEEDS should hold the seeds as FIRST..LAST");
--- a/crates/system-tests/tests/chaos_support/mod.rs
+++ b/crates/system-tests/tests/chaos_support/mod.rs
@@ -3,10 +3,12 @@
 mod faults;
 mod jobs;
 mod lease_expiry;
+mod leaving_workers;
 mod seeded_random;
 
 pub(crate) use faults::{FAULTS, Fault, LATE_CONNECTION_FAULTS, LATE_MESSAGE_FAULTS};
 pub(crate) use lease_expiry::run_seed_around_lease_expiry;
+pub(crate) use leaving_workers::run_seed_with_leaving_workers;
 
 use faults::FaultInjector;
 use indigofold_system_tests::checks::Exemptions;
